--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+PYTHON ?= python3
+BIN := .venv/bin
+
+.PHONY: setup test demo check format soak experiment generate
+
+.venv/.installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --disable-pip-version-check --requirement requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --editable .
+	touch .venv/.installed
+
+setup: .venv/.installed
+
+test: setup
+	$(BIN)/python -m tests.run
+
+check: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+generate: setup
+	$(BIN)/python -m grpc_tools.protoc --proto_path=src --python_out=src --pyi_out=src \
+	  --grpc_python_out=src src/dragonflydyke/protocol/node.proto
--- /dev/null
+++ b/src/dragonflydyke/admin/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP API for operators and health checks."""
--- /dev/null
+++ b/src/dragonflydyke/backends/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP client of engines and plain services."""
--- /dev/null
+++ b/src/dragonflydyke/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/dragonflydyke/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration format: model, schema, loader and comparison."""
--- /dev/null
+++ b/src/dragonflydyke/emulator/store.py
@@ -0,0 +1,81 @@
+"""In-memory object store with versions and conditional writes."""
+
+from typing import Any
+
+from dragonflydyke.objects import model
+
+_PEER = "emulated platform"
+
+
+class MemoryStore:
+    """Objects of the emulated platform.
+
+    Every write gets the next version of the whole store.
+    """
+
+    __slots__ = ("_deleted", "_objects", "version")
+
+    def __init__(self) -> None:
+        self.version = 0
+        self._objects: dict[tuple[str, str], model.StoredObject] = {}
+        self._deleted: dict[tuple[str, str], int] = {}
+
+    def get(self, kind: str, name: str) -> model.StoredObject | None:
+        """Returns an object, or None if it does not exist."""
+        return self._objects.get((kind, name))
+
+    def put(
+        self, kind: str, name: str, value: Any, expected: int | None
+    ) -> model.StoredObject:
+        """Creates or replaces an object.
+
+        Args:
+            kind: Kind of the object.
+            name: Name of the object.
+            value: JSON value.
+            expected: Version that the present object must have; None if there
+                must be no object.
+
+        Raises:
+            ConflictError: If the condition does not hold.
+        """
+        self._check(kind, name, expected)
+        self.version += 1
+        stored = model.StoredObject(kind, name, self.version, value)
+        self._objects[kind, name] = stored
+        self._deleted.pop((kind, name), None)
+        return stored
+
+    def delete(self, kind: str, name: str, expected: int) -> None:
+        """Deletes an object that has the expected version."""
+        if (kind, name) not in self._objects:
+            return
+        self._check(kind, name, expected)
+        self.version += 1
+        del self._objects[kind, name]
+        self._deleted[kind, name] = self.version
+
+    def list(
+        self, kind: str, since: int = 0, prefix: str = ""
+    ) -> model.ObjectList:
+        """Returns the objects of a kind that are newer than a version."""
+        objects = [
+            stored
+            for (own_kind, name), stored in self._objects.items()
+            if own_kind == kind
+            and name.startswith(prefix)
+            and stored.version > since
+        ]
+        deleted = tuple(
+            name
+            for (own_kind, name), version in self._deleted.items()
+            if own_kind == kind and name.startswith(prefix) and version > since
+        )
+        objects.sort(key=lambda stored: stored.version)
+        return model.ObjectList(self.version, tuple(objects), deleted)
+
+    def _check(self, kind: str, name: str, expected: int | None) -> None:
+        present = self._objects.get((kind, name))
+        version = present.version if present else None
+        if version != expected:
+            raise model.ConflictError(kind, name, present, peer=_PEER)
--- /dev/null
+++ b/src/dragonflydyke/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP API for callers."""
--- /dev/null
+++ b/src/dragonflydyke/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of client accounts across routers."""
--- /dev/null
+++ b/src/dragonflydyke/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool."""
--- /dev/null
+++ b/src/dragonflydyke/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which routers exist, and whether this one may serve."""
--- /dev/null
+++ b/src/dragonflydyke/objects/client.py
@@ -0,0 +1,238 @@
+"""HTTP client of the platform's object API."""
+
+import json
+from typing import Any, Protocol
+from urllib import parse
+
+from tornado import httpclient, simple_httpclient
+
+from dragonflydyke import errors, metrics
+from dragonflydyke.objects import model
+
+DEFAULT_TIMEOUT_S = 1.0
+# The library queues requests above this number silently.
+_MAX_CONNECTIONS = 1_000
+_MAX_BODY_BYTES = 8_000_000
+_CONFLICT = 409
+_NOT_FOUND = 404
+_TOO_LARGE = 413
+_UNAVAILABLE = 503
+_READ_METHODS = ("GET",)
+
+
+class ObjectStore(Protocol):
+    """What the routers need of the platform's object API."""
+
+    async def get(self, kind: str, name: str) -> model.StoredObject | None:
+        """Returns an object, or None if it does not exist."""
+
+    async def create(
+        self, kind: str, name: str, value: Any
+    ) -> model.StoredObject:
+        """Creates an object; raises ConflictError if it exists."""
+
+    async def update(
+        self, kind: str, name: str, value: Any, version: int
+    ) -> model.StoredObject:
+        """Replaces an object that still has the given version."""
+
+    async def delete(self, kind: str, name: str, version: int) -> None:
+        """Deletes an object that still has the given version."""
+
+    async def list(
+        self, kind: str, *, since: int = 0, prefix: str = ""
+    ) -> model.ObjectList:
+        """Returns the objects of a kind that are newer than a version."""
+
+    async def list_vms(self) -> model.VmList:
+        """Returns the platform's list of VMs."""
+
+
+class ObjectClient:
+    """Client of the object API over HTTP.
+
+    All methods raise PlatformUnavailableError when the platform was not
+    reached. Writes raise ConflictError when their condition does not hold and
+    OutcomeUnknownError when they were sent and the answer was lost.
+    """
+
+    __slots__ = ("_base_url", "_counters", "_http", "_peer", "_timeout_s")
+
+    def __init__(
+        self,
+        base_url: str,
+        *,
+        counters: metrics.Counters,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+    ) -> None:
+        """Creates a client.
+
+        Args:
+            base_url: URL of the object API without a path.
+            counters: Receives `platform.<method>.<outcome>`.
+            timeout_s: Bound on one call, in seconds.
+        """
+        self._base_url = base_url
+        self._peer = parse.urlsplit(base_url).netloc
+        self._timeout_s = timeout_s
+        self._counters = counters
+        self._http = simple_httpclient.SimpleAsyncHTTPClient(
+            force_instance=True,
+            max_clients=_MAX_CONNECTIONS,
+            max_body_size=_MAX_BODY_BYTES,
+        )
+
+    async def get(self, kind: str, name: str) -> model.StoredObject | None:
+        """Returns an object, or None if it does not exist."""
+        response = await self._call("GET", _path(kind, name))
+        if response.code == _NOT_FOUND:
+            return None
+        return _parse_object(json.loads(response.body))
+
+    async def create(
+        self, kind: str, name: str, value: Any
+    ) -> model.StoredObject:
+        """Creates an object.
+
+        Raises:
+            ConflictError: If the object exists.
+        """
+        return await self._put(kind, name, value, {"If-None-Match": "*"})
+
+    async def update(
+        self, kind: str, name: str, value: Any, version: int
+    ) -> model.StoredObject:
+        """Replaces an object.
+
+        Raises:
+            ConflictError: If the object does not have the given version.
+        """
+        return await self._put(kind, name, value, {"If-Match": str(version)})
+
+    async def delete(self, kind: str, name: str, version: int) -> None:
+        """Deletes an object; one that is gone already is no error.
+
+        Raises:
+            ConflictError: If the object does not have the given version.
+        """
+        response = await self._call(
+            "DELETE", _path(kind, name), {"If-Match": str(version)}
+        )
+        if response.code == _CONFLICT:
+            raise self._conflict(kind, name, response)
+
+    async def list(
+        self, kind: str, *, since: int = 0, prefix: str = ""
+    ) -> model.ObjectList:
+        """Returns the objects of a kind that are newer than a version."""
+        query = parse.urlencode({"since": since, "prefix": prefix})
+        path = f"/v1/objects/{parse.quote(kind, safe='')}?{query}"
+        body = json.loads((await self._call("GET", path)).body)
+        return model.ObjectList(
+            version=body["version"],
+            objects=tuple(_parse_object(entry) for entry in body["objects"]),
+            deleted=tuple(body["deleted"]),
+        )
+
+    async def list_vms(self) -> model.VmList:
+        """Returns the platform's list of VMs."""
+        body = json.loads((await self._call("GET", "/v1/vms")).body)
+        vms = tuple(
+            model.ListedVm(
+                name=entry["name"],
+                data_centre=entry["data_centre"],
+                role=entry["role"],
+                inner_address=entry["inner_address"],
+                state=entry["state"],
+            )
+            for entry in body["vms"]
+        )
+        return model.VmList(as_of_ms=body["as_of_ms"], vms=vms)
+
+    def close(self) -> None:
+        """Closes the HTTP client."""
+        self._http.close()
+
+    async def _put(
+        self, kind: str, name: str, value: Any, headers: dict[str, str]
+    ) -> model.StoredObject:
+        body = json.dumps(value, separators=(",", ":"))
+        response = await self._call("PUT", _path(kind, name), headers, body)
+        if response.code == _CONFLICT:
+            raise self._conflict(kind, name, response)
+        if response.code == _TOO_LARGE:
+            raise model.ObjectTooLargeError(kind, name, peer=self._peer)
+        return _parse_object(json.loads(response.body))
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: str | None = None,
+    ) -> httpclient.HTTPResponse:
+        request = httpclient.HTTPRequest(
+            self._base_url + path,
+            method=method,
+            headers=headers,
+            body=body,
+            connect_timeout=self._timeout_s,
+            request_timeout=self._timeout_s,
+        )
+        try:
+            response = await self._http.fetch(request, raise_error=False)
+        except OSError as error:
+            raise self._unavailable(method, error) from error
+        except simple_httpclient.HTTPTimeoutError as error:
+            if "connect" in str(error):
+                raise self._unavailable(method, error) from error
+            raise self._lost(method, error) from error
+        except httpclient.HTTPError as error:
+            raise self._lost(method, error) from error
+        if response.code == _UNAVAILABLE:
+            raise self._unavailable(method, "the platform answered 503")
+        if response.code not in (200, _NOT_FOUND, _CONFLICT, _TOO_LARGE):
+            raise self._lost(method, f"unexpected status {response.code}")
+        self._counters.increment(f"platform.{method}.answered")
+        return response
+
+    def _unavailable(
+        self, method: str, cause: object
+    ) -> model.PlatformUnavailableError:
+        self._counters.increment(f"platform.{method}.unavailable")
+        step = errors.Step.WRITE_PLATFORM
+        if method in _READ_METHODS:
+            step = errors.Step.READ_PLATFORM
+        return model.PlatformUnavailableError(
+            f"{method} not executed: {cause}", step=step, peer=self._peer
+        )
+
+    def _lost(self, method: str, cause: object) -> errors.DragonflydykeError:
+        if method in _READ_METHODS:
+            return self._unavailable(method, cause)
+        self._counters.increment(f"platform.{method}.outcome_unknown")
+        return model.OutcomeUnknownError(
+            f"{method} sent, answer lost: {cause}", peer=self._peer
+        )
+
+    def _conflict(
+        self, kind: str, name: str, response: httpclient.HTTPResponse
+    ) -> model.ConflictError:
+        entry = json.loads(response.body)
+        present = _parse_object(entry) if entry else None
+        return model.ConflictError(kind, name, present, peer=self._peer)
+
+
+def _path(kind: str, name: str) -> str:
+    return (
+        f"/v1/objects/{parse.quote(kind, safe='')}/{parse.quote(name, safe='')}"
+    )
+
+
+def _parse_object(entry: dict[str, Any]) -> model.StoredObject:
+    return model.StoredObject(
+        kind=entry["kind"],
+        name=entry["name"],
+        version=entry["version"],
+        value=entry["value"],
+    )
--- /dev/null
+++ b/src/dragonflydyke/objects/model.py
@@ -0,0 +1,135 @@
+"""Objects of the platform's object API and the errors of its client."""
+
+import dataclasses
+from typing import Any
+
+from dragonflydyke import errors
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoredObject:
+    """One object as the platform stores it.
+
+    Attributes:
+        kind: Group of objects that are listed together.
+        name: Unique within the kind.
+        version: Grows with every write in the whole store.
+        value: Any JSON value, at most 1 MB as text.
+    """
+
+    kind: str
+    name: str
+    version: int
+    value: Any
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ObjectList:
+    """Objects of one kind that are newer than a given version.
+
+    Attributes:
+        version: Version of the store at the time of the read.
+        objects: Objects written after the given version, oldest first.
+        deleted: Names of objects deleted after the given version.
+    """
+
+    version: int
+    objects: tuple[StoredObject, ...]
+    deleted: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ListedVm:
+    """A VM on the platform's list.
+
+    Attributes:
+        name: Name of the VM.
+        data_centre: Data centre in which it runs.
+        role: `entry` or `backend`.
+        inner_address: `host:port` of the router's inner address, empty for
+            backend server VMs.
+        state: `live` or `leaving`.
+    """
+
+    name: str
+    data_centre: str
+    role: str
+    inner_address: str
+    state: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class VmList:
+    """The platform's list of VMs, which lags behind reality.
+
+    Attributes:
+        as_of_ms: Unix time in milliseconds at which the list was true.
+        vms: All listed VMs.
+    """
+
+    as_of_ms: int
+    vms: tuple[ListedVm, ...]
+
+
+class PlatformUnavailableError(errors.DragonflydykeError):
+    """The platform was not reached; a write certainly had no effect."""
+
+    def __init__(self, message: str, *, step: errors.Step, peer: str) -> None:
+        super().__init__(
+            "platform_unavailable",
+            message,
+            step=step,
+            peer=peer,
+            retry_after_s=5.0,
+            status=503,
+        )
+
+
+class OutcomeUnknownError(errors.DragonflydykeError):
+    """A write was sent and its answer was lost; it may have taken effect."""
+
+    def __init__(self, message: str, *, peer: str) -> None:
+        super().__init__(
+            "platform_outcome_unknown",
+            message,
+            step=errors.Step.WRITE_PLATFORM,
+            peer=peer,
+            execution=errors.Execution.UNKNOWN,
+            retry_after_s=5.0,
+            status=503,
+        )
+
+
+class ConflictError(errors.DragonflydykeError):
+    """The condition of a write does not hold.
+
+    Attributes:
+        present: The object as it is stored now, or None if it does not exist.
+    """
+
+    __slots__ = ("present",)
+
+    def __init__(
+        self, kind: str, name: str, present: StoredObject | None, *, peer: str
+    ) -> None:
+        super().__init__(
+            "platform_conflict",
+            f"{kind}/{name} was changed by another writer; read it again",
+            step=errors.Step.WRITE_PLATFORM,
+            peer=peer,
+            status=409,
+        )
+        self.present = present
+
+
+class ObjectTooLargeError(errors.DragonflydykeError):
+    """A value is larger than the platform accepts."""
+
+    def __init__(self, kind: str, name: str, *, peer: str) -> None:
+        super().__init__(
+            "platform_object_too_large",
+            f"{kind}/{name} is larger than the platform's limit; split it",
+            step=errors.Step.WRITE_PLATFORM,
+            peer=peer,
+            status=413,
+        )
--- /dev/null
+++ b/src/dragonflydyke/program.py
@@ -0,0 +1,119 @@
+"""Command-line frame of a daemon: `serve` and `check-settings`."""
+
+import asyncio
+import dataclasses
+import os
+import sys
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
+
+from cleo import application
+from cleo.commands import command
+from cleo.helpers import option
+
+import dragonflydyke
+from dragonflydyke import errors, settings
+
+EXIT_FAILURE = 1
+EXIT_USAGE = 2
+
+
+def _build_options(settings_class: type[Any]) -> list[Any]:
+    options = []
+    for field in dataclasses.fields(settings_class):
+        variable = settings.variable_name(field)
+        default = field.metadata["default"]
+        suffix = f" Default: {default}." if default else ""
+        options.append(
+            option(
+                settings.flag_name(field),
+                description=f"{field.metadata['description']}{suffix}"
+                f" [{variable}]",
+                flag=False,
+            )
+        )
+    return options
+
+
+class _SettingsCommand(command.Command):
+    """Reads the settings, then hands them to a function."""
+
+    def __init__(
+        self,
+        name: str,
+        description: str,
+        settings_class: type[Any],
+        run: Callable[[Any], int],
+    ) -> None:
+        self.name = name
+        self.description = description
+        self.options = _build_options(settings_class)
+        self._settings_class = settings_class
+        self._run_with = run
+        super().__init__()
+
+    def handle(self) -> int:
+        """Returns the exit code of the program."""
+        flags = {
+            settings.flag_name(field): self.option(settings.flag_name(field))
+            for field in dataclasses.fields(self._settings_class)
+        }
+        try:
+            values = settings.read_settings(
+                self._settings_class, flags, os.environ
+            )
+        except settings.SettingsError as error:
+            self.line_error(str(error))
+            return EXIT_USAGE
+        return self._run_with(values)
+
+
+def _serve(run: Callable[[Any], Awaitable[None]], values: Any) -> int:
+    try:
+        asyncio.run(run(values))
+    except (errors.DragonflydykeError, OSError) as error:
+        print(f"start failed: {error}", file=sys.stderr)
+        return EXIT_FAILURE
+    return 0
+
+
+def run_program(
+    name: str,
+    description: str,
+    settings_class: type[Any],
+    run: Callable[[Any], Awaitable[None]],
+    arguments: Sequence[str] | None = None,
+) -> int:
+    """Runs a daemon's command line.
+
+    Args:
+        name: Name of the program.
+        description: One sentence for --help.
+        settings_class: Dataclass of the program's settings.
+        run: Serves until the process is told to stop.
+        arguments: Command line without the program name; None for sys.argv.
+
+    Returns:
+        The exit code: 0 after a planned stop, 1 if the start failed, 2 for a
+        setting that cannot be used.
+    """
+    frame = application.Application(name, dragonflydyke.__version__)
+    frame.auto_exits(False)
+    frame.add(
+        _SettingsCommand(
+            "serve", description, settings_class, lambda v: _serve(run, v)
+        )
+    )
+    frame.add(
+        _SettingsCommand(
+            "check-settings",
+            "Checks the settings and exits.",
+            settings_class,
+            lambda v: 0,
+        )
+    )
+    if arguments is None:
+        return frame.run()
+    from cleo.io.inputs import argv_input
+
+    return frame.run(argv_input.ArgvInput([name, *arguments]))
--- /dev/null
+++ b/src/dragonflydyke/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Inner protocol between routers."""
--- /dev/null
+++ b/src/dragonflydyke/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Gradual roll-outs and orders to engines."""
--- /dev/null
+++ b/src/dragonflydyke/router/__init__.py
@@ -0,0 +1,1 @@
+"""The router program."""
--- /dev/null
+++ b/src/dragonflydyke/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of model, version and backend server."""
--- /dev/null
+++ b/src/dragonflydyke/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Signed session tokens."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of dragonflydyke."""
--- /dev/null
+++ b/tests/builders/__init__.py
@@ -0,0 +1,1 @@
+"""Builders of test data and substitutes for outside systems."""
--- /dev/null
+++ b/tests/builders/objects.py
@@ -0,0 +1,94 @@
+"""A platform in memory that can be unavailable or lose answers."""
+
+from typing import Any
+
+from dragonflydyke import errors, objects
+from dragonflydyke.emulator import store
+
+_PEER = "memory platform"
+
+
+class MemoryObjects:
+    """Object API in memory with faults, shared by several test nodes.
+
+    Attributes:
+        available: False makes every call fail as not executed.
+        lose_answers: Number of writes that take effect with a lost answer.
+        writes: Number of writes that took effect.
+        reads: Number of answered reads.
+    """
+
+    __slots__ = (
+        "available",
+        "lose_answers",
+        "reads",
+        "store",
+        "vms",
+        "writes",
+    )
+
+    def __init__(self, vms: objects.VmList | None = None) -> None:
+        self.store = store.MemoryStore()
+        self.vms = vms or objects.VmList(0, ())
+        self.available = True
+        self.lose_answers = 0
+        self.writes = 0
+        self.reads = 0
+
+    async def get(self, kind: str, name: str) -> objects.StoredObject | None:
+        """Returns an object, or None if it does not exist."""
+        self._check_available(errors.Step.READ_PLATFORM)
+        self.reads += 1
+        return self.store.get(kind, name)
+
+    async def create(
+        self, kind: str, name: str, value: Any
+    ) -> objects.StoredObject:
+        """Creates an object; raises ConflictError if it exists."""
+        return self._write(kind, name, value, None)
+
+    async def update(
+        self, kind: str, name: str, value: Any, version: int
+    ) -> objects.StoredObject:
+        """Replaces an object that still has the given version."""
+        return self._write(kind, name, value, version)
+
+    async def delete(self, kind: str, name: str, version: int) -> None:
+        """Deletes an object that still has the given version."""
+        self._check_available(errors.Step.WRITE_PLATFORM)
+        self.store.delete(kind, name, version)
+        self.writes += 1
+        self._lose_answer()
+
+    async def list(
+        self, kind: str, *, since: int = 0, prefix: str = ""
+    ) -> objects.ObjectList:
+        """Returns the objects of a kind that are newer than a version."""
+        self._check_available(errors.Step.READ_PLATFORM)
+        self.reads += 1
+        return self.store.list(kind, since, prefix)
+
+    async def list_vms(self) -> objects.VmList:
+        """Returns the list of VMs."""
+        self._check_available(errors.Step.READ_PLATFORM)
+        return self.vms
+
+    def _write(
+        self, kind: str, name: str, value: Any, expected: int | None
+    ) -> objects.StoredObject:
+        self._check_available(errors.Step.WRITE_PLATFORM)
+        stored = self.store.put(kind, name, value, expected)
+        self.writes += 1
+        self._lose_answer()
+        return stored
+
+    def _check_available(self, step: errors.Step) -> None:
+        if not self.available:
+            raise objects.PlatformUnavailableError(
+                "unavailable", step=step, peer=_PEER
+            )
+
+    def _lose_answer(self) -> None:
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            raise objects.OutcomeUnknownError("answer lost", peer=_PEER)
