--- /dev/null
+++ b/tests/test_rollouts.py
@@ -0,0 +1,216 @@
+"""Tests of the lease, the decisions and the driver of roll-outs."""
+
+import dataclasses
+import unittest
+from collections.abc import Iterable
+
+from dragonflydyke import errors, metrics
+from dragonflydyke.configuration import model
+from dragonflydyke.rollouts import decisions, driver, lease, orders
+from dragonflydyke.rollouts import model as rollout_model
+from tests.builders import documents, objects, virtual_loop
+
+_STOP = model.StopCondition(min_samples=20, min_rating=0.8, max_error_share=0.1)
+_ROLL_OUT = model.RollOut(
+    name="planner-v2",
+    model="planner-small",
+    from_version="v1",
+    to_version="v2",
+    steps=(model.RollOutStep(0.05, 60.0), model.RollOutStep(0.5, 60.0)),
+    stop=_STOP,
+)
+_GOOD = decisions.VersionSample(
+    requests=100, failures=1, ratings=50, rating_sum=45.0
+)
+_BAD = decisions.VersionSample(
+    requests=100, failures=1, ratings=50, rating_sum=20.0
+)
+
+
+def _running(step: int = 0, since_ms: int = 0) -> rollout_model.RollOutState:
+    return rollout_model.RollOutState(
+        name=_ROLL_OUT.name,
+        phase=rollout_model.RollOutPhase.RUNNING,
+        step=step,
+        since_ms=since_ms,
+        decided_by="vm-1",
+        fencing=1,
+    )
+
+
+class DecideTest(unittest.TestCase):
+    """Guards against steps taken too early and stops taken too late."""
+
+    def test_holds_the_step_for_its_time(self) -> None:
+        self.assertIsNone(
+            decisions.decide(_ROLL_OUT, _running(), _GOOD, 59_000)
+        )
+        decided = decisions.decide(_ROLL_OUT, _running(), _GOOD, 60_000)
+        self.assertEqual(decided.step, 1)
+
+    def test_holds_the_step_without_ratings(self) -> None:
+        sample = decisions.VersionSample(requests=100)
+        self.assertIsNone(
+            decisions.decide(_ROLL_OUT, _running(), sample, 600_000)
+        )
+
+    def test_stops_on_low_ratings_and_on_errors(self) -> None:
+        failing = decisions.VersionSample(requests=20, failures=3)
+        for sample in (_BAD, failing):
+            with self.subTest(sample=sample):
+                decided = decisions.decide(_ROLL_OUT, _running(), sample, 1)
+                self.assertIs(decided.phase, rollout_model.RollOutPhase.STOPPED)
+                self.assertTrue(decided.reason)
+
+    def test_finishes_after_the_last_step(self) -> None:
+        decided = decisions.decide(_ROLL_OUT, _running(1), _GOOD, 60_000)
+        self.assertIs(decided.phase, rollout_model.RollOutPhase.FINISHED)
+
+    def test_final_states_stay(self) -> None:
+        for phase in (
+            rollout_model.RollOutPhase.STOPPED,
+            rollout_model.RollOutPhase.FINISHED,
+        ):
+            state = dataclasses.replace(_running(), phase=phase)
+            self.assertIsNone(decisions.decide(_ROLL_OUT, state, _BAD, 600_000))
+
+
+class PlanOrdersTest(unittest.TestCase):
+    """Guards against orders that do harm when they arrive late."""
+
+    def test_unloads_only_withdrawn_versions(self) -> None:
+        versions = (
+            documents.build_version("v1"),
+            documents.build_version("v0", model.VersionState.WITHDRAWN),
+        )
+        server = documents.build_engine(
+            serves=("planner-small@v1", "planner-small@v0")
+        )
+        document = documents.build_document(
+            models=(model.Model("planner-small", versions),),
+            backend_servers=(server,),
+        )
+        planned = orders.plan_orders(
+            document, server, ("planner-small@v0", "other@v7")
+        )
+        self.assertEqual(
+            planned,
+            (
+                orders.Order(server, orders.OrderKind.LOAD, "planner-small@v1"),
+                orders.Order(
+                    server, orders.OrderKind.UNLOAD, "planner-small@v0"
+                ),
+            ),
+        )
+
+
+class LeaseTest(virtual_loop.VirtualTimeTestCase):
+    """Guards against two holders that both act."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.objects = objects.MemoryObjects()
+        self.counters = metrics.Counters()
+        self.first = self._build("vm-1")
+        self.second = self._build("vm-2")
+
+    def _build(self, holder: str) -> lease.Lease:
+        return lease.Lease("rollout", holder, self.objects, self.counters)
+
+    async def test_paused_holder_finds_its_lease_expired(self) -> None:
+        self.assertTrue(await self.first.maintain())
+        self.assertFalse(await self.second.maintain())
+        await self.loop.advance(lease.DURATION_S)
+        self.assertFalse(self.first.is_valid())
+        self.assertTrue(await self.second.maintain())
+        self.assertEqual(self.second.fencing, 2)
+        self.assertFalse(await self.first.maintain())
+        with self.assertRaises(errors.DragonflydykeError):
+            _ = self.first.fencing
+
+    async def test_never_two_valid_holders(self) -> None:
+        await self.first.maintain()
+        for _ in range(60):
+            await self.second.maintain()
+            self.assertFalse(self.first.is_valid() and self.second.is_valid())
+            await self.loop.advance(0.5)
+        self.assertTrue(self.second.is_valid())
+
+    async def test_lost_answer_to_a_renewal_keeps_the_lease(self) -> None:
+        await self.first.maintain()
+        self.objects.lose_answers = 1
+        self.assertTrue(await self.first.maintain())
+
+    async def test_platform_outage_ends_the_lease_by_time(self) -> None:
+        await self.first.maintain()
+        self.objects.available = False
+        await self.loop.advance(lease.DURATION_S - lease.MARGIN_S - 0.1)
+        self.assertTrue(await self.first.maintain())
+        await self.loop.advance(0.2)
+        self.assertFalse(await self.first.maintain())
+
+    async def test_released_lease_is_taken_at_once(self) -> None:
+        await self.first.maintain()
+        await self.first.release()
+        self.assertTrue(await self.second.maintain())
+
+
+class _View:
+    def __init__(self, document: model.Document) -> None:
+        self._document = document
+        self.current = _GOOD
+
+    def document(self) -> model.Document:
+        return self._document
+
+    def sample(self, roll_out: str, version: str) -> decisions.VersionSample:
+        del roll_out, version
+        return self.current
+
+
+class _Engines:
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, int]] = []
+
+    async def read_loaded(self, server: model.BackendServer) -> Iterable[str]:
+        del server
+        return ()
+
+    async def send_order(self, order: orders.Order, fencing: int) -> None:
+        self.sent.append((order.version, fencing))
+
+
+class RollOutDriverTest(virtual_loop.VirtualTimeTestCase):
+    """Guards against roll-outs that stop halfway or are decided twice."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.objects = objects.MemoryObjects()
+        self.view = _View(documents.build_document(roll_outs=(_ROLL_OUT,)))
+        self.engines = _Engines()
+
+    def _build(self, vm: str) -> driver.RollOutDriver:
+        counters = metrics.Counters()
+        held = lease.Lease("rollout", vm, self.objects, counters)
+        return driver.RollOutDriver(
+            vm, held, self.objects, self.view, self.engines, counters
+        )
+
+    def _state(self) -> rollout_model.RollOutState:
+        stored = self.objects.store.get("control", "rollout.planner-v2")
+        return rollout_model.parse_state("planner-v2", stored.value)
+
+    async def test_another_driver_stops_what_the_first_began(self) -> None:
+        await self._build("vm-1").run_round()
+        second = self._build("vm-2")
+        await second.run_round()
+        await self.loop.advance(lease.DURATION_S)
+        self.view.current = _BAD
+        await second.run_round()
+        state = self._state()
+        self.assertIs(state.phase, rollout_model.RollOutPhase.STOPPED)
+        self.assertEqual((state.decided_by, state.fencing), ("vm-2", 2))
+
+    async def test_orders_carry_the_fencing_token(self) -> None:
+        await self._build("vm-1").run_round()
+        self.assertIn(("planner-small@v1", 1), self.engines.sent)
