--- /dev/null
+++ b/harness/http.py
@@ -0,0 +1,68 @@
+"""HTTP calls of tests and the demo."""
+
+import dataclasses
+import json
+from typing import Any
+
+from tornado import httpclient, simple_httpclient
+
+_TIMEOUT_S = 60.0
+_CLIENTS = 1_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Reply:
+    """An HTTP response; status 599 if there was none."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    error: str = ""
+
+    def json(self) -> Any:
+        """Returns the body as JSON."""
+        return json.loads(self.body)
+
+
+class HttpCaller:
+    """Sends requests and returns every outcome as a reply."""
+
+    __slots__ = ("_client",)
+
+    def __init__(self) -> None:
+        self._client = simple_httpclient.SimpleAsyncHTTPClient(
+            force_instance=True, max_clients=_CLIENTS
+        )
+
+    async def call(
+        self,
+        method: str,
+        url: str,
+        *,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+        timeout_s: float = _TIMEOUT_S,
+    ) -> Reply:
+        """Sends a request; a body that is not bytes is sent as JSON."""
+        if body is not None and not isinstance(body, bytes):
+            body = json.dumps(body).encode()
+        request = httpclient.HTTPRequest(
+            url,
+            method=method,
+            body=body,
+            headers=headers,
+            connect_timeout=timeout_s,
+            request_timeout=timeout_s,
+            allow_nonstandard_methods=True,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except (OSError, httpclient.HTTPError) as error:
+            return Reply(599, {}, b"", repr(error))
+        return Reply(
+            response.code, dict(response.headers), response.body or b""
+        )
+
+    def close(self) -> None:
+        """Closes the client."""
+        self._client.close()
--- /dev/null
+++ b/harness/proxy.py
@@ -0,0 +1,210 @@
+"""A TCP proxy that injects network faults between two processes."""
+
+import asyncio
+import contextlib
+import dataclasses
+import socket
+import struct
+
+_CHUNK_BYTES = 65_536
+# SO_LINGER with a zero timeout makes close send a reset.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """What the proxy does to traffic; may be changed at any time.
+
+    Attributes:
+        delay_s: Added to each chunk in both directions.
+        refuse: Whether new connections are reset at once.
+        drop_to_server: Whether bytes towards the server vanish.
+        drop_to_client: Whether bytes towards the client vanish.
+        frozen: Whether nothing moves, with all connections kept open.
+        cut_to_server_after: Bytes towards the server after which a connection
+            is reset, or None.
+        cut_to_client_after: Bytes towards the client after which a connection
+            is reset, or None.
+    """
+
+    delay_s: float = 0.0
+    refuse: bool = False
+    drop_to_server: bool = False
+    drop_to_client: bool = False
+    frozen: bool = False
+    cut_to_server_after: int | None = None
+    cut_to_client_after: int | None = None
+
+
+class _Link:
+    """One proxied connection."""
+
+    __slots__ = ("_writers", "handler", "tasks")
+
+    def __init__(self, *writers: asyncio.StreamWriter) -> None:
+        self._writers = writers
+        self.handler = asyncio.current_task()
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def reset(self) -> None:
+        """Closes both sides with a reset."""
+        for writer in self._writers:
+            connection = writer.get_extra_info("socket")
+            if connection is not None and not writer.is_closing():
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
+            writer.transport.abort()
+
+
+class FaultProxy:
+    """Forwards connections to one server and injects faults.
+
+    Attributes:
+        faults: Faults in force.
+        connections: Number of connections accepted so far.
+        bytes_to_server: Bytes forwarded to the server so far.
+        bytes_to_client: Bytes forwarded to the client so far.
+    """
+
+    __slots__ = (
+        "_changed",
+        "_host",
+        "_links",
+        "_port",
+        "_server",
+        "bytes_to_client",
+        "bytes_to_server",
+        "connections",
+        "faults",
+    )
+
+    def __init__(self, host: str, port: int) -> None:
+        """Describes a proxy in front of a server."""
+        self.faults = Faults()
+        self.connections = 0
+        self.bytes_to_server = 0
+        self.bytes_to_client = 0
+        self._host = host
+        self._port = port
+        self._links: set[_Link] = set()
+        self._changed = asyncio.Event()
+        self._server: asyncio.Server | None = None
+
+    @property
+    def address(self) -> str:
+        """`host:port` at which the proxy listens."""
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def start(self) -> None:
+        """Listens on an ephemeral loopback port."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+
+    async def stop(self) -> None:
+        """Resets all connections and stops listening."""
+        if self._server is not None:
+            self._server.close()
+        self.cut()
+        tasks = [task for link in self._links for task in link.tasks]
+        for task in tasks:
+            task.cancel()
+        # The handlers of the connections finish with their pumps.
+        handlers = [link.handler for link in self._links]
+        await asyncio.gather(*tasks, *handlers, return_exceptions=True)
+
+    def cut(self) -> None:
+        """Resets all present connections."""
+        for link in list(self._links):
+            link.reset()
+
+    def isolate(self) -> None:
+        """Drops everything and refuses new connections."""
+        self.faults.refuse = True
+        self.cut()
+
+    def heal(self) -> None:
+        """Ends all faults; resets connections that lost bytes."""
+        lossy = self.faults.drop_to_client or self.faults.drop_to_server
+        self.faults = Faults()
+        if lossy:
+            self.cut()
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        if self.faults.refuse:
+            _Link(writer).reset()
+            return
+        try:
+            upstream_reader, upstream = await asyncio.open_connection(
+                self._host, self._port
+            )
+        except OSError:
+            _Link(writer).reset()
+            return
+        link = _Link(writer, upstream)
+        self._links.add(link)
+        link.tasks = [
+            asyncio.create_task(self._pump(link, reader, upstream, True)),
+            asyncio.create_task(
+                self._pump(link, upstream_reader, writer, False)
+            ),
+        ]
+        await asyncio.gather(*link.tasks, return_exceptions=True)
+        link.reset()
+        self._links.discard(link)
+
+    async def _pump(
+        self,
+        link: _Link,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        to_server: bool,
+    ) -> None:
+        forwarded = 0
+        while chunk := await reader.read(_CHUNK_BYTES):
+            await self._wait_until_open()
+            if self._is_dropped(to_server):
+                continue
+            limit = self._cut_after(to_server)
+            if limit is not None and forwarded + len(chunk) > limit:
+                writer.write(chunk[: max(0, limit - forwarded)])
+                with contextlib.suppress(ConnectionError):
+                    await writer.drain()
+                # Lets the peer read what was sent before the reset.
+                await asyncio.sleep(0.02)
+                link.reset()
+                return
+            forwarded += len(chunk)
+            self._count(len(chunk), to_server)
+            writer.write(chunk)
+            await writer.drain()
+        if writer.can_write_eof():
+            writer.write_eof()
+
+    async def _wait_until_open(self) -> None:
+        if self.faults.delay_s:
+            await asyncio.sleep(self.faults.delay_s)
+        while self.faults.frozen:
+            await self._changed.wait()
+
+    def _is_dropped(self, to_server: bool) -> bool:
+        if to_server:
+            return self.faults.drop_to_server
+        return self.faults.drop_to_client
+
+    def _cut_after(self, to_server: bool) -> int | None:
+        if to_server:
+            return self.faults.cut_to_server_after
+        return self.faults.cut_to_client_after
+
+    def _count(self, size: int, to_server: bool) -> None:
+        if to_server:
+            self.bytes_to_server += size
+        else:
+            self.bytes_to_client += size
--- /dev/null
+++ b/src/dragonflydyke/router/options.py
@@ -0,0 +1,122 @@
+"""Settings of the router program."""
+
+import dataclasses
+import pathlib
+import re
+
+from dragonflydyke import logs, settings
+
+_SHA256_HEX = re.compile(r"[0-9a-f]{64}")
+
+
+def _parse_key_hashes(text: str) -> tuple[str, ...]:
+    hashes = tuple(part.strip() for part in text.split(",") if part.strip())
+    for entry in hashes:
+        if not _SHA256_HEX.fullmatch(entry):
+            raise ValueError(
+                f"{entry!r} is not a SHA-256 of 64 hexadecimal digits;"
+                " make one with dragonflydyke hash-key"
+            )
+    if not hashes:
+        raise ValueError("must hold at least one hash")
+    return hashes
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RouterSettings:
+    """Settings of one router, read from flags and the environment."""
+
+    vm_name: str = settings.setting("Name of this VM on the platform's list.")
+    data_centre: str = settings.setting("Data centre in which this VM runs.")
+    public_address: settings.Address = settings.setting(
+        "host:port for callers.", settings.parse_address, "0.0.0.0:8080"
+    )
+    inner_address: settings.Address = settings.setting(
+        "host:port for other routers.", settings.parse_address, "0.0.0.0:8081"
+    )
+    admin_address: settings.Address = settings.setting(
+        "host:port for operators and health checks.",
+        settings.parse_address,
+        "127.0.0.1:8082",
+    )
+    advertised_inner_address: settings.Address | None = settings.setting(
+        "host:port at which other routers reach this one, if it differs from"
+        " the inner address.",
+        settings.parse_address,
+        optional=True,
+    )
+    platform_url: str = settings.setting(
+        "Base URL of the platform's object API.", settings.parse_url
+    )
+    rating_url: str | None = settings.setting(
+        "Base URL of the service that rates answers.",
+        settings.parse_url,
+        optional=True,
+    )
+    seed_peers: tuple[settings.Address, ...] = settings.setting(
+        "Inner addresses to ask for the state when the platform is down at"
+        " the start, separated by commas.",
+        settings.parse_addresses,
+        "",
+    )
+    inner_key_file: pathlib.Path = settings.setting(
+        "File with the key that routers share.", settings.parse_file
+    )
+    operator_key_hashes: tuple[str, ...] = settings.setting(
+        "SHA-256 of the operators' keys, separated by commas.",
+        _parse_key_hashes,
+    )
+    public_tls_certificate: pathlib.Path | None = settings.setting(
+        "PEM certificate chain for callers; plain HTTP without it.",
+        settings.parse_file,
+        optional=True,
+    )
+    public_tls_key: pathlib.Path | None = settings.setting(
+        "PEM private key of the certificate for callers.",
+        settings.parse_file,
+        optional=True,
+    )
+    inner_tls_certificate: pathlib.Path | None = settings.setting(
+        "PEM certificate of this router for other routers.",
+        settings.parse_file,
+        optional=True,
+    )
+    inner_tls_key: pathlib.Path | None = settings.setting(
+        "PEM private key of the certificate for other routers.",
+        settings.parse_file,
+        optional=True,
+    )
+    inner_tls_authority: pathlib.Path | None = settings.setting(
+        "PEM certificate of the authority that signs routers' certificates.",
+        settings.parse_file,
+        optional=True,
+    )
+    statsd_address: settings.Address | None = settings.setting(
+        "host:port of the statsd server; counters stay local without it.",
+        settings.parse_address,
+        optional=True,
+    )
+    statsd_prefix: str = settings.setting(
+        "First part of all counter names.", default="dragonflydyke.router"
+    )
+    drain_s: float = settings.setting(
+        "Seconds between failing the readiness check and closing the public"
+        " address on a planned stop.",
+        settings.parse_not_negative,
+        "5",
+    )
+    shutdown_s: float = settings.setting(
+        "Seconds that a planned stop waits for requests in progress.",
+        settings.parse_positive,
+        "600",
+    )
+    log_level: str = settings.setting(
+        f"One of {', '.join(logs.LEVELS)}.",
+        settings.parse_choice(*logs.LEVELS),
+        "info",
+    )
+    log_format: str = settings.setting(
+        f"One of {', '.join(logs.FORMATS)}.",
+        settings.parse_choice(*logs.FORMATS),
+        "json",
+    )
