Add the client and the sampler of the rating service

Cause: cascades and roll-outs need ratings without slowing requests. Answers are queued with a bound and rated in the background; a full queue drops and counts.

--- /dev/null
+++ b/src/dragonflydyke/rollouts/ratings.py
@@ -0,0 +1,113 @@
+"""Ratings of answers by the platform's rating service."""
+
+import asyncio
+import dataclasses
+import json
+
+from tornado import httpclient, simple_httpclient
+
+from dragonflydyke import metrics
+from dragonflydyke.rollouts import counts
+
+_TIMEOUT_S = 2.0
+# More waiting answers would be rated too late to matter.
+_QUEUE_LIMIT = 100
+_WORKERS = 4
+_MAX_CONNECTIONS = 64
+
+
+class RatingClient:
+    """HTTP client of the rating service."""
+
+    __slots__ = ("_counters", "_http", "_url")
+
+    def __init__(self, base_url: str, counters: metrics.Counters) -> None:
+        """Creates a client.
+
+        Args:
+            base_url: URL of the rating service without a path.
+            counters: Receives `rating.<outcome>`.
+        """
+        self._url = f"{base_url}/v1/ratings"
+        self._counters = counters
+        self._http = simple_httpclient.SimpleAsyncHTTPClient(
+            force_instance=True, max_clients=_MAX_CONNECTIONS
+        )
+
+    async def rate(self, version: str, answer: str) -> float | None:
+        """Returns the rating of an answer, 0..1, or None without one."""
+        request = httpclient.HTTPRequest(
+            self._url,
+            method="POST",
+            body=json.dumps({"version": version, "answer": answer}),
+            connect_timeout=_TIMEOUT_S,
+            request_timeout=_TIMEOUT_S,
+        )
+        try:
+            response = await self._http.fetch(request)
+            rating = float(json.loads(response.body)["rating"])
+        except (OSError, httpclient.HTTPError, ValueError, KeyError):
+            self._counters.increment("rating.unavailable")
+            return None
+        if not 0.0 <= rating <= 1.0:
+            self._counters.increment("rating.out_of_range")
+            return None
+        self._counters.increment("rating.received")
+        return rating
+
+    def close(self) -> None:
+        """Closes the HTTP client."""
+        self._http.close()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Sample:
+    roll_out: str
+    version: str
+    answer: str
+
+
+class RatingSampler:
+    """Has answers of roll-outs rated in the background."""
+
+    __slots__ = ("_client", "_counters", "_counts", "_queue", "_tasks")
+
+    def __init__(
+        self,
+        client: RatingClient,
+        version_counts: counts.VersionCounts,
+        counters: metrics.Counters,
+    ) -> None:
+        self._client = client
+        self._counts = version_counts
+        self._counters = counters
+        self._queue: asyncio.Queue[_Sample] = asyncio.Queue(_QUEUE_LIMIT)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Starts rating what is offered."""
+        self._tasks = [
+            asyncio.create_task(self._run()) for _ in range(_WORKERS)
+        ]
+
+    async def stop(self) -> None:
+        """Stops; answers that wait stay unrated."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def offer(self, roll_out: str, version: str, answer: str) -> None:
+        """Queues an answer; drops and counts it when the queue is full."""
+        try:
+            self._queue.put_nowait(_Sample(roll_out, version, answer))
+        except asyncio.QueueFull:
+            self._counters.increment("rating.dropped")
+
+    async def _run(self) -> None:
+        while True:
+            sample = await self._queue.get()
+            rating = await self._client.rate(sample.version, sample.answer)
+            if rating is not None:
+                self._counts.add_rating(
+                    sample.roll_out, sample.version, rating
+                )
