Add the loader, checks and comparison of configurations

Operators need every problem of their files at once, with file, line, path, value and fix. Nodes are read from the composed YAML tree, because the constructed mappings of ruamel.yaml do not show duplicate keys. YAML aliases are refused: they can nest without end and have no line of their own.

A removed version could return as active in a later change, which breaks 'a withdrawn version receives no new requests'. A search of the history at each apply was ruled out as a second read per revision.

Documents build lookup tables once; account_for_key_hash is on the path of every request.

--- a/src/dragonflydyke/configuration/__init__.py
+++ b/src/dragonflydyke/configuration/__init__.py
@@ -1,1 +1,29 @@
 """The configuration format: model, schema, loader and comparison."""
+
+from dragonflydyke.configuration.changes import (
+    Change,
+    ChangeKind,
+    check_transition,
+    diff,
+)
+from dragonflydyke.configuration.loader import load_files, parse
+from dragonflydyke.configuration.mapping import digest, to_mapping
+from dragonflydyke.configuration.problems import (
+    ConfigurationError,
+    Location,
+    Problem,
+)
+
+__all__ = [
+    "Change",
+    "ChangeKind",
+    "ConfigurationError",
+    "Location",
+    "Problem",
+    "check_transition",
+    "diff",
+    "digest",
+    "load_files",
+    "parse",
+    "to_mapping",
+]
--- /dev/null
+++ b/src/dragonflydyke/configuration/loader.py
@@ -0,0 +1,253 @@
+"""Reading of a configuration from YAML files."""
+
+import pathlib
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from ruamel import yaml
+from ruamel.yaml import error as yaml_error
+from ruamel.yaml import nodes
+
+from dragonflydyke.configuration import mapping as codec
+from dragonflydyke.configuration import (
+    model,
+    problems,
+    references,
+    schema,
+)
+
+_SUFFIXES = (".yaml", ".yml")
+
+
+def parse(
+    mapping: Mapping[str, Any], locations: problems.Locations | None = None
+) -> model.Document:
+    """Checks a configuration and returns it as a typed document.
+
+    Args:
+        mapping: Plain mappings, lists and scalars.
+        locations: File and line of each node, for the problems.
+
+    Raises:
+        ConfigurationError: With every problem of the configuration.
+    """
+    found = problems.ProblemList(locations)
+    return _check(mapping, found)
+
+
+def load_files(paths: Iterable[pathlib.Path | str]) -> model.Document:
+    """Reads a configuration from files and directories.
+
+    Lists of the same name in several files are joined in the order of the
+    files; every other field may occur in only one file.
+
+    Raises:
+        ConfigurationError: With every problem of all files.
+    """
+    content = _read_files(paths)
+    found = problems.ProblemList(content.locations)
+    found.items.extend(content.problems)
+    if content.incomplete:
+        # Checks of the rest would report what the unread files contain.
+        found.raise_if_any()
+    return _check(content.mapping, found)
+
+
+def _check(
+    mapping: Mapping[str, Any], found: problems.ProblemList
+) -> model.Document:
+    schema.check_schema(mapping, found)
+    references.check_references(mapping, found)
+    found.raise_if_any()
+    return codec.build(model.Document, mapping)
+
+
+def _list_files(paths: Iterable[pathlib.Path | str]) -> list[pathlib.Path]:
+    files: list[pathlib.Path] = []
+    for path in map(pathlib.Path, paths):
+        if path.is_dir():
+            files.extend(
+                sorted(p for p in path.iterdir() if p.suffix in _SUFFIXES)
+            )
+        else:
+            files.append(path)
+    return files
+
+
+def _read_files(paths: Iterable[pathlib.Path | str]) -> "_MergedFiles":
+    merged = _MergedFiles()
+    files = _list_files(paths)
+    for file in files:
+        merged.add_file(file)
+    if not files:
+        merged.add_unreadable(
+            "", 0, "no YAML files found", "name a file or directory"
+        )
+    return merged
+
+
+class _MergedFiles:
+    """The joined content of several files."""
+
+    __slots__ = ("incomplete", "locations", "mapping", "problems")
+
+    def __init__(self) -> None:
+        self.mapping: dict[str, Any] = {}
+        self.locations: dict[problems.Path, problems.Location] = {}
+        self.problems: list[problems.Problem] = []
+        self.incomplete = False
+
+    def add_unreadable(
+        self, file: str, line: int, message: str, fix: str
+    ) -> None:
+        """Adds a problem that hides the content of a file."""
+        self.incomplete = True
+        self.add_problem(file, line, (), None, message, fix)
+
+    def add_problem(
+        self,
+        file: str,
+        line: int,
+        path: problems.Path,
+        value: Any,
+        message: str,
+        fix: str,
+    ) -> None:
+        """Adds a problem of a file."""
+        self.problems.append(
+            problems.Problem(
+                file, line, problems.format_path(path), value, message, fix
+            )
+        )
+
+    def add_file(self, file: pathlib.Path) -> None:
+        """Reads a file and joins it with those before."""
+        name = str(file)
+        try:
+            text = file.read_text(encoding="utf-8")
+            root = yaml.YAML(typ="safe", pure=True).compose(text)
+        except (OSError, UnicodeDecodeError) as error:
+            self.add_unreadable(
+                name, 0, str(error), "give a readable UTF-8 file"
+            )
+            return
+        except yaml_error.YAMLError as error:
+            mark = getattr(error, "problem_mark", None)
+            line = mark.line + 1 if mark else 0
+            message = getattr(error, "problem", None) or str(error)
+            self.add_unreadable(name, line, message, "correct the YAML syntax")
+            return
+        self.locations.setdefault((), problems.Location(name, 1))
+        if root is None:
+            return
+        if not isinstance(root, nodes.MappingNode):
+            self.add_unreadable(
+                name, 1, "is not a mapping", "write `field: value`"
+            )
+            return
+        _NodeReader(self, name).read_root(root)
+
+
+class _NodeReader:
+    """Converts the nodes of one file and keeps the line of each."""
+
+    __slots__ = ("_constructor", "_file", "_merged", "_seen")
+
+    def __init__(self, merged: _MergedFiles, file: str) -> None:
+        self._merged = merged
+        self._file = file
+        self._seen: set[int] = set()
+        self._constructor = yaml.YAML(typ="safe", pure=True).constructor
+
+    def read_root(self, root: nodes.MappingNode) -> None:
+        """Joins the top-level fields of the file with those before."""
+        merged = self._merged.mapping
+        for key_node, value_node in root.value:
+            key = str(key_node.value)
+            present = merged.get(key)
+            line = key_node.start_mark.line + 1
+            is_list = isinstance(value_node, nodes.SequenceNode)
+            if key in merged and not (is_list and isinstance(present, list)):
+                self._add_duplicate((key,), line)
+                continue
+            if key in merged and self._is_same_file(key):
+                self._add_duplicate((key,), line)
+                continue
+            self._merged.locations[(key,)] = self._locate(key_node)
+            if is_list and not self._is_alias(value_node, (key,)):
+                joined = merged.setdefault(key, [])
+                for item in value_node.value:
+                    joined.append(self._read(item, (key, len(joined))))
+            elif not is_list:
+                merged[key] = self._read(value_node, (key,))
+
+    def _is_same_file(self, key: str) -> bool:
+        return self._merged.locations[(key,)].file == self._file
+
+    def _locate(self, node: Any) -> problems.Location:
+        return problems.Location(self._file, node.start_mark.line + 1)
+
+    def _add_duplicate(self, path: problems.Path, line: int) -> None:
+        self._merged.add_problem(
+            self._file,
+            line,
+            path,
+            None,
+            "is a duplicate key",
+            "keep only one of the two",
+        )
+
+    def _is_alias(self, node: Any, path: problems.Path) -> bool:
+        # Aliases are refused: they can nest without end, and a shared node
+        # has no line of its own.
+        if id(node) not in self._seen:
+            self._seen.add(id(node))
+            return False
+        self._merged.add_problem(
+            self._file,
+            self._merged.locations[path].line,
+            path,
+            None,
+            "is a YAML alias",
+            "write the value out",
+        )
+        return True
+
+    def _read(self, node: Any, path: problems.Path) -> Any:
+        self._merged.locations.setdefault(path, self._locate(node))
+        if self._is_alias(node, path):
+            return None
+        if isinstance(node, nodes.MappingNode):
+            return self._read_mapping(node, path)
+        if isinstance(node, nodes.SequenceNode):
+            return [
+                self._read(item, (*path, index))
+                for index, item in enumerate(node.value)
+            ]
+        return self._read_scalar(node, path)
+
+    def _read_mapping(self, node: Any, path: problems.Path) -> dict[str, Any]:
+        content: dict[str, Any] = {}
+        for key_node, value_node in node.value:
+            key = str(key_node.value)
+            place = (*path, key)
+            if key in content:
+                self._add_duplicate(place, key_node.start_mark.line + 1)
+                continue
+            self._merged.locations[place] = self._locate(key_node)
+            content[key] = self._read(value_node, place)
+        return content
+
+    def _read_scalar(self, node: Any, path: problems.Path) -> Any:
+        try:
+            return self._constructor.construct_object(node)
+        except (yaml_error.YAMLError, ValueError) as error:
+            self._merged.add_problem(
+                self._file,
+                node.start_mark.line + 1,
+                path,
+                node.value,
+                str(error),
+                "put the value in quotes",
+            )
+            return None
--- a/src/dragonflydyke/configuration/model.py
+++ b/src/dragonflydyke/configuration/model.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 from collections.abc import Mapping
+from typing import Any
 
 MICRO_UNITS_PRICE_TOKENS = 1_000_000
 
@@ -250,9 +251,27 @@
     hedge_budget_share: float = 0.02
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Index:
+    """Lookups of a document; a linear search would run per request."""
+
+    models: Mapping[str, Model]
+    accounts: Mapping[str, ClientAccount]
+    accounts_by_key_hash: Mapping[str, ClientAccount]
+    classes: Mapping[str, RequestClass]
+    cascades: Mapping[str, Cascade]
+    services: Mapping[str, Service]
+    servers: Mapping[tuple[ServerKind, str], tuple[BackendServer, ...]]
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Document:
-    """A whole configuration, in force or proposed."""
+    """A whole configuration, in force or proposed.
+
+    `removed_versions` lists `model@version` of all versions that were removed.
+    Their names stay reserved, because a name that came back as active would
+    reinstate a withdrawn version.
+    """
 
     deployment: str
     data_centres: tuple[DataCentre, ...]
@@ -264,6 +283,11 @@
     roll_outs: tuple[RollOut, ...] = ()
     backend_servers: tuple[BackendServer, ...] = ()
     policy: Policy = dataclasses.field(default_factory=Policy)
+    removed_versions: tuple[str, ...] = ()
+    _index: _Index = dataclasses.field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "_index", _build_index(self))
 
     def data_centre(self, name: str) -> DataCentre | None:
         """Returns a data centre by name, or None."""
@@ -271,7 +295,7 @@
 
     def model(self, name: str) -> Model | None:
         """Returns a model by name, or None."""
-        return next((m for m in self.models if m.name == name), None)
+        return self._index.models.get(name)
 
     def version(self, model_name: str, version_name: str) -> Version | None:
         """Returns a version of a model, or None."""
@@ -280,19 +304,23 @@
 
     def account(self, name: str) -> ClientAccount | None:
         """Returns a client account by name, or None."""
-        return next((a for a in self.client_accounts if a.name == name), None)
+        return self._index.accounts.get(name)
+
+    def account_for_key_hash(self, key_hash: str) -> ClientAccount | None:
+        """Returns the client account of a hashed bearer key, or None."""
+        return self._index.accounts_by_key_hash.get(key_hash)
 
     def request_class(self, name: str) -> RequestClass | None:
         """Returns a request class by name, or None."""
-        return next((c for c in self.classes if c.name == name), None)
+        return self._index.classes.get(name)
 
     def cascade(self, name: str) -> Cascade | None:
         """Returns a cascade by name, or None."""
-        return next((c for c in self.cascades if c.name == name), None)
+        return self._index.cascades.get(name)
 
     def service(self, name: str) -> Service | None:
         """Returns a service by name, or None."""
-        return next((s for s in self.services if s.name == name), None)
+        return self._index.services.get(name)
 
     def roll_out_for(self, model_name: str) -> RollOut | None:
         """Returns the roll-out of a model, or None."""
@@ -313,13 +341,34 @@
     def _servers(
         self, kind: ServerKind, served: str
     ) -> tuple[BackendServer, ...]:
-        return tuple(
-            server
-            for server in self.backend_servers
-            if server.kind is kind
-            and served in server.serves
-            and server.state is ServerState.ACTIVE
-        )
+        return self._index.servers.get((kind, served), ())
+
+
+def _by_name(entries: tuple[Any, ...]) -> dict[str, Any]:
+    return {entry.name: entry for entry in reversed(entries)}
+
+
+def _build_index(document: Document) -> _Index:
+    servers: dict[tuple[ServerKind, str], tuple[BackendServer, ...]] = {}
+    for server in document.backend_servers:
+        if server.state is not ServerState.ACTIVE:
+            continue
+        for served in dict.fromkeys(server.serves):
+            key = (server.kind, served)
+            servers[key] = (*servers.get(key, ()), server)
+    return _Index(
+        models=_by_name(document.models),
+        accounts=_by_name(document.client_accounts),
+        accounts_by_key_hash={
+            key_hash: account
+            for account in reversed(document.client_accounts)
+            for key_hash in account.key_hashes
+        },
+        classes=_by_name(document.classes),
+        cascades=_by_name(document.cascades),
+        services=_by_name(document.services),
+        servers=servers,
+    )
 
 
 def version_id(model_name: str, version_name: str) -> str:
--- /dev/null
+++ b/src/dragonflydyke/configuration/references.py
@@ -0,0 +1,327 @@
+"""Checks of a configuration that go beyond its schema."""
+
+import dataclasses
+import itertools
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from typing import Any
+
+from dragonflydyke.configuration import mapping as codec
+from dragonflydyke.configuration import model, problems
+
+_SECTIONS = {
+    "data_centres": model.DataCentre,
+    "models": model.Model,
+    "services": model.Service,
+    "classes": model.RequestClass,
+    "cascades": model.Cascade,
+    "client_accounts": model.ClientAccount,
+    "roll_outs": model.RollOut,
+    "backend_servers": model.BackendServer,
+}
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Context:
+    """Declared names and the problems found so far.
+
+    Names include those of entries that violate the schema, so that one fault
+    is not reported again at each reference.
+    """
+
+    names: Mapping[str, frozenset[str]]
+    versions: frozenset[str]
+    models: Mapping[str, model.Model]
+    found: problems.ProblemList
+
+    def check_names(
+        self, path: problems.Path, section: str, used: Iterable[str]
+    ) -> None:
+        """Adds a problem for each name that a section does not declare."""
+        known = self.names[section]
+        for index, name in enumerate(used):
+            if name not in known:
+                self.add_unknown((*path, index), section, name, known)
+
+    def check_name(self, path: problems.Path, section: str, name: str) -> None:
+        """Adds a problem if a section does not declare a name."""
+        if name not in self.names[section]:
+            self.add_unknown(path, section, name, self.names[section])
+
+    def check_version(self, path: problems.Path, full_name: str) -> bool:
+        """Checks that `model@version` is declared and returns whether it is."""
+        if full_name not in self.versions:
+            self.add_unknown(path, "model versions", full_name, self.versions)
+        return full_name in self.versions
+
+    def add_unknown(
+        self, path: problems.Path, section: str, name: str, known: Iterable[str]
+    ) -> None:
+        """Adds a problem of an unknown name."""
+        declared = ", ".join(sorted(known)) or "none"
+        self.found.add(
+            path,
+            name,
+            f"is not one of the {section}",
+            f"declare it or use one of: {declared}",
+        )
+
+
+def check_references(
+    mapping: Mapping[str, Any], found: problems.ProblemList
+) -> None:
+    """Adds a problem for each contradiction between entries.
+
+    Args:
+        mapping: The configuration; entries that violate the schema are left
+            out of the checks, but their names count as declared.
+        found: Holds the problems of the schema and receives more.
+    """
+    faulty = {problem.path for problem in found.items}
+    _check_duplicates(mapping, (), found)
+    entries = {
+        section: list(_build_entries(section, mapping, faulty))
+        for section in _SECTIONS
+    }
+    context = _Context(
+        names={
+            section: frozenset(name for _, name in _names(mapping, section))
+            for section in _SECTIONS
+        },
+        versions=frozenset(_version_ids(mapping)),
+        models={entry.name: entry for _, entry in entries["models"]},
+        found=found,
+    )
+    checks = {
+        "data_centres": _check_data_centre,
+        "models": _check_model,
+        "cascades": _check_cascade,
+        "client_accounts": _check_account,
+        "roll_outs": _check_roll_out,
+        "backend_servers": _check_server,
+    }
+    for section, check in checks.items():
+        for index, entry in entries[section]:
+            check((section, index), entry, context)
+    _check_key_hashes(entries["client_accounts"], found)
+    _check_roll_out_models(entries["roll_outs"], found)
+    _check_removed(mapping, context)
+
+
+def _as_list(node: Any, key: str) -> list[Any]:
+    value = node.get(key) if isinstance(node, dict) else None
+    return value if isinstance(value, list) else []
+
+
+def _names(node: Any, key: str) -> Iterator[tuple[int, str]]:
+    for index, entry in enumerate(_as_list(node, key)):
+        if isinstance(entry, dict) and isinstance(entry.get("name"), str):
+            yield index, entry["name"]
+
+
+def _version_ids(mapping: Any) -> Iterator[str]:
+    for index, model_name in _names(mapping, "models"):
+        for _, version_name in _names(mapping["models"][index], "versions"):
+            yield model.version_id(model_name, version_name)
+
+
+def _build_entries(
+    section: str, mapping: Any, faulty: set[str]
+) -> Iterator[tuple[int, Any]]:
+    for index, entry in enumerate(_as_list(mapping, section)):
+        prefix = problems.format_path((section, index))
+        if not any(
+            path == prefix or path.startswith((f"{prefix}.", f"{prefix}["))
+            for path in faulty
+        ):
+            yield index, codec.build(_SECTIONS[section], entry)
+
+
+def _check_duplicates(
+    node: Any, path: problems.Path, found: problems.ProblemList
+) -> None:
+    if not isinstance(node, dict):
+        return
+    for key in node:
+        seen: set[str] = set()
+        for index, name in _names(node, key):
+            if name in seen:
+                found.add(
+                    (*path, key, index, "name"),
+                    name,
+                    f"is used twice in {key}",
+                    "rename or remove one of the entries",
+                )
+            seen.add(name)
+        for index, entry in enumerate(_as_list(node, key)):
+            _check_duplicates(entry, (*path, key, index), found)
+
+
+def _check_data_centre(
+    path: problems.Path, entry: model.DataCentre, context: _Context
+) -> None:
+    context.check_names((*path, "near"), "data_centres", entry.near)
+    if entry.name in entry.near:
+        context.found.add(
+            (*path, "near"), entry.name, "names itself", "remove the name"
+        )
+
+
+def _check_model(
+    path: problems.Path, entry: model.Model, context: _Context
+) -> None:
+    classes = context.names["classes"]
+    for index, version in enumerate(entry.versions):
+        place = (*path, "versions", index, "quality")
+        for name in version.quality:
+            context.check_name((*place, name), "classes", name)
+        missing = sorted(classes - set(version.quality))
+        if missing and version.state is model.VersionState.ACTIVE:
+            context.found.add(
+                place,
+                ", ".join(missing),
+                "lacks a quality rating for these classes",
+                "add a rating from 0 to 1 for each class",
+            )
+
+
+def _lowest_price(entry: model.Model) -> int | None:
+    prices = [
+        version.price.completion
+        for version in entry.versions
+        if version.state is model.VersionState.ACTIVE
+    ]
+    return min(prices, default=None)
+
+
+def _check_cascade(
+    path: problems.Path, entry: model.Cascade, context: _Context
+) -> None:
+    context.check_names((*path, "stages"), "models", entry.stages)
+    for index, (first, second) in enumerate(itertools.pairwise(entry.stages)):
+        place = (*path, "stages", index + 1)
+        if first == second:
+            context.found.add(
+                place, second, "repeats the stage before", "remove it"
+            )
+            continue
+        if first not in context.models or second not in context.models:
+            continue
+        cheaper = _lowest_price(context.models[first])
+        dearer = _lowest_price(context.models[second])
+        if cheaper is not None and dearer is not None and dearer <= cheaper:
+            context.found.add(
+                place,
+                second,
+                f"costs {dearer} per million completion tokens, no more than"
+                f" the stage before ({cheaper}), so the cascade is pointless",
+                "order the stages by rising price or drop the earlier stage",
+            )
+
+
+def _check_account(
+    path: problems.Path, entry: model.ClientAccount, context: _Context
+) -> None:
+    context.check_names((*path, "models"), "models", entry.models)
+    context.check_names((*path, "services"), "services", entry.services)
+    context.check_names((*path, "cascades"), "cascades", entry.cascades)
+    context.check_name((*path, "default_class"), "classes", entry.default_class)
+    for index, full_name in enumerate(entry.versions):
+        place = (*path, "versions", index)
+        known = context.check_version(place, full_name)
+        model_name = model.split_version_id(full_name)[0]
+        if known and model_name not in entry.models:
+            context.found.add(
+                place,
+                full_name,
+                f"belongs to {model_name}, which `models` does not allow",
+                f"add {model_name} to `models` or remove the version",
+            )
+    if entry.quality_weight == 0 and entry.cost_weight == 0:
+        context.found.add(
+            (*path, "cost_weight"),
+            0,
+            "and quality_weight are both 0",
+            "give one of them a weight above 0",
+        )
+
+
+def _check_roll_out(
+    path: problems.Path, entry: model.RollOut, context: _Context
+) -> None:
+    context.check_name((*path, "model"), "models", entry.model)
+    if entry.model in context.names["models"]:
+        for field in ("from_version", "to_version"):
+            full_name = model.version_id(entry.model, getattr(entry, field))
+            context.check_version((*path, field), full_name)
+    if entry.from_version == entry.to_version:
+        context.found.add(
+            (*path, "to_version"),
+            entry.to_version,
+            "is the same as from_version",
+            "name the new version",
+        )
+    for index, (first, second) in enumerate(itertools.pairwise(entry.steps)):
+        if second.share <= first.share:
+            context.found.add(
+                (*path, "steps", index + 1, "share"),
+                second.share,
+                f"is not above the share before ({first.share})",
+                "order the steps by rising share",
+            )
+
+
+def _check_server(
+    path: problems.Path, entry: model.BackendServer, context: _Context
+) -> None:
+    context.check_name(
+        (*path, "data_centre"), "data_centres", entry.data_centre
+    )
+    if entry.kind is model.ServerKind.SERVICE:
+        context.check_names((*path, "serves"), "services", entry.serves)
+        return
+    for index, full_name in enumerate(entry.serves):
+        context.check_version((*path, "serves", index), full_name)
+
+
+def _check_key_hashes(
+    accounts: Sequence[tuple[int, model.ClientAccount]],
+    found: problems.ProblemList,
+) -> None:
+    owners: dict[str, str] = {}
+    for index, account in accounts:
+        for position, key_hash in enumerate(account.key_hashes):
+            owner = owners.setdefault(key_hash, account.name)
+            if owner != account.name:
+                found.add(
+                    ("client_accounts", index, "key_hashes", position),
+                    key_hash,
+                    f"is also a key of client account {owner}",
+                    "give each client account its own key",
+                )
+
+
+def _check_roll_out_models(
+    roll_outs: Sequence[tuple[int, model.RollOut]],
+    found: problems.ProblemList,
+) -> None:
+    owners: dict[str, str] = {}
+    for index, entry in roll_outs:
+        owner = owners.setdefault(entry.model, entry.name)
+        if owner != entry.name:
+            found.add(
+                ("roll_outs", index, "model"),
+                entry.model,
+                f"already has the roll-out {owner}",
+                "remove one of the two roll-outs",
+            )
+
+
+def _check_removed(mapping: Any, context: _Context) -> None:
+    for index, name in enumerate(_as_list(mapping, "removed_versions")):
+        if isinstance(name, str) and name in context.versions:
+            context.found.add(
+                ("removed_versions", index),
+                name,
+                "was removed and cannot be declared again",
+                "give the new version another name",
+            )
