Add the admin API

Operators apply, validate and read configurations, and see the fleet, roll-outs, bills and counters.

The change id is made by the router, so a client whose answer is lost does not know it.

--- /dev/null
+++ b/src/dragonflydyke/admin/answers.py
@@ -0,0 +1,94 @@
+"""JSON bodies of the admin API."""
+
+import dataclasses
+import enum
+import functools
+from collections.abc import Mapping
+from typing import Any
+
+from dragonflydyke import configuration, errors
+from dragonflydyke.admin import services as admin_services
+
+_ERROR_TYPES = {
+    401: "authentication_error",
+    403: "permission_error",
+    429: "rate_limit_error",
+}
+_FIRST_SERVER_STATUS = 500
+
+
+def build_error(
+    error: errors.DragonflydykeError, request_id: str
+) -> dict[str, Any]:
+    """Returns the body of an error answer."""
+    kind = "invalid_request_error"
+    if error.status >= _FIRST_SERVER_STATUS:
+        kind = "server_error"
+    content: dict[str, Any] = {
+        "message": error.message,
+        "type": _ERROR_TYPES.get(error.status, kind),
+        "code": error.code,
+        "param": error.field or None,
+        "step": str(error.step),
+        "peer": error.peer,
+        "execution": error.execution.value,
+        "retry": error.retry_after_s is not None,
+        "retry_after_s": error.retry_after_s,
+        "request_id": request_id,
+    }
+    if isinstance(error, configuration.ConfigurationError):
+        content["problems"] = [to_json(problem) for problem in error.problems]
+    return {"error": content}
+
+
+@functools.singledispatch
+def to_json(value: Any) -> Any:
+    """Returns a value of the services as a JSON value."""
+    if hasattr(value, "to_mapping"):
+        return value.to_mapping()
+    if dataclasses.is_dataclass(value):
+        return {
+            field.name: to_json(getattr(value, field.name))
+            for field in dataclasses.fields(value)
+        }
+    return str(value)
+
+
+@to_json.register(str)
+@to_json.register(int)
+@to_json.register(float)
+@to_json.register(type(None))
+def _(value: Any) -> Any:
+    return value
+
+
+@to_json.register
+def _(value: enum.Enum) -> Any:
+    return value.value
+
+
+@to_json.register(list)
+@to_json.register(tuple)
+def _(value: Any) -> Any:
+    return [to_json(entry) for entry in value]
+
+
+@to_json.register(Mapping)
+def _(value: Any) -> Any:
+    return {str(key): to_json(entry) for key, entry in value.items()}
+
+
+@to_json.register(admin_services.StoredRevision)
+@to_json.register(admin_services.RevisionSummary)
+def _(value: Any) -> Any:
+    operator, token = admin_services.split_applied_by(value.applied_by)
+    content = {
+        "revision": value.revision,
+        "applied_at_ms": value.applied_at_ms,
+        "applied_by": operator,
+        "change_id": value.change_id,
+        "change_token": token,
+    }
+    if isinstance(value, admin_services.StoredRevision):
+        content["document"] = value.document
+    return content
--- /dev/null
+++ b/src/dragonflydyke/admin/application.py
@@ -0,0 +1,38 @@
+"""Assembly of the admin API."""
+
+from typing import Any
+
+from tornado import web
+
+from dragonflydyke.admin import handlers
+from dragonflydyke.admin import services as admin_services
+
+_ROUTES: tuple[tuple[str, type[web.RequestHandler]], ...] = (
+    (r"/health/live", handlers.LiveHandler),
+    (r"/health/ready", handlers.ReadyHandler),
+    (r"/v1/configuration", handlers.ConfigurationHandler),
+    (r"/v1/configuration/validate", handlers.ValidateHandler),
+    (r"/v1/history", handlers.HistoryHandler),
+    (r"/v1/status", handlers.StatusHandler),
+    (r"/v1/roll-outs", handlers.RollOutsHandler),
+    (r"/v1/bills", handlers.BillsHandler),
+    (r"/v1/counters", handlers.CountersHandler),
+)
+
+
+def _log_nothing(handler: web.RequestHandler) -> None:
+    # Health checks arrive every few seconds; only state changes are logged.
+    del handler
+
+
+def build_application(
+    services: admin_services.AdminServices,
+) -> web.Application:
+    """Returns the admin API for an HTTP server on the admin address."""
+    arguments: dict[str, Any] = {"services": services}
+    return web.Application(
+        [(pattern, handler, arguments) for pattern, handler in _ROUTES],
+        default_handler_class=handlers.NotFoundHandler,
+        default_handler_args=arguments,
+        log_function=_log_nothing,
+    )
--- a/src/dragonflydyke/configuration/__init__.py
+++ b/src/dragonflydyke/configuration/__init__.py
@@ -6,6 +6,7 @@
     check_transition,
     diff,
 )
+from dragonflydyke.configuration.keys import hash_key
 from dragonflydyke.configuration.loader import load_files, parse
 from dragonflydyke.configuration.mapping import digest, to_mapping
 from dragonflydyke.configuration.problems import (
@@ -23,6 +24,7 @@
     "check_transition",
     "diff",
     "digest",
+    "hash_key",
     "load_files",
     "parse",
     "to_mapping",
