Add the command line of operators

Exit codes separate refused, conflict, unavailable, outcome unknown and timeout, so that a script knows whether it may repeat a command. A write moves on to the next server only if the connection was refused or not established: a reset connection is an OSError too but may arise after sending.

After a lost answer, apply reads back by its change token for 15 s, as a conditional write takes effect within 10 s of its announcement or not at all. If another revision came first, the change cannot take effect any more and the answer is a conflict, not an unknown outcome.

--- /dev/null
+++ b/src/dragonflydyke/cli/base.py
@@ -0,0 +1,153 @@
+"""Common part of the commands: options, connection and exit codes."""
+
+import asyncio
+import json
+import os
+import pathlib
+from collections.abc import Awaitable, Callable
+from typing import Any, ClassVar
+
+from cleo.commands import command
+from cleo.helpers import option
+from cleo.io.inputs import option as cleo_option
+from cleo.io.outputs import output as cleo_output
+
+from dragonflydyke import errors, settings
+from dragonflydyke.cli import client as admin_client
+from dragonflydyke.cli import exit_codes
+
+KEY_VARIABLE = "DRAGONFLYDYKE_OPERATOR_KEY"
+SERVER_VARIABLE = "DRAGONFLYDYKE_SERVER"
+
+OUTPUT_OPTION = option(
+    "output",
+    description="Format of the output: text or json.",
+    flag=False,
+    default="text",
+)
+SERVER_OPTIONS = [
+    option(
+        "server",
+        description="Admin URL of a router; repeat it to name others that are"
+        f" tried when one refuses the connection. [{SERVER_VARIABLE}, separated"
+        " by commas]",
+        flag=False,
+        multiple=True,
+    ),
+    option(
+        "operator-key-file",
+        description=f"File with the operator key. [{KEY_VARIABLE} holds the key"
+        " itself]",
+        flag=False,
+    ),
+]
+
+
+class BaseCommand(command.Command):
+    """Turns errors into messages and exit codes."""
+
+    options: ClassVar[list[cleo_option.Option]] = [OUTPUT_OPTION]
+
+    def run_command(self) -> exit_codes.ExitCode:
+        """Does the work of the command."""
+        raise NotImplementedError
+
+    def handle(self) -> int:
+        """Returns the exit code."""
+        try:
+            if self.option("output") not in ("text", "json"):
+                raise exit_codes.UsageError("--output must be text or json")
+            return int(self.run_command())
+        except (
+            errors.DragonflydykeError,
+            exit_codes.UsageError,
+            exit_codes.WaitTimeoutError,
+        ) as error:
+            self.show_error(str(error))
+            return int(exit_codes.exit_code_for(error))
+
+    def show(self, text: str, value: Any) -> None:
+        """Writes the text, or with --output json the value."""
+        if self.option("output") == "json":
+            text = json.dumps(value, indent=2)
+        # Raw, because cleo takes <words> in the text for markup.
+        self.io.write_line(text, type=cleo_output.Type.RAW)
+
+    def show_error(self, text: str) -> None:
+        """Writes to standard error."""
+        self.io.write_error_line(text, type=cleo_output.Type.RAW)
+
+    def read_number(self, name: str) -> int | None:
+        """Returns the number in an option, None if it is not given."""
+        text = self.option(name)
+        if text is None:
+            return None
+        if not (text.isascii() and text.isdigit()):
+            raise exit_codes.UsageError(f"--{name}: {text!r} is not a number")
+        return int(text)
+
+
+class ServerCommand(BaseCommand):
+    """A command that calls the admin API."""
+
+    options: ClassVar[list[cleo_option.Option]] = [
+        OUTPUT_OPTION,
+        *SERVER_OPTIONS,
+    ]
+
+    def call(
+        self, work: Callable[[admin_client.AdminClient], Awaitable[Any]]
+    ) -> Any:
+        """Runs a coroutine function with a client and returns its result."""
+        servers = self._read_servers()
+        operator_key = self._read_operator_key()
+
+        async def run() -> Any:
+            client = admin_client.AdminClient(servers, operator_key)
+            try:
+                return await work(client)
+            finally:
+                client.close()
+
+        return asyncio.run(run())
+
+    def read(self, path: str, **query: str | int | None) -> Any:
+        """Reads one resource."""
+        return self.call(lambda client: client.read(path, **query))
+
+    def _read_servers(self) -> tuple[str, ...]:
+        servers = self.option("server")
+        if not servers:
+            servers = os.environ.get(SERVER_VARIABLE, "").split(",")
+        servers = [server.strip() for server in servers if server.strip()]
+        if not servers:
+            raise exit_codes.UsageError(
+                f"no server; give --server or {SERVER_VARIABLE}"
+            )
+        try:
+            return tuple(settings.parse_url(server) for server in servers)
+        except ValueError as error:
+            raise exit_codes.UsageError(f"--server: {error}") from error
+
+    def _read_operator_key(self) -> str:
+        file = self.option("operator-key-file")
+        key = os.environ.get(KEY_VARIABLE, "")
+        if file:
+            try:
+                key = pathlib.Path(file).read_text(encoding="utf-8")
+            except (OSError, UnicodeDecodeError) as error:
+                raise exit_codes.UsageError(
+                    f"--operator-key-file: {error}"
+                ) from error
+        return check_key(key)
+
+
+def check_key(text: str) -> str:
+    """Returns a bearer key without the end of its line."""
+    key = text.strip()
+    if not key or not key.isascii() or not key.isprintable() or " " in key:
+        raise exit_codes.UsageError(
+            "the key must be one line of printable ASCII without spaces; give"
+            f" --operator-key-file or {KEY_VARIABLE}"
+        )
+    return key
--- /dev/null
+++ b/src/dragonflydyke/cli/client.py
@@ -0,0 +1,181 @@
+"""HTTP client of the admin API."""
+
+import errno
+import json
+import socket
+from collections.abc import Mapping, Sequence
+from typing import Any
+from urllib import parse
+
+from tornado import httpclient, simple_httpclient
+
+from dragonflydyke import errors
+
+CONNECT_TIMEOUT_S = 2.0
+READ_TIMEOUT_S = 10.0
+# An apply waits for acknowledgements of the fleet and for a platform write.
+WRITE_TIMEOUT_S = 30.0
+_FIRST_ERROR_STATUS = 400
+_NOT_CONNECTED = frozenset(
+    (errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH)
+)
+
+
+class AdminClient:
+    """Calls the first admin address that accepts a connection."""
+
+    __slots__ = ("_http", "_operator_key", "_servers")
+
+    def __init__(self, servers: Sequence[str], operator_key: str) -> None:
+        """Creates a client.
+
+        Args:
+            servers: Base URLs, tried in this order.
+            operator_key: Bearer key of the operator.
+        """
+        self._servers = tuple(servers)
+        self._operator_key = operator_key
+        self._http = simple_httpclient.SimpleAsyncHTTPClient(
+            force_instance=True
+        )
+
+    def close(self) -> None:
+        """Closes all connections."""
+        self._http.close()
+
+    async def read(self, path: str, **query: str | int | None) -> Any:
+        """Reads a resource; any server may answer.
+
+        Raises:
+            DragonflydykeError: If the request is refused or none answers.
+        """
+        request = self._build("GET", path, query, None, READ_TIMEOUT_S)
+        try:
+            return await self._call(request, is_write=False)
+        except errors.DragonflydykeError as error:
+            # A read has no effect, so its outcome is never in doubt.
+            error.execution = errors.Execution.NOT_RUN
+            raise
+
+    async def write(
+        self, path: str, body: Mapping[str, Any], **query: str | int | None
+    ) -> Any:
+        """Sends a document; moves on only if the request was not sent.
+
+        Raises:
+            DragonflydykeError: With execution UNKNOWN if the answer is lost.
+        """
+        request = self._build("POST", path, query, body, WRITE_TIMEOUT_S)
+        return await self._call(request, is_write=True)
+
+    def _build(
+        self,
+        method: str,
+        path: str,
+        query: Mapping[str, str | int | None],
+        body: Mapping[str, Any] | None,
+        timeout_s: float,
+    ) -> dict[str, Any]:
+        present = {k: v for k, v in query.items() if v is not None}
+        if present:
+            path = f"{path}?{parse.urlencode(present)}"
+        return {
+            "path": path,
+            "method": method,
+            "headers": {"Authorization": f"Bearer {self._operator_key}"},
+            "body": None if body is None else json.dumps(body),
+            "connect_timeout": CONNECT_TIMEOUT_S,
+            "request_timeout": timeout_s,
+            "follow_redirects": False,
+        }
+
+    async def _call(self, request: dict[str, Any], *, is_write: bool) -> Any:
+        arguments = dict(request)
+        path = arguments.pop("path")
+        failures = []
+        for server in self._servers:
+            try:
+                response = await self._http.fetch(
+                    httpclient.HTTPRequest(server + path, **arguments),
+                    raise_error=False,
+                )
+            except (OSError, httpclient.HTTPError) as error:
+                if is_write and not _was_not_sent(error):
+                    raise _lost(server, error) from error
+                failures.append(f"{server}: {error}")
+            else:
+                return _read_response(server, response, is_write=is_write)
+        raise errors.DragonflydykeError(
+            "server_unavailable",
+            f"no server answered ({'; '.join(failures)}); name a running"
+            " router with --server",
+            step=errors.Step.CONNECT,
+            status=503,
+        )
+
+
+def _was_not_sent(error: Exception) -> bool:
+    """Returns whether the request certainly did not reach the server.
+
+    A reset connection is an OSError too, but may arise after sending.
+    """
+    if isinstance(error, simple_httpclient.HTTPTimeoutError):
+        return "connecting" in str(error)
+    if isinstance(error, socket.gaierror):
+        return True
+    return isinstance(error, OSError) and error.errno in _NOT_CONNECTED
+
+
+def _lost(server: str, cause: Exception) -> errors.DragonflydykeError:
+    return errors.DragonflydykeError(
+        "answer_lost",
+        f"the request was sent but its answer was lost ({cause}); read the"
+        " current revision with `dragonflydyke get`",
+        step=errors.Step.AWAIT_ANSWER,
+        peer=server,
+        execution=errors.Execution.UNKNOWN,
+        status=503,
+    )
+
+
+def _read_response(
+    server: str, response: httpclient.HTTPResponse, *, is_write: bool
+) -> Any:
+    try:
+        content = json.loads(response.body)
+        if response.code < _FIRST_ERROR_STATUS:
+            return content
+        error = content["error"]
+        text = "\n".join(
+            [error["message"], *map(_show_problem, error.get("problems", ()))]
+        )
+        raised = errors.DragonflydykeError(
+            error["code"],
+            text,
+            step=errors.Step(error["step"]),
+            peer=error["peer"] or server,
+            execution=errors.Execution(error["execution"]),
+            retry_after_s=error["retry_after_s"],
+            status=response.code,
+            field=error["param"] or "",
+        )
+    except (ValueError, KeyError, TypeError) as fault:
+        # A proxy answered, or a router of another version.
+        raise errors.DragonflydykeError(
+            "answer_invalid",
+            f"status {response.code} without the expected JSON ({fault!r});"
+            " check that --server is an admin address",
+            step=errors.Step.READ_ANSWER,
+            peer=server,
+            execution=(
+                errors.Execution.UNKNOWN
+                if is_write
+                else errors.Execution.NOT_RUN
+            ),
+            status=502,
+        ) from fault
+    raise raised
+
+
+def _show_problem(problem: Mapping[str, Any]) -> str:
+    return "{path}: {message}, found {value!r}; {fix}".format_map(problem)
--- /dev/null
+++ b/src/dragonflydyke/cli/operations.py
@@ -0,0 +1,199 @@
+"""Steps of the commands that take more than one request."""
+
+import asyncio
+import dataclasses
+import secrets
+from collections.abc import Mapping
+from typing import Any
+
+from dragonflydyke import errors
+from dragonflydyke.cli import client as admin_client
+from dragonflydyke.cli import exit_codes
+
+_NOT_FOUND = 404
+NO_REVISION = 0
+# A conditional write takes effect within the 10 s of its announcement or not
+# at all; the rest is for the delay of the read.
+SETTLE_TIMEOUT_S = 15.0
+_POLL_INTERVAL_S = 0.5
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Applied:
+    """A change that is accepted.
+
+    Attributes:
+        revision: Its revision.
+        change_id: Its change id.
+        read_back: Whether the answer was lost and the change found by reading.
+    """
+
+    revision: int
+    change_id: str
+    read_back: bool = False
+
+
+async def read_current(
+    client: admin_client.AdminClient,
+) -> Mapping[str, Any] | None:
+    """Returns the current revision, or None before the first apply."""
+    try:
+        return await client.read("/v1/configuration")
+    except errors.DragonflydykeError as error:
+        if error.status == _NOT_FOUND:
+            return None
+        raise
+
+
+async def apply(
+    client: admin_client.AdminClient,
+    mapping: Mapping[str, Any],
+    operator: str,
+    base_revision: int | None,
+    settle_timeout_s: float,
+) -> Applied:
+    """Applies a configuration and finds out what became of it.
+
+    Args:
+        client: Client of the admin API.
+        mapping: The complete document.
+        operator: Name that the history shows.
+        base_revision: Revision that the operator last saw; None reads it.
+        settle_timeout_s: Seconds to read back after a lost answer.
+
+    Raises:
+        DragonflydykeError: If the change is refused, or is not found before
+            the timeout; then with execution UNKNOWN.
+    """
+    if base_revision is None:
+        current = await read_current(client)
+        base_revision = current["revision"] if current else NO_REVISION
+    token = secrets.token_hex(16)
+    try:
+        answer = await client.write(
+            "/v1/configuration",
+            mapping,
+            base_revision=base_revision,
+            applied_by=operator,
+            change_token=token,
+        )
+    except errors.DragonflydykeError as error:
+        if error.execution is not errors.Execution.UNKNOWN:
+            raise
+        return await _read_back(
+            client, token, base_revision, settle_timeout_s, error
+        )
+    return Applied(answer["revision"], answer["change_id"])
+
+
+async def _read_back(
+    client: admin_client.AdminClient,
+    token: str,
+    base_revision: int,
+    settle_timeout_s: float,
+    cause: errors.DragonflydykeError,
+) -> Applied:
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + settle_timeout_s
+    reason = "the change is not the current revision yet"
+    while True:
+        try:
+            found = await _find_change(client, token, base_revision)
+        except errors.DragonflydykeError as error:
+            if exit_codes.exit_code_for(error) is exit_codes.ExitCode.CONFLICT:
+                raise
+            reason = f"reading back failed: {error}"
+        else:
+            if found is not None:
+                return found
+        if loop.time() >= end_s:
+            break
+        await asyncio.sleep(_POLL_INTERVAL_S)
+    raise errors.DragonflydykeError(
+        "apply_outcome_unknown",
+        f"{cause.message}; {reason} after {settle_timeout_s:g} s. Compare"
+        f" `dragonflydyke get` with your files before you apply them again on"
+        f" base revision {base_revision}",
+        step=errors.Step.APPLY_CONFIGURATION,
+        peer=cause.peer,
+        execution=errors.Execution.UNKNOWN,
+        status=503,
+    ) from cause
+
+
+async def _find_change(
+    client: admin_client.AdminClient, token: str, base_revision: int
+) -> Applied | None:
+    """Returns the change, or None if its outcome is still open.
+
+    Raises:
+        DragonflydykeError: With status 409 if another change came first, so
+            that this one cannot take effect any more.
+    """
+    current = await read_current(client)
+    if current is None or current["revision"] == base_revision:
+        return None
+    history = await client.read("/v1/history")
+    for entry in (current, *history["revisions"]):
+        if entry["change_token"] == token:
+            return Applied(entry["revision"], entry["change_id"], True)
+    raise errors.DragonflydykeError(
+        "revision_conflict",
+        f"not applied: revision {current['revision']} by"
+        f" {current['applied_by']} came first; compare your files with"
+        " `dragonflydyke diff` and apply them again",
+        step=errors.Step.APPLY_CONFIGURATION,
+        status=409,
+    )
+
+
+async def wait(
+    client: admin_client.AdminClient, revision: int | None, timeout_s: float
+) -> int:
+    """Waits until a revision is in force on all listed VMs.
+
+    Args:
+        client: Client of the admin API.
+        revision: Revision to wait for; None for the current one.
+        timeout_s: Seconds after which to give up.
+
+    Returns:
+        The revision.
+
+    Raises:
+        WaitTimeoutError: With the VMs that lag behind.
+        DragonflydykeError: If the request is refused.
+    """
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + timeout_s
+    while True:
+        try:
+            if revision is None:
+                revision = (await client.read("/v1/configuration"))["revision"]
+            status = await client.read("/v1/status")
+            missing = _find_lagging(status, revision)
+        except errors.DragonflydykeError as error:
+            code = exit_codes.exit_code_for(error)
+            if code is not exit_codes.ExitCode.UNAVAILABLE:
+                raise
+            missing = str(error)
+        if not missing:
+            assert revision is not None
+            return revision
+        if loop.time() >= end_s:
+            raise exit_codes.WaitTimeoutError(
+                f"revision {revision or '(unknown)'} is not in force"
+                f" everywhere after {timeout_s:g} s: {missing}; see"
+                " `dragonflydyke status`"
+            )
+        await asyncio.sleep(min(_POLL_INTERVAL_S, timeout_s))
+
+
+def _find_lagging(status: Mapping[str, Any], revision: int) -> str:
+    if not status["vms"]:
+        return "the router has no list of VMs yet"
+    return ", ".join(
+        f"{row['vm']} ({row['state']}, revision {row['revision']})"
+        for row in status["vms"]
+        if row["revision"] is None or row["revision"] < revision
+    )
--- /dev/null
+++ b/src/dragonflydyke/cli/output.py
@@ -0,0 +1,84 @@
+"""Text output of the commands."""
+
+import collections
+import datetime
+import io
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
+
+from ruamel import yaml
+
+from dragonflydyke import configuration
+
+_SIGNS = {
+    configuration.ChangeKind.ADDED: "+",
+    configuration.ChangeKind.REMOVED: "-",
+    configuration.ChangeKind.CHANGED: "~",
+}
+
+
+def format_table(
+    columns: Sequence[str], rows: Iterable[Mapping[str, Any]]
+) -> str:
+    """Returns aligned columns under their names."""
+    lines = [[column.upper() for column in columns]]
+    for row in rows:
+        lines.append([_format_cell(row.get(column)) for column in columns])
+    widths = [max(map(len, cells)) for cells in zip(*lines, strict=True)]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    )
+
+
+def _format_cell(value: Any) -> str:
+    if value is None or value == "":
+        return "-"
+    if isinstance(value, float):
+        return f"{value:.1f}"
+    return str(value)
+
+
+def format_time(milliseconds: int) -> str:
+    """Returns a Unix time in milliseconds as UTC text."""
+    time = datetime.datetime.fromtimestamp(milliseconds / 1_000, datetime.UTC)
+    return time.strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
+def format_yaml(value: Any) -> str:
+    """Returns a JSON value as YAML that `load_files` can read."""
+    stream = io.StringIO()
+    writer = yaml.YAML(typ="safe", pure=True)
+    writer.default_flow_style = False
+    # The safe representer would write aliases for equal lists.
+    writer.representer.ignore_aliases = lambda data: True
+    writer.sort_base_mapping_type_on_output = False
+    writer.dump(value, stream)
+    return stream.getvalue().rstrip("\n")
+
+
+def format_change(change: configuration.Change) -> str:
+    """Returns a change on one line."""
+    sign = _SIGNS[change.kind]
+    if change.kind is configuration.ChangeKind.CHANGED:
+        return f"{sign} {change.path}: {change.old!r} -> {change.new!r}"
+    return f"{sign} {change.path}"
+
+
+def format_bills(bills: Iterable[Mapping[str, Any]]) -> str:
+    """Returns the totals per client account and outcome."""
+    fields = ("prompt_tokens", "completion_tokens", "cost")
+    totals: dict[tuple[str, str], collections.Counter[str]] = {}
+    for bill in bills:
+        key = (bill["client_account"], str(bill["outcome"]))
+        total = totals.setdefault(key, collections.Counter())
+        total["bills"] += 1
+        for field in fields:
+            total[field] += bill[field]
+    rows = (
+        {"client_account": account, "outcome": outcome, **total}
+        for (account, outcome), total in sorted(totals.items())
+    )
+    return format_table(("client_account", "outcome", "bills", *fields), rows)
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,225 @@
+"""Tests of the command line against an admin API in the same process."""
+
+import asyncio
+import io
+import json
+import os
+import pathlib
+import re
+import tempfile
+import unittest
+from typing import Any
+from unittest import mock
+from urllib import parse
+
+from cleo.io.outputs import buffered_output
+from tornado import testing
+
+from dragonflydyke import configuration, errors
+from dragonflydyke.cli import client as admin_client
+from dragonflydyke.cli import main, operations, output
+from dragonflydyke.cli.exit_codes import ExitCode
+from tests.builders import admin as builders
+from tests.builders import documents
+
+
+class CommandLineTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against exit codes that let a script conclude the wrong thing."""
+
+    async def asyncSetUp(self) -> None:
+        self.server = builders.AdminServer()
+        self.addAsyncCleanup(self.server.stop)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.files = pathlib.Path(folder.name)
+        self.mapping = configuration.to_mapping(documents.build_document())
+        self._write_files()
+        variables = {"DRAGONFLYDYKE_OPERATOR_KEY": builders.OPERATOR_KEY}
+        patch = mock.patch.dict(os.environ, variables)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def _write_files(self) -> None:
+        text = output.format_yaml(self.mapping)
+        (self.files / "all.yaml").write_text(text)
+
+    async def _run(
+        self, *arguments: str, server: str = ""
+    ) -> tuple[int, str, str]:
+        out = buffered_output.BufferedOutput()
+        err = buffered_output.BufferedOutput()
+        given = [*arguments, "--server", server or self.server.url]
+        code = await asyncio.to_thread(main.main, given, out, err)
+        return code, out.fetch(), err.fetch()
+
+    async def _run_json(self, *arguments: str) -> Any:
+        code, out, err = await self._run(*arguments, "--output", "json")
+        self.assertEqual(code, ExitCode.OK, err)
+        return json.loads(out)
+
+    async def test_applied_files_are_read_back_unchanged(self) -> None:
+        code, out, _ = await self._run("apply", str(self.files))
+        self.assertEqual((code, out), (ExitCode.OK, "revision 1 applied\n"))
+        stored = await self._run_json("get")
+        self.assertEqual(stored["document"], self.mapping)
+        _, text, _ = await self._run("get")
+        (self.files / "all.yaml").write_text(text)
+        loaded = configuration.load_files([self.files])
+        self.assertEqual(configuration.to_mapping(loaded), self.mapping)
+
+    async def test_of_two_concurrent_applies_one_is_accepted(self) -> None:
+        results = await asyncio.gather(
+            *(
+                self._run("apply", str(self.files), "--base-revision", "0")
+                for _ in range(2)
+            )
+        )
+        codes = sorted(result[0] for result in results)
+        self.assertEqual(codes, [ExitCode.OK, ExitCode.CONFLICT])
+        self.assertEqual(len(self.server.writer.revisions), 1)
+
+    async def test_a_lost_answer_is_read_back(self) -> None:
+        self.server.writer.lose_answers = 1
+        answer = await self._run_json("apply", str(self.files))
+        self.assertEqual(answer["revision"], 1)
+        self.assertTrue(answer["read_back"])
+
+    async def test_a_reset_connection_does_not_repeat_the_change(self) -> None:
+        # A second send to the next server would apply the files twice.
+        async def reset(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            target = head.split()[1]
+            query = parse.parse_qs(parse.urlsplit(target).query)
+            if head.startswith("POST"):
+                length = re.search(r"Content-Length: (\d+)", head)
+                assert length is not None
+                body = await reader.readexactly(int(length[1]))
+                await self.server.writer.apply(
+                    json.loads(body), f"ada#{query['change_token'][0]}", 0
+                )
+            writer.transport.abort()
+
+        socket, port = testing.bind_unused_port()
+        broken = await asyncio.start_server(reset, sock=socket)
+        self.addAsyncCleanup(broken.wait_closed)
+        self.addCleanup(broken.close)
+        code, out, err = await self._run(
+            "apply",
+            str(self.files),
+            "--server",
+            f"http://127.0.0.1:{port}",
+        )
+        self.assertEqual(code, ExitCode.OK, err)
+        self.assertIn("answer was lost", out)
+        self.assertEqual(len(self.server.writer.revisions), 1)
+
+    async def test_an_open_outcome_is_reported_as_unknown(self) -> None:
+        self.server.writer.lose_changes = 2
+        client = admin_client.AdminClient(
+            [self.server.url], builders.OPERATOR_KEY
+        )
+        self.addCleanup(client.close)
+        with self.assertRaises(errors.DragonflydykeError) as caught:
+            await operations.apply(client, self.mapping, "ada", 0, 0.0)
+        self.assertIs(caught.exception.execution, errors.Execution.UNKNOWN)
+        with mock.patch.object(operations, "SETTLE_TIMEOUT_S", 0.0):
+            code, _, err = await self._run("apply", str(self.files))
+        self.assertEqual(code, ExitCode.OUTCOME_UNKNOWN, err)
+
+    async def test_a_lost_change_after_which_another_came_is_a_conflict(
+        self,
+    ) -> None:
+        # The change can no longer take effect, so 5 would be too cautious.
+        self.server.writer.lose_changes = 1
+        apply = self.server.writer.apply
+
+        async def lose_and_let_another_apply(*arguments: Any) -> Any:
+            try:
+                return await apply(*arguments)
+            finally:
+                await apply(self.mapping, "other")
+
+        with mock.patch.object(
+            self.server.writer, "apply", lose_and_let_another_apply
+        ):
+            code, _, err = await self._run("apply", str(self.files))
+        self.assertEqual(code, ExitCode.CONFLICT)
+        self.assertIn("other", err)
+
+    async def test_exit_codes_of_refusals(self) -> None:
+        missing = str(self.files / "missing.yaml")
+        for expected, arguments in (
+            (ExitCode.REFUSED, ("apply", missing)),
+            (ExitCode.REFUSED, ("get", "--revision", "9")),
+            (ExitCode.USAGE, ("get", "--revision", "x")),
+            (ExitCode.USAGE, ("get", "--output", "xml")),
+            (ExitCode.USAGE, ("get", "--operator-key-file", missing)),
+            (ExitCode.USAGE, ("get", "--unknown")),
+        ):
+            with self.subTest(arguments=arguments):
+                code, _, err = await self._run(*arguments)
+                self.assertEqual(code, expected, err)
+                self.assertTrue(err)
+
+    async def test_the_next_server_is_tried_when_one_refuses(self) -> None:
+        socket, port = testing.bind_unused_port()
+        socket.close()
+        refused = f"http://127.0.0.1:{port}"
+        code, _, _ = await self._run("status", "--server", refused)
+        self.assertEqual(code, ExitCode.OK)
+        code, _, err = await self._run("status", server=refused)
+        self.assertEqual(code, ExitCode.UNAVAILABLE)
+        self.assertIn(refused, err)
+
+    async def test_wait_ends_when_all_vms_have_the_revision(self) -> None:
+        await self._run("apply", str(self.files))
+        answer = await self._run_json("wait")
+        self.assertEqual(answer, {"revision": 1})
+        self.server.fleet.revisions = [1, None]
+        code, _, err = await self._run("wait", "--timeout", "0")
+        self.assertEqual(code, ExitCode.TIMEOUT)
+        self.assertIn("vm-1", err)
+
+    async def test_diff_shows_changes_and_refuses_forbidden_ones(self) -> None:
+        versions = self.mapping["models"][0]["versions"]
+        versions[0]["state"] = "withdrawn"
+        self._write_files()
+        await self._run("apply", str(self.files))
+        versions[0]["state"] = "active"
+        self._write_files()
+        code, out, err = await self._run("diff", str(self.files))
+        self.assertEqual(code, ExitCode.REFUSED)
+        self.assertIn("~ models[planner-small].versions[v1].state", out)
+        self.assertIn("cannot become active again", err)
+
+    async def test_bills_check_fails_on_gaps(self) -> None:
+        answer = await self._run_json("bills", "--client-account", "a")
+        self.assertEqual([b["cost"] for b in answer["bills"]], [7])
+        self.assertEqual((await self._run("bills", "--check"))[0], ExitCode.OK)
+        self.server.bills.gaps = ["incarnation x: 7"]
+        code, out, _ = await self._run("bills", "--check")
+        self.assertEqual(code, ExitCode.REFUSED)
+        self.assertEqual(out, "gap: incarnation x: 7\n")
+
+    async def test_tables_show_every_row(self) -> None:
+        for command, expected in (
+            ("status", "vm-1"),
+            ("roll-outs", "running"),
+            ("bills", "completed"),
+            ("history", "REVISION"),
+        ):
+            code, out, err = await self._run(command)
+            self.assertEqual(code, ExitCode.OK, err)
+            self.assertIn(expected, out)
+
+    def test_hash_key_ignores_the_end_of_the_line(self) -> None:
+        for text in ("demo-key", "demo-key\n", "demo-key\r\n"):
+            out = buffered_output.BufferedOutput()
+            with mock.patch("sys.stdin", io.StringIO(text)):
+                code = main.main(["hash-key"], out, out)
+            self.assertEqual(code, ExitCode.OK)
+            self.assertEqual(
+                out.fetch().strip(), documents.hash_key("demo-key")
+            )
