Reset the connection in the test of a lost answer

The test closed the connection in order, which the client sees as a closed stream. Treating every OSError as 'not sent' did not fail it. With a reset it does.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -6,6 +6,8 @@
 import os
 import pathlib
 import re
+import socket
+import struct
 import tempfile
 import unittest
 from typing import Any
@@ -99,10 +101,14 @@
                 await self.server.writer.apply(
                     json.loads(body), f"ada#{query['change_token'][0]}", 0
                 )
+            # Linger of 0 s sends a reset, which arrives as an OSError.
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
             writer.transport.abort()
 
-        socket, port = testing.bind_unused_port()
-        broken = await asyncio.start_server(reset, sock=socket)
+        listener, port = testing.bind_unused_port()
+        broken = await asyncio.start_server(reset, sock=listener)
         self.addAsyncCleanup(broken.wait_closed)
         self.addCleanup(broken.close)
         code, out, err = await self._run(
@@ -164,8 +170,8 @@
                 self.assertTrue(err)
 
     async def test_the_next_server_is_tried_when_one_refuses(self) -> None:
-        socket, port = testing.bind_unused_port()
-        socket.close()
+        listener, port = testing.bind_unused_port()
+        listener.close()
         refused = f"http://127.0.0.1:{port}"
         code, _, _ = await self._run("status", "--server", refused)
         self.assertEqual(code, ExitCode.OK)
