Treat a reset connection to the platform as an unknown outcome

Cause: the object API client took every OSError as a request that was not sent. A reset after the request had been sent is an OSError too, so a write that may have taken effect was reported as not executed. Ruled out: telling the cases apart by tornado's error type, which is the same for both. Only errors of connecting now count as not sent, in one module that the command line uses as well.

--- a/src/dragonflydyke/cli/client.py
+++ b/src/dragonflydyke/cli/client.py
@@ -1,24 +1,19 @@
 """HTTP client of the admin API."""
 
-import errno
 import json
-import socket
 from collections.abc import Mapping, Sequence
 from typing import Any
 from urllib import parse
 
 from tornado import httpclient, simple_httpclient
 
-from dragonflydyke import errors
+from dragonflydyke import errors, transport
 
 CONNECT_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 10.0
 # An apply waits for acknowledgements of the fleet and for a platform write.
 WRITE_TIMEOUT_S = 30.0
 _FIRST_ERROR_STATUS = 400
-_NOT_CONNECTED = frozenset(
-    (errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH)
-)
 
 
 class AdminClient:
@@ -100,7 +95,7 @@
                     raise_error=False,
                 )
             except (OSError, httpclient.HTTPError) as error:
-                if is_write and not _was_not_sent(error):
+                if is_write and not transport.was_not_sent(error):
                     raise _lost(server, error) from error
                 failures.append(f"{server}: {error}")
             else:
@@ -114,18 +109,6 @@
         )
 
 
-def _was_not_sent(error: Exception) -> bool:
-    """Returns whether the request certainly did not reach the server.
-
-    A reset connection is an OSError too, but may arise after sending.
-    """
-    if isinstance(error, simple_httpclient.HTTPTimeoutError):
-        return "connecting" in str(error)
-    if isinstance(error, socket.gaierror):
-        return True
-    return isinstance(error, OSError) and error.errno in _NOT_CONNECTED
-
-
 def _lost(server: str, cause: Exception) -> errors.DragonflydykeError:
     return errors.DragonflydykeError(
         "answer_lost",
--- a/src/dragonflydyke/objects/client.py
+++ b/src/dragonflydyke/objects/client.py
@@ -6,7 +6,7 @@
 
 from tornado import httpclient, simple_httpclient
 
-from dragonflydyke import errors, metrics
+from dragonflydyke import errors, metrics, transport
 from dragonflydyke.objects import model
 
 DEFAULT_TIMEOUT_S = 1.0
@@ -181,14 +181,10 @@
         )
         try:
             response = await self._http.fetch(request, raise_error=False)
-        except OSError as error:
-            raise self._unavailable(method, error) from error
-        except simple_httpclient.HTTPTimeoutError as error:
-            if "connect" in str(error):
+        except (OSError, httpclient.HTTPError) as error:
+            if transport.was_not_sent(error):
                 raise self._unavailable(method, error) from error
             raise self._lost(method, error) from error
-        except httpclient.HTTPError as error:
-            raise self._lost(method, error) from error
         if response.code == _UNAVAILABLE:
             raise self._unavailable(method, "the platform answered 503")
         if response.code not in (200, _NOT_FOUND, _CONFLICT, _TOO_LARGE):
--- a/src/dragonflydyke/rollouts/ratings.py
+++ b/src/dragonflydyke/rollouts/ratings.py
@@ -108,6 +108,4 @@
             sample = await self._queue.get()
             rating = await self._client.rate(sample.version, sample.answer)
             if rating is not None:
-                self._counts.add_rating(
-                    sample.roll_out, sample.version, rating
-                )
+                self._counts.add_rating(sample.roll_out, sample.version, rating)
