Add the backends client and the engine emulator

The router needs to know whether a failed request ran. The usual HTTP clients do not say at which point a connection broke, and a kept connection can be closed by the server while the next request is written, so each request opens its own connection and passes through the steps connect, send, await_answer and read_answer. Only failures before the first byte are "not run".

An answer without Content-Length and without chunked encoding is refused: its end cannot be told from a lost connection. The queue between connection and consumer holds one chunk, so that a slow caller slows down the engine instead of filling the router's memory.

Closing an unfinished stream, and giving up on one after it was sent, cancels it at the engine.

Ruled out: cancelling the reading task to stop it. The library logs that as an error and swallows it; closing the connection ends the task cleanly.

--- /dev/null
+++ b/src/dragonflydyke/backends/connection.py
@@ -0,0 +1,336 @@
+"""One HTTP exchange over one fresh connection."""
+
+import asyncio
+import datetime
+import functools
+import re
+import ssl
+from collections.abc import AsyncIterator
+from urllib import parse
+
+from tornado import http1connection, httputil, iostream, tcpclient
+
+from dragonflydyke import errors
+from dragonflydyke.backends import failures, model
+
+_CHUNK_BYTES = 65_536
+_MAX_HEADER_BYTES = 65_536
+# Chunks are handed on one at a time, so this bounds no memory; the library's
+# default of 100 MB would end long streams.
+_MAX_BODY_BYTES = 1 << 40
+_HTTPS_PORT = 443
+_HTTP_PORT = 80
+_FIRST_FINAL_STATUS = 200
+_STATUSES_WITHOUT_BODY = (204, 304)
+_PATH = re.compile(r"/[!-~]*")
+
+
+@functools.cache
+def _build_tls_context() -> ssl.SSLContext:
+    # Reading the system's certificates takes milliseconds, so it is done once.
+    return ssl.create_default_context()
+
+
+class _Reader(httputil.HTTPMessageDelegate):
+    """Hands the answer of a connection to its consumer.
+
+    The queue holds one chunk; the connection reads no more from the socket
+    until the consumer has taken it.
+    """
+
+    def __init__(
+        self, stream: iostream.IOStream, request: model.BackendRequest
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        self._stream = stream
+        self._method = request.method
+        self._peer = request.server.name
+        self._closed = False
+        self.complete = False
+        self.start: asyncio.Future[
+            tuple[httputil.ResponseStartLine, httputil.HTTPHeaders]
+        ] = loop.create_future()
+        self.chunks: asyncio.Queue[bytes | None] = asyncio.Queue(maxsize=1)
+
+    @property
+    def has_answer(self) -> bool:
+        """Whether the start of an answer arrived, valid or not."""
+        if not self.start.done():
+            return False
+        error = self.start.exception()
+        return (
+            not isinstance(error, errors.DragonflydykeError)
+            or error.code != failures.CONNECTION_LOST
+        )
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        """Stores status and headers of a final answer."""
+        assert isinstance(start_line, httputil.ResponseStartLine)
+        if start_line.code < _FIRST_FINAL_STATUS or self.start.done():
+            return
+        if not self._has_length(start_line.code, headers):
+            # The end of such a body cannot be told from a lost connection.
+            self._fail(
+                failures.answer_invalid(
+                    self._peer,
+                    errors.Step.AWAIT_ANSWER,
+                    "the answer has neither a length nor chunks",
+                )
+            )
+            self._stream.close()
+            return
+        self.start.set_result((start_line, headers))
+
+    def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
+        """Waits until the consumer has room for the chunk."""
+        if self._closed:
+            return None
+        if not self.chunks.full():
+            self.chunks.put_nowait(chunk)
+            return None
+        return asyncio.ensure_future(self.chunks.put(chunk))
+
+    def finish(self) -> None:
+        """Records that the answer arrived in full."""
+        self.complete = True
+
+    async def run(self, connection: http1connection.HTTP1Connection) -> None:
+        """Reads the answer until its end, a loss or `close`."""
+        cause: object = "closed by the backend server"
+        try:
+            await connection.read_response(self)
+        except (iostream.StreamClosedError, OSError) as error:
+            cause = error.__cause__ or getattr(error, "real_error", None)
+            cause = cause or "closed by the backend server"
+        except (ValueError, httputil.HTTPInputError) as error:
+            cause = error
+        self._fail(
+            failures.connection_lost(
+                self._peer, errors.Step.AWAIT_ANSWER, cause
+            )
+        )
+        if not self._closed:
+            await self.chunks.put(None)
+
+    def close(self) -> None:
+        """Drops what has not been consumed."""
+        self._closed = True
+        while not self.chunks.empty():
+            self.chunks.get_nowait()
+
+    def _fail(self, error: errors.DragonflydykeError) -> None:
+        if not self.start.done():
+            self.start.set_exception(error)
+            # Marks the exception as seen when nobody waits any more.
+            self.start.exception()
+
+    def _has_length(self, status: int, headers: httputil.HTTPHeaders) -> bool:
+        return (
+            "Content-Length" in headers
+            or "Transfer-Encoding" in headers
+            or self._method == "HEAD"
+            or status in _STATUSES_WITHOUT_BODY
+        )
+
+
+class Exchange:
+    """A request and its answer on a connection of their own.
+
+    Attributes:
+        status: HTTP status, 0 before the answer began.
+        headers: Headers of the answer.
+        sent: Whether any byte of the request may have reached the server.
+    """
+
+    __slots__ = (
+        "_connection",
+        "_deadline",
+        "_peer",
+        "_reader",
+        "_request",
+        "_stream",
+        "_task",
+        "headers",
+        "sent",
+        "status",
+    )
+
+    def __init__(self, request: model.BackendRequest, deadline: float) -> None:
+        self._request = request
+        self._deadline = deadline
+        self._peer = request.server.name
+        self._stream: iostream.IOStream | None = None
+        self._connection: http1connection.HTTP1Connection | None = None
+        self._reader: _Reader | None = None
+        self._task: asyncio.Task[None] | None = None
+        self.status = 0
+        self.headers = httputil.HTTPHeaders()
+        self.sent = False
+
+    @property
+    def complete(self) -> bool:
+        """Whether the whole answer was received."""
+        return self._reader is not None and self._reader.complete
+
+    async def connect(self, client: tcpclient.TCPClient) -> None:
+        """Opens the connection.
+
+        Raises:
+            DragonflydykeError: backend_unreachable, or
+                backend_deadline_exceeded; the request has not run.
+        """
+        url = parse.urlsplit(self._request.server.url)
+        secure = url.scheme == "https"
+        remaining_s = self._deadline - asyncio.get_running_loop().time()
+        if remaining_s <= 0:
+            raise self._late(errors.Step.CONNECT, errors.Execution.NOT_RUN)
+        try:
+            self._stream = await client.connect(
+                url.hostname or "",
+                url.port or (_HTTPS_PORT if secure else _HTTP_PORT),
+                ssl_options=_build_tls_context() if secure else None,
+                timeout=datetime.timedelta(seconds=remaining_s),
+            )
+        except TimeoutError as error:
+            raise self._late(
+                errors.Step.CONNECT, errors.Execution.NOT_RUN
+            ) from error
+        except (iostream.StreamClosedError, OSError) as error:
+            cause = getattr(error, "real_error", None) or error
+            raise failures.unreachable(self._peer, cause) from error
+        self._stream.set_nodelay(True)
+
+    async def send(self) -> None:
+        """Writes the request; an early answer ends the wait.
+
+        Raises:
+            DragonflydykeError: backend_request_invalid or a deadline that
+                passed before the first byte (not run);
+                backend_connection_lost or a later deadline (unknown).
+        """
+        assert self._stream is not None
+        if asyncio.get_running_loop().time() >= self._deadline:
+            raise self._late(errors.Step.SEND, errors.Execution.NOT_RUN)
+        self._connection = http1connection.HTTP1Connection(
+            self._stream,
+            is_client=True,
+            params=http1connection.HTTP1ConnectionParameters(
+                no_keep_alive=True,
+                chunk_size=_CHUNK_BYTES,
+                max_header_size=_MAX_HEADER_BYTES,
+                max_body_size=_MAX_BODY_BYTES,
+            ),
+        )
+        written = self._write()
+        self.sent = True
+        self._reader = _Reader(self._stream, self._request)
+        self._task = asyncio.create_task(self._reader.run(self._connection))
+        try:
+            async with asyncio.timeout_at(self._deadline):
+                await asyncio.wait(
+                    (written, self._reader.start),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+        except TimeoutError as error:
+            raise self._late(
+                errors.Step.SEND, errors.Execution.UNKNOWN
+            ) from error
+        # The library resolves the write also when the connection broke.
+        if self._stream.closed() and not self._reader.has_answer:
+            raise failures.connection_lost(
+                self._peer, errors.Step.SEND, "closed while sending"
+            )
+
+    def _write(self) -> asyncio.Future[None]:
+        assert self._connection is not None
+        request = self._request
+        url = parse.urlsplit(request.server.url)
+        path = url.path.rstrip("/") + request.path
+        if not _PATH.fullmatch(path):
+            raise failures.request_invalid(
+                self._peer, f"path {path!r} is not percent-encoded"
+            )
+        headers = httputil.HTTPHeaders(
+            {
+                **request.headers,
+                "Host": url.netloc,
+                "Connection": "close",
+            }
+        )
+        if request.body is not None or request.method != "GET":
+            headers["Content-Length"] = str(len(request.body or b""))
+        start_line = httputil.RequestStartLine(request.method, path, "HTTP/1.1")
+        try:
+            written = self._connection.write_headers(
+                start_line, headers, request.body
+            )
+            self._connection.finish()
+        except ValueError as error:
+            raise failures.request_invalid(self._peer, error) from error
+        return written
+
+    async def await_answer(self) -> None:
+        """Waits for status and headers.
+
+        Raises:
+            DragonflydykeError: backend_connection_lost,
+                backend_answer_invalid or backend_deadline_exceeded, each with
+                execution unknown.
+        """
+        assert self._reader is not None
+        try:
+            async with asyncio.timeout_at(self._deadline):
+                start_line, self.headers = await asyncio.shield(
+                    self._reader.start
+                )
+        except TimeoutError as error:
+            raise self._late(
+                errors.Step.AWAIT_ANSWER, errors.Execution.UNKNOWN
+            ) from error
+        self.status = start_line.code
+
+    async def read_chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body as it arrives.
+
+        Raises:
+            DragonflydykeError: backend_connection_lost if the answer ended
+                early, or backend_deadline_exceeded.
+        """
+        assert self._reader is not None
+        while True:
+            try:
+                async with asyncio.timeout_at(self._deadline):
+                    chunk = await self._reader.chunks.get()
+            except TimeoutError as error:
+                raise self._late(
+                    errors.Step.READ_ANSWER, errors.Execution.UNKNOWN
+                ) from error
+            if chunk is None:
+                break
+            yield chunk
+        # Keeps the end marker for a second iteration.
+        self._reader.chunks.put_nowait(None)
+        if not self._reader.complete:
+            raise failures.connection_lost(
+                self._peer,
+                errors.Step.READ_ANSWER,
+                "the answer ended before its end",
+            )
+
+    async def close(self) -> None:
+        """Closes the connection and waits for its reader."""
+        if self._reader is not None:
+            self._reader.close()
+        if self._stream is not None:
+            self._stream.close()
+        if self._task is not None:
+            await asyncio.wait((self._task,))
+
+    def _late(
+        self, step: errors.Step, execution: errors.Execution
+    ) -> errors.DragonflydykeError:
+        return failures.deadline_exceeded(self._peer, step, execution)
--- /dev/null
+++ b/src/dragonflydyke/backends/failures.py
@@ -0,0 +1,86 @@
+"""Errors of calls to backend servers."""
+
+from dragonflydyke import errors
+
+CONNECTION_LOST = "backend_connection_lost"
+_BAD_GATEWAY = 502
+_GATEWAY_TIMEOUT = 504
+_RETRY_AFTER_S = 1.0
+
+
+def unreachable(peer: str, cause: object) -> errors.DragonflydykeError:
+    """Returns the error of a connection that could not be opened."""
+    return errors.DragonflydykeError(
+        "backend_unreachable",
+        f"no connection: {cause}; use another backend server",
+        step=errors.Step.CONNECT,
+        peer=peer,
+        retry_after_s=_RETRY_AFTER_S,
+        status=_BAD_GATEWAY,
+    )
+
+
+def request_invalid(peer: str, cause: object) -> errors.DragonflydykeError:
+    """Returns the error of a request that cannot be written as HTTP."""
+    return errors.DragonflydykeError(
+        "backend_request_invalid",
+        f"not sent: {cause}; correct the path or the headers",
+        step=errors.Step.SEND,
+        peer=peer,
+    )
+
+
+def deadline_exceeded(
+    peer: str, step: errors.Step, execution: errors.Execution
+) -> errors.DragonflydykeError:
+    """Returns the error of a request whose deadline passed."""
+    return errors.DragonflydykeError(
+        "backend_deadline_exceeded",
+        "the deadline of the request passed; retry with a later deadline",
+        step=step,
+        peer=peer,
+        execution=execution,
+        retry_after_s=_RETRY_AFTER_S,
+        status=_GATEWAY_TIMEOUT,
+    )
+
+
+def connection_lost(
+    peer: str, step: errors.Step, cause: object
+) -> errors.DragonflydykeError:
+    """Returns the error of a connection that broke after it was opened."""
+    return errors.DragonflydykeError(
+        CONNECTION_LOST,
+        f"connection lost: {cause}; the request may have run",
+        step=step,
+        peer=peer,
+        execution=errors.Execution.UNKNOWN,
+        retry_after_s=_RETRY_AFTER_S,
+        status=_BAD_GATEWAY,
+    )
+
+
+def answer_invalid(
+    peer: str, step: errors.Step, cause: object
+) -> errors.DragonflydykeError:
+    """Returns the error of an answer that breaks the protocol."""
+    return errors.DragonflydykeError(
+        "backend_answer_invalid",
+        f"{cause}; check the backend server",
+        step=step,
+        peer=peer,
+        execution=errors.Execution.UNKNOWN,
+        retry_after_s=_RETRY_AFTER_S,
+        status=_BAD_GATEWAY,
+    )
+
+
+def order_refused(peer: str, status: int) -> errors.DragonflydykeError:
+    """Returns the error of an order that an engine did not accept."""
+    return errors.DragonflydykeError(
+        "engine_order_refused",
+        f"the engine answered {status}; a newer lease holder gives orders",
+        step=errors.Step.ORDER_ENGINE,
+        peer=peer,
+        status=status,
+    )
--- /dev/null
+++ b/src/dragonflydyke/backends/model.py
@@ -0,0 +1,119 @@
+"""Requests to backend servers and the parsed forms of their answers."""
+
+import dataclasses
+import enum
+from collections.abc import Mapping
+from typing import Any
+
+from dragonflydyke.configuration import model
+
+REQUEST_ID_HEADER = "Dragonflydyke-Request-Id"
+STREAM_ID_HEADER = "Dragonflydyke-Stream-Id"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class BackendRequest:
+    """One HTTP request to a backend server.
+
+    Attributes:
+        server: Where it is sent.
+        method: HTTP method.
+        path: Path and query, already percent-encoded.
+        headers: Headers without Host, Connection and Content-Length, which
+            the client sets. With STREAM_ID_HEADER the request can be
+            cancelled and resumed at an engine.
+        body: Whole body, or None for a request without one.
+    """
+
+    server: model.BackendServer
+    method: str
+    path: str
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes | None = None
+
+    @property
+    def stream_id(self) -> str:
+        """Id of the stream at the engine, empty if there is none."""
+        return next(
+            (
+                value
+                for name, value in self.headers.items()
+                if name.lower() == STREAM_ID_HEADER.lower()
+            ),
+            "",
+        )
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Usage:
+    """Tokens that a request has used so far."""
+
+    prompt_tokens: int
+    completion_tokens: int
+
+    @classmethod
+    def from_mapping(cls, mapping: Mapping[str, Any]) -> "Usage":
+        """Parses the `usage` field of the chat API.
+
+        Raises:
+            KeyError, TypeError, ValueError: If a count is missing or no number.
+        """
+        return cls(
+            int(mapping["prompt_tokens"]), int(mapping["completion_tokens"])
+        )
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LoadReport:
+    """What an engine says of its load, with a lag.
+
+    Attributes:
+        as_of_ms: Unix time in milliseconds at which the report was true.
+        running: Requests that occupy a slot.
+        waiting: Requests in the queue.
+        slots: Requests that the engine runs at the same time.
+        versions: Loaded versions as `model@version`.
+    """
+
+    as_of_ms: int
+    running: int
+    waiting: int
+    slots: int
+    versions: tuple[str, ...]
+
+    @classmethod
+    def from_mapping(cls, mapping: Mapping[str, Any]) -> "LoadReport":
+        """Parses the body of `GET /v1/load`.
+
+        Raises:
+            KeyError, TypeError, ValueError: If a field is missing or invalid.
+        """
+        return cls(
+            as_of_ms=int(mapping["as_of_ms"]),
+            running=int(mapping["running"]),
+            waiting=int(mapping["waiting"]),
+            slots=int(mapping["slots"]),
+            versions=tuple(str(name) for name in mapping["versions"]),
+        )
+
+
+class OrderKind(enum.StrEnum):
+    """What an engine is ordered to do with a version."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EngineOrder:
+    """An order to an engine.
+
+    Attributes:
+        kind: Load or unload.
+        version: `model@version`.
+        fencing: Token of the lease under which the order was decided.
+    """
+
+    kind: OrderKind
+    version: str
+    fencing: int
--- /dev/null
+++ b/src/dragonflydyke/emulator/engine.py
@@ -0,0 +1,409 @@
+"""Emulated engine: chat completions, streams, load reports, orders."""
+
+import asyncio
+import dataclasses
+import itertools
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+from tornado import iostream, web
+
+from dragonflydyke import backends
+from dragonflydyke.emulator import engine_model, engine_streams, serving
+
+_DONE_EVENT = b"data: [DONE]\n\n"
+
+
+class EngineState:
+    """What the handlers of an emulated engine share."""
+
+    __slots__ = (
+        "_reset_timer",
+        "behaviour",
+        "highest_fencing",
+        "orders",
+        "scheduler",
+        "seed",
+        "stream_ids",
+        "versions",
+    )
+
+    def __init__(
+        self,
+        versions: tuple[str, ...],
+        seed: int = 0,
+        behaviour: engine_model.EngineBehaviour | None = None,
+    ) -> None:
+        """Creates an idle engine; needs a running event loop.
+
+        Args:
+            versions: Loaded versions as `model@version`.
+            seed: Decides texts and which requests fail.
+            behaviour: Initial behaviour.
+        """
+        self.behaviour = behaviour or engine_model.EngineBehaviour()
+        self.versions = set(versions)
+        self.seed = seed
+        self.highest_fencing = 0
+        self.orders: list[dict[str, Any]] = []
+        self.stream_ids = itertools.count()
+        self.scheduler = engine_streams.Scheduler(self.behaviour, seed)
+        self._reset_timer: asyncio.TimerHandle | None = None
+
+    def control(self, changes: Any) -> None:
+        """Changes behaviour, loaded versions or the prefix cache."""
+        changes = dict(changes) if isinstance(changes, dict) else changes
+        versions, drop_cache = None, False
+        if isinstance(changes, dict):
+            versions = changes.pop("versions", None)
+            drop_cache = changes.pop("drop_prefix_cache", False)
+        serving.update_behaviour(self.behaviour, changes)
+        if versions is not None:
+            self.versions = set(versions)
+        if drop_cache:
+            self.scheduler.drop_cache()
+        self._limit_slow_spell()
+        self.scheduler.fill_slots()
+
+    def describe(self) -> dict[str, Any]:
+        """Returns behaviour and counts for tests."""
+        scheduler = self.scheduler
+        return {
+            "behaviour": dataclasses.asdict(self.behaviour),
+            "counts": dict(scheduler.counts),
+            "runs": dict(scheduler.runs),
+            "running": scheduler.running,
+            "waiting": scheduler.waiting,
+            "versions": sorted(self.versions),
+            "highest_fencing": self.highest_fencing,
+            "orders": self.orders,
+        }
+
+    def _limit_slow_spell(self) -> None:
+        if self._reset_timer is not None:
+            self._reset_timer.cancel()
+            self._reset_timer = None
+        if self.behaviour.slow_factor != 1 and self.behaviour.slow_for_s:
+            self._reset_timer = asyncio.get_running_loop().call_later(
+                self.behaviour.slow_for_s, self._end_slow_spell
+            )
+
+    def _end_slow_spell(self) -> None:
+        self.behaviour.slow_factor = 1.0
+
+
+class _EngineHandler(serving.JsonHandler):
+    """Base of the engine's handlers."""
+
+    def initialize(self, state: EngineState) -> None:
+        """Receives the shared state."""
+        self.state = state
+        self.stream: engine_streams.Stream | None = None
+        self.cancel_on_close = False
+
+    def on_connection_close(self) -> None:
+        """Records that this reader is gone."""
+        self._leave_stream(gone=True)
+
+    def on_finish(self) -> None:
+        """Records that this reader is done."""
+        self._leave_stream(gone=False)
+
+    def join_stream(self, stream: engine_streams.Stream) -> None:
+        """Records this connection as a reader of the stream."""
+        self.stream = stream
+        stream.readers += 1
+
+    def cut_connection(self) -> None:
+        """Closes the connection without a further byte."""
+        super().cut_connection()
+        self._leave_stream(gone=True)
+
+    def _leave_stream(self, gone: bool) -> None:
+        stream, self.stream = self.stream, None
+        if stream is None:
+            return
+        if gone and self.cancel_on_close:
+            self.state.scheduler.cancel(stream)
+        self.state.scheduler.leave(stream)
+
+    async def send_events(
+        self, stream: engine_streams.Stream, first: int
+    ) -> None:
+        """Sends the events of a stream from an index on."""
+        behaviour = self.state.behaviour
+        cut_at = -1
+        if behaviour.take("cut_answers"):
+            cut_at = behaviour.cut_after_events
+        self.set_header("Content-Type", "text/event-stream; charset=utf-8")
+        self.set_header(backends.STREAM_ID_HEADER, stream.id)
+        try:
+            await self.flush()
+            sent = 0
+            async for event in _iterate_events(stream, first):
+                if sent == cut_at:
+                    # Half an event shows whether the reader drops it.
+                    self.write(event[: len(event) // 2])
+                    await self.flush()
+                    self.cut_connection()
+                    return
+                self.write(event)
+                await self.flush()
+                sent += 1
+        except iostream.StreamClosedError:
+            return
+        if stream.finish_reason == "cancelled":
+            self.cut_connection()
+
+
+class _ChatHandler(_EngineHandler):
+    """`POST /v1/chat/completions`."""
+
+    async def post(self) -> None:
+        """Runs a chat completion."""
+        behaviour = self.state.behaviour
+        self.state.scheduler.counts["requests"] += 1
+        if behaviour.take("cut_before_requests"):
+            self.cut_connection()
+            return
+        try:
+            prompt = engine_model.parse_prompt(self.read_json())
+        except ValueError as error:
+            raise web.HTTPError(400, str(error)) from error
+        stream = self._start_stream(prompt)
+        if behaviour.take("cut_after_requests"):
+            await stream.wait_for_token(0)
+            self.cut_connection()
+        elif prompt.streaming:
+            await self.send_events(stream, 0)
+        else:
+            await self._send_whole(stream)
+
+    def _start_stream(
+        self, prompt: engine_model.Prompt
+    ) -> engine_streams.Stream:
+        headers = self.request.headers
+        scheduler = self.state.scheduler
+        request_id = headers.get(backends.REQUEST_ID_HEADER, "")
+        if prompt.version not in self.state.versions:
+            scheduler.counts["not_loaded"] += 1
+            raise web.HTTPError(404, f"{prompt.version} is not loaded")
+        drawn = engine_model.draw_share(
+            self.state.seed, request_id, scheduler.counts["requests"]
+        )
+        if drawn < self.state.behaviour.error_share:
+            scheduler.counts["errors"] += 1
+            raise web.HTTPError(500, "emulated fault; the request did not run")
+        stream_id = headers.get(backends.STREAM_ID_HEADER, "")
+        self.cancel_on_close = not stream_id
+        if not stream_id:
+            stream_id = f"engine-{next(self.state.stream_ids)}"
+        if stream_id in scheduler.streams:
+            raise web.HTTPError(409, f"stream {stream_id} exists; resume it")
+        stream = engine_streams.Stream(stream_id, request_id, prompt)
+        try:
+            scheduler.start(stream)
+        except engine_streams.QueueFullError as error:
+            raise web.HTTPError(503, "the queue is full; not run") from error
+        self.join_stream(stream)
+        return stream
+
+    async def _send_whole(self, stream: engine_streams.Stream) -> None:
+        await stream.wait_for_end()
+        if stream.finish_reason == "cancelled":
+            if self.stream is not None:
+                self.cut_connection()
+            return
+        body = _dump(_build_completion(stream))
+        self.set_header("Content-Type", "application/json")
+        self.set_header("Content-Length", str(len(body)))
+        try:
+            if self.state.behaviour.take("cut_answers"):
+                self.write(body[: len(body) // 2])
+                await self.flush()
+                self.cut_connection()
+                return
+            self.write(body)
+            await self.finish()
+        except iostream.StreamClosedError:
+            return
+
+
+class _StreamHandler(_EngineHandler):
+    """`/v1/streams/<id>`: resume and cancel."""
+
+    async def get(self, stream_id: str) -> None:
+        """Sends the events from the index `from` on."""
+        stream = self._find(stream_id)
+        first = self.get_query_argument("from", "0")
+        if not first.isdigit():
+            raise web.HTTPError(400, "from must be an event index")
+        self.state.scheduler.counts["resumed"] += 1
+        self.join_stream(stream)
+        await self.send_events(stream, int(first))
+
+    def delete(self, stream_id: str) -> None:
+        """Cancels a stream and returns its usage so far."""
+        stream = self._find(stream_id)
+        self.state.scheduler.cancel(stream)
+        self.write_json(
+            {
+                "id": stream.id,
+                "finish_reason": stream.finish_reason,
+                "usage": stream.usage(),
+            }
+        )
+
+    def _find(self, stream_id: str) -> engine_streams.Stream:
+        stream = self.state.scheduler.streams.get(stream_id)
+        if stream is None:
+            raise web.HTTPError(404, f"stream {stream_id} is unknown")
+        return stream
+
+
+class _LoadHandler(_EngineHandler):
+    """`GET /v1/load`."""
+
+    def get(self) -> None:
+        """Returns the load, as old as the configured lag."""
+        snapshot = self.state.scheduler.report_load()
+        self.write_json(
+            {
+                "as_of_ms": snapshot.as_of_ms,
+                "running": snapshot.running,
+                "waiting": snapshot.waiting,
+                "slots": self.state.behaviour.slots,
+                "versions": sorted(self.state.versions),
+            }
+        )
+
+
+class _OrderHandler(_EngineHandler):
+    """`POST /v1/orders`."""
+
+    async def post(self) -> None:
+        """Executes an order unless its fencing token is stale."""
+        order = self.read_json()
+        if not _is_order(order):
+            raise web.HTTPError(
+                400, "send order (load or unload), version and fencing"
+            )
+        state = self.state
+        stale = order["fencing"] < state.highest_fencing
+        if stale and state.behaviour.checks_fencing:
+            state.scheduler.counts["stale_orders"] += 1
+            raise web.HTTPError(409, "the fencing token is stale")
+        state.highest_fencing = max(state.highest_fencing, order["fencing"])
+        state.orders.append(order)
+        if order["order"] == backends.OrderKind.LOAD:
+            await asyncio.sleep(state.behaviour.load_s)
+            state.versions.add(order["version"])
+        else:
+            state.versions.discard(order["version"])
+        self.write_json({"versions": sorted(state.versions)})
+
+
+class _ControlHandler(_EngineHandler):
+    """`/control`."""
+
+    def get(self) -> None:
+        """Returns behaviour and counts."""
+        self.write_json(self.state.describe())
+
+    def post(self) -> None:
+        """Changes the behaviour."""
+        self.state.control(self.read_json())
+        self.get()
+
+
+def _is_order(order: Any) -> bool:
+    return (
+        isinstance(order, dict)
+        and order.get("order") in tuple(backends.OrderKind)
+        and isinstance(order.get("version"), str)
+        and type(order.get("fencing")) is int
+    )
+
+
+async def _iterate_events(
+    stream: engine_streams.Stream, first: int
+) -> AsyncIterator[bytes]:
+    index = 0
+    while await stream.wait_for_token(index):
+        if index >= first:
+            delta = {"content": stream.tokens[index]}
+            if index == 0:
+                delta["role"] = "assistant"
+            yield _build_event(stream, delta)
+        index += 1
+    if stream.finish_reason == "cancelled":
+        return
+    ending = (
+        _build_event(stream, {}, stream.finish_reason),
+        _format_event(
+            {**_describe(stream), "choices": [], "usage": stream.usage()}
+        ),
+        _DONE_EVENT,
+    )
+    for event in ending[max(0, first - index) :]:
+        yield event
+
+
+def _build_event(
+    stream: engine_streams.Stream,
+    delta: dict[str, str],
+    finish_reason: str | None = None,
+) -> bytes:
+    choice = {"index": 0, "delta": delta, "finish_reason": finish_reason}
+    return _format_event({**_describe(stream), "choices": [choice]})
+
+
+def _describe(stream: engine_streams.Stream) -> dict[str, Any]:
+    return {
+        "id": f"chatcmpl-{stream.id}",
+        "object": "chat.completion.chunk",
+        "created": stream.created_s,
+        "model": stream.prompt.version,
+    }
+
+
+def _build_completion(stream: engine_streams.Stream) -> dict[str, Any]:
+    message = {"role": "assistant", "content": "".join(stream.tokens)}
+    return {
+        **_describe(stream),
+        "object": "chat.completion",
+        "choices": [
+            {
+                "index": 0,
+                "message": message,
+                "finish_reason": stream.finish_reason,
+            }
+        ],
+        "usage": stream.usage(),
+    }
+
+
+def _format_event(content: Any) -> bytes:
+    return b"data: " + _dump(content) + b"\n\n"
+
+
+def _dump(content: Any) -> bytes:
+    return json.dumps(
+        content, ensure_ascii=False, separators=(",", ":")
+    ).encode()
+
+
+def build_application(state: EngineState) -> web.Application:
+    """Returns the emulated engine as an application."""
+    arguments = {"state": state}
+    return web.Application(
+        [
+            (r"/v1/chat/completions", _ChatHandler, arguments),
+            (r"/v1/streams/([^/]+)", _StreamHandler, arguments),
+            (r"/v1/load", _LoadHandler, arguments),
+            (r"/v1/orders", _OrderHandler, arguments),
+            (r"/control", _ControlHandler, arguments),
+        ],
+        log_function=serving.discard_log,
+    )
--- /dev/null
+++ b/src/dragonflydyke/emulator/engine_model.py
@@ -0,0 +1,181 @@
+"""Behaviour of an emulated engine and the text of its answers."""
+
+import dataclasses
+import hashlib
+import random
+from typing import Any
+
+from dragonflydyke.emulator import quality
+
+CHARACTERS_PER_TOKEN = 4
+_WORDS = (
+    "pallet",
+    "quote",
+    "carton",
+    "order",
+    "line",
+    "café",
+    "cargo",
+    "plan",
+    "caja",
+    "tŷ",
+    "label",
+    "route",
+    "stack",
+    "weight",
+    "cyfrif",
+    "slot",
+)
+
+
+@dataclasses.dataclass(slots=True)
+class EngineBehaviour:
+    """Speed, limits and faults, changed at run time.
+
+    A number of requests of -1 means all requests.
+
+    Attributes:
+        prefill_s: Prefill time per prompt token that is not cached.
+        decode_s: Time per completion token.
+        batch_slowdown: Share by which decoding with all slots busy is slower
+            than with one busy slot.
+        slots: Requests that run at the same time.
+        queue_limit: Requests that wait at most; others get 503, not run.
+        completion_tokens: Tokens of an answer that is not cut.
+        cache_blocks: Blocks of 16 tokens that the prefix cache holds.
+        abandoned_s: Time after which a stream without a reader is cancelled.
+        retained_s: Time for which a finished stream can be resumed.
+        load_lag_s: Age of the load report.
+        load_s: Time to load a version.
+        checks_fencing: Whether stale orders are refused.
+        slow_factor: Factor on prefill and decode times.
+        slow_for_s: Duration after which slow_factor returns to 1; 0 for no end.
+        error_share: Share of requests that get 500 without running.
+        bad_versions: Versions whose answers carry the low-quality marker.
+        stall_requests: Number of requests that stall.
+        stall_after_tokens: Tokens before the stall.
+        stall_s: Duration of a stall.
+        cut_before_requests: Number of requests whose connection is closed
+            before they run.
+        cut_after_requests: Number of requests that run and whose connection is
+            closed before the answer begins.
+        cut_answers: Number of answers, also resumed ones, whose connection is
+            closed in the middle.
+        cut_after_events: Events of such an answer that are sent in full.
+    """
+
+    prefill_s: float = 0.0
+    decode_s: float = 0.0
+    batch_slowdown: float = 0.0
+    slots: int = 8
+    queue_limit: int = 1_000
+    completion_tokens: int = 32
+    cache_blocks: int = 4_096
+    abandoned_s: float = 10.0
+    retained_s: float = 60.0
+    load_lag_s: float = 0.0
+    load_s: float = 0.0
+    checks_fencing: bool = True
+    slow_factor: float = 1.0
+    slow_for_s: float = 0.0
+    error_share: float = 0.0
+    bad_versions: list[str] = dataclasses.field(default_factory=list)
+    stall_requests: int = 0
+    stall_after_tokens: int = 1
+    stall_s: float = 0.0
+    cut_before_requests: int = 0
+    cut_after_requests: int = 0
+    cut_answers: int = 0
+    cut_after_events: int = 1
+
+    def take(self, field: str) -> bool:
+        """Uses up one of a limited number of faults."""
+        left = getattr(self, field)
+        if left > 0:
+            setattr(self, field, left - 1)
+        return left != 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Prompt:
+    """A parsed chat completion request.
+
+    Attributes:
+        version: `model@version`.
+        text: All messages as one text.
+        max_tokens: Bound on completion tokens, or None.
+        streaming: Whether the answer is sent as events.
+        priority: Smaller goes first.
+    """
+
+    version: str
+    text: str
+    max_tokens: int | None
+    streaming: bool
+    priority: int
+
+    @property
+    def tokens(self) -> int:
+        """Number of prompt tokens."""
+        return max(1, -(-len(self.text) // CHARACTERS_PER_TOKEN))
+
+
+def parse_prompt(body: Any) -> Prompt:
+    """Parses the body of a chat completion request.
+
+    Raises:
+        ValueError: If a field is missing or wrong; names the field.
+    """
+    if not isinstance(body, dict):
+        raise ValueError("the body must be a JSON object")
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise ValueError("messages must be a list with at least one message")
+    max_tokens = body.get("max_completion_tokens", body.get("max_tokens"))
+    if max_tokens is not None and (
+        type(max_tokens) is not int or max_tokens < 1
+    ):
+        raise ValueError("max_tokens must be a whole number of at least 1")
+    priority = body.get("priority", 0)
+    if type(priority) is not int:
+        raise ValueError("priority must be a whole number")
+    version = body.get("model")
+    if not isinstance(version, str):
+        raise ValueError("model must be a text")
+    return Prompt(
+        version=version,
+        text="".join(_read_message(message) for message in messages),
+        max_tokens=max_tokens,
+        streaming=bool(body.get("stream", False)),
+        priority=priority,
+    )
+
+
+def _read_message(message: Any) -> str:
+    if not isinstance(message, dict):
+        raise ValueError("each message must be a JSON object")
+    content = message.get("content") or ""
+    if isinstance(content, list):
+        content = "".join(
+            part.get("text", "") for part in content if isinstance(part, dict)
+        )
+    if not isinstance(content, str):
+        raise ValueError("content must be a text or a list of parts")
+    return f"{message.get('role', '')}: {content}\n"
+
+
+def write_token(prompt: Prompt, seed: int, index: int, bad: bool) -> str:
+    """Returns a token of an answer, the same on each run of the prompt."""
+    if bad and index == 0:
+        return quality.LOW_QUALITY_MARKER
+    digest = hashlib.blake2b(
+        f"{seed}:{prompt.version}:{index}:{prompt.text}".encode(),
+        digest_size=2,
+    ).digest()
+    word = _WORDS[digest[0] % len(_WORDS)]
+    return word if index == 0 else f" {word}"
+
+
+def draw_share(seed: int, request_id: str, run: int) -> float:
+    """Returns a number from 0 to 1 that depends only on the arguments."""
+    return random.Random(f"{seed}:{request_id}:{run}").random()
--- /dev/null
+++ b/src/dragonflydyke/emulator/engine_streams.py
@@ -0,0 +1,283 @@
+"""Queue, slots and token production of an emulated engine."""
+
+import asyncio
+import collections
+import dataclasses
+import heapq
+import itertools
+import time
+from typing import Any
+
+from dragonflydyke.emulator import engine_model, prefix_cache
+
+_MS_PER_S = 1_000
+
+
+class QueueFullError(Exception):
+    """The queue is at its limit; the request did not run."""
+
+
+class Stream:
+    """One request at an engine and the tokens that it has produced.
+
+    Attributes:
+        id: Stream id.
+        request_id: Request id of the router, empty if there is none.
+        prompt: The parsed request.
+        created_s: Unix time in seconds.
+        tokens: Tokens so far.
+        cached_tokens: Prompt tokens that were found in the prefix cache.
+        finish_reason: `stop`, `length` or `cancelled`; empty while it runs.
+        began: Whether it got a slot.
+        readers: Connections that read it.
+    """
+
+    __slots__ = (
+        "_changed",
+        "began",
+        "cached_tokens",
+        "created_s",
+        "finish_reason",
+        "id",
+        "prompt",
+        "readers",
+        "request_id",
+        "task",
+        "tokens",
+    )
+
+    def __init__(
+        self, stream_id: str, request_id: str, prompt: engine_model.Prompt
+    ) -> None:
+        self.id = stream_id
+        self.request_id = request_id
+        self.prompt = prompt
+        self.created_s = int(time.time())
+        self.tokens: list[str] = []
+        self.cached_tokens = 0
+        self.finish_reason = ""
+        self.began = False
+        self.readers = 0
+        self.task: asyncio.Task[None] | None = None
+        self._changed = asyncio.Event()
+
+    def notify(self) -> None:
+        """Wakes the readers."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def wait_for_token(self, index: int) -> bool:
+        """Waits for a token; returns False if the stream ends before it."""
+        while len(self.tokens) <= index and not self.finish_reason:
+            await self._changed.wait()
+        return len(self.tokens) > index
+
+    async def wait_for_end(self) -> None:
+        """Waits until the stream is finished or cancelled."""
+        while not self.finish_reason:
+            await self._changed.wait()
+
+    def usage(self) -> dict[str, Any]:
+        """Returns the tokens so far in the form of the chat API."""
+        prompt_tokens = self.prompt.tokens if self.began else 0
+        return {
+            "prompt_tokens": prompt_tokens,
+            "completion_tokens": len(self.tokens),
+            "total_tokens": prompt_tokens + len(self.tokens),
+            "prompt_tokens_details": {"cached_tokens": self.cached_tokens},
+        }
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LoadSnapshot:
+    """Load of the engine at a loop time."""
+
+    at_s: float
+    as_of_ms: int
+    running: int
+    waiting: int
+
+
+class Scheduler:
+    """Runs streams in slots, by priority and then in order of arrival."""
+
+    __slots__ = (
+        "_cache",
+        "_history",
+        "_order",
+        "_waiting",
+        "behaviour",
+        "counts",
+        "runs",
+        "running",
+        "seed",
+        "streams",
+    )
+
+    def __init__(
+        self, behaviour: engine_model.EngineBehaviour, seed: int
+    ) -> None:
+        self.behaviour = behaviour
+        self.seed = seed
+        self.running = 0
+        self.streams: dict[str, Stream] = {}
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.runs: collections.Counter[str] = collections.Counter()
+        self._cache = prefix_cache.PrefixCache()
+        self._order = itertools.count()
+        self._waiting: list[tuple[int, int, Stream, asyncio.Event]] = []
+        self._history: collections.deque[LoadSnapshot] = collections.deque()
+        self._record_load()
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        return sum(not entry[2].finish_reason for entry in self._waiting)
+
+    def start(self, stream: Stream) -> None:
+        """Queues a stream.
+
+        Raises:
+            QueueFullError: If the queue is at its limit.
+        """
+        free = self.running < self.behaviour.slots
+        if not free and self.waiting >= self.behaviour.queue_limit:
+            self.counts["queue_full"] += 1
+            raise QueueFullError
+        self.streams[stream.id] = stream
+        turn = asyncio.Event()
+        entry = (stream.prompt.priority, next(self._order), stream, turn)
+        heapq.heappush(self._waiting, entry)
+        stream.task = asyncio.get_running_loop().create_task(
+            self._run(stream, turn)
+        )
+        # A callback also runs for a task that is cancelled before its first
+        # step, which a `finally` in the task would miss.
+        stream.task.add_done_callback(lambda _: self._release(stream))
+        self.fill_slots()
+
+    def fill_slots(self) -> None:
+        """Gives free slots to the first requests of the queue."""
+        while self._waiting and self.running < self.behaviour.slots:
+            _, _, stream, turn = heapq.heappop(self._waiting)
+            if stream.finish_reason:
+                continue
+            self.running += 1
+            stream.began = True
+            self.runs[stream.request_id] += 1
+            self.counts["began"] += 1
+            turn.set()
+        self._record_load()
+
+    def cancel(self, stream: Stream) -> None:
+        """Ends a stream early; one that has ended is left as it is."""
+        if stream.finish_reason:
+            return
+        self.counts["cancelled"] += 1
+        self._end(stream, "cancelled")
+        if stream.task is not None:
+            stream.task.cancel()
+
+    def leave(self, stream: Stream) -> None:
+        """Records that a reader is gone; without any, the stream ends soon."""
+        stream.readers -= 1
+        if stream.readers == 0 and not stream.finish_reason:
+            asyncio.get_running_loop().call_later(
+                self.behaviour.abandoned_s, self._cancel_abandoned, stream
+            )
+
+    def report_load(self) -> LoadSnapshot:
+        """Returns the newest load that is at least as old as the lag."""
+        until = asyncio.get_running_loop().time() - self.behaviour.load_lag_s
+        while len(self._history) > 1 and self._history[1].at_s <= until:
+            self._history.popleft()
+        if not self.behaviour.load_lag_s:
+            self._record_load()
+            return self._history[-1]
+        return self._history[0]
+
+    def drop_cache(self) -> None:
+        """Empties the prefix cache."""
+        self._cache.drop_all()
+
+    async def _run(self, stream: Stream, turn: asyncio.Event) -> None:
+        await turn.wait()
+        await self._prefill(stream)
+        await self._decode(stream)
+
+    def _release(self, stream: Stream) -> None:
+        if stream.began:
+            self.running -= 1
+        self.fill_slots()
+
+    async def _prefill(self, stream: Stream) -> None:
+        behaviour = self.behaviour
+        stream.cached_tokens = self._cache.count_cached(stream.prompt)
+        fresh_tokens = stream.prompt.tokens - stream.cached_tokens
+        self.counts["prefill_tokens"] += fresh_tokens
+        self.counts["cached_tokens"] += stream.cached_tokens
+        await asyncio.sleep(
+            fresh_tokens * behaviour.prefill_s * behaviour.slow_factor
+        )
+        self._cache.add(stream.prompt, behaviour.cache_blocks)
+
+    async def _decode(self, stream: Stream) -> None:
+        behaviour = self.behaviour
+        wanted = behaviour.completion_tokens
+        limit = stream.prompt.max_tokens
+        length = wanted if limit is None else min(wanted, limit)
+        bad = stream.prompt.version in behaviour.bad_versions
+        stall_at = -1
+        if behaviour.take("stall_requests"):
+            stall_at = behaviour.stall_after_tokens
+        # Sleeps until absolute times, so that timer delays do not add up.
+        next_at = asyncio.get_running_loop().time()
+        for index in range(length):
+            if index == stall_at:
+                await asyncio.sleep(behaviour.stall_s)
+                next_at += behaviour.stall_s
+            next_at += self._decode_time()
+            await asyncio.sleep(
+                max(0.0, next_at - asyncio.get_running_loop().time())
+            )
+            stream.tokens.append(
+                engine_model.write_token(stream.prompt, self.seed, index, bad)
+            )
+            self.counts["completion_tokens"] += 1
+            stream.notify()
+        self.counts["completed"] += 1
+        self._end(stream, "stop" if length == wanted else "length")
+
+    def _decode_time(self) -> float:
+        behaviour = self.behaviour
+        busy = (self.running - 1) / max(1, behaviour.slots - 1)
+        slowdown = 1 + behaviour.batch_slowdown * busy
+        return behaviour.decode_s * behaviour.slow_factor * slowdown
+
+    def _end(self, stream: Stream, reason: str) -> None:
+        stream.finish_reason = reason
+        stream.notify()
+        asyncio.get_running_loop().call_later(
+            self.behaviour.retained_s, self._forget, stream
+        )
+
+    def _forget(self, stream: Stream) -> None:
+        if self.streams.get(stream.id) is stream:
+            del self.streams[stream.id]
+
+    def _cancel_abandoned(self, stream: Stream) -> None:
+        if stream.readers == 0:
+            self.cancel(stream)
+
+    def _record_load(self) -> None:
+        self._history.append(
+            LoadSnapshot(
+                at_s=asyncio.get_running_loop().time(),
+                as_of_ms=int(time.time() * _MS_PER_S),
+                running=self.running,
+                waiting=self.waiting,
+            )
+        )
+        until = self._history[-1].at_s - self.behaviour.load_lag_s
+        while len(self._history) > 1 and self._history[1].at_s <= until:
+            self._history.popleft()
--- /dev/null
+++ b/src/dragonflydyke/emulator/quality.py
@@ -0,0 +1,3 @@
+"""The marker by which emulated answers of a bad version are recognised."""
+
+LOW_QUALITY_MARKER = "[low-quality]"
--- /dev/null
+++ b/src/dragonflydyke/emulator/serving.py
@@ -0,0 +1,126 @@
+"""What the emulator programs share: serving, JSON answers, control."""
+
+import asyncio
+import dataclasses
+import json
+import signal
+from typing import Any
+
+from tornado import httpserver, netutil, web
+
+from dragonflydyke import settings
+
+_INTERNAL_ERROR = 500
+_MAX_BODY_BYTES = 64_000_000
+
+
+class JsonHandler(web.RequestHandler):
+    """Base of the handlers: JSON in, JSON out, and connections to cut."""
+
+    def write_json(self, content: Any, status: int = 200) -> None:
+        """Writes a JSON answer."""
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.write(json.dumps(content, separators=(",", ":")))
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Writes an error in the form of the chat API."""
+        message = self._reason
+        error = (kwargs.get("exc_info") or (None, None))[1]
+        if isinstance(error, web.HTTPError) and error.log_message:
+            message = error.log_message
+        self.write_json(
+            {
+                "error": {
+                    "message": message,
+                    "type": "invalid_request_error"
+                    if status_code < _INTERNAL_ERROR
+                    else "server_error",
+                    "code": status_code,
+                }
+            },
+            status_code,
+        )
+
+    def log_exception(self, *exception: Any) -> None:
+        """Logs faults of the emulator, not the errors that it answers."""
+        if not isinstance(exception[1], web.HTTPError):
+            super().log_exception(*exception)
+
+    def read_json(self) -> Any:
+        """Returns the request body; answers 400 if it is not JSON."""
+        try:
+            return json.loads(self.request.body)
+        except ValueError as error:
+            raise web.HTTPError(400, f"body is not JSON: {error}") from error
+
+    def cut_connection(self) -> None:
+        """Closes the connection without a further byte."""
+        self._finished = True
+        self.detach().close()
+
+
+def update_behaviour(behaviour: Any, changes: Any) -> None:
+    """Sets fields of a behaviour dataclass; none is set if one is wrong.
+
+    Raises:
+        web.HTTPError: 400 for an unknown field or a value of another type.
+    """
+    if not isinstance(changes, dict):
+        raise web.HTTPError(400, "send a JSON object of fields to change")
+    known = {field.name for field in dataclasses.fields(behaviour)}
+    for name, value in changes.items():
+        if name not in known:
+            raise web.HTTPError(
+                400, f"{name} is unknown; use one of {', '.join(sorted(known))}"
+            )
+        present = getattr(behaviour, name)
+        number = isinstance(present, float) and type(value) is int
+        if type(value) is not type(present) and not number:
+            raise web.HTTPError(
+                400, f"{name} must be a {type(present).__name__}"
+            )
+    for name, value in changes.items():
+        setattr(behaviour, name, value)
+
+
+def start_server(
+    application: web.Application, address: settings.Address
+) -> tuple[httpserver.HTTPServer, int]:
+    """Starts to serve and returns the server and its port.
+
+    Raises:
+        OSError: If the address cannot be bound.
+    """
+    sockets = netutil.bind_sockets(address.port, address.host)
+    server = httpserver.HTTPServer(
+        application,
+        max_body_size=_MAX_BODY_BYTES,
+        max_buffer_size=_MAX_BODY_BYTES,
+    )
+    server.add_sockets(sockets)
+    return server, sockets[0].getsockname()[1]
+
+
+async def stop_server(server: httpserver.HTTPServer) -> None:
+    """Stops accepting and closes all connections."""
+    server.stop()
+    await server.close_all_connections()
+
+
+async def serve(
+    application: web.Application, address: settings.Address
+) -> None:
+    """Serves until SIGTERM or SIGINT; prints the address when ready."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    server, port = start_server(application, address)
+    print(f"listening on {address.host}:{port}", flush=True)
+    await stop.wait()
+    await stop_server(server)
+
+
+def discard_log(handler: web.RequestHandler) -> None:
+    """Stands in for the library's access log, which emulators do not need."""
