--- a/src/dragonflydyke/routing/__init__.py
+++ b/src/dragonflydyke/routing/__init__.py
@@ -1,1 +1,16 @@
-"""Choice of model, version and backend server."""
+"""Model, version and backend server selection."""
+
+from dragonflydyke.routing.retries import RetryBudget
+from dragonflydyke.routing.selection import Plan, Stage, check_dispatch, plan
+from dragonflydyke.routing.servers import AttemptEnd, Placement, ServerPool
+
+__all__ = [
+    "AttemptEnd",
+    "Placement",
+    "Plan",
+    "RetryBudget",
+    "ServerPool",
+    "Stage",
+    "check_dispatch",
+    "plan",
+]
