Add the gateway for callers

The end of a stream is held back until the bill is recorded; holding back each event by one was ruled out because it delays the first token.

--- a/src/dragonflydyke/gateway/__init__.py
+++ b/src/dragonflydyke/gateway/__init__.py
@@ -1,1 +1,6 @@
 """HTTP API for callers."""
+
+from dragonflydyke.gateway.application import build_application, build_server
+from dragonflydyke.gateway.services import GatewayServices
+
+__all__ = ["GatewayServices", "build_application", "build_server"]
--- /dev/null
+++ b/src/dragonflydyke/gateway/accounting.py
@@ -0,0 +1,146 @@
+"""The bill of one request while the request runs."""
+
+import asyncio
+import dataclasses
+import enum
+import hashlib
+import hmac
+import time
+from typing import Any
+
+from dragonflydyke import errors
+from dragonflydyke.gateway import services
+
+_MS_PER_S = 1_000
+
+
+class Outcome(enum.StrEnum):
+    """How a dispatched request or attempt ended."""
+
+    COMPLETED = "completed"
+    CANCELLED = "cancelled"
+    FAILED = "failed"
+    REJECTED = "rejected"
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One dispatched attempt; the cost is in micro-units of currency."""
+
+    model: str
+    version: str
+    backend_server: str
+    outcome: str = Outcome.FAILED
+    cost: int = 0
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+
+def compute_bill_id(
+    account: str, idempotency_key: str, request_digest: str, request_id: str
+) -> str:
+    """Returns the id under which a request is billed once.
+
+    The digest keeps an account that sends each request with the same key
+    from being billed for only one of them.
+    """
+    if not idempotency_key:
+        return request_id
+    text = f"{idempotency_key}\0{request_digest}".encode()
+    return hmac.new(account.encode(), text, hashlib.sha256).hexdigest()
+
+
+class BillDraft:
+    """Collects the attempts of a request and records its bill once."""
+
+    __slots__ = (
+        "_account",
+        "_class",
+        "_recording",
+        "_revision",
+        "_services",
+        "attempts",
+        "bill_id",
+        "request_id",
+    )
+
+    def __init__(
+        self,
+        gateway_services: services.GatewayServices,
+        *,
+        request_id: str,
+        bill_id: str,
+        account: str,
+        request_class: str,
+        revision: int,
+    ) -> None:
+        self._services = gateway_services
+        self._account = account
+        self._class = request_class
+        self._revision = revision
+        self._recording: asyncio.Future[Any] | None = None
+        self.request_id = request_id
+        self.bill_id = bill_id
+        self.attempts: list[Attempt] = []
+
+    @property
+    def recorded(self) -> bool:
+        """Whether the bill was handed to the bill writer."""
+        return self._recording is not None
+
+    def begin_attempt(self, model: str, version: str, server: str) -> Attempt:
+        """Adds an attempt that is about to be dispatched."""
+        errors.check_invariant(
+            self._recording is None,
+            f"{self.request_id} dispatched after its bill",
+        )
+        attempt = Attempt(model, version, server)
+        self.attempts.append(attempt)
+        return attempt
+
+    def drop_attempt(self, attempt: Attempt) -> None:
+        """Removes an attempt that certainly did not run."""
+        self.attempts.remove(attempt)
+
+    def cost(self) -> int:
+        """Returns the cost of all attempts in micro-units of currency."""
+        return sum(attempt.cost for attempt in self.attempts)
+
+    def begin_record(self, outcome: Outcome) -> None:
+        """Hands the bill to the bill writer, which runs on its own."""
+        errors.check_invariant(
+            self._recording is None, f"{self.request_id} billed twice"
+        )
+        errors.check_invariant(
+            bool(self.attempts), f"{self.request_id} billed without dispatch"
+        )
+        self._services.counters.increment(f"request.{outcome}")
+        self._recording = asyncio.ensure_future(
+            self._services.bills.record(self._create(outcome))
+        )
+
+    async def wait_recorded(self) -> None:
+        """Returns when the bill is safe; cancelling does not stop it."""
+        if self._recording is not None:
+            await asyncio.shield(self._recording)
+
+    def _create(self, outcome: Outcome) -> Any:
+        last = self.attempts[-1]
+        return self._services.create_bill(
+            bill_id=self.bill_id,
+            request_id=self.request_id,
+            client_account=self._account,
+            request_class=self._class,
+            model=last.model,
+            version=last.version,
+            backend_server=last.backend_server,
+            prompt_tokens=sum(a.prompt_tokens for a in self.attempts),
+            completion_tokens=sum(a.completion_tokens for a in self.attempts),
+            cost=0 if outcome is Outcome.FAILED else self.cost(),
+            outcome=str(outcome),
+            attempts=tuple(self.attempts),
+            revision=self._revision,
+            finished_at_ms=int(time.time() * _MS_PER_S),
+            incarnation=self._services.incarnation,
+            sequence=0,
+        )
--- /dev/null
+++ b/src/dragonflydyke/gateway/application.py
@@ -0,0 +1,299 @@
+"""HTTP server for callers."""
+
+import asyncio
+import hashlib
+import hmac
+import json
+from collections.abc import Awaitable
+from typing import Any, NoReturn
+
+import tornado.httpserver
+import tornado.web
+
+from dragonflydyke import errors, logs
+from dragonflydyke.configuration import model
+from dragonflydyke.gateway import (
+    calls,
+    chat,
+    execution,
+    replies,
+    requests,
+    services,
+)
+from dragonflydyke.gateway.caller import Caller
+
+_IDLE_CONNECTION_TIMEOUT_S = 75.0
+_MAX_HEADER_BYTES = 32_768
+_BEARER = "bearer "
+
+_LOGGER = logs.get_logger("gateway")
+
+
+def build_application(
+    gateway_services: services.GatewayServices,
+) -> tornado.web.Application:
+    """Returns the application for the public address."""
+    arguments = {"gateway_services": gateway_services}
+    return tornado.web.Application(
+        [
+            (r"/v1/chat/completions", _ChatHandler, arguments),
+            (r"/v1/models", _ModelsHandler, arguments),
+            (r"/v1/services/([^/]+)/([^/]+)", _CallHandler, arguments),
+        ],
+        default_handler_class=_UnknownPathHandler,
+        default_handler_args=arguments,
+        log_function=lambda handler: None,
+    )
+
+
+def build_server(
+    application: tornado.web.Application,
+) -> tornado.httpserver.HTTPServer:
+    """Returns a server that also cuts callers with slow headers."""
+    return tornado.httpserver.HTTPServer(
+        application,
+        idle_connection_timeout=_IDLE_CONNECTION_TIMEOUT_S,
+        max_header_size=_MAX_HEADER_BYTES,
+    )
+
+
+def authenticate(
+    document: model.Document, authorization: str
+) -> model.ClientAccount:
+    """Returns the client account of a bearer key.
+
+    All hashes are compared, each in constant time, so that the time taken
+    does not depend on the key.
+
+    Raises:
+        DragonflydykeError: `missing_key` or `invalid_key`, status 401.
+    """
+    if authorization[: len(_BEARER)].lower() != _BEARER:
+        _refuse_key("missing_key", "Send the header Authorization: Bearer.")
+    key = authorization[len(_BEARER) :].strip()
+    given = hashlib.sha256(key.encode("utf-8", "replace")).hexdigest()
+    found = None
+    for account in document.client_accounts:
+        for known in account.key_hashes:
+            if hmac.compare_digest(given.encode(), known.lower().encode()):
+                found = account
+    if found is None:
+        _refuse_key("invalid_key", "The key is not known; check it.")
+    return found
+
+
+def _refuse_key(code: str, message: str) -> NoReturn:
+    raise errors.DragonflydykeError(
+        code,
+        message,
+        step=errors.Step.AUTHENTICATE,
+        status=401,
+        field="Authorization",
+    )
+
+
+@tornado.web.stream_request_body
+class _Handler(tornado.web.RequestHandler):
+    """Authenticates, receives the body in time and runs an execution."""
+
+    def initialize(self, gateway_services: services.GatewayServices) -> None:
+        self._services = gateway_services
+        self._caller = Caller(
+            self, execution.create_request_id(), gateway_services.counters
+        )
+        self._received_s = asyncio.get_running_loop().time()
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._max_body_bytes = 0
+        self._body_timer: asyncio.TimerHandle | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._account = ""
+
+    def prepare(self) -> None:
+        requests.check_headers(self.request.headers.get_all())
+        document = execution.read_in_force(self._services).document
+        authorization = self.request.headers.get("Authorization", "")
+        self._account = authenticate(document, authorization).name
+        policy = document.policy
+        self._max_body_bytes = policy.max_body_bytes
+        length = self.request.headers.get("Content-Length", "0")
+        self._check_size(int(length) if length.isdecimal() else 0)
+        self._body_timer = asyncio.get_running_loop().call_later(
+            policy.body_timeout_s, self._cut_body
+        )
+
+    def data_received(self, chunk: bytes) -> None:
+        self._size += len(chunk)
+        try:
+            self._check_size(self._size)
+        except errors.DragonflydykeError as error:
+            self._stop_timer()
+            self._caller.fail(error)
+            return
+        self._chunks.append(chunk)
+
+    def on_connection_close(self) -> None:
+        self._stop_timer()
+        if self._task is not None and not self._task.done():
+            self._services.counters.increment("caller.disconnected")
+            self._task.cancel()
+        super().on_connection_close()
+
+    def on_finish(self) -> None:
+        self._stop_timer()
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        exception = kwargs.get("exc_info", (None, None, None))[1]
+        if not isinstance(exception, errors.DragonflydykeError):
+            exception = _build_http_error(status_code)
+        self._caller.fail(exception)
+
+    def log_exception(self, kind: Any, value: Any, trace: Any) -> None:
+        expected = (errors.DragonflydykeError, tornado.web.HTTPError)
+        if not isinstance(value, expected):
+            _LOGGER.error(
+                "request handler failed", exc_info=(kind, value, trace)
+            )
+
+    def _check_size(self, size: int) -> None:
+        if size > self._max_body_bytes:
+            raise errors.DragonflydykeError(
+                "body_too_large",
+                f"The body is over {self._max_body_bytes} bytes; shorten it.",
+                step=errors.Step.READ_REQUEST,
+                status=413,
+            )
+
+    def _cut_body(self) -> None:
+        if self._finished:
+            return
+        self._caller.fail(
+            errors.DragonflydykeError(
+                "body_timeout",
+                "The body did not arrive in time; send it faster.",
+                step=errors.Step.READ_REQUEST,
+                status=408,
+                retry_after_s=1.0,
+            )
+        )
+
+    def _stop_timer(self) -> None:
+        if self._body_timer is not None:
+            self._body_timer.cancel()
+            self._body_timer = None
+
+    def _take_body(self) -> bytes:
+        self._stop_timer()
+        body = b"".join(self._chunks)
+        self._chunks.clear()
+        return body
+
+    async def _run(self, work: Awaitable[None]) -> None:
+        # The work has its own task, so that a disconnect cancels it alone and
+        # its bill is still recorded.
+        self._task = asyncio.ensure_future(work)
+        await asyncio.wait({self._task})
+        if not self._task.cancelled():
+            self._task.result()
+
+
+class _ChatHandler(_Handler):
+    async def post(self) -> None:
+        request = requests.parse_chat(self.request.headers, self._take_body())
+        work = chat.ChatExecution(
+            self._services,
+            self._caller,
+            self._account,
+            self._received_s,
+            request,
+        )
+        await self._run(work.run())
+
+
+class _CallHandler(_Handler):
+    async def post(self, service: str, operation: str) -> None:
+        await self._call("POST", service, operation)
+
+    async def get(self, service: str, operation: str) -> None:
+        await self._call("GET", service, operation)
+
+    async def _call(self, method: str, service: str, operation: str) -> None:
+        headers = self.request.headers
+        request = calls.CallRequest(
+            service=service,
+            operation=operation,
+            method=method,
+            query=self.request.query,
+            content_type=headers.get("Content-Type", replies.JSON_TYPE),
+            body=self._take_body(),
+            options=requests.parse_options(headers, {}),
+        )
+        work = calls.CallExecution(
+            self._services,
+            self._caller,
+            self._account,
+            self._received_s,
+            request,
+        )
+        await self._run(work.run())
+
+
+class _ModelsHandler(_Handler):
+    def get(self) -> None:
+        self._stop_timer()
+        in_force = execution.read_in_force(self._services)
+        account = in_force.document.account(self._account)
+        names = list_models(in_force.document, account) if account else []
+        entries = [
+            {"id": name, "object": "model", "created": 0, "owned_by": ""}
+            for name in names
+        ]
+        headers = {replies.REVISION_HEADER: str(in_force.revision)}
+        body = json.dumps({"object": "list", "data": entries}).encode()
+        self._caller.finish(200, replies.JSON_TYPE, headers, body)
+
+
+class _UnknownPathHandler(_Handler):
+    def prepare(self) -> None:
+        raise tornado.web.HTTPError(404)
+
+
+def list_models(
+    document: model.Document, account: model.ClientAccount
+) -> list[str]:
+    """Returns the cascades, models and active versions of an account."""
+    names = [c.name for c in document.cascades if c.name in account.cascades]
+    for entry in document.models:
+        usable = [
+            model.version_id(entry.name, version.name)
+            for version in entry.versions
+            if version.state is model.VersionState.ACTIVE
+            and account.allows(entry.name, version.name)
+        ]
+        names.extend([entry.name, *usable] if usable else [])
+    return names
+
+
+def _build_http_error(status: int) -> errors.DragonflydykeError:
+    codes = {404: "unknown_path", 405: "method_not_allowed"}
+    if status in codes:
+        return errors.DragonflydykeError(
+            codes[status],
+            "There is no such path or method; see docs/api.md.",
+            step=errors.Step.READ_REQUEST,
+            status=status,
+        )
+    if status < 500:
+        return errors.DragonflydykeError(
+            "invalid_request",
+            "The request is not valid HTTP; correct it.",
+            step=errors.Step.READ_REQUEST,
+            status=status,
+        )
+    return errors.DragonflydykeError(
+        "internal_error",
+        "A fault of the router; report it with the request id.",
+        step=errors.Step.READ_REQUEST,
+        execution=errors.Execution.UNKNOWN,
+        status=500,
+    )
--- /dev/null
+++ b/src/dragonflydyke/gateway/caller.py
@@ -0,0 +1,154 @@
+"""The connection to a caller."""
+
+import asyncio
+import math
+from collections.abc import Mapping
+
+import tornado.iostream
+import tornado.web
+
+from dragonflydyke import errors, metrics
+from dragonflydyke.gateway import events, replies
+
+# A caller that takes no byte for this long is cut, because its answer holds
+# memory and a slot at the engine.
+SLOW_CALLER_TIMEOUT_S = 10.0
+
+
+class CallerGoneError(Exception):
+    """The caller disconnected or was cut because it is too slow."""
+
+
+class Caller:
+    """Sends one response, whole or as a stream of events.
+
+    Attributes:
+        request_id: Request id, sent in the response headers.
+        deadline: Loop time until which the caller may take parts of a
+            stream.
+    """
+
+    __slots__ = (
+        "_counters",
+        "_ended",
+        "_handler",
+        "_started",
+        "deadline",
+        "request_id",
+    )
+
+    def __init__(
+        self,
+        handler: tornado.web.RequestHandler,
+        request_id: str,
+        counters: metrics.Counters,
+    ) -> None:
+        self._handler = handler
+        self._counters = counters
+        self._started = False
+        self._ended = False
+        self.request_id = request_id
+        self.deadline = math.inf
+
+    @property
+    def started(self) -> bool:
+        """Whether a byte of a response may have reached the caller."""
+        return self._started
+
+    def start_stream(self, headers: Mapping[str, str]) -> None:
+        """Starts a stream of events with status 200."""
+        errors.check_invariant(
+            not self._started, f"{self.request_id} was answered twice"
+        )
+        self._started = True
+        self._set_headers(headers)
+        self._handler.set_header("Content-Type", replies.EVENT_STREAM_TYPE)
+        self._handler.set_header("Cache-Control", "no-cache")
+
+    async def send(self, data: bytes) -> None:
+        """Sends a part of a stream and waits until the caller takes it.
+
+        Raises:
+            CallerGoneError: If the caller has gone or takes nothing.
+        """
+        self._check_open()
+        self._handler.write(data)
+        limit = asyncio.get_running_loop().time() + SLOW_CALLER_TIMEOUT_S
+        try:
+            async with asyncio.timeout_at(min(limit, self.deadline)):
+                await self._handler.flush()
+        except TimeoutError:
+            self._counters.increment("caller.too_slow")
+            self._cut()
+            raise CallerGoneError from None
+        except tornado.iostream.StreamClosedError:
+            raise CallerGoneError from None
+
+    def finish_stream(self, data: bytes) -> None:
+        """Sends the last part of a stream."""
+        self._check_open()
+        self._ended = True
+        self._finish(data)
+
+    def finish(
+        self,
+        status: int,
+        content_type: str,
+        headers: Mapping[str, str],
+        body: bytes,
+    ) -> None:
+        """Sends a whole response."""
+        errors.check_invariant(
+            not self._started, f"{self.request_id} was answered twice"
+        )
+        self._started = True
+        self._ended = True
+        self._handler.set_status(status)
+        self._set_headers(headers)
+        self._handler.set_header("Content-Type", content_type)
+        self._finish(body)
+
+    def fail(self, error: errors.DragonflydykeError) -> None:
+        """Reports an error, as the last event of a stream that started."""
+        if self._ended:
+            return
+        self._counters.increment(f"refusal.{error.code}")
+        if self._started:
+            value = replies.build_error(error, self.request_id)
+            self.finish_stream(events.encode_value(value))
+            return
+        headers = {}
+        if error.retry_after_s is not None:
+            headers["Retry-After"] = replies.format_retry_after(
+                error.retry_after_s
+            )
+        body = replies.encode_error(error, self.request_id)
+        self.finish(error.status, replies.JSON_TYPE, headers, body)
+
+    def _set_headers(self, headers: Mapping[str, str]) -> None:
+        self._handler.set_header(replies.REQUEST_ID_HEADER, self.request_id)
+        for name, value in headers.items():
+            self._handler.set_header(name, value)
+
+    def _check_open(self) -> None:
+        errors.check_invariant(
+            self._started and not self._ended,
+            f"{self.request_id} sends outside its stream",
+        )
+
+    def _finish(self, data: bytes) -> None:
+        # The caller may have gone; nothing is left to do for it then.
+        future = self._handler.finish(data)
+        future.add_done_callback(_ignore_closed)
+
+    def _cut(self) -> None:
+        self._ended = True
+        connection = self._handler.request.connection
+        stream = getattr(connection, "stream", None)
+        if stream is not None:
+            stream.close()
+
+
+def _ignore_closed(future: "asyncio.Future[None]") -> None:
+    if not future.cancelled():
+        future.exception()
--- /dev/null
+++ b/src/dragonflydyke/gateway/calls.py
@@ -0,0 +1,302 @@
+"""Execution of a call to a plain service."""
+
+import asyncio
+import dataclasses
+import hashlib
+from typing import NoReturn
+
+from dragonflydyke import errors
+from dragonflydyke.configuration import model
+from dragonflydyke.gateway import (
+    accounting,
+    attempts,
+    execution,
+    replies,
+    requests,
+    services,
+)
+from dragonflydyke.gateway.caller import Caller
+
+_MAX_STATUS_BILLED = 499
+_BODY_NOT_STORED = "body-not-stored"
+_DEFAULT_TYPE = "application/octet-stream"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CallRequest:
+    """A call to an operation of a plain service."""
+
+    service: str
+    operation: str
+    method: str
+    query: str
+    content_type: str
+    body: bytes
+    options: requests.Options
+
+    def compute_digest(self) -> str:
+        """Returns the digest that tells two calls apart."""
+        head = f"{self.method}\0{self.query}\0{self.content_type}\0".encode()
+        return hashlib.sha256(head + self.body).hexdigest()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Response:
+    status: int
+    content_type: str
+    body: bytes
+
+
+class CallExecution(execution.Execution):
+    """Relays a call; one that is not repeatable is dispatched once."""
+
+    def __init__(
+        self,
+        gateway_services: services.GatewayServices,
+        caller: Caller,
+        account: str,
+        received_s: float,
+        request: CallRequest,
+    ) -> None:
+        """Creates an execution; see the base class."""
+        super().__init__(gateway_services, caller, account, received_s)
+        self._request = request
+        self._operation: model.Operation | None = None
+        self._tried: set[str] = set()
+        self._retries = 0
+        self._finishing: asyncio.Task[None] | None = None
+
+    async def _serve(self) -> None:
+        self._admit()
+        if self._get_operation().repeatable:
+            await self._respond(await self._call_with_retries())
+            return
+        # A disconnect must not leave the outcome unknown: the call runs to its
+        # end, and a request with the same key gets the stored response.
+        self._finishing = asyncio.ensure_future(self._serve_once())
+        try:
+            await asyncio.shield(self._finishing)
+        except asyncio.CancelledError:
+            await self._finishing
+
+    def _get_operation(self) -> model.Operation:
+        assert self._operation is not None
+        return self._operation
+
+    def _admit(self) -> None:
+        in_force = execution.read_in_force(self._services)
+        self._services.permit.check()
+        account = self._get_account(in_force.document)
+        self._operation = find_operation(
+            in_force.document, account, self._request
+        )
+        options = self._request.options
+        timeout_s = options.deadline_s or self._operation.timeout_s
+        self._set_deadline(timeout_s)
+        if not self._operation.repeatable and not options.idempotency_key:
+            requests.refuse(
+                "idempotency_key_required",
+                "This operation runs at most once; send an Idempotency-Key.",
+                field=requests.IDEMPOTENCY_HEADER,
+            )
+        self._admission = self._services.limiter.admit(account, 0)
+        self._bill = self._create_bill(
+            in_force.revision,
+            "",
+            options.idempotency_key,
+            self._request.compute_digest(),
+        )
+        share = in_force.document.policy.retry_budget_share
+        self._services.retry_budget.record_request(share)
+
+    async def _serve_once(self) -> None:
+        # Full or missing servers are refused before the claim is written.
+        self._pick_server()
+        claim = await self._claim()
+        if claim.replay is not None:
+            self._replay(claim.replay)
+            return
+        try:
+            response = await self._call()
+        except errors.DragonflydykeError as error:
+            if error.execution is errors.Execution.NOT_RUN:
+                await self._abandon(claim)
+            raise
+        await self._finish(claim, response)
+        await self._respond(response)
+
+    async def _claim(self) -> services.Claim:
+        # Not bounded by the deadline: an unfinished claim would block the key.
+        return await self._services.claims.claim(
+            self._account_name,
+            self._request.service,
+            self._request.operation,
+            self._request.options.idempotency_key,
+            self._request.compute_digest(),
+            self._get_operation().timeout_s,
+        )
+
+    async def _abandon(self, claim: services.Claim) -> None:
+        try:
+            await self._services.claims.abandon(claim)
+        except errors.DragonflydykeError:
+            # The key stays blocked, which is safe; the caller still learns
+            # that the call did not run.
+            self._services.counters.increment("claim.abandon_failed")
+
+    async def _finish(self, claim: services.Claim, response: _Response) -> None:
+        try:
+            await self._services.claims.finish(
+                claim, response.status, response.content_type, response.body
+            )
+        except errors.DragonflydykeError:
+            # The call ran, so its response is delivered all the same.
+            self._services.counters.increment("claim.finish_failed")
+
+    def _replay(self, stored: services.StoredResponse) -> None:
+        self._services.counters.increment("call.replayed")
+        headers = {}
+        if stored.body is None:
+            headers[replies.REPLAY_HEADER] = _BODY_NOT_STORED
+        status = 200 if stored.body is None else stored.status
+        content_type = stored.content_type or _DEFAULT_TYPE
+        self._caller.finish(status, content_type, headers, stored.body or b"")
+
+    async def _call_with_retries(self) -> _Response:
+        while True:
+            try:
+                return await self._call()
+            except errors.DragonflydykeError as error:
+                if not self._may_retry(error):
+                    raise
+
+    async def _call(self) -> _Response:
+        """Makes one attempt."""
+        operation = self._get_operation()
+        server = self._pick_server()
+        self._check_dispatch()
+        self._tried.add(server.name)
+        assert self._bill is not None
+        attempt = attempts.BackendAttempt(
+            self._services,
+            self._bill,
+            server,
+            self._candidates(),
+            names=(self._request.service, operation.name),
+            price=operation.price,
+            deadline=self._deadline,
+            blame_after_s=operation.timeout_s,
+        )
+        async with attempt:
+            answer = await attempt.open(self._build_request(server))
+            body = await attempt.read_body()
+            await attempt.complete(None)
+        content_type = answer.headers.get("Content-Type", _DEFAULT_TYPE)
+        return _Response(answer.status, content_type, body)
+
+    def _candidates(self) -> tuple[model.BackendServer, ...]:
+        in_force = execution.read_in_force(self._services)
+        return self._services.pool.candidates(in_force, self._request.service)
+
+    def _pick_server(self) -> model.BackendServer:
+        return self._pick(
+            self._candidates(), frozenset(self._tried), self._request.service
+        )
+
+    def _check_dispatch(self) -> None:
+        """Checks right before each dispatch, as the process may have paused."""
+        if asyncio.get_running_loop().time() >= self._deadline:
+            raise attempts.build_deadline_error(
+                errors.Step.ROUTE, "", errors.Execution.NOT_RUN
+            )
+        self._services.permit.check()
+        document = execution.read_in_force(self._services).document
+        find_operation(document, self._get_account(document), self._request)
+
+    def _may_retry(self, error: errors.DragonflydykeError) -> bool:
+        if error.step not in (
+            errors.Step.CONNECT,
+            errors.Step.SEND,
+            errors.Step.AWAIT_ANSWER,
+            errors.Step.READ_ANSWER,
+        ) or error.code in ("deadline_exceeded", "answer_too_long"):
+            return False
+        in_force = execution.read_in_force(self._services)
+        if self._retries + 1 >= in_force.document.policy.max_attempts:
+            return False
+        if self._services.pool.pick(self._candidates(), self._tried) is None:
+            return False
+        if not self._services.retry_budget.try_spend():
+            self._services.counters.increment("retry_budget.exhausted")
+            return False
+        self._retries += 1
+        self._services.counters.increment(f"retry.{error.code}")
+        return True
+
+    async def _respond(self, response: _Response) -> None:
+        assert self._bill is not None
+        outcome = accounting.Outcome.COMPLETED
+        if response.status > _MAX_STATUS_BILLED:
+            outcome = accounting.Outcome.FAILED
+        self._bill.begin_record(outcome)
+        await self._bill.wait_recorded()
+        in_force = execution.read_in_force(self._services)
+        headers = {replies.REVISION_HEADER: str(in_force.revision)}
+        self._caller.finish(
+            response.status, response.content_type, headers, response.body
+        )
+
+    def _build_request(
+        self, server: model.BackendServer
+    ) -> services.BackendRequest:
+        operation = self._get_operation()
+        headers = {"Dragonflydyke-Request-Id": self._caller.request_id}
+        if self._request.body:
+            headers["Content-Type"] = self._request.content_type
+        key = self._request.options.idempotency_key
+        if key:
+            headers[requests.IDEMPOTENCY_HEADER] = key
+        query = f"?{self._request.query}" if self._request.query else ""
+        return services.BackendRequest(
+            server,
+            operation.method,
+            operation.path + query,
+            headers,
+            self._request.body,
+        )
+
+
+def find_operation(
+    document: model.Document,
+    account: model.ClientAccount,
+    request: CallRequest,
+) -> model.Operation:
+    """Returns the operation that a call names.
+
+    Raises:
+        DragonflydykeError: If it is unknown, not allowed for the account, or
+            the method or body does not fit; not run.
+    """
+    service = document.service(request.service)
+    if service is None:
+        _refuse("unknown_service", f"no service {request.service}", 404)
+    if service.name not in account.services:
+        _refuse("service_not_allowed", f"no access to {service.name}", 403)
+    operation = service.operation(request.operation)
+    if operation is None:
+        name = f"{service.name}/{request.operation}"
+        _refuse("unknown_operation", f"no operation {name}", 404)
+    if request.method == "GET" and operation.method != "GET":
+        _refuse("method_not_allowed", f"no GET of {operation.name}", 405)
+    if operation.method == "GET" and request.body:
+        _refuse("body_not_allowed", f"no body for {operation.name}", 400)
+    return operation
+
+
+def _refuse(code: str, fact: str, status: int) -> NoReturn:
+    raise errors.DragonflydykeError(
+        code,
+        f"There is {fact}; see docs/api.md for the calls that exist.",
+        step=errors.Step.ROUTE,
+        status=status,
+    )
--- /dev/null
+++ b/src/dragonflydyke/gateway/chat.py
@@ -0,0 +1,363 @@
+"""Execution of a chat completion."""
+
+import asyncio
+import json
+import time
+from typing import Any
+
+from dragonflydyke import errors, routing
+from dragonflydyke.configuration import model
+from dragonflydyke.gateway import (
+    accounting,
+    attempts,
+    events,
+    execution,
+    relays,
+    replies,
+    requests,
+    services,
+)
+from dragonflydyke.gateway.caller import Caller
+from dragonflydyke.sessions import model as sessions
+
+_PATH = "/v1/chat/completions"
+_MS_PER_S = 1_000
+_BACKEND_STEPS = frozenset(
+    {
+        errors.Step.CONNECT,
+        errors.Step.SEND,
+        errors.Step.AWAIT_ANSWER,
+        errors.Step.READ_ANSWER,
+    }
+)
+_FINAL_CODES = frozenset(
+    {"backend_rejected", "deadline_exceeded", "answer_too_long"}
+)
+_NO_SERVER_CODES = frozenset({"no_backend_server", "overloaded"})
+
+
+class ChatExecution(execution.Execution):
+    """Selects a version, relays its answer and bills it."""
+
+    def __init__(
+        self,
+        gateway_services: services.GatewayServices,
+        caller: Caller,
+        account: str,
+        received_s: float,
+        request: requests.ChatRequest,
+    ) -> None:
+        """Creates an execution; see the base class."""
+        super().__init__(gateway_services, caller, account, received_s)
+        self._request = request
+        self._class: model.RequestClass | None = None
+        self._session: sessions.Session | None = None
+        self._session_token = ""
+        self._plan: routing.Plan | None = None
+        self._stage_index = 0
+        self._retries = 0
+        self._tried: set[str] = set()
+
+    @property
+    def _stage(self) -> routing.Stage:
+        assert self._plan is not None
+        return self._plan.stages[self._stage_index]
+
+    @property
+    def _request_class(self) -> model.RequestClass:
+        assert self._class is not None
+        return self._class
+
+    async def _serve(self) -> None:
+        self._admit()
+        while True:
+            try:
+                if await self._try_stage():
+                    return
+                self._start_stage(self._stage_index + 1)
+            except errors.DragonflydykeError as error:
+                if not self._may_retry(error):
+                    raise
+
+    def _admit(self) -> None:
+        in_force = execution.read_in_force(self._services)
+        self._services.permit.check()
+        account = self._get_account(in_force.document)
+        options = self._request.options
+        name = options.request_class or account.default_class
+        self._class = _find_class(in_force.document, name)
+        self._set_deadline(options.deadline_s or self._class.deadline_s)
+        self._read_session(in_force, options.session)
+        self._plan = routing.plan(
+            in_force,
+            account,
+            self._request.model,
+            self._class,
+            self._session,
+            self._caller.request_id,
+            restraint=self._services.version_counts,
+        )
+        self._admission = self._services.limiter.admit(
+            account, self._request.estimate_tokens(self._class)
+        )
+        self._bill = self._create_bill(
+            in_force.revision,
+            self._class.name,
+            options.idempotency_key,
+            self._request.digest,
+        )
+        share = in_force.document.policy.retry_budget_share
+        self._services.retry_budget.record_request(share)
+
+    def _read_session(self, in_force: services.InForce, token: str) -> None:
+        if not token or token == requests.SESSION_NEW:
+            return
+        self._session = self._services.sessions.verify(
+            in_force.key_ring, token, self._account_name
+        )
+        self._session_token = token
+
+    async def _try_stage(self) -> bool:
+        """Makes one attempt; returns False if its answer was rejected."""
+        in_force = execution.read_in_force(self._services)
+        stage = self._stage
+        candidates = self._services.pool.candidates(in_force, stage.full_name)
+        server = self._pick(candidates, frozenset(self._tried), stage.full_name)
+        self._check_dispatch(in_force)
+        self._tried.add(server.name)
+        assert self._bill is not None
+        attempt = attempts.BackendAttempt(
+            self._services,
+            self._bill,
+            server,
+            candidates,
+            names=(stage.model, stage.version.name),
+            price=stage.version.price,
+            deadline=self._deadline,
+            blame_after_s=self._request_class.deadline_s,
+            roll_out=in_force.document.roll_out_for(stage.model),
+        )
+        if self._request.stream:
+            return await self._run_stream(attempt, server, in_force)
+        return await self._run_whole(attempt, server, in_force)
+
+    def _check_dispatch(self, in_force: services.InForce) -> None:
+        """Checks right before each dispatch, as the process may have paused."""
+        stage = self._stage
+        loop = asyncio.get_running_loop()
+        if loop.time() >= self._deadline:
+            raise attempts.build_deadline_error(
+                errors.Step.ROUTE, "", errors.Execution.NOT_RUN
+            )
+        self._services.permit.check()
+        document = in_force.document
+        in_session = self._session is not None
+        routing.check_dispatch(
+            document, self._account_name, stage, in_session=in_session
+        )
+        account = self._get_account(document)
+        version = document.version(stage.model, stage.version.name)
+        errors.check_invariant(
+            version is not None
+            and version.state is not model.VersionState.WITHDRAWN
+            and account.allows(stage.model, stage.version.name),
+            f"{stage.full_name} is not usable by {account.name}",
+        )
+        session = self._session
+        errors.check_invariant(
+            session is None
+            or (session.model, session.version)
+            == (stage.model, stage.version.name),
+            f"{stage.full_name} is not the version of the session",
+        )
+
+    async def _run_stream(
+        self,
+        attempt: attempts.BackendAttempt,
+        server: model.BackendServer,
+        in_force: services.InForce,
+    ) -> bool:
+        checked = self._is_checked()
+        relay = relays.EventRelay(
+            attempt,
+            self._request.include_usage,
+            None if checked else self._make_sender(in_force),
+        )
+        async with attempt:
+            answer = await attempt.open(self._build_request(server))
+            await relays.check_status(attempt, answer)
+            await relay.run()
+            await attempt.complete(relay.usage)
+            accepted = not checked or await self._accept(
+                attempt, bytes(relay.answer)
+            )
+        if not accepted:
+            return False
+        if not self._caller.started:
+            self._caller.start_stream(self._build_headers(in_force))
+        if relay.answer:
+            await self._caller.send(bytes(relay.answer))
+        await self._record()
+        self._caller.finish_stream(relay.take_end(self._build_extra()))
+        return True
+
+    async def _run_whole(
+        self,
+        attempt: attempts.BackendAttempt,
+        server: model.BackendServer,
+        in_force: services.InForce,
+    ) -> bool:
+        async with attempt:
+            answer = await attempt.open(self._build_request(server))
+            await relays.check_status(attempt, answer)
+            body = await attempt.read_body()
+            value = relays.parse_completion(attempt, body)
+            await attempt.complete(events.parse_usage(value.get("usage")))
+            if self._is_checked() and not await self._accept(attempt, body):
+                return False
+        await self._record()
+        value[relays.EXTRA_FIELD] = self._build_extra()
+        self._caller.finish(
+            200,
+            replies.JSON_TYPE,
+            self._build_headers(in_force),
+            json.dumps(value, separators=(",", ":")).encode(),
+        )
+        return True
+
+    def _make_sender(self, in_force: services.InForce) -> relays.Send:
+        async def send(event: bytes) -> None:
+            if not self._caller.started:
+                self._caller.start_stream(self._build_headers(in_force))
+            await self._caller.send(event)
+
+        return send
+
+    def _is_checked(self) -> bool:
+        assert self._plan is not None
+        is_last = self._stage_index == len(self._plan.stages) - 1
+        return self._services.check is not None and not is_last
+
+    async def _accept(
+        self, attempt: attempts.BackendAttempt, answer: bytes
+    ) -> bool:
+        assert self._services.check is not None
+        stage = self._stage
+        candidate = services.CandidateAnswer(
+            client_account=self._account_name,
+            request_class=self._request_class,
+            model=stage.model,
+            version=stage.version.name,
+            request=json.dumps(self._request.body).encode(),
+            answer=answer,
+        )
+        accepted = await attempts.wait_until(
+            self._services.check.accept(candidate),
+            self._deadline,
+            step=errors.Step.READ_ANSWER,
+            execution=errors.Execution.RAN,
+        )
+        if not accepted:
+            self._services.counters.increment("cascade.rejected")
+            attempt.reject()
+        return accepted
+
+    async def _record(self) -> None:
+        assert self._bill is not None
+        self._bill.begin_record(accounting.Outcome.COMPLETED)
+        await self._bill.wait_recorded()
+
+    def _start_stage(self, index: int) -> None:
+        self._stage_index = index
+        self._tried.clear()
+
+    def _may_retry(self, error: errors.DragonflydykeError) -> bool:
+        """Prepares the next attempt and returns whether there is one."""
+        if self._caller.started:
+            return False
+        assert self._plan is not None
+        has_next = self._stage_index + 1 < len(self._plan.stages)
+        if error.code in _NO_SERVER_CODES:
+            if has_next:
+                self._start_stage(self._stage_index + 1)
+            return has_next
+        if error.step not in _BACKEND_STEPS or error.code in _FINAL_CODES:
+            return False
+        if not self._has_untried_server():
+            if not has_next:
+                return False
+            self._start_stage(self._stage_index + 1)
+        return self._spend_retry(error)
+
+    def _has_untried_server(self) -> bool:
+        in_force = execution.read_in_force(self._services)
+        candidates = self._services.pool.candidates(
+            in_force, self._stage.full_name
+        )
+        return self._services.pool.pick(candidates, self._tried) is not None
+
+    def _spend_retry(self, error: errors.DragonflydykeError) -> bool:
+        in_force = execution.read_in_force(self._services)
+        if self._retries + 1 >= in_force.document.policy.max_attempts:
+            return False
+        if not self._services.retry_budget.try_spend():
+            self._services.counters.increment("retry_budget.exhausted")
+            return False
+        self._retries += 1
+        self._services.counters.increment(f"retry.{error.code}")
+        return True
+
+    def _build_request(
+        self, server: model.BackendServer
+    ) -> services.BackendRequest:
+        body = self._request.encode_for_engine(
+            self._stage.full_name, self._request_class
+        )
+        stream_id = f"{self._caller.request_id}-{execution.create_request_id()}"
+        headers = {
+            "Content-Type": replies.JSON_TYPE,
+            "Dragonflydyke-Stream-Id": stream_id,
+        }
+        return services.BackendRequest(server, "POST", _PATH, headers, body)
+
+    def _build_headers(self, in_force: services.InForce) -> dict[str, str]:
+        headers = {
+            replies.VERSION_HEADER: self._stage.full_name,
+            replies.REVISION_HEADER: str(in_force.revision),
+        }
+        if self._request.options.session == requests.SESSION_NEW:
+            self._session_token = self._issue_token(in_force)
+        if self._session_token:
+            headers[replies.SESSION_HEADER] = self._session_token
+        return headers
+
+    def _issue_token(self, in_force: services.InForce) -> str:
+        session = sessions.Session(
+            client_account=self._account_name,
+            session_id=execution.create_request_id(),
+            model=self._stage.model,
+            version=self._stage.version.name,
+            started_at_ms=int(time.time() * _MS_PER_S),
+        )
+        return self._services.sessions.issue(in_force.key_ring, session)
+
+    def _build_extra(self) -> dict[str, Any]:
+        assert self._bill is not None
+        return {
+            "request_id": self._caller.request_id,
+            "version": self._stage.full_name,
+            "cost": self._bill.cost(),
+            "bill_id": self._bill.bill_id,
+        }
+
+
+def _find_class(document: model.Document, name: str) -> model.RequestClass:
+    found = document.request_class(name)
+    if found is None:
+        requests.refuse(
+            "unknown_class",
+            f"There is no request class {name}; use one of "
+            f"{', '.join(entry.name for entry in document.classes)}.",
+            field=requests.CLASS_HEADER,
+        )
+    return found
