--- a/src/dragonflydyke/gateway/calls.py
+++ b/src/dragonflydyke/gateway/calls.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import hashlib
+from collections.abc import Mapping
 from typing import NoReturn
 
 from dragonflydyke import errors
@@ -191,7 +192,7 @@
             answer = await attempt.open(self._build_request(server))
             body = await attempt.read_body()
             await attempt.complete(None)
-        content_type = answer.headers.get("Content-Type", _DEFAULT_TYPE)
+        content_type = _find_content_type(answer.headers)
         return _Response(answer.status, content_type, body)
 
     def _candidates(self) -> tuple[model.BackendServer, ...]:
@@ -293,6 +294,13 @@
     return operation
 
 
+def _find_content_type(headers: Mapping[str, str]) -> str:
+    for name, value in headers.items():
+        if name.lower() == "content-type":
+            return value
+    return _DEFAULT_TYPE
+
+
 def _refuse(code: str, fact: str, status: int) -> NoReturn:
     raise errors.DragonflydykeError(
         code,
--- a/src/dragonflydyke/gateway/chat.py
+++ b/src/dragonflydyke/gateway/chat.py
@@ -229,10 +229,17 @@
         async def send(event: bytes) -> None:
             if not self._caller.started:
                 self._caller.start_stream(self._build_headers(in_force))
+                self._count_first_event()
             await self._caller.send(event)
 
         return send
 
+    def _count_first_event(self) -> None:
+        taken_s = asyncio.get_running_loop().time() - self._received_s
+        self._services.counters.timing(
+            "request.first_event", taken_s * _MS_PER_S
+        )
+
     def _is_checked(self) -> bool:
         assert self._plan is not None
         is_last = self._stage_index == len(self._plan.stages) - 1
--- a/src/dragonflydyke/gateway/events.py
+++ b/src/dragonflydyke/gateway/events.py
@@ -15,6 +15,7 @@
 # Inside JSON strings quotes are escaped, so that neither pattern matches the
 # text of an answer.
 _USAGE = re.compile(rb'"usage"\s*:\s*\{')
+_ERROR = re.compile(rb'\s*\{\s*"error"\s*:\s*(?!null)\S')
 _FINISH = re.compile(rb'"finish_reason"\s*:\s*"')
 
 
@@ -101,7 +102,7 @@
 
 def find_error(data: bytes) -> str | None:
     """Returns the message of an error event of an engine, or None."""
-    if not data.lstrip().startswith(b'{"error"'):
+    if not _ERROR.match(data):
         return None
     return data.decode("utf-8", "replace")[:200]
 
--- a/src/dragonflydyke/gateway/execution.py
+++ b/src/dragonflydyke/gateway/execution.py
@@ -11,6 +11,7 @@
 
 _NOT_CONFIRMED_RETRY_S = 1.0
 _NO_SERVER_RETRY_S = 1.0
+_MS_PER_S = 1_000
 
 _LOGGER = logs.get_logger("gateway")
 
@@ -83,6 +84,8 @@
                 await self._fail_unexpected(error)
             finally:
                 self._release()
+                self._count_duration()
+        self._check_billed()
 
     async def _serve(self) -> None:
         raise NotImplementedError
@@ -154,8 +157,10 @@
 
     async def _fail(self, error: errors.DragonflydykeError) -> None:
         self._correct_execution(error)
-        # The error tells that the request has ended, so the caller may get it
-        # before the bill, which has no cost, is safe.
+        bill = self._bill
+        if bill is not None and bill.attempts and not bill.recorded:
+            bill.begin_record(accounting.Outcome.FAILED)
+        # A bill without cost is not worth delaying the error until it is safe.
         self._caller.fail(error)
         await self._settle(accounting.Outcome.FAILED)
 
@@ -185,6 +190,17 @@
         if any(attempt.outcome in answered for attempt in attempts):
             error.execution = errors.Execution.RAN
 
+    def _check_billed(self) -> None:
+        bill = self._bill
+        errors.check_invariant(
+            bill is None or bill.recorded == bool(bill.attempts),
+            f"{self._caller.request_id} was dispatched and not billed",
+        )
+
+    def _count_duration(self) -> None:
+        taken_s = asyncio.get_running_loop().time() - self._received_s
+        self._services.counters.timing("request.duration", taken_s * _MS_PER_S)
+
     def _release(self) -> None:
         if self._admission is None:
             return
--- a/src/dragonflydyke/gateway/requests.py
+++ b/src/dragonflydyke/gateway/requests.py
@@ -3,6 +3,7 @@
 import dataclasses
 import hashlib
 import json
+import math
 import re
 from collections.abc import Iterable, Mapping
 from typing import Any, NoReturn
@@ -22,6 +23,8 @@
 _MS_PER_S = 1_000
 _BYTES_PER_TOKEN = 4
 _CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+# Lone surrogates cannot be encoded, for example to compute a bill id.
+_FORBIDDEN_TEXT = re.compile(r"[\x00-\x1f\x7f\ud800-\udfff]")
 _DIGITS = re.compile(r"[0-9]{1,9}")
 _ROUTER_METADATA = ("class", "session", "deadline_ms", "idempotency_key")
 _LIMIT_FIELDS = ("max_completion_tokens", "max_tokens")
@@ -115,11 +118,7 @@
     if not all(isinstance(message, dict) for message in messages):
         refuse_field("messages", "a list of objects")
     stream = body.get("stream")
-    if (
-        stream not in (None, True, False)
-        or isinstance(stream, int | float)
-        and (not isinstance(stream, bool))
-    ):
+    if stream is not None and not isinstance(stream, bool):
         refuse_field("stream", "true or false")
     _check_limits(body)
     return ChatRequest(
@@ -171,7 +170,9 @@
 
 def _parse_object(raw: bytes) -> dict[str, Any]:
     try:
-        body = json.loads(raw, parse_constant=_refuse_constant)
+        body = json.loads(
+            raw, parse_constant=_refuse_constant, parse_float=_parse_float
+        )
     except (ValueError, RecursionError):
         refuse("invalid_json", "The body is not valid JSON; send an object.")
     if not isinstance(body, dict):
@@ -183,6 +184,13 @@
     raise ValueError(f"{name} is not JSON")
 
 
+def _parse_float(text: str) -> float:
+    value = float(text)
+    if math.isinf(value):
+        _refuse_constant(text)
+    return value
+
+
 def _check_limits(body: Mapping[str, Any]) -> None:
     for name in _LIMIT_FIELDS:
         value = body.get(name)
@@ -229,7 +237,7 @@
     if header in headers:
         return headers[header].strip()
     value = metadata.get(name, "")
-    if not isinstance(value, str) or _CONTROL.search(value):
+    if not isinstance(value, str) or _FORBIDDEN_TEXT.search(value):
         refuse_field(f"metadata.{name}", "a string without control characters")
     return value
 
--- a/src/dragonflydyke/routing/servers.py
+++ b/src/dragonflydyke/routing/servers.py
@@ -249,7 +249,11 @@
         if len(servers) == 1:
             return servers[0]
         pair = self._random.sample(servers, 2)
-        return min(pair, key=self._load_share)
+        return min(pair, key=self._load_with_next)
+
+    def _load_with_next(self, server: model.BackendServer) -> float:
+        # Counting the next request prefers the larger of two idle servers.
+        return (self._estimate(server) + 1) / max(server.slots, 1)
 
     def _load_share(self, server: model.BackendServer) -> float:
         return self._estimate(server) / max(server.slots, 1)
--- /dev/null
+++ b/tests/builders/gateway.py
@@ -0,0 +1,303 @@
+"""Substitutes for the components behind the gateway."""
+
+import asyncio
+import dataclasses
+import json
+import random
+from collections.abc import AsyncIterator, Mapping
+from typing import Any
+
+from dragonflydyke import errors, metrics
+from dragonflydyke.configuration import model
+from dragonflydyke.gateway import services
+from dragonflydyke.gateway.events import TokenUsage
+from dragonflydyke.rollouts import model as rollouts
+from dragonflydyke.routing import ServerPool
+from dragonflydyke.sessions import model as sessions
+from tests.builders import documents
+
+USAGE = TokenUsage(1_000, 2_000)
+
+
+@dataclasses.dataclass(slots=True)
+class FixedInForce:
+    """What is in force."""
+
+    document: model.Document
+    revision: int = 1
+    key_ring: sessions.KeyRing = sessions.KeyRing(())
+    roll_outs: Mapping[str, rollouts.RollOutState] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class FixedState:
+    """Holds what a test puts in force."""
+
+    current: FixedInForce | None
+
+
+class SwitchedPermit:
+    """A permit that can be withdrawn, now or after a number of checks."""
+
+    def __init__(self) -> None:
+        self.checks_left = 1_000_000
+
+    def check(self) -> None:
+        """Raises `not_confirmed` when no checks are left."""
+        self.checks_left -= 1
+        if self.checks_left < 0:
+            raise errors.DragonflydykeError(
+                "not_confirmed",
+                "Retry at another router.",
+                step=errors.Step.ADMIT,
+                status=503,
+                retry_after_s=1.0,
+            )
+
+
+class WatchedCounters(metrics.Counters):
+    """Counters whose changes a test can wait for."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._changed: dict[str, asyncio.Event] = {}
+
+    def increment(self, name: str, count: int = 1) -> None:
+        """Adds to a counter."""
+        super().increment(name, count)
+        self._changed.setdefault(name, asyncio.Event()).set()
+
+    async def wait(self, name: str) -> None:
+        """Returns when a counter was incremented."""
+        await self._changed.setdefault(name, asyncio.Event()).wait()
+
+
+class ScriptedAnswer:
+    """Answers with parts: bytes, an event to wait for, or an error."""
+
+    def __init__(
+        self,
+        parts: list[Any],
+        status: int = 200,
+        content_type: str = "application/json",
+    ) -> None:
+        self.status = status
+        self.headers = {"Content-Type": content_type}
+        self.closed = asyncio.Event()
+        self._parts = parts
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the bytes of the script."""
+        for part in self._parts:
+            if isinstance(part, asyncio.Event):
+                await part.wait()
+            elif isinstance(part, Exception):
+                raise part
+            else:
+                yield part
+
+    async def close(self) -> services.Usage | None:
+        """Returns a usage as if some tokens had been produced."""
+        self.closed.set()
+        return TokenUsage(1_000, 10)
+
+
+class ScriptedBackends:
+    """Plays one entry of the script for each request."""
+
+    def __init__(self) -> None:
+        self.script: list[ScriptedAnswer | Exception] = []
+        self.requests: list[services.BackendRequest] = []
+        self.opened = asyncio.Event()
+
+    async def open(
+        self, request: services.BackendRequest, *, deadline: float
+    ) -> ScriptedAnswer:
+        """Returns or raises the next entry of the script."""
+        self.requests.append(request)
+        self.opened.set()
+        await asyncio.sleep(0)
+        entry = self.script.pop(0)
+        if isinstance(entry, Exception):
+            raise entry
+        return entry
+
+
+class RecordedBills:
+    """Keeps bills; `gate` holds `record` back until it is set."""
+
+    def __init__(self) -> None:
+        self.bills: list[dict[str, Any]] = []
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.entered = asyncio.Event()
+
+    async def record(self, bill: dict[str, Any]) -> None:
+        """Records a bill when the gate is open."""
+        self.entered.set()
+        await self.gate.wait()
+        self.bills.append(bill)
+
+
+class OpenLimiter:
+    """Admits everything unless a refusal is set."""
+
+    def __init__(self) -> None:
+        self.refusal: Exception | None = None
+        self.released: list[int] = []
+
+    def admit(
+        self, account: model.ClientAccount, estimated_tokens: int
+    ) -> "OpenLimiter":
+        """Admits or raises the refusal."""
+        if self.refusal is not None:
+            raise self.refusal
+        return self
+
+    def release(self, actual_tokens: int) -> None:
+        """Records the tokens."""
+        self.released.append(actual_tokens)
+
+
+class PlainTokens:
+    """Tokens without a signature."""
+
+    def issue(self, ring: sessions.KeyRing, session: sessions.Session) -> str:
+        """Returns the session as JSON."""
+        return json.dumps(dataclasses.asdict(session))
+
+    def verify(
+        self, ring: sessions.KeyRing, token: str, account: str
+    ) -> sessions.Session:
+        """Returns the session of a token."""
+        return sessions.Session(**json.loads(token))
+
+
+@dataclasses.dataclass(slots=True)
+class MemoryClaim:
+    """A claim with a key."""
+
+    key: str
+    replay: Any = None
+
+
+@dataclasses.dataclass(slots=True)
+class StoredReply:
+    """Response of an earlier call."""
+
+    status: int
+    content_type: str
+    body: bytes | None
+
+
+class MemoryClaims:
+    """Claims in memory."""
+
+    def __init__(self) -> None:
+        self.states: dict[str, StoredReply | None] = {}
+
+    async def claim(
+        self,
+        account: str,
+        service: str,
+        operation: str,
+        key: str,
+        request_digest: str,
+        timeout_s: float,
+    ) -> MemoryClaim:
+        """Claims a key or returns its response."""
+        if key in self.states:
+            if self.states[key] is None:
+                raise errors.DragonflydykeError(
+                    "call_in_progress",
+                    "Retry later.",
+                    step=errors.Step.CLAIM,
+                    execution=errors.Execution.UNKNOWN,
+                    status=409,
+                    retry_after_s=1.0,
+                )
+            return MemoryClaim(key, self.states[key])
+        self.states[key] = None
+        return MemoryClaim(key)
+
+    async def finish(
+        self, claim: MemoryClaim, status: int, content_type: str, body: bytes
+    ) -> None:
+        """Stores the response."""
+        self.states[claim.key] = StoredReply(status, content_type, body)
+
+    async def abandon(self, claim: MemoryClaim) -> None:
+        """Frees the key."""
+        del self.states[claim.key]
+
+
+def build_services(document: model.Document) -> services.GatewayServices:
+    """Returns services of substitutes around a real pool."""
+    counters = WatchedCounters()
+    return services.GatewayServices(
+        vm="entry-1",
+        incarnation=7,
+        state=FixedState(FixedInForce(document)),
+        permit=SwitchedPermit(),
+        backends=ScriptedBackends(),
+        pool=ServerPool(
+            "cartago-a", "entry-1", counters, source=random.Random(1)
+        ),
+        limiter=OpenLimiter(),
+        sessions=PlainTokens(),
+        claims=MemoryClaims(),
+        bills=RecordedBills(),
+        create_bill=dict,
+        counters=counters,
+    )
+
+
+def build_event(
+    text: str = "", finish: str | None = None, usage: bool = False
+) -> bytes:
+    """Returns an event as an engine sends it."""
+    value: dict[str, Any] = {"object": "chat.completion.chunk", "choices": []}
+    if usage:
+        value["usage"] = dataclasses.asdict(USAGE)
+    else:
+        choice = {"delta": {"content": text}, "finish_reason": finish}
+        value["choices"] = [choice]
+    return b"data: " + json.dumps(value).encode() + b"\n\n"
+
+
+def build_stream(*texts: str) -> list[bytes]:
+    """Returns the parts of a complete stream."""
+    parts = [build_event(text) for text in texts]
+    end = [build_event(finish="stop"), build_event(usage=True)]
+    return [*parts, *end, b"data: [DONE]\n\n"]
+
+
+def build_completion(text: str = "ready") -> bytes:
+    """Returns a whole answer of an engine."""
+    return json.dumps(
+        {
+            "object": "chat.completion",
+            "choices": [{"message": {"content": text}}],
+            "usage": dataclasses.asdict(USAGE),
+        }
+    ).encode()
+
+
+def build_two_engines() -> model.Document:
+    """Returns a document whose two models run on two engines."""
+    serves = ("planner-small@v1", "planner-large@v1")
+    return documents.build_document(
+        backend_servers=(
+            documents.build_engine("engine-1", serves=serves),
+            documents.build_engine("engine-2", serves=serves),
+            model.BackendServer(
+                "labels-1",
+                model.ServerKind.SERVICE,
+                "http://127.0.0.1:1",
+                "cartago-a",
+                ("labels",),
+            ),
+        )
+    )
