--- a/src/dragonflydyke/gateway/chat.py
+++ b/src/dragonflydyke/gateway/chat.py
@@ -88,15 +88,7 @@
         self._class = _find_class(in_force.document, name)
         self._set_deadline(options.deadline_s or self._class.deadline_s)
         self._read_session(in_force, options.session)
-        self._plan = routing.plan(
-            in_force,
-            account,
-            self._request.model,
-            self._class,
-            self._session,
-            self._caller.request_id,
-            restraint=self._services.version_counts,
-        )
+        self._plan = self._make_plan(in_force, account)
         self._admission = self._services.limiter.admit(
             account, self._request.estimate_tokens(self._class)
         )
@@ -109,6 +101,28 @@
         share = in_force.document.policy.retry_budget_share
         self._services.retry_budget.record_request(share)
 
+    def _make_plan(
+        self, in_force: services.InForce, account: model.ClientAccount
+    ) -> routing.Plan:
+        return routing.plan(
+            in_force,
+            account,
+            self._request.model,
+            self._request_class,
+            self._session,
+            self._caller.request_id,
+            restraint=self._services.version_counts,
+        )
+
+    def _update_plan(self, in_force: services.InForce) -> None:
+        """Plans a retry anew: a version may be withdrawn or stopped since."""
+        account = self._get_account(in_force.document)
+        updated = self._make_plan(in_force, account)
+        names = [stage.model for stage in updated.stages]
+        if self._stage.model in names:
+            self._stage_index = names.index(self._stage.model)
+            self._plan = updated
+
     def _read_session(self, in_force: services.InForce, token: str) -> None:
         if not token or token == requests.SESSION_NEW:
             return
@@ -120,6 +134,8 @@
     async def _try_stage(self) -> bool:
         """Makes one attempt; returns False if its answer was rejected."""
         in_force = execution.read_in_force(self._services)
+        if self._retries:
+            self._update_plan(in_force)
         stage = self._stage
         candidates = self._services.pool.candidates(in_force, stage.full_name)
         server = self._pick(candidates, frozenset(self._tried), stage.full_name)
