--- a/src/dragonflydyke/gateway/events.py
+++ b/src/dragonflydyke/gateway/events.py
@@ -35,10 +35,8 @@
         """
         data = self._rest + chunk
         # The plain split is much faster than the pattern.
-        if b"\r" in data:
-            parts = _EVENT_END.split(data)
-        else:
-            parts = data.split(b"\n\n")
+        plain = b"\r" not in data
+        parts = data.split(b"\n\n") if plain else _EVENT_END.split(data)
         self._rest = parts.pop()
         if len(self._rest) > MAX_EVENT_BYTES:
             raise errors.DragonflydykeError(
