--- /dev/null
+++ b/tests/builders/gateway_case.py
@@ -0,0 +1,147 @@
+"""Test case around a gateway with substitutes."""
+
+import asyncio
+import dataclasses
+import json
+import unittest
+import unittest.mock
+from typing import Any
+
+import tornado.httpclient
+import tornado.testing
+
+from dragonflydyke import errors
+from dragonflydyke.gateway import build_application, build_server
+from tests.builders import documents, gateway
+
+CHAT = "/v1/chat/completions"
+PRINT = "/v1/services/labels/print"
+LOOKUP = "/v1/services/labels/lookup"
+GUARD_S = 20.0
+ERROR_FIELDS = {
+    *("message", "type", "code", "param", "step", "peer", "execution"),
+    *("retry", "retry_after_s", "request_id"),
+}
+NOT_CONFIRMED = errors.DragonflydykeError(
+    "not_confirmed",
+    "Retry at another router.",
+    step=errors.Step.ADMIT,
+    status=503,
+    retry_after_s=1.0,
+)
+Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+def fail_at(step: errors.Step) -> errors.DragonflydykeError:
+    """Returns an error as the backend client raises it."""
+    not_run = step is errors.Step.CONNECT
+    return errors.DragonflydykeError(
+        "backend_unavailable",
+        "Retry later.",
+        step=step,
+        peer="engine-1",
+        execution=errors.Execution("not run" if not_run else "unknown"),
+        status=502,
+        retry_after_s=1.0,
+    )
+
+
+class GatewayTestCase(unittest.IsolatedAsyncioTestCase):
+    """Runs a gateway with substitutes on an ephemeral port."""
+
+    async def asyncSetUp(self) -> None:
+        self.services = gateway.build_services(gateway.build_two_engines())
+        self.server = build_server(build_application(self.services))
+        sock, self.port = tornado.testing.bind_unused_port()
+        self.server.add_socket(sock)
+        self.client = tornado.httpclient.AsyncHTTPClient(force_instance=True)
+
+    async def asyncTearDown(self) -> None:
+        self.client.close()
+        self.server.stop()
+        await self.server.close_all_connections()
+        async with asyncio.timeout(GUARD_S):
+            await self.services.tracker.wait_idle()
+
+    @property
+    def bills(self) -> list[dict[str, Any]]:
+        return self.services.bills.bills
+
+    def play(self, *entries: Any) -> None:
+        self.services.backends.script.extend(
+            gateway.ScriptedAnswer(entry) if isinstance(entry, list) else entry
+            for entry in entries
+        )
+
+    def put(self, **changes: Any) -> None:
+        in_force = self.services.state.current
+        self.services.state.current = gateway.FixedInForce(
+            dataclasses.replace(in_force.document, **changes),
+            in_force.revision + 1,
+        )
+
+    async def fetch(
+        self,
+        path: str = CHAT,
+        body: Any = None,
+        *,
+        method: str = "POST",
+        headers: dict[str, str] | None = None,
+        **fields: Any,
+    ) -> tornado.httpclient.HTTPResponse:
+        if body is None and method == "POST":
+            chat = {"model": "planner-small", "messages": [{"role": "user"}]}
+            body = json.dumps({**chat, **fields})
+        key = f"Bearer {documents.ACCOUNT_KEY}"
+        return await self.client.fetch(
+            f"http://127.0.0.1:{self.port}{path}",
+            method=method,
+            body=body,
+            headers={"Authorization": key, **(headers or {})},
+            raise_error=False,
+        )
+
+    def check_error(
+        self,
+        response: tornado.httpclient.HTTPResponse,
+        status: int,
+        code: str,
+        execution: str = "not run",
+    ) -> dict[str, Any]:
+        error = json.loads(response.body)["error"]
+        self.assertEqual(
+            (response.code, error["code"], error["execution"]),
+            (status, code, execution),
+        )
+        self.assertEqual(set(error), ERROR_FIELDS)
+        self.assertEqual(error["retry"], "Retry-After" in response.headers)
+        sent_id = response.headers["Dragonflydyke-Request-Id"]
+        self.assertEqual(error["request_id"], sent_id)
+        self.assertGreater(self.services.counters.total(f"refusal.{code}"), 0)
+        return error
+
+    async def send_raw(
+        self,
+        body: bytes = b"",
+        length: int | None = None,
+        extra: str = "",
+        path: str = CHAT,
+    ) -> Connection:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        length = len(body) if length is None else length
+        head = (
+            f"POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n"
+            f"Authorization: Bearer {documents.ACCOUNT_KEY}\r\n{extra}\r\n"
+        )
+        writer.write(head.encode() + body)
+        return reader, writer
+
+    async def read_all(self, connection: Connection) -> bytes:
+        async with asyncio.timeout(GUARD_S):
+            answer = await connection[0].read()
+        connection[1].close()
+        return answer
+
+    async def open_stream(self) -> Connection:
+        chat = {"model": "planner-small", "messages": [{}], "stream": True}
+        return await self.send_raw(json.dumps(chat).encode())
--- /dev/null
+++ b/tests/test_refusals.py
@@ -0,0 +1,142 @@
+"""Tests of the refusals of the gateway over real connections."""
+
+import asyncio
+
+from dragonflydyke import errors
+from dragonflydyke.configuration import model
+from dragonflydyke.routing import AttemptEnd
+from dragonflydyke.sessions import model as sessions
+from tests.builders import documents, gateway
+from tests.builders.gateway_case import (
+    CHAT,
+    LOOKUP,
+    NOT_CONFIRMED,
+    PRINT,
+    GatewayTestCase,
+)
+
+
+class RefusalTest(GatewayTestCase):
+    """Guards the status, JSON and "not run" of each refusal."""
+
+    async def asyncTearDown(self) -> None:
+        self.assertEqual(self.services.backends.requests, [])
+        self.assertEqual(self.bills, [])
+        await super().asyncTearDown()
+
+    async def test_requests(self) -> None:
+        cases = [
+            ({"body": "{"}, 400, "invalid_json"),
+            ({"body": "[]"}, 400, "invalid_json"),
+            ({"messages": "x"}, 400, "invalid_request"),
+            ({"stream": 1}, 400, "invalid_request"),
+            ({"max_tokens": 0}, 400, "invalid_request"),
+            ({"model": "none"}, 404, "unknown_model"),
+            ({"model": "planner-small@v9"}, 404, "unknown_model"),
+            ({"metadata": {"class": "none"}}, 400, "unknown_class"),
+            ({"metadata": {"deadline_ms": "soon"}}, 400, "invalid_deadline"),
+            ({"metadata": {"deadline_ms": 0}}, 400, "invalid_deadline"),
+            (
+                {"metadata": {"idempotency_key": "k" * 257}},
+                400,
+                "invalid_idempotency_key",
+            ),
+            ({"path": "/none"}, 404, "unknown_path"),
+            ({"method": "GET"}, 405, "method_not_allowed"),
+            ({"path": PRINT}, 400, "idempotency_key_required"),
+            ({"path": PRINT, "method": "GET"}, 405, "method_not_allowed"),
+            ({"path": LOOKUP}, 400, "body_not_allowed"),
+            ({"path": "/v1/services/x/y"}, 404, "unknown_service"),
+            ({"path": "/v1/services/labels/y"}, 404, "unknown_operation"),
+            ({"headers": {"Authorization": ""}}, 401, "missing_key"),
+            ({"headers": {"Authorization": "Bearer x"}}, 401, "invalid_key"),
+        ]
+        for arguments, status, code in cases:
+            with self.subTest(code, arguments=arguments):
+                response = await self.fetch(**arguments)
+                self.check_error(response, status, code)
+
+    async def test_other_account(self) -> None:
+        key = {"Authorization": f"Bearer {documents.OTHER_ACCOUNT_KEY}"}
+        for arguments, code in (
+            ({"model": "planner-large"}, "model_not_allowed"),
+            ({"model": "planning"}, "cascade_not_allowed"),
+            ({"path": PRINT}, "service_not_allowed"),
+        ):
+            with self.subTest(code):
+                response = await self.fetch(headers=key, **arguments)
+                self.check_error(response, 403, code)
+
+    async def test_versions(self) -> None:
+        withdrawn = documents.build_version(state=model.VersionState.WITHDRAWN)
+        self.put(models=(model.Model("planner-small", (withdrawn,)),))
+        pinned = sessions.Session("a", "s", "planner-small", "v1", 0)
+        token = gateway.issue_token(None, pinned)
+        withdrawn_session = "session_version_withdrawn"
+        for arguments, status, code in (
+            ({}, 503, "no_version_available"),
+            ({"model": "planner-small@v1"}, 409, "version_withdrawn"),
+            ({"metadata": {"session": token}}, 409, withdrawn_session),
+        ):
+            with self.subTest(code):
+                response = await self.fetch(**arguments)
+                self.check_error(response, status, code)
+
+    async def test_state_of_the_router(self) -> None:
+        self.services.limiter.admit.side_effect = errors.DragonflydykeError(
+            "rate_limited",
+            "Slow down.",
+            step=errors.Step.ADMIT,
+            status=429,
+            retry_after_s=0.2,
+        )
+        response = await self.fetch()
+        self.check_error(response, 429, "rate_limited")
+        self.assertEqual(response.headers["Retry-After"], "1")
+        self.services.limiter.admit.side_effect = None
+        # The second check is right before dispatch: the process may pause.
+        for checks in ([NOT_CONFIRMED], [None, NOT_CONFIRMED]):
+            self.services.permit.check.side_effect = checks
+            self.check_error(await self.fetch(), 503, "not_confirmed")
+        self.services.permit.check.side_effect = None
+        self.put(backend_servers=())
+        self.check_error(await self.fetch(), 503, "no_backend_server")
+        self.services.state.current = None
+        self.check_error(await self.fetch(), 503, "not_confirmed")
+
+    async def test_overload(self) -> None:
+        # Guards against queueing work that would miss its deadline.
+        pool = self.services.pool
+        for server in self.services.state.current.document.backend_servers:
+            placement = pool.begin(server)
+            placement.started_s -= 60.0
+            placement.end(AttemptEnd.COMPLETED)
+            pool.record_load(server.name, running=8, waiting=100)
+        response = await self.fetch()
+        error = self.check_error(response, 503, "overloaded")
+        self.assertEqual(error["step"], "admit")
+        self.assertGreater(error["retry_after_s"], 0)
+
+    async def test_large_and_slow_bodies(self) -> None:
+        policy = model.Policy(max_body_bytes=100, body_timeout_s=0.05)
+        self.put(policy=policy)
+        response = await self.fetch(body="x" * 101)
+        self.check_error(response, 413, "body_too_large")
+        answer = await self.read_all(await self.send_raw(b"{", length=50))
+        self.assertIn(b"408", answer.split(b"\r\n")[0])
+        self.assertIn(b'"body_timeout"', answer)
+
+    async def test_large_chunked_body(self) -> None:
+        self.put(policy=model.Policy(max_body_bytes=100))
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        head = f"POST {CHAT} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+        head += f"{documents.ACCOUNT_KEY}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        writer.write(head.encode() + b"c8\r\n" + b"x" * 200 + b"\r\n")
+        answer = await self.read_all((reader, writer))
+        self.assertIn(b"413", answer.split(b"\r\n")[0])
+
+    async def test_control_characters(self) -> None:
+        # Guards against headers that split when they are forwarded.
+        connection = await self.send_raw(extra="X-Name: a\x01b\r\n")
+        answer = await self.read_all(connection)
+        self.assertIn(b"400", answer.split(b"\r\n")[0])
