Compare latencies per kind of work when looking for outliers

A whole answer has its first byte when it is complete, so a server with a few of them looked like a straggler next to servers with streams (seen in review; test_long_work_does_not_eject fails without kinds). Latencies now count as multiples of the usual one of the same version, class and form. Tests for the remaining codes were added.

--- a/src/dragonflydyke/gateway/attempts.py
+++ b/src/dragonflydyke/gateway/attempts.py
@@ -90,6 +90,7 @@
         price: model.Price | int,
         deadline: float,
         blame_after_s: float,
+        kind: str,
         roll_out: model.RollOut | None = None,
     ) -> None:
         """Begins an attempt.
@@ -104,6 +105,7 @@
             deadline: Loop time at which the request ends.
             blame_after_s: Seconds without an answer after which the server
                 and version are at fault, not the deadline of the caller.
+            kind: Kind of work, whose times to the first byte are comparable.
             roll_out: Roll-out of the model, if any.
         """
         self._services = gateway_services
@@ -116,7 +118,7 @@
         self._answer: services.BackendAnswer | None = None
         self._usage: services.Usage | None = None
         self.produced_events = 0
-        self._placement = gateway_services.pool.begin(server, candidates)
+        self._placement = gateway_services.pool.begin(server, candidates, kind)
         self.record = bill.begin_attempt(names[0], names[1], server.name)
 
     async def __aenter__(self) -> "BackendAttempt":
--- a/src/dragonflydyke/gateway/calls.py
+++ b/src/dragonflydyke/gateway/calls.py
@@ -191,6 +191,7 @@
             price=operation.price,
             deadline=self._deadline,
             blame_after_s=operation.timeout_s,
+            kind=f"{self._request.service} {operation.name}",
         )
         async with attempt:
             answer = await attempt.open(self._build_request(server))
--- a/src/dragonflydyke/gateway/chat.py
+++ b/src/dragonflydyke/gateway/chat.py
@@ -151,12 +151,18 @@
             price=stage.version.price,
             deadline=self._deadline,
             blame_after_s=self._request_class.deadline_s,
+            kind=self._describe_work(),
             roll_out=in_force.document.roll_out_for(stage.model),
         )
         if self._request.stream:
             return await self._run_stream(attempt, server, in_force)
         return await self._run_whole(attempt, server, in_force)
 
+    def _describe_work(self) -> str:
+        # The first byte of a whole answer comes when it is complete.
+        form = "stream" if self._request.stream else "whole"
+        return f"{self._stage.full_name} {self._request_class.name} {form}"
+
     def _check_dispatch(self, in_force: services.InForce) -> None:
         """Checks right before each dispatch, as the process may have paused."""
         stage = self._stage
--- a/src/dragonflydyke/routing/outliers.py
+++ b/src/dragonflydyke/routing/outliers.py
@@ -8,8 +8,6 @@
 _MIN_SAMPLES = 5
 _MAX_ERROR_SHARE = 0.5
 _LATENCY_FACTOR = 3.0
-# Differences below this are noise of the network, not stragglers.
-_MIN_LATENCY_EXCESS_S = 0.05
 _MIN_PEERS = 2
 _BASE_EJECTION_S = 5.0
 _MAX_EJECTION_S = 60.0
@@ -22,7 +20,7 @@
 class _Health:
     samples: int = 0
     error_share: float = 0.0
-    latency_s: float | None = None
+    latency: float | None = None
     ejections: int = 0
     ejected_at_s: float = 0.0
     ejected_until_s: float | None = None
@@ -45,7 +43,7 @@
         now_s: float,
         *,
         failed: bool,
-        latency_s: float | None,
+        latency: float | None,
         peers: Iterable[str],
     ) -> bool:
         """Records the end of an attempt.
@@ -54,7 +52,8 @@
             server: Name of the server.
             now_s: Current time.
             failed: Whether the server was at fault for a failure.
-            latency_s: Seconds to the first byte, None if there was none.
+            latency: Time to the first byte as a multiple of the usual time
+                for work of its kind, None if there was no byte.
             peers: Names of servers with the same work.
 
         Returns:
@@ -63,12 +62,12 @@
         health = self._health.setdefault(server, _Health())
         health.samples += 1
         health.error_share += _SMOOTHING * (failed - health.error_share)
-        if latency_s is not None:
-            before = health.latency_s
-            health.latency_s = (
-                latency_s
+        if latency is not None:
+            before = health.latency
+            health.latency = (
+                latency
                 if before is None
-                else before + _SMOOTHING * (latency_s - before)
+                else before + _SMOOTHING * (latency - before)
             )
         if self._is_out(health, now_s) or health.samples < _MIN_SAMPLES:
             return False
@@ -111,10 +110,10 @@
     def _is_slow(
         self, server: str, health: _Health, peers: Iterable[str]
     ) -> bool:
-        if health.latency_s is None:
+        if health.latency is None:
             return False
         others = [
-            self._health[name].latency_s
+            self._health[name].latency
             for name in peers
             if name != server
             and name in self._health
@@ -124,8 +123,7 @@
         if len(known) < _MIN_PEERS:
             return False
         usual = statistics.median(known)
-        limit = max(usual * _LATENCY_FACTOR, usual + _MIN_LATENCY_EXCESS_S)
-        return health.latency_s > limit
+        return health.latency > usual * _LATENCY_FACTOR
 
     def _eject(self, health: _Health, now_s: float) -> None:
         duration = min(_BASE_EJECTION_S * 2**health.ejections, _MAX_EJECTION_S)
@@ -138,4 +136,4 @@
         health.ejected_until_s = now_s + duration
         health.samples = 0
         health.error_share = 0.0
-        health.latency_s = None
+        health.latency = None
--- a/src/dragonflydyke/routing/servers.py
+++ b/src/dragonflydyke/routing/servers.py
@@ -19,6 +19,9 @@
 _REPORT_DECAY_S = 2.0
 _FAR = 1_000
 _SERVICE_TIME_SMOOTHING = 0.1
+_USUAL_LATENCY_SMOOTHING = 0.05
+# Differences between shorter times are noise of the network.
+_MIN_LATENCY_S = 0.05
 _MIN_RETRY_AFTER_S = 0.5
 _MAX_RETRY_AFTER_S = 30.0
 
@@ -62,6 +65,7 @@
         "_outliers",
         "_random",
         "_subsets",
+        "_usual_latencies_s",
         "_vm",
     )
 
@@ -88,6 +92,7 @@
         self._loads: dict[str, _Load] = {}
         self._outliers = outliers.OutlierDetector()
         self._leaving_vms: frozenset[str] = frozenset()
+        self._usual_latencies_s: dict[str, float] = {}
         self._subsets: dict[str, _Subset] = {}
         self._distances: dict[str, int] = {data_centre: 0}
 
@@ -181,10 +186,17 @@
         self,
         server: model.BackendServer,
         candidates: Sequence[model.BackendServer] = (),
+        kind: str = "",
     ) -> "Placement":
-        """Counts an attempt at a server until the placement is ended."""
+        """Counts an attempt at a server until the placement is ended.
+
+        Args:
+            server: Where the attempt goes.
+            candidates: Servers with the same work.
+            kind: Kind of work, whose times to the first byte are comparable.
+        """
         self._loads.setdefault(server.name, _Load()).in_progress += 1
-        return Placement(self, server, candidates)
+        return Placement(self, server, candidates, kind)
 
     def in_progress(self, server: str) -> int:
         """Returns the number of own requests in progress at a server."""
@@ -214,12 +226,27 @@
             name,
             now_s,
             failed=end is AttemptEnd.FAILED,
-            latency_s=placement.latency_s,
+            latency=self._normalize_latency(placement),
             peers=[server.name for server in placement.candidates],
         ):
             self._counters.increment("server.ejected")
             _LOGGER.notice("backend server ejected as outlier", server=name)
 
+    def _normalize_latency(self, placement: "Placement") -> float | None:
+        """Returns the latency as a multiple of the usual one of its kind.
+
+        Otherwise a server that happens to get long work looks slow.
+        """
+        if placement.latency_s is None:
+            return None
+        latency_s = max(placement.latency_s, _MIN_LATENCY_S)
+        usual_s = self._usual_latencies_s.get(placement.kind, latency_s)
+        change_s = latency_s - usual_s
+        self._usual_latencies_s[placement.kind] = (
+            usual_s + _USUAL_LATENCY_SMOOTHING * change_s
+        )
+        return latency_s / usual_s
+
     def _list_usable(
         self,
         candidates: Sequence[model.BackendServer],
@@ -304,6 +331,7 @@
         "_ended",
         "_pool",
         "candidates",
+        "kind",
         "latency_s",
         "server",
         "started_s",
@@ -314,8 +342,10 @@
         pool: ServerPool,
         server: model.BackendServer,
         candidates: Sequence[model.BackendServer],
+        kind: str,
     ) -> None:
         self._pool = pool
+        self.kind = kind
         self._ended = False
         self.server = server
         self.candidates = candidates
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -228,11 +228,25 @@
         self.check_error(response, 502, "backend_unavailable", "unknown")
         self.assertEqual([b["outcome"] for b in self.bills], ["failed"])
 
-    async def test_malformed_for_the_engine(self) -> None:
+    async def test_answers_of_engines(self) -> None:
         self.play(gateway.ScriptedAnswer([b"bad"], status=400))
         self.check_error(await self.fetch(), 400, "backend_rejected")
         self.assertEqual(len(self.services.backends.requests), 1)
-        self.assertEqual(self.bills, [])
+        self.put(policy=model.Policy(max_attempts=1))
+        for given, body, status, code, execution in (
+            (400, b"bad", 400, "backend_rejected", "not run"),
+            (429, b"full", 503, "backend_refused", "not run"),
+            (500, b"", 502, "backend_failed", "unknown"),
+            (200, b"[]", 502, "answer_invalid", "unknown"),
+            (200, b"x" * 16_000_001, 502, "answer_too_long", "unknown"),
+        ):
+            with self.subTest(code):
+                self.play(gateway.ScriptedAnswer([body], status=given))
+                self.check_error(await self.fetch(), status, code, execution)
+        self.assertEqual([b["cost"] for b in self.bills], [0, 0, 0])
+        # A fault of the program after the dispatch: the script is empty.
+        response = await self.fetch()
+        self.check_error(response, 500, "internal_error", "unknown")
 
     async def test_budget(self) -> None:
         while self.services.retry_budget.try_spend():
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -1,6 +1,7 @@
 """Tests of the refusals of the gateway over real connections."""
 
 import asyncio
+import dataclasses
 
 from dragonflydyke import errors
 from dragonflydyke.configuration import model
@@ -69,19 +70,28 @@
 
     async def test_versions(self) -> None:
         withdrawn = documents.build_version(state=model.VersionState.WITHDRAWN)
-        self.put(models=(model.Model("planner-small", (withdrawn,)),))
+        retiring = documents.build_version("v2", model.VersionState.RETIRING)
+        self.put(models=(model.Model("planner-small", (withdrawn, retiring)),))
         pinned = sessions.Session("a", "s", "planner-small", "v1", 0)
         token = gateway.issue_token(None, pinned)
         withdrawn_session = "session_version_withdrawn"
         for arguments, status, code in (
             ({}, 503, "no_version_available"),
             ({"model": "planner-small@v1"}, 409, "version_withdrawn"),
+            ({"model": "planner-small@v2"}, 409, "version_retiring"),
             ({"metadata": {"session": token}}, 409, withdrawn_session),
         ):
             with self.subTest(code):
                 response = await self.fetch(**arguments)
                 self.check_error(response, status, code)
 
+    async def test_version_not_allowed(self) -> None:
+        account = self.services.state.current.document.client_accounts[0]
+        account = dataclasses.replace(account, versions=("planner-large@v1",))
+        self.put(client_accounts=(account,))
+        response = await self.fetch(model="planner-small@v1")
+        self.check_error(response, 403, "version_not_allowed")
+
     async def test_state_of_the_router(self) -> None:
         self.services.limiter.admit.side_effect = errors.DragonflydykeError(
             "rate_limited",
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -255,6 +255,18 @@
                 placement.end(routing.AttemptEnd.COMPLETED)
         self.assertNotIn(candidates[2].name, self.pick_names(candidates))
 
+    async def test_long_work_does_not_eject(self) -> None:
+        # Guards against taking a server with slower kinds of work for a
+        # straggler.
+        candidates = self.build(*["cartago-a"] * 3)
+        for _ in range(10):
+            for i, server in enumerate(candidates):
+                kind = "long" if i == 2 else "short"
+                placement = self.pool.begin(server, candidates, kind)
+                placement.latency_s = 2.0 if i == 2 else 0.1
+                placement.end(routing.AttemptEnd.COMPLETED)
+        self.assertEqual(self.counters.total("server.ejected"), 0)
+
     @hypothesis.given(
         strategies.lists(strategies.booleans(), min_size=1, max_size=9)
     )
@@ -265,7 +277,7 @@
         for name, failed in zip(names, failing, strict=True):
             for _ in range(10):
                 detector.record(
-                    name, 0.0, failed=failed, latency_s=None, peers=names
+                    name, 0.0, failed=failed, latency=None, peers=names
                 )
         ejected = detector.ejected(names, 1.0)
         self.assertLessEqual(len(ejected), len(names) // 2)
