--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -33,6 +33,23 @@
     )
 
 
+def build_error(
+    code: str,
+    step: str,
+    status: int,
+    execution: errors.Execution = errors.Execution.NOT_RUN,
+) -> errors.DragonflydykeError:
+    """Returns an error that a retry may overcome."""
+    return errors.DragonflydykeError(
+        code,
+        "Retry later.",
+        step=errors.Step(step),
+        execution=execution,
+        status=status,
+        retry_after_s=0.2,
+    )
+
+
 class WatchedCounters(metrics.Counters):
     """Counters whose changes a test can wait for."""
 
@@ -119,14 +136,8 @@
         if self.states.setdefault(key, None) is not None:
             return types.SimpleNamespace(key=key, replay=self.states[key])
         if key in self.claimed:
-            raise errors.DragonflydykeError(
-                "call_in_progress",
-                "Retry later.",
-                step=errors.Step.CLAIM,
-                execution=errors.Execution.UNKNOWN,
-                status=409,
-                retry_after_s=1.0,
-            )
+            unknown = errors.Execution.UNKNOWN
+            raise build_error("call_in_progress", "claim", 409, unknown)
         self.claimed.add(key)
         return types.SimpleNamespace(key=key, replay=None)
 
--- a/tests/builders/gateway_case.py
+++ b/tests/builders/gateway_case.py
@@ -22,28 +22,15 @@
     *("message", "type", "code", "param", "step", "peer", "execution"),
     *("retry", "retry_after_s", "request_id"),
 }
-NOT_CONFIRMED = errors.DragonflydykeError(
-    "not_confirmed",
-    "Retry at another router.",
-    step=errors.Step.ADMIT,
-    status=503,
-    retry_after_s=1.0,
-)
+NOT_CONFIRMED = gateway.build_error("not_confirmed", "admit", 503)
 Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
 def fail_at(step: errors.Step) -> errors.DragonflydykeError:
     """Returns an error as the backend client raises it."""
     not_run = step is errors.Step.CONNECT
-    return errors.DragonflydykeError(
-        "backend_unavailable",
-        "Retry later.",
-        step=step,
-        peer="engine-1",
-        execution=errors.Execution("not run" if not_run else "unknown"),
-        status=502,
-        retry_after_s=1.0,
-    )
+    execution = errors.Execution("not run" if not_run else "unknown")
+    return gateway.build_error("backend_unavailable", step, 502, execution)
 
 
 class GatewayTestCase(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 
-from dragonflydyke import errors
 from dragonflydyke.configuration import model
 from dragonflydyke.routing import AttemptEnd
 from dragonflydyke.sessions import model as sessions
@@ -93,13 +92,8 @@
         self.check_error(response, 403, "version_not_allowed")
 
     async def test_state_of_the_router(self) -> None:
-        self.services.limiter.admit.side_effect = errors.DragonflydykeError(
-            "rate_limited",
-            "Slow down.",
-            step=errors.Step.ADMIT,
-            status=429,
-            retry_after_s=0.2,
-        )
+        refusal = gateway.build_error("rate_limited", "admit", 429)
+        self.services.limiter.admit.side_effect = refusal
         response = await self.fetch()
         self.check_error(response, 429, "rate_limited")
         self.assertEqual(response.headers["Retry-After"], "1")
