--- /dev/null
+++ b/tests/builders/gateway.py
@@ -0,0 +1,225 @@
+"""Substitutes for the components behind the gateway."""
+
+import asyncio
+import dataclasses
+import json
+import random
+import types
+import unittest.mock
+from collections.abc import AsyncIterator, Mapping
+from typing import Any
+
+from dragonflydyke import errors, metrics
+from dragonflydyke.configuration import model
+from dragonflydyke.gateway import services
+from dragonflydyke.gateway.events import TokenUsage
+from dragonflydyke.rollouts import model as rollouts
+from dragonflydyke.routing import ServerPool
+from dragonflydyke.sessions import model as sessions
+from tests.builders import documents
+
+USAGE = TokenUsage(1_000, 2_000)
+
+
+@dataclasses.dataclass(slots=True)
+class FixedInForce:
+    """What is in force."""
+
+    document: model.Document
+    revision: int = 1
+    key_ring: sessions.KeyRing = sessions.KeyRing(())
+    roll_outs: Mapping[str, rollouts.RollOutState] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+def build_error(
+    code: str,
+    step: str,
+    status: int,
+    execution: errors.Execution = errors.Execution.NOT_RUN,
+) -> errors.DragonflydykeError:
+    """Returns an error that a retry may overcome."""
+    return errors.DragonflydykeError(
+        code,
+        "Retry later.",
+        step=errors.Step(step),
+        execution=execution,
+        status=status,
+        retry_after_s=0.2,
+    )
+
+
+class WatchedCounters(metrics.Counters):
+    """Counters whose changes a test can wait for."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._changed: dict[str, asyncio.Event] = {}
+
+    def increment(self, name: str, count: int = 1) -> None:
+        super().increment(name, count)
+        self._changed.setdefault(name, asyncio.Event()).set()
+
+    async def wait(self, name: str) -> None:
+        await self._changed.setdefault(name, asyncio.Event()).wait()
+
+
+class ScriptedAnswer:
+    """Answers with parts: bytes, an event to wait for, or an error."""
+
+    def __init__(self, parts: list[Any], status: int = 200) -> None:
+        self.status = status
+        self.headers = {"Content-Type": "application/json"}
+        self.closed = asyncio.Event()
+        self._parts = parts
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        for part in self._parts:
+            if isinstance(part, asyncio.Event):
+                await part.wait()
+            elif isinstance(part, Exception):
+                raise part
+            else:
+                yield part
+
+    async def close(self) -> services.Usage | None:
+        self.closed.set()
+        return TokenUsage(1_000, 10)
+
+
+class ScriptedBackends:
+    """Plays one entry of the script for each request."""
+
+    def __init__(self) -> None:
+        self.script: list[ScriptedAnswer | Exception] = []
+        self.requests: list[services.BackendRequest] = []
+        self.opened = asyncio.Event()
+
+    async def open(
+        self, request: services.BackendRequest, *, deadline: float
+    ) -> ScriptedAnswer:
+        self.requests.append(request)
+        self.opened.set()
+        await asyncio.sleep(0)
+        entry = self.script.pop(0)
+        if isinstance(entry, Exception):
+            raise entry
+        return entry
+
+
+class RecordedBills:
+    """Keeps bills; `gate` holds `record` back until it is set."""
+
+    def __init__(self) -> None:
+        self.bills: list[dict[str, Any]] = []
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.entered = asyncio.Event()
+
+    async def record(self, bill: dict[str, Any]) -> None:
+        self.entered.set()
+        await self.gate.wait()
+        self.bills.append(bill)
+
+
+class MemoryClaims:
+    """Claims in memory; a key without a response is claimed."""
+
+    def __init__(self) -> None:
+        self.states: dict[str, Any] = {}
+        self.claimed: set[str] = set()
+
+    async def claim(
+        self, account, service, operation, key, request_digest, timeout_s
+    ) -> types.SimpleNamespace:
+        if self.states.setdefault(key, None) is not None:
+            return types.SimpleNamespace(key=key, replay=self.states[key])
+        if key in self.claimed:
+            unknown = errors.Execution.UNKNOWN
+            raise build_error("call_in_progress", "claim", 409, unknown)
+        self.claimed.add(key)
+        return types.SimpleNamespace(key=key, replay=None)
+
+    async def finish(self, claim, status, content_type, body) -> None:
+        self.states[claim.key] = types.SimpleNamespace(
+            status=status, content_type=content_type, body=body
+        )
+
+    async def abandon(self, claim) -> None:
+        self.claimed.remove(claim.key)
+
+
+def issue_token(ring: Any, session: sessions.Session) -> str:
+    """Returns a token without a signature."""
+    return json.dumps(dataclasses.asdict(session))
+
+
+def verify_token(ring: Any, token: str, account: str) -> sessions.Session:
+    """Returns the session of a token."""
+    return sessions.Session(**json.loads(token))
+
+
+def build_services(document: model.Document) -> services.GatewayServices:
+    """Returns services of substitutes around a real pool."""
+    counters = WatchedCounters()
+    return services.GatewayServices(
+        vm="entry-1",
+        incarnation=7,
+        state=types.SimpleNamespace(current=FixedInForce(document)),
+        permit=unittest.mock.Mock(),
+        backends=ScriptedBackends(),
+        pool=ServerPool(
+            "cartago-a", "entry-1", counters, source=random.Random(1)
+        ),
+        limiter=unittest.mock.Mock(),
+        sessions=types.SimpleNamespace(issue=issue_token, verify=verify_token),
+        claims=MemoryClaims(),
+        bills=RecordedBills(),
+        create_bill=dict,
+        counters=counters,
+    )
+
+
+def build_event(
+    text: str = "", finish: str | None = None, usage: bool = False
+) -> bytes:
+    """Returns an event as an engine sends it."""
+    value: dict[str, Any] = {"object": "chat.completion.chunk", "choices": []}
+    if usage:
+        value["usage"] = dataclasses.asdict(USAGE)
+    else:
+        choice = {"delta": {"content": text}, "finish_reason": finish}
+        value["choices"] = [choice]
+    return b"data: " + json.dumps(value).encode() + b"\n\n"
+
+
+def build_stream(*texts: str) -> list[bytes]:
+    """Returns the parts of a complete stream."""
+    parts = [build_event(text) for text in texts]
+    end = [build_event(finish="stop"), build_event(usage=True)]
+    return [*parts, *end, b"data: [DONE]\n\n"]
+
+
+def build_completion(text: str = "ready") -> bytes:
+    """Returns a whole answer of an engine."""
+    return json.dumps(
+        {
+            "object": "chat.completion",
+            "choices": [{"message": {"content": text}}],
+            "usage": dataclasses.asdict(USAGE),
+        }
+    ).encode()
+
+
+def build_two_engines() -> model.Document:
+    """Returns a document whose two models run on two engines."""
+    serves = ("planner-small@v1", "planner-large@v1")
+    labels = documents.build_engine("labels-1", serves=("labels",))
+    return documents.build_document(
+        backend_servers=(
+            documents.build_engine("engine-1", serves=serves),
+            documents.build_engine("engine-2", serves=serves),
+            dataclasses.replace(labels, kind=model.ServerKind.SERVICE),
+        )
+    )
