--- /dev/null
+++ b/src/dragonflydyke/protocol/server.py
@@ -0,0 +1,129 @@
+"""gRPC server of the calls between routers."""
+
+import dataclasses
+import hmac
+from typing import Any
+
+import grpc
+
+from dragonflydyke import errors, metrics, settings
+from dragonflydyke.protocol import node_pb2, node_pb2_grpc
+
+INNER_KEY_METADATA = "dragonflydyke-inner-key"
+# A state bundle holds control objects of up to 1 MB each.
+MAX_MESSAGE_BYTES = 16_000_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Tls:
+    """PEM texts for mutual TLS between routers."""
+
+    certificate: bytes
+    private_key: bytes = dataclasses.field(repr=False)
+    authority: bytes
+
+
+class NodeServer(node_pb2_grpc.NodeServicer):
+    """Checks the inner key and hands calls to the handlers."""
+
+    def __init__(
+        self,
+        handlers: Any,
+        *,
+        inner_key: str,
+        counters: metrics.Counters,
+        tls: Tls | None = None,
+    ) -> None:
+        """Creates a server.
+
+        Args:
+            handlers: Has the async methods `exchange`, `hold_bills`,
+                `announce_change` and `fetch_state`.
+            inner_key: Key that every call must carry.
+            counters: Receives `inner.<call>.served` and
+                `inner.<call>.refused`.
+            tls: Certificates; None serves without TLS.
+        """
+        self._handlers = handlers
+        self._inner_key = inner_key.encode()
+        self._counters = counters
+        self._tls = tls
+        self._server: grpc.aio.Server | None = None
+
+    async def start(self, address: settings.Address) -> int:
+        """Binds and serves; returns the port.
+
+        Raises:
+            DragonflydykeError: `inner_address_unavailable` if it cannot bind.
+        """
+        server = grpc.aio.server(
+            options=(
+                ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+                ("grpc.so_reuseport", 0),
+            )
+        )
+        node_pb2_grpc.add_NodeServicer_to_server(self, server)
+        try:
+            port = self._bind(server, str(address))
+        except RuntimeError as error:
+            raise errors.DragonflydykeError(
+                "inner_address_unavailable",
+                f"cannot listen on {address}; choose a free inner address",
+                step=errors.Step.CONNECT,
+                peer=str(address),
+            ) from error
+        await server.start()
+        self._server = server
+        return port
+
+    async def stop(self, grace_s: float) -> None:
+        """Refuses new calls and gives running ones the grace time."""
+        if self._server is not None:
+            await self._server.stop(grace_s)
+            self._server = None
+
+    def _bind(self, server: grpc.aio.Server, address: str) -> int:
+        if self._tls is None:
+            return server.add_insecure_port(address)
+        credentials = grpc.ssl_server_credentials(
+            ((self._tls.private_key, self._tls.certificate),),
+            root_certificates=self._tls.authority,
+            require_client_auth=True,
+        )
+        return server.add_secure_port(address, credentials)
+
+    async def _serve(self, name: str, request: Any, context: Any) -> Any:
+        metadata = dict(context.invocation_metadata() or ())
+        given = metadata.get(INNER_KEY_METADATA, "")
+        if not hmac.compare_digest(given.encode(), self._inner_key):
+            self._counters.increment(f"inner.{name}.refused")
+            await context.abort(
+                grpc.StatusCode.UNAUTHENTICATED,
+                "wrong inner key; give all routers the same --inner-key",
+            )
+        self._counters.increment(f"inner.{name}.served")
+        return await getattr(self._handlers, name)(request)
+
+    async def Exchange(  # noqa: N802
+        self, request: node_pb2.NodeReport, context: Any
+    ) -> node_pb2.NodeReport:
+        """Serves the call of the same name."""
+        return await self._serve("exchange", request, context)
+
+    async def HoldBills(  # noqa: N802
+        self, request: node_pb2.HoldBillsRequest, context: Any
+    ) -> node_pb2.HoldBillsReply:
+        """Serves the call of the same name."""
+        return await self._serve("hold_bills", request, context)
+
+    async def AnnounceChange(  # noqa: N802
+        self, request: node_pb2.ChangeAnnouncement, context: Any
+    ) -> node_pb2.ChangeAcknowledgement:
+        """Serves the call of the same name."""
+        return await self._serve("announce_change", request, context)
+
+    async def FetchState(  # noqa: N802
+        self, request: node_pb2.FetchStateRequest, context: Any
+    ) -> node_pb2.StateBundle:
+        """Serves the call of the same name."""
+        return await self._serve("fetch_state", request, context)
--- /dev/null
+++ b/tests/test_protocol.py
@@ -0,0 +1,76 @@
+"""Tests of the calls between routers over real gRPC."""
+
+import asyncio
+import unittest
+
+from dragonflydyke import errors, metrics, settings
+from dragonflydyke.protocol import client, node_pb2, server
+
+# Far above the reconnect back-off, for busy machines.
+_MAX_ATTEMPTS = 1_200
+_ATTEMPT_PERIOD_S = 0.05
+
+
+class _Handlers:
+    async def exchange(
+        self, report: node_pb2.NodeReport
+    ) -> node_pb2.NodeReport:
+        return node_pb2.NodeReport(vm=f"peer of {report.vm}")
+
+
+class ProtocolTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against calls without the key and peers that stay down."""
+
+    async def asyncSetUp(self) -> None:
+        self.counters = metrics.Counters()
+        self.port = await self._serve(0)
+
+    async def _serve(self, port: int) -> int:
+        self.server = server.NodeServer(
+            _Handlers(), inner_key="key", counters=self.counters
+        )
+        self.addAsyncCleanup(self.server.stop, 0)
+        return await self.server.start(settings.Address("127.0.0.1", port))
+
+    def _connect(self, inner_key: str) -> client.PeerClient:
+        peer = client.PeerClient(
+            f"127.0.0.1:{self.port}",
+            inner_key=inner_key,
+            counters=self.counters,
+        )
+        self.addAsyncCleanup(peer.close)
+        return peer
+
+    async def test_exchange_and_wrong_key(self) -> None:
+        """A call with the key is answered, one without is refused."""
+        report = node_pb2.NodeReport(vm="a")
+        answer = await self._connect("key").exchange(report, timeout_s=30)
+        self.assertEqual("peer of a", answer.vm)
+        with self.assertRaises(errors.DragonflydykeError) as raised:
+            await self._connect("other").exchange(report, timeout_s=30)
+        self.assertEqual("peer_unavailable", raised.exception.code)
+        self.assertEqual(1, self.counters.total("inner.exchange.refused"))
+        self.assertEqual(1, self.counters.total("peer.exchange.failed"))
+
+    async def test_replaced_peer_is_reached_again(self) -> None:
+        """A client reaches a restarted peer without being made anew."""
+        peer = self._connect("key")
+        report = node_pb2.NodeReport(vm="a")
+        await peer.exchange(report, timeout_s=30)
+        await self.server.stop(0)
+        with self.assertRaises(errors.DragonflydykeError):
+            await peer.exchange(report, timeout_s=30)
+        await self._serve(self.port)
+        for _ in range(_MAX_ATTEMPTS):
+            try:
+                answer = await peer.exchange(report, timeout_s=30)
+            except errors.DragonflydykeError:
+                await asyncio.sleep(_ATTEMPT_PERIOD_S)
+                continue
+            self.assertEqual("peer of a", answer.vm)
+            return
+        self.fail("the restarted peer was not reached")
+
+
+if __name__ == "__main__":
+    unittest.main()
