--- /dev/null
+++ b/src/dragonflydyke/membership/contacts.py
@@ -0,0 +1,188 @@
+"""Newest reports of the other routers and who is heard."""
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+from dragonflydyke import metrics, objects
+from dragonflydyke.protocol import node_pb2
+
+HEARD_S = 2.5
+# Counts of a restarted router still belong to a running roll-out.
+_RETAIN_S = 600.0
+_ENTRY_ROLE = "entry"
+_LEAVING = "leaving"
+
+
+@dataclasses.dataclass(slots=True)
+class Contact:
+    """Newest report of one incarnation of a VM.
+
+    Attributes:
+        report: The newest report by the sender's clock.
+        made_s: Loop time before which no part of the report was made.
+        received_s: Loop time of its arrival.
+    """
+
+    report: node_pb2.NodeReport
+    made_s: float
+    received_s: float
+
+
+class Contacts:
+    """Reports, the VM list and what follows from both.
+
+    Ages are computed from timestamps at the time of each question, so that a
+    process that was paused does not trust what it heard before.
+    """
+
+    __slots__ = ("_contacts", "_counters", "_own_name", "_vms")
+
+    def __init__(self, own_name: str, counters: metrics.Counters) -> None:
+        """Creates contacts without reports.
+
+        Args:
+            own_name: Name of this node's VM.
+            counters: Receives `contacts.late_report` and
+                `contacts.empty_vm_list`.
+        """
+        self._own_name = own_name
+        self._counters = counters
+        self._contacts: dict[tuple[str, int], Contact] = {}
+        self._vms: objects.VmList | None = None
+
+    @property
+    def vms(self) -> objects.VmList | None:
+        """The newest VM list, or None before the first one."""
+        return self._vms
+
+    def set_vms(self, vms: objects.VmList) -> None:
+        """Replaces the VM list unless the new one is older or lost all VMs.
+
+        An empty list after a filled one would let every isolated node count
+        as a majority.
+        """
+        if self._vms is not None:
+            if vms.as_of_ms < self._vms.as_of_ms:
+                self._counters.increment("contacts.old_vm_list")
+                return
+            if self._vms.vms and not vms.vms:
+                self._counters.increment("contacts.empty_vm_list")
+                return
+        self._vms = vms
+
+    def entry_vms(self) -> tuple[objects.ListedVm, ...]:
+        """Returns the listed entry VMs."""
+        if self._vms is None:
+            return ()
+        return tuple(vm for vm in self._vms.vms if vm.role == _ENTRY_ROLE)
+
+    def record(
+        self, report: node_pb2.NodeReport, made_s: float, now_s: float
+    ) -> bool:
+        """Records a report; returns whether it is the newest of its VM.
+
+        Args:
+            report: Report of another VM.
+            made_s: Loop time before which no part of the report was made.
+            now_s: Loop time of its arrival.
+        """
+        if report.vm == self._own_name:
+            return False
+        key = (report.vm, report.incarnation)
+        known = self._contacts.get(key)
+        if known and known.report.sent_at_ms > report.sent_at_ms:
+            self._counters.increment("contacts.late_report")
+            return False
+        if known:
+            made_s = max(made_s, known.made_s)
+        self._contacts[key] = Contact(report, made_s, now_s)
+        self._drop_old(now_s)
+        return self.newest(report.vm) is self._contacts[key]
+
+    def newest(self, vm: str) -> Contact | None:
+        """Returns the newest contact of a VM over its incarnations."""
+        return max(
+            (c for (name, _), c in self._contacts.items() if name == vm),
+            key=lambda contact: contact.made_s,
+            default=None,
+        )
+
+    def heard_contacts(self, now_s: float) -> dict[str, Contact]:
+        """Returns the VMs heard directly, with their newest reports."""
+        heard: dict[str, Contact] = {}
+        for (name, _), contact in self._contacts.items():
+            if now_s - contact.made_s > HEARD_S:
+                continue
+            known = heard.get(name)
+            if known is None or known.made_s < contact.made_s:
+                heard[name] = contact
+        return heard
+
+    def heard(self, now_s: float) -> frozenset[str]:
+        """Returns the names of all heard VMs and of this one."""
+        direct = self.heard_contacts(now_s)
+        names = {self._own_name, *direct}
+        for contact in direct.values():
+            names.update(contact.report.heard_vms)
+        return frozenset(names)
+
+    def is_majority(self, names: Iterable[str]) -> bool:
+        """Returns whether some VMs are more than half of the entry VMs.
+
+        This node is its own majority when the list has no entry VMs. Without
+        any list there is no majority.
+        """
+        if self._vms is None:
+            return False
+        listed = {vm.name for vm in self.entry_vms()} or {self._own_name}
+        return 2 * len(listed.intersection(names)) > len(listed)
+
+    def highest_revision(self, now_s: float) -> int:
+        """Returns the highest revision in the reports of heard VMs."""
+        return max(
+            (
+                max(c.report.revision, c.report.heard_revision)
+                for c in self.heard_contacts(now_s).values()
+            ),
+            default=0,
+        )
+
+    def pending(self, now_s: float) -> int:
+        """Returns the announcements pending at heard VMs."""
+        return sum(
+            c.report.pending_announcements + c.report.heard_pending
+            for c in self.heard_contacts(now_s).values()
+        )
+
+    def leaving_vms(self) -> frozenset[str]:
+        """Returns VMs of all roles that are leaving by list or report."""
+        listed = self._vms.vms if self._vms else ()
+        leaving = {vm.name for vm in listed if vm.state == _LEAVING}
+        for name in {name for name, _ in self._contacts}:
+            contact = self.newest(name)
+            if contact.report.state == node_pb2.NODE_STATE_LEAVING:
+                leaving.add(name)
+        return frozenset(leaving)
+
+    def fleet_demands(
+        self, now_s: float
+    ) -> Mapping[str, tuple[node_pb2.AccountDemand, ...]]:
+        """Returns the demands of each VM that is heard directly."""
+        return {
+            name: tuple(contact.report.demands)
+            for name, contact in self.heard_contacts(now_s).items()
+        }
+
+    def fleet_version_counts(
+        self,
+    ) -> Mapping[tuple[str, int], tuple[node_pb2.VersionCounts, ...]]:
+        """Returns the newest counts by VM and incarnation."""
+        return {
+            key: tuple(contact.report.version_counts)
+            for key, contact in self._contacts.items()
+        }
+
+    def _drop_old(self, now_s: float) -> None:
+        for key, contact in tuple(self._contacts.items()):
+            if now_s - contact.received_s > _RETAIN_S:
+                del self._contacts[key]
--- /dev/null
+++ b/src/dragonflydyke/membership/exchange.py
@@ -0,0 +1,307 @@
+"""Calls to the other routers: reports, announcements, state fetch."""
+
+import asyncio
+import json
+import math
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+from dragonflydyke import errors, logs, metrics, objects
+from dragonflydyke.membership import (
+    confirmations,
+    contacts,
+    reports,
+    state,
+)
+from dragonflydyke.protocol import node_pb2
+
+EXCHANGE_TIMEOUT_S = 1.0
+_ANNOUNCE_TIMEOUT_S = 1.0
+_FETCH_TIMEOUT_S = 2.0
+# A fetch from a dead peer must not keep a live one from being asked.
+_MAX_FETCHES = 3
+_UNREACHABLE_S = 5.0
+_MS_PER_S = 1_000
+
+_logger = logs.get_logger("membership.exchange")
+
+
+class Peer(Protocol):
+    """What membership needs of a client of another router."""
+
+    async def exchange(
+        self, report: node_pb2.NodeReport, *, timeout_s: float
+    ) -> node_pb2.NodeReport:
+        """Sends a report and returns the peer's."""
+
+    async def announce_change(
+        self, announcement: node_pb2.ChangeAnnouncement, *, timeout_s: float
+    ) -> node_pb2.ChangeAcknowledgement:
+        """Announces a change or its outcome."""
+
+    async def fetch_state(
+        self, request: node_pb2.FetchStateRequest, *, timeout_s: float
+    ) -> node_pb2.StateBundle:
+        """Fetches the peer's control objects."""
+
+    async def close(self) -> None:
+        """Closes the connection."""
+
+
+Connect = Callable[[str], Peer]
+
+
+class PeerExchange:
+    """Keeps one client per peer address and learns from its answers."""
+
+    __slots__ = (
+        "_confirmations",
+        "_connect",
+        "_contacts",
+        "_counters",
+        "_failed_s",
+        "_fetching",
+        "_peers",
+        "_reports",
+        "_running",
+        "_state",
+        "_tasks",
+    )
+
+    def __init__(
+        self,
+        connect: Connect,
+        state_store: state.StateStore,
+        confirmed: confirmations.Confirmations,
+        known_contacts: contacts.Contacts,
+        report_builder: reports.ReportBuilder,
+        counters: metrics.Counters,
+    ) -> None:
+        """Creates an exchange without connections.
+
+        Args:
+            connect: Returns the client of an inner address.
+            state_store: Adopts fetched control objects.
+            confirmed: Receives the peers' confirmations.
+            known_contacts: Receives reports and, if it has none, the VM list.
+            report_builder: Builds this node's reports.
+            counters: Receives `exchange.<outcome>` and `fetch.<outcome>`.
+        """
+        self._connect = connect
+        self._state = state_store
+        self._confirmations = confirmed
+        self._contacts = known_contacts
+        self._reports = report_builder
+        self._counters = counters
+        self._peers: dict[str, Peer] = {}
+        self._running: set[str] = set()
+        self._fetching: set[str] = set()
+        self._failed_s: dict[str, float] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def peer(self, address: str) -> Peer:
+        """Returns the client of an inner address."""
+        if address not in self._peers:
+            self._peers[address] = self._connect(address)
+        return self._peers[address]
+
+    def is_reachable(self, address: str) -> bool:
+        """Returns whether no call to a peer failed in the last seconds."""
+        failed_s = self._failed_s.get(address, -math.inf)
+        return _now_s() - failed_s > _UNREACHABLE_S
+
+    def start_exchange(self, address: str, name: str = "") -> None:
+        """Sends a report unless the last one to this peer is under way."""
+        if address in self._running:
+            self._counters.increment("exchange.still_running")
+            return
+        self._running.add(address)
+        self.spawn(self.exchange(address, name))
+
+    def start_fetch(self, address: str) -> None:
+        """Fetches state unless enough fetches are under way."""
+        if address in self._fetching or len(self._fetching) >= _MAX_FETCHES:
+            return
+        self._fetching.add(address)
+        self.spawn(self.fetch(address))
+
+    async def exchange(self, address: str, name: str = "") -> None:
+        """Sends a report and learns from the answer; counts a failure."""
+        sent_s = _now_s()
+        report = self._reports.build(name)
+        try:
+            answer = await self.peer(address).exchange(
+                report, timeout_s=EXCHANGE_TIMEOUT_S
+            )
+        except errors.DragonflydykeError:
+            self._failed_s[address] = _now_s()
+            self._counters.increment("exchange.failed")
+            return
+        finally:
+            self._running.discard(address)
+        self._failed_s.pop(address, None)
+        self._counters.increment("exchange.answered")
+        # The answer was made after the request was sent, however late it is.
+        self.learn(answer, sent_s, address)
+
+    def learn(
+        self, report: node_pb2.NodeReport, made_s: float, address: str
+    ) -> None:
+        """Records a report and fetches state that is newer than ours.
+
+        Args:
+            report: Report of a peer.
+            made_s: Loop time before which it was not made.
+            address: Inner address of the peer.
+        """
+        self._contacts.record(report, made_s, _now_s())
+        if report.has_confirmation and made_s > -math.inf:
+            age_s = report.confirmation_age_ms / _MS_PER_S
+            self._confirmations.record(made_s - age_s, report.control_version)
+        newer = report.control_version > self._state.control_version
+        if newer or report.revision > self._state.revision:
+            self.start_fetch(address)
+
+    async def fetch(self, address: str) -> None:
+        """Adopts a peer's control objects; counts a failure."""
+        sent_s = _now_s()
+        request = node_pb2.FetchStateRequest(
+            since_control_version=self._state.control_version
+        )
+        try:
+            bundle = await self.peer(address).fetch_state(
+                request, timeout_s=_FETCH_TIMEOUT_S
+            )
+        except errors.DragonflydykeError:
+            self._counters.increment("fetch.failed")
+            return
+        finally:
+            self._fetching.discard(address)
+        self._counters.increment("fetch.answered")
+        self._adopt(bundle, sent_s)
+
+    async def announce(
+        self,
+        announcement: node_pb2.ChangeAnnouncement,
+        addresses: Iterable[str],
+    ) -> frozenset[str]:
+        """Returns the names of the VMs that acknowledged."""
+        answers = await asyncio.gather(
+            *(self._announce(address, announcement) for address in addresses)
+        )
+        return frozenset(name for name in answers if name)
+
+    def spawn(self, work: Any) -> None:
+        """Runs a coroutine until it ends or the exchange is closed."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._forget)
+
+    async def retain(self, addresses: frozenset[str]) -> None:
+        """Closes the clients of all other addresses."""
+        for address in tuple(self._peers):
+            if address in addresses or address in self._running:
+                continue
+            self._failed_s.pop(address, None)
+            await self._peers.pop(address).close()
+
+    async def close(self) -> None:
+        """Ends all calls and closes all clients."""
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for peer in tuple(self._peers.values()):
+            await peer.close()
+        self._peers.clear()
+
+    async def _announce(
+        self, address: str, announcement: node_pb2.ChangeAnnouncement
+    ) -> str:
+        try:
+            answer = await self.peer(address).announce_change(
+                announcement, timeout_s=_ANNOUNCE_TIMEOUT_S
+            )
+        except errors.DragonflydykeError:
+            self._counters.increment("announce.failed")
+            return ""
+        return answer.vm
+
+    def _adopt(self, bundle: node_pb2.StateBundle, sent_s: float) -> None:
+        stored = tuple(
+            objects.StoredObject(
+                state.CONTROL_KIND,
+                entry.name,
+                entry.version,
+                json.loads(entry.value),
+            )
+            for entry in bundle.objects
+        )
+        deleted = set(self._state.stored).difference(bundle.object_names)
+        try:
+            self._state.adopt(stored, bundle.control_version, deleted)
+        except errors.InvariantError as error:
+            self._counters.increment("invariant.broken")
+            _logger.critical("peer state refused", error=str(error))
+            return
+        if self._contacts.vms is None and bundle.vms:
+            self._contacts.set_vms(_parse_vms(bundle))
+        if bundle.has_confirmation:
+            age_s = bundle.confirmation_age_ms / _MS_PER_S
+            self._confirmations.record(sent_s - age_s, bundle.control_version)
+
+    def _forget(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._counters.increment("exchange.fault")
+            _logger.error("call to peer failed", error=repr(task.exception()))
+
+
+def build_bundle(
+    request: node_pb2.FetchStateRequest,
+    state_store: state.StateStore,
+    confirmed: confirmations.Confirmations,
+    vms: objects.VmList | None,
+) -> node_pb2.StateBundle:
+    """Returns the control objects in force that the caller does not have."""
+    bundle = node_pb2.StateBundle(
+        control_version=state_store.control_version,
+        revision=state_store.revision,
+        object_names=tuple(state_store.stored),
+    )
+    for entry in state_store.stored.values():
+        if entry.version > request.since_control_version:
+            bundle.objects.add(
+                name=entry.name,
+                version=entry.version,
+                value=json.dumps(entry.value).encode(),
+            )
+    for vm in vms.vms if vms else ():
+        bundle.vms.add(
+            name=vm.name,
+            data_centre=vm.data_centre,
+            role=vm.role,
+            inner_address=vm.inner_address,
+            state=vm.state,
+        )
+    age_s = confirmed.newest_age(_now_s())
+    if age_s is not None:
+        bundle.has_confirmation = True
+        bundle.confirmation_age_ms = reports.to_age_ms(age_s)
+    return bundle
+
+
+def _parse_vms(bundle: node_pb2.StateBundle) -> objects.VmList:
+    # Time 0, so that any list read from the platform replaces it.
+    return objects.VmList(
+        0,
+        tuple(
+            objects.ListedVm(
+                vm.name, vm.data_centre, vm.role, vm.inner_address, vm.state
+            )
+            for vm in bundle.vms
+        ),
+    )
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/dragonflydyke/membership/node.py
@@ -0,0 +1,334 @@
+"""Membership of one router in the fleet."""
+
+import asyncio
+import dataclasses
+import secrets
+
+from dragonflydyke import logs, metrics, objects
+from dragonflydyke.membership import (
+    announcements,
+    confirmations,
+    contacts,
+    exchange,
+    keys,
+    permit,
+    poller,
+    relays,
+    reports,
+    state,
+    writer,
+)
+from dragonflydyke.protocol import node_pb2
+
+EXCHANGE_PERIOD_S = 1.0
+# Ordinary nodes read the platform themselves when their relays bring no
+# confirmation; two seconds remain until the permit would end.
+_OWN_POLL_AGE_S = 2.0
+_INCARNATION_BITS = 64
+
+_logger = logs.get_logger("membership.node")
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class MembershipSettings:
+    """Who this node is.
+
+    Attributes:
+        vm: Name of the VM as on the platform's list.
+        data_centre: Where it runs.
+        inner_address: `host:port` under which other routers reach it.
+        seed_peers: Inner addresses to ask when the platform is down at start.
+    """
+
+    vm: str
+    data_centre: str
+    inner_address: str
+    seed_peers: tuple[str, ...] = ()
+
+
+class Membership:
+    """Assembles state, permit, contacts, poller and writer.
+
+    Attributes:
+        identity: This node as its peers see it.
+        state: What is in force.
+        contacts: Reports of the other routers and the VM list.
+        permit: Whether this node may serve.
+        writer: Changes the configuration.
+        keys: Rotates the session keys.
+        peers: Clients of the other routers.
+    """
+
+    __slots__ = (
+        "_announcements",
+        "_confirmations",
+        "_counters",
+        "_heard",
+        "_poller",
+        "_reports",
+        "_settings",
+        "_tasks",
+        "contacts",
+        "identity",
+        "keys",
+        "peers",
+        "permit",
+        "state",
+        "writer",
+    )
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        object_store: objects.ObjectStore,
+        connect: exchange.Connect,
+        *,
+        parse: state.Parse,
+        check_transition: writer.CheckTransition,
+        counters: metrics.Counters,
+        sources: reports.ReportSources | None = None,
+    ) -> None:
+        """Assembles a membership; call it on the running loop.
+
+        Args:
+            settings: Who this node is.
+            object_store: The platform.
+            connect: Returns the client of an inner address.
+            parse: Validates the mapping of a document.
+            check_transition: Refuses forbidden changes between documents.
+            counters: Receives the counters of all parts.
+            sources: Demands and counts for the reports.
+        """
+        self._settings = settings
+        self._counters = counters
+        self.identity = reports.NodeIdentity(
+            settings.vm,
+            settings.data_centre,
+            settings.inner_address,
+            secrets.randbits(_INCARNATION_BITS) or 1,
+        )
+        self.state = state.StateStore(counters, parse)
+        self.contacts = contacts.Contacts(settings.vm, counters)
+        self.keys = keys.KeyRingKeeper(object_store, self.state, counters)
+        self._announcements = announcements.Announcements()
+        self._confirmations = confirmations.Confirmations(self.state)
+        self.permit = permit.ServingPermit(
+            settings.vm,
+            self.state,
+            self._confirmations,
+            self.contacts,
+            self._announcements,
+            counters,
+        )
+        self._reports = reports.ReportBuilder(
+            self.identity,
+            self.state,
+            self._confirmations,
+            self.contacts,
+            self._announcements,
+            self.permit,
+            sources or reports.ReportSources(),
+        )
+        self.peers = exchange.PeerExchange(
+            connect,
+            self.state,
+            self._confirmations,
+            self.contacts,
+            self._reports,
+            counters,
+        )
+        self._poller = poller.ControlPoller(
+            object_store,
+            self.state,
+            self._confirmations,
+            self.contacts,
+            self.keys,
+            counters,
+        )
+        self.writer = writer.ConfigurationWriter(
+            settings.vm,
+            object_store,
+            self.contacts,
+            self._announcements,
+            parse=parse,
+            check_transition=check_transition,
+            announce=self._announce,
+            adopt=self._adopt_written,
+            counters=counters,
+        )
+        self._heard: frozenset[str] = frozenset({settings.vm})
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def leaving(self) -> bool:
+        """Whether this node is about to stop."""
+        return self._reports.leaving
+
+    async def start(self) -> None:
+        """Reads the platform, or the seed peers, and starts the loops.
+
+        Returns whether or not either answered; the permit tells when this
+        node may serve.
+        """
+        await self._poller.poll_vms()
+        await self._poller.poll()
+        if self.state.current is None:
+            await self._fetch_from_seeds()
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self._poller.run(self._is_poll_due)),
+            loop.create_task(self._run_exchange()),
+        ]
+        for task in self._tasks:
+            task.add_done_callback(_report_end)
+
+    def set_leaving(self) -> None:
+        """Reports the state `leaving` from now on."""
+        if not self._reports.leaving:
+            self._reports.leaving = True
+            _logger.info("leaving")
+
+    async def stop(self) -> None:
+        """Tells the peers that this node leaves and ends all work."""
+        self.set_leaving()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(
+            *(
+                self.peers.exchange(address, name)
+                for address, name in self._targets().items()
+            )
+        )
+        await self.writer.stop()
+        await self.peers.close()
+
+    async def exchange(
+        self, report: node_pb2.NodeReport
+    ) -> node_pb2.NodeReport:
+        """Serves `Exchange`."""
+        now_s = asyncio.get_running_loop().time()
+        made_s = self._reports.bound_request(report, now_s)
+        if report.vm != self._settings.vm:
+            self.peers.learn(report, made_s, report.inner_address)
+        return self._reports.build(report.vm)
+
+    async def announce_change(
+        self, announcement: node_pb2.ChangeAnnouncement
+    ) -> node_pb2.ChangeAcknowledgement:
+        """Serves `AnnounceChange`."""
+        now_s = asyncio.get_running_loop().time()
+        self._announcements.record(announcement, now_s)
+        self._counters.increment("announce.received")
+        written = announcement.resolved and announcement.written
+        if written and announcement.revision > self.state.revision:
+            contact = self.contacts.newest(announcement.acceptor)
+            if contact is not None:
+                self.peers.start_fetch(contact.report.inner_address)
+        return node_pb2.ChangeAcknowledgement(
+            vm=self._settings.vm, revision=self.state.revision
+        )
+
+    async def fetch_state(
+        self, request: node_pb2.FetchStateRequest
+    ) -> node_pb2.StateBundle:
+        """Serves `FetchState`."""
+        return exchange.build_bundle(
+            request, self.state, self._confirmations, self.contacts.vms
+        )
+
+    def _is_poll_due(self) -> bool:
+        listed = self.contacts.entry_vms()
+        if self._settings.vm in relays.select_relays(listed):
+            return True
+        now_s = asyncio.get_running_loop().time()
+        age_s = self._confirmations.newest_age(now_s)
+        return age_s is None or age_s > _OWN_POLL_AGE_S
+
+    async def _run_exchange(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            next_s = loop.time() + EXCHANGE_PERIOD_S
+            try:
+                await self._exchange_once()
+            except Exception as error:
+                # Without this loop the node would stay silent until restart.
+                self._counters.increment("exchange.fault")
+                _logger.error("exchange failed", error=repr(error))
+            await asyncio.sleep(max(0.0, next_s - loop.time()))
+
+    async def _exchange_once(self) -> None:
+        for address, name in self._targets().items():
+            self.peers.start_exchange(address, name)
+        if self.state.current is None:
+            self.peers.spawn(self._fetch_from_seeds())
+        await self.peers.retain(self._known_addresses())
+        self._log_heard(asyncio.get_running_loop().time())
+        self.permit.rule()  # Logs a change even without requests.
+
+    def _targets(self) -> dict[str, str]:
+        """Returns addresses to exchange reports with, and VM names."""
+        listed = self.contacts.entry_vms()
+        addresses = {vm.name: vm.inner_address for vm in listed}
+        chosen = relays.select_targets(
+            self._settings.vm,
+            self._settings.data_centre,
+            listed,
+            lambda name: self.peers.is_reachable(addresses[name]),
+        )
+        targets = {vm.inner_address: vm.name for vm in chosen}
+        if not listed:
+            targets = {address: "" for address in self._seeds()}
+        return targets
+
+    def _seeds(self) -> tuple[str, ...]:
+        own = self._settings.inner_address
+        return tuple(a for a in self._settings.seed_peers if a != own)
+
+    def _known_addresses(self) -> frozenset[str]:
+        listed = {vm.inner_address for vm in self.contacts.entry_vms()}
+        reported = {
+            contact.report.inner_address
+            for contact in self.contacts.heard_contacts(
+                asyncio.get_running_loop().time()
+            ).values()
+        }
+        return frozenset(listed | reported | set(self._seeds()))
+
+    async def _fetch_from_seeds(self) -> None:
+        await asyncio.gather(
+            *(self.peers.fetch(address) for address in self._seeds())
+        )
+
+    async def _announce(
+        self,
+        announcement: node_pb2.ChangeAnnouncement,
+        names: frozenset[str] | None,
+    ) -> frozenset[str]:
+        addresses = [
+            vm.inner_address
+            for vm in self.contacts.entry_vms()
+            if vm.name != self._settings.vm
+            and (names is None or vm.name in names)
+        ]
+        return await self.peers.announce(announcement, addresses)
+
+    async def _adopt_written(self, stored: objects.StoredObject | None) -> None:
+        if stored is not None:
+            # Other control objects may lie between the version adopted and
+            # that of the write; the next poll brings them.
+            self.state.adopt((stored,), self.state.control_version)
+        self.peers.spawn(self._poller.poll())
+
+    def _log_heard(self, now_s: float) -> None:
+        heard = self.contacts.heard(now_s)
+        for name in sorted(heard - self._heard):
+            _logger.info("peer heard", peer=name)
+        for name in sorted(self._heard - heard):
+            _logger.warning("peer lost", peer=name)
+        self._heard = heard
+
+
+def _report_end(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        _logger.critical("membership loop ended", error=repr(task.exception()))
--- /dev/null
+++ b/src/dragonflydyke/membership/permit.py
@@ -0,0 +1,140 @@
+"""The permit to serve new requests."""
+
+import asyncio
+import enum
+
+from dragonflydyke import errors, logs, metrics
+from dragonflydyke.membership import (
+    announcements,
+    confirmations,
+    contacts,
+    state,
+)
+
+# An announcement that this node acknowledged before a restart may be pending
+# for as long, and this incarnation does not know of it.
+STARTING_S = announcements.PENDING_S
+_RETRY_AFTER_S = 1.0
+
+_logger = logs.get_logger("membership.permit")
+
+
+class PermitRule(enum.Enum):
+    """Why a node may serve."""
+
+    CONFIRMED = "confirmed"
+    PLATFORM_OUTAGE = "platform_outage"
+
+
+class ServingPermit:
+    """Decides from timestamps, at each check, whether this node may serve."""
+
+    __slots__ = (
+        "_announcements",
+        "_confirmations",
+        "_contacts",
+        "_counters",
+        "_last_rule",
+        "_own_name",
+        "_started_s",
+        "_state",
+    )
+
+    def __init__(
+        self,
+        own_name: str,
+        state_store: state.StateStore,
+        confirmed: confirmations.Confirmations,
+        known_contacts: contacts.Contacts,
+        announced: announcements.Announcements,
+        counters: metrics.Counters,
+    ) -> None:
+        """Creates a permit of a process that starts now."""
+        self._own_name = own_name
+        self._state = state_store
+        self._confirmations = confirmed
+        self._contacts = known_contacts
+        self._announcements = announced
+        self._counters = counters
+        self._started_s = asyncio.get_running_loop().time()
+        self._last_rule: PermitRule | None = None
+
+    def check(self) -> None:
+        """Raises unless this node may serve a new request.
+
+        Raises:
+            DragonflydykeError: `not_confirmed`; the request did not run.
+        """
+        if self.holds():
+            return
+        self._counters.increment("refusal.not_confirmed")
+        raise errors.DragonflydykeError(
+            "not_confirmed",
+            "this router cannot confirm that its configuration is current; "
+            "retry, and another router will answer",
+            step=errors.Step.ADMIT,
+            retry_after_s=_RETRY_AFTER_S,
+            status=503,
+        )
+
+    def holds(self) -> bool:
+        """Returns whether this node may serve a new request."""
+        return self.rule() is not None
+
+    def rule(self) -> PermitRule | None:
+        """Returns the rule that permits serving now, or None."""
+        rule = self._evaluate(asyncio.get_running_loop().time())
+        if rule is not self._last_rule:
+            self._log_change(rule)
+        return rule
+
+    def is_starting(self) -> bool:
+        """Returns whether a restart may have lost announcements."""
+        now_s = asyncio.get_running_loop().time()
+        return now_s - self._started_s < STARTING_S
+
+    def _evaluate(self, now_s: float) -> PermitRule | None:
+        if self._state.current is None:
+            return None
+        if self._confirmations.is_confirmed(now_s):
+            return PermitRule.CONFIRMED
+        if self._is_outage_permitted(now_s):
+            return PermitRule.PLATFORM_OUTAGE
+        return None
+
+    def _is_outage_permitted(self, now_s: float) -> bool:
+        revision = self._state.revision
+        confirmed_s = self._confirmations.newest_s()
+        if self._announcements.count(revision, confirmed_s) > 0:
+            return False
+        if self._contacts.pending(now_s) > 0:
+            return False
+        if self._contacts.highest_revision(now_s) > revision:
+            return False
+        return self._contacts.is_majority(self._list_counting_vms(now_s))
+
+    def _list_counting_vms(self, now_s: float) -> set[str]:
+        """Returns the heard VMs without those that started recently.
+
+        A VM that acknowledged a change and restarted does not report the
+        change as pending, so it must not stand for the majority that did.
+        """
+        names = set(self._contacts.heard(now_s))
+        if self.is_starting():
+            names.discard(self._own_name)
+        starting_ms = STARTING_S * 1_000
+        for name, contact in self._contacts.heard_contacts(now_s).items():
+            names.difference_update(contact.report.starting_vms)
+            if contact.report.uptime_ms < starting_ms:
+                names.discard(name)
+        return names
+
+    def _log_change(self, rule: PermitRule | None) -> None:
+        before = self._last_rule.value if self._last_rule else "none"
+        self._last_rule = rule
+        if rule is None:
+            _logger.warning("serving permit lost", before=before)
+            self._counters.increment("permit.lost")
+            return
+        _logger.info("serving permit held", rule=rule.value, before=before)
+        self._counters.increment(f"permit.{rule.value}")
--- /dev/null
+++ b/src/dragonflydyke/membership/poller.py
@@ -0,0 +1,147 @@
+"""Polling of the control objects and the VM list."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from dragonflydyke import errors, logs, metrics, objects
+from dragonflydyke.membership import confirmations, contacts, keys, state
+
+POLL_PERIOD_S = 1.0
+VM_LIST_PERIOD_S = 2.0
+
+_logger = logs.get_logger("membership.poller")
+
+
+class ControlPoller:
+    """Reads the platform and records when it confirmed the state in force."""
+
+    __slots__ = (
+        "_confirmations",
+        "_contacts",
+        "_counters",
+        "_keys",
+        "_newest_store_version",
+        "_objects",
+        "_reachable",
+        "_state",
+    )
+
+    def __init__(
+        self,
+        object_store: objects.ObjectStore,
+        state_store: state.StateStore,
+        confirmed: confirmations.Confirmations,
+        known_contacts: contacts.Contacts,
+        key_keeper: keys.KeyRingKeeper,
+        counters: metrics.Counters,
+    ) -> None:
+        """Creates a poller.
+
+        Args:
+            object_store: The platform.
+            state_store: Adopts what is read.
+            confirmed: Receives a confirmation for each complete read.
+            known_contacts: Receives the VM list.
+            key_keeper: Creates missing session keys.
+            counters: Receives `poll.<outcome>` and `poll_vms.<outcome>`.
+        """
+        self._objects = object_store
+        self._state = state_store
+        self._confirmations = confirmed
+        self._contacts = known_contacts
+        self._keys = key_keeper
+        self._counters = counters
+        self._newest_store_version = 0
+        self._reachable: bool | None = None
+
+    async def run(self, is_due: Callable[[], bool]) -> None:
+        """Polls until cancelled.
+
+        Args:
+            is_due: Whether this node needs to read the control objects now.
+        """
+        async with asyncio.TaskGroup() as group:
+            group.create_task(
+                self._repeat(POLL_PERIOD_S, lambda: self._poll_if(is_due))
+            )
+            group.create_task(self._repeat(VM_LIST_PERIOD_S, self.poll_vms))
+
+    async def poll(self) -> bool:
+        """Reads the control objects once; returns whether that succeeded."""
+        started_s = asyncio.get_running_loop().time()
+        try:
+            listed = await self._objects.list(
+                state.CONTROL_KIND, since=self._state.control_version
+            )
+        except errors.DragonflydykeError:
+            self._counters.increment("poll.failed")
+            self._note_reachable(False)
+            return False
+        self._note_reachable(True)
+        if not self._adopt(listed):
+            return False
+        self._counters.increment("poll.confirmed")
+        # The read saw the platform at some time after it was started.
+        self._confirmations.record_own(started_s, self._state.control_version)
+        await self._keys.ensure()
+        return True
+
+    async def poll_vms(self) -> None:
+        """Reads the VM list once; a failed read keeps the last list."""
+        try:
+            vms = await self._objects.list_vms()
+        except errors.DragonflydykeError:
+            self._counters.increment("poll_vms.failed")
+            return
+        self._counters.increment("poll_vms.read")
+        self._contacts.set_vms(vms)
+
+    async def _poll_if(self, is_due: Callable[[], bool]) -> None:
+        if is_due():
+            await self.poll()
+
+    def _adopt(self, listed: objects.ObjectList) -> bool:
+        known_version = max(
+            self._newest_store_version, self._state.control_version
+        )
+        if listed.version < known_version:
+            self._counters.increment("poll.stale_read")
+            return False
+        self._newest_store_version = listed.version
+        version = self._state.control_version
+        for entry in listed.objects:
+            version = max(version, entry.version)
+        known = self._state.stored
+        if any(name in known for name in listed.deleted):
+            # The list does not say at which version an object was deleted.
+            version = listed.version
+        try:
+            return self._state.adopt(listed.objects, version, listed.deleted)
+        except errors.InvariantError as error:
+            self._counters.increment("invariant.broken")
+            _logger.critical("platform state refused", error=str(error))
+            return False
+
+    def _note_reachable(self, reachable: bool) -> None:
+        if reachable is self._reachable:
+            return
+        self._reachable = reachable
+        if reachable:
+            _logger.info("platform reached")
+        else:
+            _logger.warning("platform not reached")
+
+    async def _repeat(
+        self, period_s: float, run: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Runs something at each period; a slow run delays the next one."""
+        loop = asyncio.get_running_loop()
+        while True:
+            next_s = loop.time() + period_s
+            try:
+                await run()
+            except Exception as error:
+                # An answer that cannot be parsed must not end the polling.
+                self._counters.increment("poll.fault")
+                _logger.error("poll failed", error=repr(error))
+            await asyncio.sleep(max(0.0, next_s - loop.time()))
--- /dev/null
+++ b/src/dragonflydyke/membership/relays.py
@@ -0,0 +1,59 @@
+"""Choice of the routers that poll the platform and pass on reports."""
+
+import hashlib
+from collections.abc import Callable, Iterable
+
+from dragonflydyke import objects
+
+FULL_MESH_MAX_VMS = 16
+RELAYS_PER_DATA_CENTRE = 4
+RELAYS_PER_NODE = 2
+
+
+def _weight(*parts: str) -> bytes:
+    return hashlib.sha256("\0".join(parts).encode()).digest()
+
+
+def select_relays(vms: Iterable[objects.ListedVm]) -> frozenset[str]:
+    """Returns the names of all relays among the listed entry VMs."""
+    listed = tuple(vms)
+    if len(listed) <= FULL_MESH_MAX_VMS:
+        return frozenset(vm.name for vm in listed)
+    by_data_centre: dict[str, list[str]] = {}
+    for vm in listed:
+        by_data_centre.setdefault(vm.data_centre, []).append(vm.name)
+    chosen: set[str] = set()
+    for data_centre, names in by_data_centre.items():
+        names.sort(key=lambda name: _weight(data_centre, name))
+        chosen.update(names[:RELAYS_PER_DATA_CENTRE])
+    return frozenset(chosen)
+
+
+def select_targets(
+    own_name: str,
+    own_data_centre: str,
+    vms: Iterable[objects.ListedVm],
+    is_reachable: Callable[[str], bool],
+) -> tuple[objects.ListedVm, ...]:
+    """Returns the VMs with which a node exchanges reports.
+
+    Args:
+        own_name: Name of the node's VM.
+        own_data_centre: Its data centre.
+        vms: Listed entry VMs.
+        is_reachable: Whether the last call to a VM succeeded or is long ago;
+            ordinary nodes prefer such relays.
+    """
+    listed = tuple(vms)
+    relays = select_relays(listed)
+    others = tuple(
+        vm for vm in listed if vm.name in relays and vm.name != own_name
+    )
+    if own_name in relays or len(listed) <= FULL_MESH_MAX_VMS:
+        return others
+    near = [vm for vm in others if vm.data_centre == own_data_centre]
+    ranked = sorted(
+        near or others,
+        key=lambda vm: (not is_reachable(vm.name), _weight(own_name, vm.name)),
+    )
+    return tuple(ranked[:RELAYS_PER_NODE])
--- /dev/null
+++ b/src/dragonflydyke/membership/reports.py
@@ -0,0 +1,164 @@
+"""Reports between routers and the ages in them."""
+
+import asyncio
+import dataclasses
+import math
+from collections.abc import Callable, Iterable
+
+from dragonflydyke.membership import (
+    announcements,
+    confirmations,
+    contacts,
+    permit,
+    relays,
+    state,
+)
+from dragonflydyke.protocol import node_pb2
+
+_MS_PER_S = 1_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NodeIdentity:
+    """This node as its peers see it.
+
+    Attributes:
+        vm: Name of the VM.
+        data_centre: Where it runs.
+        inner_address: `host:port` for other routers.
+        incarnation: Random per process start.
+    """
+
+    vm: str
+    data_centre: str
+    inner_address: str
+    incarnation: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReportSources:
+    """Parts of a report that other components own."""
+
+    demands: Callable[[], Iterable[node_pb2.AccountDemand]] = tuple
+    version_counts: Callable[[], Iterable[node_pb2.VersionCounts]] = tuple
+
+
+class ReportBuilder:
+    """Builds this node's reports and bounds the age of received ones."""
+
+    __slots__ = (
+        "_announcements",
+        "_confirmations",
+        "_contacts",
+        "_identity",
+        "_permit",
+        "_sources",
+        "_started_s",
+        "_state",
+        "leaving",
+    )
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        state_store: state.StateStore,
+        confirmed: confirmations.Confirmations,
+        known_contacts: contacts.Contacts,
+        announced: announcements.Announcements,
+        serving_permit: permit.ServingPermit,
+        sources: ReportSources,
+    ) -> None:
+        """Creates a builder for a process that starts now."""
+        self._identity = identity
+        self._state = state_store
+        self._confirmations = confirmed
+        self._contacts = known_contacts
+        self._announcements = announced
+        self._permit = serving_permit
+        self._sources = sources
+        self._started_s = asyncio.get_running_loop().time()
+        self.leaving = False
+
+    def build(self, receiver: str = "") -> node_pb2.NodeReport:
+        """Returns the report of this moment.
+
+        Args:
+            receiver: VM that receives it, if known; its newest report is
+                echoed, so that it can bound the age of this one.
+        """
+        now_s = asyncio.get_running_loop().time()
+        report = node_pb2.NodeReport(
+            vm=self._identity.vm,
+            data_centre=self._identity.data_centre,
+            incarnation=self._identity.incarnation,
+            inner_address=self._identity.inner_address,
+            state=node_pb2.NODE_STATE_SERVING,
+            revision=self._state.revision,
+            control_version=self._state.control_version,
+            pending_announcements=self._announcements.count(
+                self._state.revision, self._confirmations.newest_s()
+            ),
+            demands=self._sources.demands(),
+            version_counts=self._sources.version_counts(),
+            sent_at_ms=math.floor(now_s * _MS_PER_S),
+            uptime_ms=math.floor((now_s - self._started_s) * _MS_PER_S),
+        )
+        if self.leaving:
+            report.state = node_pb2.NODE_STATE_LEAVING
+        self._add_confirmations(report, now_s)
+        self._add_heard(report, now_s)
+        self._add_echo(report, receiver, now_s)
+        return report
+
+    def bound_request(self, report: node_pb2.NodeReport, now_s: float) -> float:
+        """Returns a loop time before which a received request was not made.
+
+        A request can wait in a socket for as long as this process is paused.
+        The sender echoes our clock of our newest report that it had and for
+        how long it had it; the request was made no earlier than that. Without
+        an echo nothing is known, and the bound is minus infinity.
+        """
+        if report.echo_incarnation != self._identity.incarnation:
+            return -math.inf
+        made_ms = report.echo_sent_at_ms + report.echo_held_ms
+        return min(made_ms / _MS_PER_S, now_s)
+
+    def _add_confirmations(
+        self, report: node_pb2.NodeReport, now_s: float
+    ) -> None:
+        age_s = self._confirmations.newest_age(now_s)
+        if age_s is not None:
+            report.has_confirmation = True
+            report.confirmation_age_ms = to_age_ms(age_s)
+        own_age_s = self._confirmations.own_age(now_s)
+        if own_age_s is not None:
+            report.has_platform = True
+            report.platform_age_ms = to_age_ms(own_age_s)
+
+    def _add_heard(self, report: node_pb2.NodeReport, now_s: float) -> None:
+        listed = self._contacts.entry_vms()
+        if self._identity.vm not in relays.select_relays(listed):
+            return
+        for name, contact in self._contacts.heard_contacts(now_s).items():
+            known = contact.report
+            report.heard_vms.append(name)
+            report.heard_revision = max(report.heard_revision, known.revision)
+            report.heard_pending += known.pending_announcements
+            if known.uptime_ms < permit.STARTING_S * _MS_PER_S:
+                report.starting_vms.append(name)
+
+    def _add_echo(
+        self, report: node_pb2.NodeReport, receiver: str, now_s: float
+    ) -> None:
+        contact = self._contacts.newest(receiver)
+        if contact is None:
+            return
+        report.echo_incarnation = contact.report.incarnation
+        report.echo_sent_at_ms = contact.report.sent_at_ms
+        held_s = now_s - contact.received_s
+        report.echo_held_ms = math.floor(held_s * _MS_PER_S)
+
+
+def to_age_ms(age_s: float) -> int:
+    """Returns an age in milliseconds, rounded up, for a 32-bit field."""
+    return min(math.ceil(max(age_s, 0.0) * _MS_PER_S), 2**32 - 1)
--- /dev/null
+++ b/src/dragonflydyke/membership/state.py
@@ -0,0 +1,262 @@
+"""The control objects in force on this node."""
+
+import dataclasses
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+from dragonflydyke import errors, logs, metrics, objects
+from dragonflydyke.configuration import model
+from dragonflydyke.rollouts import model as rollouts_model
+from dragonflydyke.sessions import model as sessions_model
+
+CONTROL_KIND = "control"
+CONFIG_NAME = "config"
+KEYS_NAME = "keys"
+ROLL_OUT_PREFIX = "rollout."
+
+_logger = logs.get_logger("membership.state")
+
+Parse = Callable[[Mapping[str, Any]], model.Document]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class InForce:
+    """One consistent set of control objects.
+
+    Attributes:
+        revision: Revision of the configuration.
+        document: The configuration.
+        key_ring: Keys that sign session tokens.
+        roll_outs: Decisions in force by name of the roll-out.
+        control_version: Store version up to which all control objects are
+            adopted.
+    """
+
+    revision: int
+    document: model.Document
+    key_ring: sessions_model.KeyRing
+    roll_outs: Mapping[str, rollouts_model.RollOutState]
+    control_version: int
+
+
+class StateStore:
+    """Adopts control objects and never goes back to a lower revision."""
+
+    __slots__ = (
+        "_control_version",
+        "_counters",
+        "_current",
+        "_document",
+        "_key_ring",
+        "_logged_version",
+        "_objects",
+        "_parse",
+        "_revision",
+        "_roll_outs",
+        "_subscribers",
+    )
+
+    def __init__(self, counters: metrics.Counters, parse: Parse) -> None:
+        """Creates an empty store.
+
+        Args:
+            counters: Receives `state.stale_read`, `state.unreadable` and
+                `state.adopted`.
+            parse: Turns the stored mapping of a document into the document.
+        """
+        self._counters = counters
+        self._parse = parse
+        self._objects: dict[str, objects.StoredObject] = {}
+        self._control_version = 0
+        self._revision = 0
+        self._logged_version = 0
+        self._document: model.Document | None = None
+        self._key_ring = sessions_model.KeyRing(())
+        self._roll_outs: dict[str, rollouts_model.RollOutState] = {}
+        self._current: InForce | None = None
+        self._subscribers: list[Callable[[InForce], None]] = []
+
+    @property
+    def current(self) -> InForce | None:
+        """What is in force, or None before a configuration is adopted."""
+        return self._current
+
+    @property
+    def control_version(self) -> int:
+        """Store version up to which all control objects are adopted."""
+        return self._control_version
+
+    @property
+    def revision(self) -> int:
+        """Revision in force, 0 before there is one."""
+        return self._revision
+
+    @property
+    def stored(self) -> Mapping[str, objects.StoredObject]:
+        """The adopted control objects by name."""
+        return self._objects
+
+    def subscribe(self, callback: Callable[[InForce], None]) -> None:
+        """Calls back with each new state in force."""
+        self._subscribers.append(callback)
+
+    def adopt(
+        self,
+        stored: Iterable[objects.StoredObject],
+        control_version: int,
+        deleted: Iterable[str] = (),
+    ) -> bool:
+        """Adopts control objects in one step.
+
+        Args:
+            stored: All control objects that are newer than the control
+                version of this store at the time of the read, or some of them
+                together with an unchanged control version.
+            control_version: Version up to which the objects are complete.
+            deleted: Names of objects deleted up to that version.
+
+        Returns:
+            Whether everything up to the control version is in force. False
+            for a stale read, and for a configuration that was accepted by
+            another build and that this one cannot read: confirmations must
+            not count for a node that keeps an older revision.
+
+        Raises:
+            InvariantError: If a newer object has a lower revision.
+        """
+        stale = control_version < self._control_version
+        # Objects newer than the control version are new even if the set that
+        # they came with is older.
+        fresh = [o for o in stored if not stale or o.version > self._floor(o)]
+        if stale and not fresh:
+            self._counters.increment("state.stale_read")
+            return False
+        for entry in fresh:
+            self._check_revision(entry)
+        complete = True
+        changed = False
+        for entry in sorted(fresh, key=lambda o: o.version):
+            known = self._objects.get(entry.name)
+            if known is not None and known.version >= entry.version:
+                continue
+            readable = self._apply(entry)
+            complete = complete and readable
+            changed = True
+        if not stale:
+            changed = self._remove(deleted, control_version) or changed
+        if complete and control_version > self._control_version:
+            self._control_version = control_version
+            changed = True
+        if changed:
+            self._publish()
+        return complete and not stale
+
+    def _floor(self, entry: objects.StoredObject) -> int:
+        known = self._objects.get(entry.name)
+        return max(self._control_version, known.version if known else 0)
+
+    def _apply(self, entry: objects.StoredObject) -> bool:
+        """Returns False if the object holds the control version back."""
+        try:
+            if entry.name == CONFIG_NAME:
+                self._apply_config(entry)
+            elif entry.name == KEYS_NAME:
+                self._key_ring = parse_key_ring(entry.value)
+            elif entry.name.startswith(ROLL_OUT_PREFIX):
+                name = entry.name.removeprefix(ROLL_OUT_PREFIX)
+                state = rollouts_model.parse_state(name, entry.value)
+                self._roll_outs = {**self._roll_outs, name: state}
+        # The parser is passed in, and a control object must never stop the
+        # poller, whatever was written there.
+        except Exception as error:
+            self._report_unreadable(entry, error)
+            if self._is_newer_revision(entry):
+                return False
+        self._objects[entry.name] = entry
+        return True
+
+    def _report_unreadable(
+        self, entry: objects.StoredObject, error: Exception
+    ) -> None:
+        self._counters.increment("state.unreadable")
+        if entry.version <= self._logged_version:
+            return
+        self._logged_version = entry.version
+        _logger.error(
+            "control object unreadable; the last state stays in force",
+            object=entry.name,
+            version=entry.version,
+            error=type(error).__name__,
+        )
+
+    def _is_newer_revision(self, entry: objects.StoredObject) -> bool:
+        if entry.name != CONFIG_NAME or not isinstance(entry.value, dict):
+            return False
+        revision = entry.value.get("revision")
+        return isinstance(revision, int) and revision > self._revision
+
+    def _check_revision(self, entry: objects.StoredObject) -> None:
+        if entry.name != CONFIG_NAME or not isinstance(entry.value, dict):
+            return
+        known = self._objects.get(CONFIG_NAME)
+        revision = entry.value.get("revision")
+        if not isinstance(revision, int):
+            return
+        older = known is not None and entry.version <= known.version
+        errors.check_invariant(
+            older or revision >= self._revision,
+            f"revision {revision} at version {entry.version} must not be "
+            f"lower than revision {self._revision} in force",
+        )
+
+    def _apply_config(self, entry: objects.StoredObject) -> None:
+        revision = entry.value["revision"]
+        if not isinstance(revision, int):
+            raise ValueError("revision is not a whole number")
+        if revision == self._revision:
+            return
+        self._document = self._parse(entry.value["document"])
+        self._revision = revision
+        self._counters.increment("state.adopted")
+        _logger.info(
+            "revision adopted", revision=revision, version=entry.version
+        )
+
+    def _remove(self, deleted: Iterable[str], control_version: int) -> bool:
+        removed = False
+        for name in deleted:
+            # Configuration and keys are never deleted by a router.
+            if name in (CONFIG_NAME, KEYS_NAME) or name not in self._objects:
+                continue
+            if self._objects[name].version > control_version:
+                continue
+            del self._objects[name]
+            removed = True
+            roll_out = name.removeprefix(ROLL_OUT_PREFIX)
+            self._roll_outs = {
+                k: v for k, v in self._roll_outs.items() if k != roll_out
+            }
+        return removed
+
+    def _publish(self) -> None:
+        if self._document is None:
+            return
+        self._current = InForce(
+            self._revision,
+            self._document,
+            self._key_ring,
+            self._roll_outs,
+            self._control_version,
+        )
+        for callback in self._subscribers:
+            callback(self._current)
+
+
+def parse_key_ring(value: Mapping[str, Any]) -> sessions_model.KeyRing:
+    """Parses the stored key ring; raises KeyError if a field is missing."""
+    return sessions_model.KeyRing(
+        tuple(
+            sessions_model.SessionKey(entry["key_id"], entry["secret"])
+            for entry in value["keys"]
+        )
+    )
--- /dev/null
+++ b/src/dragonflydyke/membership/writer.py
@@ -0,0 +1,509 @@
+"""Changes of the configuration, each accepted at most once."""
+
+import asyncio
+import dataclasses
+import time
+import uuid
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
+from typing import Any
+
+from dragonflydyke import errors, logs, metrics, objects
+from dragonflydyke.configuration import model
+from dragonflydyke.membership import announcements, contacts, state
+from dragonflydyke.protocol import node_pb2
+
+HISTORY_KIND = "history"
+_HISTORY_LIMIT = 20
+_REPEAT_S = 3.0
+# Leaves the write itself 5 s of the 10 s for which it is announced.
+_MAX_ANNOUNCEMENT_AGE_S = 5.0
+# Time for which the operator waits for the outcome of a lost answer.
+_FOREGROUND_S = 3.0
+_READ_BACK_PERIOD_S = 0.5
+_RESOLUTION_RETRY_S = 60.0
+_RETRY_AFTER_S = 5.0
+
+_logger = logs.get_logger("membership.writer")
+
+CheckTransition = Callable[[model.Document, model.Document], None]
+# Sends an announcement to other VMs and returns the names that acknowledged;
+# None as second argument means all listed VMs.
+Announce = Callable[
+    [node_pb2.ChangeAnnouncement, frozenset[str] | None],
+    Awaitable[frozenset[str]],
+]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AppliedChange:
+    """A revision of the configuration and where it came from.
+
+    Attributes:
+        revision: Number of the revision.
+        change_id: Unique per call of `apply`.
+        applied_at_ms: Unix time in milliseconds.
+        applied_by: Operator.
+        document: Mapping of the document.
+    """
+
+    revision: int
+    change_id: str
+    applied_at_ms: int
+    applied_by: str
+    document: Mapping[str, Any] = dataclasses.field(repr=False)
+
+    def to_mapping(self) -> dict[str, Any]:
+        """Returns the JSON value that the platform stores."""
+        return dataclasses.asdict(self)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Proposal:
+    change: AppliedChange
+    base_version: int | None
+
+    def announcement(self, acceptor: str) -> node_pb2.ChangeAnnouncement:
+        return node_pb2.ChangeAnnouncement(
+            acceptor=acceptor,
+            change_id=self.change.change_id,
+            revision=self.change.revision,
+        )
+
+
+class ConfigurationWriter:
+    """Validates, announces and writes revisions of the configuration."""
+
+    __slots__ = (
+        "_adopt",
+        "_announce",
+        "_announcements",
+        "_check_transition",
+        "_contacts",
+        "_counters",
+        "_objects",
+        "_own_name",
+        "_parse",
+        "_tasks",
+    )
+
+    def __init__(
+        self,
+        own_name: str,
+        object_store: objects.ObjectStore,
+        known_contacts: contacts.Contacts,
+        announced: announcements.Announcements,
+        *,
+        parse: state.Parse,
+        check_transition: CheckTransition,
+        announce: Announce,
+        adopt: Callable[[objects.StoredObject | None], Awaitable[None]],
+        counters: metrics.Counters,
+    ) -> None:
+        """Creates a writer.
+
+        Args:
+            own_name: Name of this node's VM.
+            object_store: The platform.
+            known_contacts: Tells the majority.
+            announced: Pending announcements of this node.
+            parse: Validates a document.
+            check_transition: Refuses forbidden changes between documents.
+            announce: Sends an announcement to other VMs.
+            adopt: Puts a written revision in force on this node; None if it
+                was replaced by a later one already.
+            counters: Receives `apply.<outcome>`.
+        """
+        self._own_name = own_name
+        self._objects = object_store
+        self._contacts = known_contacts
+        self._announcements = announced
+        self._parse = parse
+        self._check_transition = check_transition
+        self._announce = announce
+        self._adopt = adopt
+        self._counters = counters
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    async def apply(
+        self,
+        mapping: Mapping[str, Any],
+        applied_by: str,
+        base_revision: int | None = None,
+    ) -> AppliedChange:
+        """Makes a document the configuration of the whole fleet.
+
+        Args:
+            mapping: The document.
+            applied_by: Operator, for the history.
+            base_revision: Revision that the change was made from; 0 if there
+                must be none yet, None for whichever is present.
+
+        Raises:
+            DragonflydykeError: `no_majority`, `revision_conflict` or
+                `platform_unavailable` if the change was not accepted;
+                `platform_outcome_unknown` if that is not known; and whatever
+                the validation raises.
+        """
+        document = self._parse(mapping)
+        # Once announced, a change must be resolved even if the operator's
+        # connection, and with it this call, ends.
+        task = self._spawn(
+            self._accept(document, mapping, applied_by, base_revision)
+        )
+        try:
+            change = await asyncio.shield(task)
+        except errors.DragonflydykeError as error:
+            self._counters.increment(f"apply.{error.code}")
+            raise
+        self._counters.increment("apply.accepted")
+        return change
+
+    async def read(self, revision: int | None = None) -> AppliedChange | None:
+        """Reads a revision from the platform; None reads the present one.
+
+        Raises:
+            PlatformUnavailableError: If the platform cannot be read.
+        """
+        present = await self._read_present()
+        if present is None or revision is None:
+            return _parse_change(present) if present else None
+        if present.value["revision"] == revision:
+            return _parse_change(present)
+        archived = await self._objects.get(
+            HISTORY_KIND, _history_name(revision)
+        )
+        return _parse_change(archived) if archived else None
+
+    async def history(
+        self, limit: int = _HISTORY_LIMIT
+    ) -> tuple[AppliedChange, ...]:
+        """Returns the newest revisions, newest first.
+
+        Raises:
+            PlatformUnavailableError: If the platform cannot be read.
+        """
+        present = await self.read()
+        if present is None:
+            return ()
+        oldest = max(1, present.revision - limit + 1)
+        changes = [present]
+        for revision in range(present.revision - 1, oldest - 1, -1):
+            archived = await self._objects.get(
+                HISTORY_KIND, _history_name(revision)
+            )
+            if archived is not None:
+                changes.append(_parse_change(archived))
+        return tuple(changes)
+
+    async def stop(self) -> None:
+        """Ends all background work."""
+        # A cancelled announcement starts its resolution as a new task.
+        while self._tasks:
+            for task in tuple(self._tasks):
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(
+        self,
+        document: model.Document,
+        mapping: Mapping[str, Any],
+        applied_by: str,
+        base_revision: int | None,
+    ) -> AppliedChange:
+        if not self._contacts.is_majority(self._contacts.heard(_now_s())):
+            raise self._no_majority("are in contact")
+        present = await self._read_present()
+        present_revision = present.value["revision"] if present else 0
+        if base_revision not in (None, present_revision):
+            raise _revision_conflict(present_revision)
+        if present is not None:
+            present_document = self._parse(present.value["document"])
+            self._check_transition(present_document, document)
+            await self._archive(present)
+        change = AppliedChange(
+            revision=present_revision + 1,
+            change_id=uuid.uuid4().hex,
+            applied_at_ms=time.time_ns() // 1_000_000,
+            applied_by=applied_by,
+            document=mapping,
+        )
+        proposal = _Proposal(change, present.version if present else None)
+        return await self._announce_and_write(proposal)
+
+    async def _announce_and_write(self, proposal: _Proposal) -> AppliedChange:
+        announced_s = _now_s()
+        announcement = proposal.announcement(self._own_name)
+        try:
+            acknowledged = await self._send(announcement)
+            if not self._contacts.is_majority(acknowledged):
+                raise self._no_majority("acknowledged the change")
+            if _now_s() - announced_s > _MAX_ANNOUNCEMENT_AGE_S:
+                raise self._no_majority("acknowledged the change in time")
+        except BaseException:
+            self._resolve(proposal, written=False)
+            raise
+        repeat = self._spawn(self._repeat_announcement(announcement))
+        try:
+            stored = await self._write(proposal)
+        except objects.OutcomeUnknownError:
+            return await self._resolve_lost_answer(
+                proposal, repeat, announced_s
+            )
+        except errors.DragonflydykeError:
+            repeat.cancel()
+            self._resolve(proposal, written=False)
+            raise
+        return await self._finish(proposal, repeat, stored)
+
+    async def _write(self, proposal: _Proposal) -> objects.StoredObject:
+        """Writes the revision once.
+
+        Raises:
+            DragonflydykeError: `revision_conflict`, `platform_unavailable` or
+                `platform_outcome_unknown`.
+        """
+        value = proposal.change.to_mapping()
+        try:
+            if proposal.base_version is None:
+                return await self._objects.create(
+                    state.CONTROL_KIND, state.CONFIG_NAME, value
+                )
+            return await self._objects.update(
+                state.CONTROL_KIND,
+                state.CONFIG_NAME,
+                value,
+                proposal.base_version,
+            )
+        except objects.ConflictError as error:
+            if _is_written(error.present, proposal):
+                return error.present
+            present = error.present
+            raise _revision_conflict(
+                present.value["revision"] if present else 0
+            ) from error
+
+    async def _resolve_lost_answer(
+        self,
+        proposal: _Proposal,
+        repeat: asyncio.Task[None],
+        announced_s: float,
+    ) -> AppliedChange:
+        outcome = self._spawn(
+            self._await_outcome(proposal, repeat, announced_s)
+        )
+        done, _ = await asyncio.wait((outcome,), timeout=_FOREGROUND_S)
+        if not done:
+            raise errors.DragonflydykeError(
+                "platform_outcome_unknown",
+                f"the platform did not confirm revision "
+                f"{proposal.change.revision}; read the configuration and "
+                f"compare change_id {proposal.change.change_id}",
+                step=errors.Step.APPLY_CONFIGURATION,
+                execution=errors.Execution.UNKNOWN,
+                retry_after_s=_RETRY_AFTER_S,
+                status=503,
+            )
+        return outcome.result()
+
+    async def _await_outcome(
+        self,
+        proposal: _Proposal,
+        repeat: asyncio.Task[None],
+        announced_s: float,
+    ) -> AppliedChange:
+        """Reads the configuration until the outcome of the write is certain.
+
+        While the base is still present, the write may take effect for as long
+        as it counts as announced.
+        """
+        last_write_s = _now_s()
+        while True:
+            started_s = _now_s()
+            present = await self._read_until_answered()
+            if _is_written(present, proposal):
+                return await self._finish(proposal, repeat, present)
+            version = present.version if present else None
+            if _is_newer(version, proposal.base_version):
+                break
+            certain_s = last_write_s + announcements.PENDING_S
+            if started_s >= certain_s and version == proposal.base_version:
+                break
+            if _now_s() - announced_s <= _MAX_ANNOUNCEMENT_AGE_S:
+                last_write_s = _now_s()
+                stored = await self._retry_write(proposal)
+                if stored is not None:
+                    return await self._finish(proposal, repeat, stored)
+            await asyncio.sleep(_READ_BACK_PERIOD_S)
+        # The read-back may show a revision made from ours.
+        if await self._is_archived(proposal):
+            return await self._finish(proposal, repeat, None)
+        repeat.cancel()
+        self._resolve(proposal, written=False)
+        raise _revision_conflict(present.value["revision"] if present else 0)
+
+    async def _retry_write(
+        self, proposal: _Proposal
+    ) -> objects.StoredObject | None:
+        """Writes again under the same condition, so at most one succeeds."""
+        self._counters.increment("retry.apply_answer_lost")
+        try:
+            return await self._write(proposal)
+        except errors.DragonflydykeError:
+            return None
+
+    async def _read_until_answered(
+        self, kind: str = state.CONTROL_KIND, name: str = state.CONFIG_NAME
+    ) -> objects.StoredObject | None:
+        while True:
+            try:
+                return await self._objects.get(kind, name)
+            except errors.DragonflydykeError:
+                self._counters.increment("apply.read_back_failed")
+                await asyncio.sleep(_READ_BACK_PERIOD_S)
+
+    async def _is_archived(self, proposal: _Proposal) -> bool:
+        """Returns whether our change was written and already replaced."""
+        archived = await self._read_until_answered(
+            HISTORY_KIND, _history_name(proposal.change.revision)
+        )
+        return _is_written(archived, proposal)
+
+    async def _finish(
+        self,
+        proposal: _Proposal,
+        repeat: asyncio.Task[None],
+        stored: objects.StoredObject | None,
+    ) -> AppliedChange:
+        repeat.cancel()
+        await self._adopt(stored)
+        self._resolve(proposal, written=True)
+        _logger.info(
+            "revision accepted",
+            revision=proposal.change.revision,
+            change_id=proposal.change.change_id,
+            applied_by=proposal.change.applied_by,
+        )
+        return proposal.change
+
+    async def _send(
+        self, announcement: node_pb2.ChangeAnnouncement
+    ) -> frozenset[str]:
+        self._announcements.record(announcement, _now_s())
+        others = await self._announce(announcement, None)
+        return others | {self._own_name}
+
+    async def _repeat_announcement(
+        self, announcement: node_pb2.ChangeAnnouncement
+    ) -> None:
+        while True:
+            await asyncio.sleep(_REPEAT_S)
+            await self._send(announcement)
+
+    def _resolve(self, proposal: _Proposal, *, written: bool) -> None:
+        resolution = proposal.announcement(self._own_name)
+        resolution.resolved = True
+        resolution.written = written
+        self._announcements.record(resolution, _now_s())
+        self._spawn(self._send_resolution(resolution))
+
+    async def _send_resolution(
+        self, resolution: node_pb2.ChangeAnnouncement
+    ) -> None:
+        end_s = _now_s() + _RESOLUTION_RETRY_S
+        missing: frozenset[str] | None = None
+        while missing is None or (missing and _now_s() < end_s):
+            reached = await self._announce(resolution, missing)
+            names = {vm.name for vm in self._contacts.entry_vms()}
+            known = names if missing is None else missing
+            missing = frozenset(known) - reached - {self._own_name}
+            await asyncio.sleep(_READ_BACK_PERIOD_S)
+
+    async def _read_present(self) -> objects.StoredObject | None:
+        return await self._objects.get(state.CONTROL_KIND, state.CONFIG_NAME)
+
+    async def _archive(self, present: objects.StoredObject) -> None:
+        name = _history_name(present.value["revision"])
+        try:
+            await self._objects.create(HISTORY_KIND, name, present.value)
+        except objects.ConflictError:
+            return
+        except objects.OutcomeUnknownError:
+            if await self._objects.get(HISTORY_KIND, name) is None:
+                raise _not_archived(present.value["revision"]) from None
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._forget)
+        return task
+
+    def _forget(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        if not isinstance(task.exception(), errors.DragonflydykeError):
+            _logger.error(
+                "configuration change failed", error=repr(task.exception())
+            )
+
+    def _no_majority(self, what: str) -> errors.DragonflydykeError:
+        return errors.DragonflydykeError(
+            "no_majority",
+            f"not more than half of the listed VMs {what}; the change was not "
+            "written, apply it through a router in the majority",
+            step=errors.Step.APPLY_CONFIGURATION,
+            retry_after_s=_RETRY_AFTER_S,
+            status=503,
+        )
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _history_name(revision: int) -> str:
+    return f"config.{revision}"
+
+
+def _is_written(
+    present: objects.StoredObject | None, proposal: _Proposal
+) -> bool:
+    if present is None:
+        return False
+    return present.value["change_id"] == proposal.change.change_id
+
+
+def _is_newer(version: int | None, base_version: int | None) -> bool:
+    return version is not None and version > (base_version or 0)
+
+
+def _parse_change(stored: objects.StoredObject) -> AppliedChange:
+    value = stored.value
+    return AppliedChange(
+        revision=value["revision"],
+        change_id=value["change_id"],
+        applied_at_ms=value["applied_at_ms"],
+        applied_by=value["applied_by"],
+        document=value["document"],
+    )
+
+
+def _revision_conflict(present_revision: int) -> errors.DragonflydykeError:
+    return errors.DragonflydykeError(
+        "revision_conflict",
+        f"the present revision is {present_revision}; read it, merge and "
+        "apply again",
+        step=errors.Step.APPLY_CONFIGURATION,
+        status=409,
+    )
+
+
+def _not_archived(revision: int) -> errors.DragonflydykeError:
+    return errors.DragonflydykeError(
+        "platform_unavailable",
+        f"revision {revision} could not be archived; the change was not "
+        "written, apply it again",
+        step=errors.Step.APPLY_CONFIGURATION,
+        retry_after_s=_RETRY_AFTER_S,
+        status=503,
+    )
--- /dev/null
+++ b/tests/builders/fleet.py
@@ -0,0 +1,195 @@
+"""Several memberships on one virtual loop, without sockets."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from dragonflydyke import errors, metrics, objects
+from dragonflydyke.configuration import model
+from dragonflydyke.membership import node
+from dragonflydyke.protocol import node_pb2
+from tests.builders import documents
+from tests.builders import objects as memory
+
+
+def parse(mapping: Any) -> model.Document:
+    """Returns a document named by the mapping."""
+    if "broken" in mapping:
+        raise ValueError("broken document")
+    return documents.build_document()
+
+
+def check_transition(old: model.Document, new: model.Document) -> None:
+    """Allows every change."""
+
+
+class NodePlatform(memory.MemoryObjects):
+    """One node's way to the shared platform.
+
+    Attributes:
+        after_config_write: Called when this node's write of the
+            configuration took effect; may raise.
+        cut: Whether this node cannot reach the platform.
+        stale: Control objects to return instead of the present ones.
+        platform: The platform itself.
+    """
+
+    __slots__ = ("after_config_write", "cut", "platform", "stale")
+
+    def __init__(self, platform: memory.MemoryObjects) -> None:
+        super().__init__()
+        self.platform = platform
+        self.store = platform.store
+        self.cut = False
+        self.stale: objects.ObjectList | None = None
+        self.after_config_write: Callable[[], None] | None = None
+
+    async def list(
+        self, kind: str, *, since: int = 0, prefix: str = ""
+    ) -> objects.ObjectList:
+        """Returns the present list, or the stale one."""
+        present = await super().list(kind, since=since, prefix=prefix)
+        return self.stale or present
+
+    def _write(
+        self, kind: str, name: str, value: Any, expected: int | None
+    ) -> objects.StoredObject:
+        stored = super()._write(kind, name, value, expected)
+        if self.after_config_write and (kind, name) == ("control", "config"):
+            self.after_config_write()
+        return stored
+
+    def _check_available(self, step: errors.Step) -> None:
+        self.available = self.platform.available and not self.cut
+        self.vms = self.platform.vms
+        super()._check_available(step)
+
+
+class Fleet:
+    """Memberships joined by links that tests cut and slow down.
+
+    Attributes:
+        platform: The platform that all nodes share.
+        nodes: Running memberships by VM name.
+        views: Each node's way to the platform.
+        cuts: Pairs (caller, called) that are cut off.
+        delays_s: Round trip by (caller, called), in seconds.
+    """
+
+    def __init__(self, size: int) -> None:
+        self.names = tuple(f"vm-{index}" for index in range(size))
+        self.platform = memory.MemoryObjects()
+        self.platform.vms = objects.VmList(
+            1,
+            tuple(
+                objects.ListedVm(name, "cartago-a", "entry", name, "live")
+                for name in self.names
+            ),
+        )
+        self.nodes: dict[str, node.Membership] = {}
+        self.counters: dict[str, metrics.Counters] = {}
+        self.views = {name: NodePlatform(self.platform) for name in self.names}
+        self.cuts: set[tuple[str, str]] = set()
+        self.delays_s: dict[tuple[str, str], float] = {}
+
+    async def start(self, name: str) -> node.Membership:
+        """Starts a node, or a new incarnation of it."""
+        self.counters[name] = metrics.Counters()
+        member = node.Membership(
+            node.MembershipSettings(name, "cartago-a", name, self.names),
+            self.views[name],
+            lambda address: _Link(self, name, address),
+            parse=parse,
+            check_transition=check_transition,
+            counters=self.counters[name],
+        )
+        self.nodes[name] = member
+        await member.start()
+        return member
+
+    async def stop(self) -> None:
+        """Stops all nodes, without delays, as the clock stands still."""
+        self.delays_s.clear()
+        for member in self.nodes.values():
+            await member.stop()
+
+    async def kill(self, name: str) -> None:
+        """Ends a node without any farewell."""
+        member = self.nodes.pop(name)
+        self.isolate(name)
+        await member.stop()
+        self.join(name)
+
+    def isolate(self, name: str) -> None:
+        """Cuts a node off from all peers."""
+        for other in self.names:
+            self.cuts |= {(name, other), (other, name)}
+
+    def join(self, name: str) -> None:
+        """Restores the links of a node."""
+        self.cuts = {pair for pair in self.cuts if name not in pair}
+
+    def split(self, group: set[str]) -> None:
+        """Cuts all links between a group and the other nodes."""
+        others = set(self.names) - group
+        for name in group:
+            for other in others:
+                self.cuts |= {(name, other), (other, name)}
+
+    def serving(self) -> set[str]:
+        """Returns the names of the nodes that hold a permit."""
+        return {n for n, member in self.nodes.items() if member.permit.holds()}
+
+
+class _Link:
+    """In-memory client of one node at another."""
+
+    def __init__(self, fleet: Fleet, caller: str, called: str) -> None:
+        self._fleet = fleet
+        self._caller = caller
+        self._called = called
+
+    async def exchange(
+        self, report: node_pb2.NodeReport, *, timeout_s: float
+    ) -> node_pb2.NodeReport:
+        return await self._call("exchange", report, timeout_s)
+
+    async def announce_change(
+        self, announcement: node_pb2.ChangeAnnouncement, *, timeout_s: float
+    ) -> node_pb2.ChangeAcknowledgement:
+        return await self._call("announce_change", announcement, timeout_s)
+
+    async def fetch_state(
+        self, request: node_pb2.FetchStateRequest, *, timeout_s: float
+    ) -> node_pb2.StateBundle:
+        return await self._call("fetch_state", request, timeout_s)
+
+    async def close(self) -> None:
+        pass
+
+    async def _call(self, name: str, request: Any, timeout_s: float) -> Any:
+        pair = (self._caller, self._called)
+        try:
+            async with asyncio.timeout(timeout_s):
+                self._check(pair)
+                member = self._fleet.nodes[self._called]
+                delay_s = self._fleet.delays_s.get(pair, 0.0)
+                if delay_s:
+                    await asyncio.sleep(delay_s / 2)
+                answer = await getattr(member, name)(request)
+                if delay_s:
+                    await asyncio.sleep(delay_s / 2)
+                # A cut also loses answers that are under way.
+                self._check(pair[::-1])
+                return answer
+        except (TimeoutError, ConnectionError) as error:
+            raise errors.DragonflydykeError(
+                "peer_unavailable",
+                "cut off",
+                step=errors.Step.CALL_PEER,
+                peer=self._called,
+            ) from error
+
+    def _check(self, pair: tuple[str, str]) -> None:
+        if pair in self._fleet.cuts or self._called not in self._fleet.nodes:
+            raise ConnectionError
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,488 @@
+"""Tests of several memberships on a virtual loop."""
+
+import asyncio
+import os
+import random
+
+from dragonflydyke import errors, objects
+from dragonflydyke.membership import announcements, permit, relays
+from dragonflydyke.protocol import node_pb2
+from tests.builders import fleet, virtual_loop
+
+_SEED_VARIABLE = "DRAGONFLYDYKE_SEED"
+_SETTLED_S = 12.0
+
+
+class MembershipTestCase(virtual_loop.VirtualTimeTestCase):
+    """Starts a fleet with one accepted revision."""
+
+    size = 3
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.fleet = fleet.Fleet(self.size)
+        self.addAsyncCleanup(self.fleet.stop)
+        for name in self.fleet.names:
+            await self.fleet.start(name)
+        await self.loop.advance(2.5)
+        await self.apply("vm-0", {"n": 0})
+        await self.loop.advance(_SETTLED_S)
+
+    async def apply(self, name, mapping=None, base_revision=None):
+        """Applies a document while the clock runs."""
+        task = asyncio.ensure_future(
+            self.fleet.nodes[name].writer.apply(
+                mapping or {}, "operator", base_revision
+            )
+        )
+        while not task.done():
+            await self.loop.advance(0.05)
+        return await task
+
+    async def assert_refused(self, code, name, base_revision=None) -> None:
+        with self.assertRaises(errors.DragonflydykeError) as raised:
+            await self.apply(name, None, base_revision)
+        self.assertEqual(code, raised.exception.code)
+
+    def revisions(self) -> list[int]:
+        return [m.state.revision for m in self.fleet.nodes.values()]
+
+
+class PermitTest(MembershipTestCase):
+    """Guards against nodes that serve without knowing that they may."""
+
+    async def test_isolation(self) -> None:
+        """Only a node cut off from platform and peers stops, within 4 s."""
+        everyone = set(self.fleet.names)
+        self.assertEqual(everyone, self.fleet.serving())
+        self.fleet.views["vm-1"].cut = True
+        await self.loop.advance(10)
+        self.assertEqual(everyone, self.fleet.serving())
+        self.fleet.isolate("vm-1")
+        await self.loop.advance(4.1)
+        self.assertEqual(everyone - {"vm-1"}, self.fleet.serving())
+        with self.assertRaises(errors.DragonflydykeError) as raised:
+            self.fleet.nodes["vm-1"].permit.check()
+        self.assertEqual("not_confirmed", raised.exception.code)
+        self.fleet.views["vm-1"].cut = False
+        await self.loop.advance(2)
+        self.assertEqual(everyone, self.fleet.serving())
+
+    async def test_platform_outage_and_minority(self) -> None:
+        """During an outage only the majority of the listed VMs serves."""
+        self.fleet.platform.available = False
+        await self.loop.advance(20)
+        self.assertEqual(set(self.fleet.names), self.fleet.serving())
+        for member in self.fleet.nodes.values():
+            rule = member.permit.rule()
+            self.assertIs(permit.PermitRule.PLATFORM_OUTAGE, rule)
+        self.fleet.split({"vm-2"})
+        await self.loop.advance(2.7)
+        self.assertEqual({"vm-0", "vm-1"}, self.fleet.serving())
+        await self.assert_refused("no_majority", "vm-2")
+        await self.assert_refused("platform_unavailable", "vm-0")
+
+    async def test_paused_node_has_no_permit_when_it_wakes(self) -> None:
+        """Ages are computed at the check, before anything else ran."""
+        self.loop._now_s += 60
+        self.assertEqual(set(), self.fleet.serving())
+        await self.loop.advance(3)
+        self.assertEqual(set(self.fleet.names), self.fleet.serving())
+
+    async def test_delayed_request_does_not_look_fresh(self) -> None:
+        """A report that waited in a socket counts from its echo."""
+        first, second = (self.fleet.nodes[n] for n in ("vm-0", "vm-1"))
+        late = second._reports.build("vm-0")
+        unknown = second._reports.build("")
+        self.fleet.isolate("vm-1")
+        self.fleet.views["vm-0"].cut = True
+        self.fleet.isolate("vm-0")
+        await self.loop.advance(5)
+        self.assertFalse(first.permit.holds())
+        await first.exchange(late)
+        await first.exchange(unknown)
+        self.assertFalse(first.permit.holds())
+        self.assertNotIn("vm-1", first.contacts.heard(self.loop.time()))
+
+    async def test_slow_answers_carry_their_round_trip(self) -> None:
+        """An answer counts from the moment of its request."""
+        self.fleet.views["vm-0"].cut = True
+        self.fleet.delays_s = {("vm-0", n): 0.9 for n in self.fleet.names}
+        self.fleet.delays_s |= {(n, "vm-0"): 0.9 for n in self.fleet.names}
+        await self.loop.advance(10)
+        member = self.fleet.nodes["vm-0"]
+        age_s = member._confirmations.newest_age(self.loop.time())
+        self.assertGreaterEqual(age_s, 0.9)
+        self.assertTrue(member.permit.holds())
+
+    async def test_restarted_peer_does_not_stand_for_its_promise(self) -> None:
+        """A new incarnation does not count under rule B for 10 s."""
+        self.fleet.platform.available = False
+        await self.loop.advance(6)
+        self.fleet.split({"vm-2"})
+        await self.fleet.kill("vm-1")
+        self.fleet.split({"vm-2"})
+        await self.fleet.start("vm-1")
+        await self.loop.advance(5)
+        self.assertEqual(set(), self.fleet.serving())
+        await self.loop.advance(6)
+        self.assertEqual({"vm-0", "vm-1"}, self.fleet.serving())
+
+    async def test_start_during_an_outage(self) -> None:
+        """A new node takes its state from seed peers, then serves."""
+        await self.fleet.kill("vm-2")
+        self.fleet.platform.available = False
+        await self.loop.advance(5)
+        member = await self.fleet.start("vm-2")
+        self.assertEqual(1, member.state.revision)
+        self.assertEqual(1, len(member.state.current.key_ring.keys))
+        await self.loop.advance(3)
+        self.assertEqual(set(self.fleet.names), self.fleet.serving())
+
+    async def test_leaving_is_reported(self) -> None:
+        """Peers learn of a planned stop at once."""
+        await self.fleet.nodes.pop("vm-2").stop()
+        for member in self.fleet.nodes.values():
+            self.assertEqual({"vm-2"}, member.contacts.leaving_vms())
+
+
+class WriterTest(MembershipTestCase):
+    """Guards against lost, doubled and reverted configurations."""
+
+    async def test_two_operators(self) -> None:
+        """Exactly one of two changes from the same base is accepted."""
+        results = await self.gather_applies(("vm-0", "vm-1"), 1)
+        codes = [getattr(r, "code", "accepted") for r in results]
+        self.assertCountEqual(["accepted", "revision_conflict"], codes)
+        await self.loop.advance(3)
+        self.assertEqual([2, 2, 2], self.revisions())
+        await self.assert_refused("revision_conflict", "vm-2", 1)
+        history = await self.fleet.nodes["vm-2"].writer.history()
+        self.assertEqual([2, 1], [change.revision for change in history])
+
+    async def gather_applies(self, names, base_revision):
+        """Applies at several nodes at once; returns results and errors."""
+        both = asyncio.gather(
+            *(
+                self.fleet.nodes[n].writer.apply({}, n, base_revision)
+                for n in names
+            ),
+            return_exceptions=True,
+        )
+        while not both.done():
+            await self.loop.advance(0.05)
+        return await both
+
+    async def test_lost_answer(self) -> None:
+        """The outcome of a write is read back by its change_id."""
+        # The second write, after that of the archive.
+        self.fleet.views["vm-0"].lose_answers = 2
+        change = await self.apply("vm-0")
+        self.assertEqual(2, change.revision)
+        await self.loop.advance(3)
+        self.assertEqual([2, 2, 2], self.revisions())
+
+    async def test_outage_after_lost_answer(self) -> None:
+        """The change stays pending until its outcome is read."""
+
+        def lose() -> None:
+            self.fleet.platform.available = False
+            raise objects.OutcomeUnknownError("lost", peer="platform")
+
+        self.fleet.views["vm-0"].after_config_write = lose
+        await self.assert_refused("platform_outcome_unknown", "vm-0")
+        await self.loop.advance(20)
+        self.assertEqual(set(), self.fleet.serving())
+        self.fleet.platform.available = True
+        await self.loop.advance(5)
+        self.assertEqual([2, 2, 2], self.revisions())
+        self.assertEqual(set(self.fleet.names), self.fleet.serving())
+
+    async def test_acceptor_cut_off_after_its_write(self) -> None:
+        """Peers that acknowledged a change never serve without it.
+
+        With a pending time of 10 s alone, the other two nodes served the old
+        revision as a majority from the eleventh second on.
+        """
+
+        def cut() -> None:
+            self.fleet.isolate("vm-0")
+            self.fleet.views["vm-1"].cut = True
+            self.fleet.views["vm-2"].cut = True
+
+        self.fleet.views["vm-0"].after_config_write = cut
+        await self.apply("vm-0")
+        await self.loop.advance(5)
+        for _ in range(25):
+            self.assertEqual({"vm-0"}, self.fleet.serving())
+            await self.loop.advance(1)
+        self.fleet.join("vm-0")
+        await self.loop.advance(3)
+        self.assertEqual([2, 2, 2], self.revisions())
+        self.assertEqual(set(self.fleet.names), self.fleet.serving())
+
+    async def test_stale_read_is_ignored(self) -> None:
+        """An old list is counted, changes nothing and confirms nothing."""
+        old = self.fleet.platform.store.list("control")
+        await self.apply("vm-0")
+        await self.loop.advance(3)
+        for name in self.fleet.names:
+            self.fleet.views[name].stale = old
+        await self.loop.advance(5)
+        self.assertEqual([2, 2, 2], self.revisions())
+        self.assertGreater(
+            self.fleet.counters["vm-1"].total("poll.stale_read"), 0
+        )
+        rules = {m.permit.rule() for m in self.fleet.nodes.values()}
+        self.assertEqual({permit.PermitRule.PLATFORM_OUTAGE}, rules)
+
+    async def test_lower_revision_is_an_invariant_violation(self) -> None:
+        """A withdrawn version stays withdrawn whatever the platform says."""
+        await self.apply("vm-0")
+        await self.loop.advance(3)
+        store = self.fleet.platform.store
+        config = store.get("control", "config")
+        store.put(
+            "control", "config", {**config.value, "revision": 1}, config.version
+        )
+        await self.loop.advance(5)
+        self.assertEqual([2, 2, 2], self.revisions())
+        counters = self.fleet.counters["vm-1"]
+        self.assertGreater(counters.total("invariant.broken"), 0)
+
+    async def test_unreadable_objects(self) -> None:
+        """Garbage is ignored; an unreadable newer revision ends the permit."""
+        store = self.fleet.platform.store
+        store.put("control", "rollout.a", {"state": "odd"}, None)
+        await self.loop.advance(6)
+        self.assertEqual(set(self.fleet.names), self.fleet.serving())
+        config = store.get("control", "config")
+        value = {**config.value, "revision": 2, "document": {"broken": 1}}
+        store.put("control", "config", value, config.version)
+        await self.loop.advance(6)
+        self.assertEqual([1, 1, 1], self.revisions())
+        for member in self.fleet.nodes.values():
+            rule = member.permit.rule()
+            self.assertIsNot(permit.PermitRule.CONFIRMED, rule)
+
+    async def test_acceptor_dies_after_announcing(self) -> None:
+        """An outcome that never comes is settled by the platform."""
+        announcement = node_pb2.ChangeAnnouncement(
+            acceptor="vm-0", change_id="dead", revision=2
+        )
+        for name in ("vm-1", "vm-2"):
+            member = self.fleet.nodes[name]
+            await member.announce_change(announcement)
+        await self.fleet.kill("vm-0")
+        await self.loop.advance(announcements.PENDING_S + 3)
+        self.fleet.platform.available = False
+        await self.loop.advance(10)
+        self.assertEqual({"vm-1", "vm-2"}, self.fleet.serving())
+
+    async def test_key_rotation(self) -> None:
+        """The newest key signs everywhere, and old ones still verify."""
+        first = self.fleet.nodes["vm-1"].state.current.key_ring.keys
+        await self.fleet.nodes["vm-0"].keys.rotate()
+        await self.loop.advance(2)
+        keys = self.fleet.nodes["vm-1"].state.current.key_ring.keys
+        self.assertEqual(first, keys[:1])
+        self.assertEqual(2, len(keys))
+
+
+class SingleNodeTest(MembershipTestCase):
+    """Guards against a single VM that waits for a majority of others."""
+
+    size = 1
+
+    async def test_single_node(self) -> None:
+        """One VM applies and serves, through an outage too."""
+        self.assertEqual({"vm-0"}, self.fleet.serving())
+        self.fleet.platform.available = False
+        await self.loop.advance(10)
+        self.assertEqual({"vm-0"}, self.fleet.serving())
+
+
+class EmptyListTest(virtual_loop.VirtualTimeTestCase):
+    """Guards against a platform whose list has no VMs."""
+
+    async def test_empty_list(self) -> None:
+        """The node is its own majority."""
+        own_fleet = fleet.Fleet(1)
+        own_fleet.platform.vms = objects.VmList(0, ())
+        self.addAsyncCleanup(own_fleet.stop)
+        member = await own_fleet.start("vm-0")
+        await member.writer.apply({}, "operator", 0)
+        await self.loop.advance(2)
+        self.assertTrue(member.permit.holds())
+
+
+class RelayTest(virtual_loop.VirtualTimeTestCase):
+    """Guards against nodes that no relay reports."""
+
+    async def test_selection(self) -> None:
+        """Four relays per data centre; ordinary nodes prefer live ones."""
+        vms = [
+            objects.ListedVm(f"{dc}-{i}", dc, "entry", "a", "live")
+            for dc in ("a", "b")
+            for i in range(10)
+        ]
+        chosen = relays.select_relays(vms)
+        self.assertEqual(4, sum(name.startswith("a-") for name in chosen))
+        self.assertEqual(8, len(chosen))
+        ordinary = next(v.name for v in vms if v.name not in chosen)
+        first = relays.select_targets(ordinary, "a", vms, lambda n: True)
+        self.assertEqual(2, len(first))
+        dead = first[0].name
+        second = relays.select_targets(ordinary, "a", vms, lambda n: n != dead)
+        self.assertNotIn(dead, {vm.name for vm in second})
+
+    async def test_large_fleet_serves_through_outage(self) -> None:
+        """Ordinary nodes hear the majority through their relays."""
+        big = fleet.Fleet(18)
+        self.addAsyncCleanup(big.stop)
+        for name in big.names:
+            await big.start(name)
+        await self.loop.advance(4)
+        task = asyncio.ensure_future(
+            big.nodes["vm-0"].writer.apply({}, "operator")
+        )
+        await self.loop.advance(_SETTLED_S)
+        self.assertEqual(1, (await task).revision)
+        self.assertEqual(set(big.names), big.serving())
+        big.platform.available = False
+        await self.loop.advance(15)
+        self.assertEqual(set(big.names), big.serving())
+
+
+class RandomisedTest(virtual_loop.VirtualTimeTestCase):
+    """Guards the invariants over random cuts, outages and applies."""
+
+    async def test_invariants(self) -> None:
+        """No old permit, no revision goes back, one winner per base."""
+        seed = int(os.environ.get(_SEED_VARIABLE, random.randrange(2**32)))
+        print(f"{_SEED_VARIABLE}={seed}")
+        for index in range(_RUNS):
+            run = _Run(self.loop, random.Random(f"{seed}.{index}"))
+            await run.execute()
+            self.accepted += run.accepted_count
+        self.assertGreater(self.accepted, 0)
+
+    accepted = 0
+
+
+_RUNS = 8
+_STEPS = 60
+_PROPAGATION_S = 6.0
+
+
+class _Run:
+    """One random schedule on a fleet of five."""
+
+    def __init__(
+        self, loop: virtual_loop.VirtualLoop, chance: random.Random
+    ) -> None:
+        self._loop = loop
+        self._chance = chance
+        self._fleet = fleet.Fleet(5)
+        self._accepted_s: dict[int, float] = {}
+        self._revisions: dict[str, int] = {}
+        self._bases: dict[int, int] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self.accepted_count = 0
+
+    async def execute(self) -> None:
+        """Runs all steps and checks after each tenth of a second."""
+        for name in self._fleet.names:
+            await self._fleet.start(name)
+        await self._advance(3)
+        for _ in range(_STEPS):
+            await self._disturb()
+            await self._advance(self._chance.choice((0.1, 0.5, 2, 6)))
+        self._heal()
+        await self._advance(20)
+        serving = self._fleet.serving()
+        assert serving == set(self._fleet.names), serving
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._fleet.stop()
+
+    async def _disturb(self) -> None:
+        names = self._fleet.names
+        name = self._chance.choice(names)
+        actions = {
+            "apply": lambda: self._apply((name,)),
+            "race": lambda: self._apply(self._chance.sample(names, 2)),
+            "isolate": lambda: self._fleet.isolate(name),
+            "join": lambda: self._fleet.join(name),
+            "split": lambda: self._fleet.split(
+                set(self._chance.sample(names, self._chance.randint(1, 4)))
+            ),
+            "heal": self._heal,
+            "outage": self._toggle_platform,
+            "cut": lambda: self._toggle_cut(name),
+            "lose": lambda: self._lose(name),
+            "slow": lambda: self._slow(name),
+        }
+        actions[self._chance.choice(tuple(actions))]()
+
+    def _heal(self) -> None:
+        self._fleet.cuts.clear()
+        self._fleet.delays_s.clear()
+        self._fleet.platform.available = True
+        for view in self._fleet.views.values():
+            view.cut = False
+
+    def _toggle_platform(self) -> None:
+        platform = self._fleet.platform
+        platform.available = not platform.available
+
+    def _toggle_cut(self, name: str) -> None:
+        view = self._fleet.views[name]
+        view.cut = not view.cut
+
+    def _lose(self, name: str) -> None:
+        self._fleet.views[name].lose_answers += self._chance.randint(1, 2)
+
+    def _slow(self, name: str) -> None:
+        for other in self._fleet.names:
+            delay_s = self._chance.uniform(0, 1.2)
+            self._fleet.delays_s[name, other] = delay_s
+
+    def _apply(self, names) -> None:
+        stored = self._fleet.platform.store.get("control", "config")
+        base = stored.value["revision"] if stored else 0
+        for name in names:
+            task = asyncio.ensure_future(self._apply_at(name, base))
+            self._tasks.append(task)
+
+    async def _apply_at(self, name: str, base: int) -> None:
+        writer = self._fleet.nodes[name].writer
+        try:
+            change = await writer.apply({}, name, base)
+        except errors.DragonflydykeError:
+            return
+        assert base not in self._bases, f"two changes from {base}"
+        self._bases[base] = change.revision
+        self.accepted_count += 1
+        self._accepted_s[change.revision] = self._loop.time()
+
+    async def _advance(self, seconds: float) -> None:
+        end_s = self._loop.time() + seconds
+        while self._loop.time() < end_s:
+            await self._loop.advance(0.1, 0.1)
+            self._check()
+
+    def _check(self) -> None:
+        for task in self._tasks:
+            if task.done():
+                task.result()
+        limit_s = self._loop.time() - _PROPAGATION_S
+        due = [r for r, s in self._accepted_s.items() if s < limit_s]
+        for name, member in self._fleet.nodes.items():
+            revision = member.state.revision
+            assert revision >= self._revisions.get(name, 0), name
+            self._revisions[name] = revision
+            assert not (
+                member.permit.holds() and revision < max(due, default=0)
+            ), f"{name} serves revision {revision}, accepted {max(due)}"
