--- /dev/null
+++ b/tests/builders/faulty_objects.py
@@ -0,0 +1,136 @@
+"""Access of one node to a platform with latency and random faults."""
+
+import asyncio
+import os
+import random
+from collections.abc import Callable
+from typing import Any
+
+from dragonflydyke import errors, objects
+from tests.builders import objects as memory
+
+
+def read_seed() -> int:
+    """Returns DRAGONFLYDYKE_SEED or a random seed, and prints it."""
+    text = os.environ.get("DRAGONFLYDYKE_SEED")
+    seed = int(text) if text else random.SystemRandom().getrandbits(32)
+    print(f"DRAGONFLYDYKE_SEED={seed}", flush=True)
+    return seed
+
+
+class Platform(memory.MemoryObjects):
+    """The shared platform.
+
+    Attributes:
+        latency_s: Time that a call takes in each direction.
+        fault_share: Share of writes with a lost answer. Of these a third has
+            taken effect, a third never does and a third does so a second
+            later.
+    """
+
+    __slots__ = ("fault_share", "latency_s")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.latency_s = 0.0
+        self.fault_share = 0.0
+
+
+class FaultyObjects:
+    """One node's access to the platform.
+
+    Attributes:
+        is_dead: True after a crash: no call is sent any more, and those sent
+            take effect without an answer.
+        running: Cleared while the node is paused; calls wait.
+    """
+
+    def __init__(self, platform: Platform, seed: int = 0) -> None:
+        self._platform = platform
+        self._random = random.Random(seed)
+        self.is_dead = False
+        self.running = asyncio.Event()
+        self.running.set()
+
+    async def get(self, kind: str, name: str) -> objects.StoredObject | None:
+        """Returns an object, or None if it does not exist."""
+        await self._travel()
+        stored = await self._platform.get(kind, name)
+        await self._travel()
+        return stored
+
+    async def list(
+        self, kind: str, *, since: int = 0, prefix: str = ""
+    ) -> objects.ObjectList:
+        """Returns the objects of a kind."""
+        await self._travel()
+        return await self._platform.list(kind, since=since, prefix=prefix)
+
+    async def list_vms(self) -> objects.VmList:
+        """Returns the list of VMs."""
+        return await self._platform.list_vms()
+
+    async def create(
+        self, kind: str, name: str, value: Any
+    ) -> objects.StoredObject:
+        """Creates an object."""
+        return await self._write(
+            lambda: self._platform.store.put(kind, name, value, None)
+        )
+
+    async def update(
+        self, kind: str, name: str, value: Any, version: int
+    ) -> objects.StoredObject:
+        """Replaces an object."""
+        return await self._write(
+            lambda: self._platform.store.put(kind, name, value, version)
+        )
+
+    async def delete(self, kind: str, name: str, version: int) -> None:
+        """Deletes an object."""
+        await self._write(
+            lambda: self._platform.store.delete(kind, name, version)
+        )
+
+    async def _travel(self) -> None:
+        await asyncio.sleep(self._platform.latency_s)
+        await self.running.wait()
+        if self.is_dead:
+            await asyncio.Event().wait()
+
+    async def _write(self, change: Callable[[], Any]) -> Any:
+        if self.is_dead:
+            await asyncio.Event().wait()
+        sent = asyncio.ensure_future(self._execute(change))
+        # Nobody awaits the outcome once the sender is cancelled.
+        sent.add_done_callback(lambda s: s.cancelled() or s.exception())
+        # A write that was sent takes effect even if its sender dies.
+        stored = await asyncio.shield(sent)
+        await self._travel()
+        return stored
+
+    async def _execute(self, change: Callable[[], Any]) -> Any:
+        await asyncio.sleep(self._platform.latency_s)
+        if not self._platform.available:
+            raise objects.PlatformUnavailableError(
+                "unavailable", step=errors.Step.WRITE_PLATFORM, peer="platform"
+            )
+        lost = self._platform.lose_answers > 0
+        is_fault = self._random.random() < self._platform.fault_share
+        fate = self._random.randrange(3) if is_fault else 0
+        if fate == 1:
+            asyncio.get_running_loop().call_later(1.0, _execute_late, change)
+        stored = change() if fate == 0 else None
+        self._platform.writes += fate == 0
+        if lost:
+            self._platform.lose_answers -= 1
+        if lost or is_fault:
+            raise objects.OutcomeUnknownError("answer lost", peer="platform")
+        return stored
+
+
+def _execute_late(change: Callable[[], Any]) -> None:
+    try:
+        change()
+    except objects.ConflictError:
+        return
