Assemble the router program from its components

Cause: the parts were written behind interfaces and need one process that binds the three addresses, runs the control loops and stops gracefully. The inner port is bound before the membership is made, because reports carry it; binding twice was ruled out as a race. The gateway now builds billing.Bill itself, bill ids have one derivation, and the stop condition of a roll-out is one function for the driver and the single node.

--- /dev/null
+++ b/harness/deployment.py
@@ -0,0 +1,357 @@
+"""A whole deployment of real processes on loopback."""
+
+import asyncio
+import dataclasses
+import hashlib
+import json
+import pathlib
+from typing import Any
+
+import ruamel.yaml
+
+from harness import http, processes, proxy
+
+OPERATOR_KEY = "operator-key-for-tests"
+INNER_KEY = "inner-key-for-tests"
+ROUTERS = (
+    ("router-1", "cartago-a"),
+    ("router-2", "cartago-a"),
+    ("router-3", "cartago-b"),
+)
+_READY_TIMEOUT_S = 60.0
+_POLL_S = 0.05
+_LOOPBACK = "127.0.0.1"
+
+
+@dataclasses.dataclass(slots=True)
+class RunningRouter:
+    """A router process and where it listens."""
+
+    vm: str
+    data_centre: str
+    process: processes.ManagedProcess
+    public_url: str = ""
+    admin_url: str = ""
+    inner_address: str = ""
+    platform_proxy: proxy.FaultProxy | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class DeploymentOptions:
+    """What to start.
+
+    Attributes:
+        configuration: Directory of the configuration to apply.
+        routers: Names and data centres of the routers.
+        engine_flags: Flags for all engine emulators.
+        router_flags: Flags for all routers.
+        platform_proxies: Whether each router reaches the platform through a
+            fault proxy of its own.
+        backend_proxies: Whether backend servers are reached through proxies.
+    """
+
+    configuration: pathlib.Path
+    routers: tuple[tuple[str, str], ...] = ROUTERS
+    engine_flags: tuple[str, ...] = ("--prefill-ms", "0.05", "--decode-ms", "2")
+    router_flags: tuple[str, ...] = ("--drain-s", "0.2")
+    platform_proxies: bool = False
+    backend_proxies: bool = False
+
+
+class Deployment:
+    """Starts emulators and routers and applies a configuration.
+
+    Attributes:
+        platform: Platform emulator.
+        platform_url: Its base URL.
+        rating_url: Base URL of the rating service.
+        backends: Backend server processes by configured name.
+        backend_urls: Base URLs of the processes, not of their proxies.
+        backend_proxies: Fault proxies by configured name.
+        routers: Routers by VM name.
+        http: Caller for requests.
+        document: Configuration mapping that was applied.
+    """
+
+    def __init__(
+        self, directory: pathlib.Path, options: DeploymentOptions
+    ) -> None:
+        """Describes a deployment.
+
+        Args:
+            directory: For logs and key files.
+            options: What to start.
+        """
+        self._directory = directory
+        self._options = options
+        self._started: list[processes.ManagedProcess] = []
+        self._platform_proxies: dict[str, proxy.FaultProxy] = {}
+        self.http = http.HttpCaller()
+        self.platform_url = ""
+        self.rating_url = ""
+        self.backends: dict[str, processes.ManagedProcess] = {}
+        self.backend_urls: dict[str, str] = {}
+        self.backend_proxies: dict[str, proxy.FaultProxy] = {}
+        self.routers: dict[str, RunningRouter] = {}
+        self.document = load_documents(options.configuration)
+
+    async def __aenter__(self) -> "Deployment":
+        try:
+            await self.start()
+        except BaseException:
+            await self.stop()
+            raise
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        await self.stop()
+
+    async def start(self) -> None:
+        """Starts everything and waits until all routers are ready."""
+        await asyncio.gather(self._start_platform(), self._start_rating())
+        await asyncio.gather(
+            *(
+                self._start_backend(entry)
+                for entry in self.document["backend_servers"]
+            )
+        )
+        await asyncio.gather(
+            *(
+                self.start_router(vm, data_centre)
+                for vm, data_centre in self._options.routers
+            )
+        )
+        await self.publish_vms()
+        await self.apply(self.document)
+        await asyncio.gather(
+            *(self.wait_ready(router) for router in self.routers.values())
+        )
+
+    async def stop(self) -> None:
+        """Stops all processes and proxies."""
+        routers = [r.process for r in self.routers.values()]
+        await asyncio.gather(*(p.stop() for p in routers))
+        rest = [p for p in self._started if p not in routers]
+        await asyncio.gather(*(p.stop() for p in rest))
+        proxies = [*self.backend_proxies.values()]
+        proxies += [
+            r.platform_proxy
+            for r in self.routers.values()
+            if r.platform_proxy is not None
+        ]
+        await asyncio.gather(*(entry.stop() for entry in proxies))
+        self.http.close()
+
+    async def start_router(self, vm: str, data_centre: str) -> RunningRouter:
+        """Starts a router on a VM; replaces one of the same name."""
+        process = processes.ManagedProcess(
+            vm,
+            "dragonflydyke.router.main",
+            ("serve", *await self._router_flags(vm, data_centre)),
+            self._directory,
+        )
+        router = RunningRouter(vm, data_centre, process)
+        await process.start()
+        self._started.append(process)
+        words = process.ready_line.split()
+        addresses = dict(zip(words[::2], words[1::2], strict=True))
+        router.public_url = f"http://{addresses['public']}"
+        router.admin_url = f"http://{addresses['admin']}"
+        router.inner_address = addresses["inner"]
+        router.platform_proxy = self._platform_proxies.get(vm)
+        self.routers[vm] = router
+        return router
+
+    async def publish_vms(self, leaving: frozenset[str] = frozenset()) -> None:
+        """Puts the present routers and backend servers on the VM list."""
+        vms = [
+            {
+                "name": router.vm,
+                "data_centre": router.data_centre,
+                "role": "entry",
+                "inner_address": router.inner_address,
+                "state": "leaving" if router.vm in leaving else "live",
+            }
+            for router in self.routers.values()
+            if router.process.is_running
+        ]
+        await self.http.call(
+            "PUT", f"{self.platform_url}/v1/vms", body={"vms": vms}
+        )
+
+    async def apply(
+        self, document: dict[str, Any], router: RunningRouter | None = None
+    ) -> int:
+        """Applies a configuration and returns its revision.
+
+        Raises:
+            RuntimeError: If it is not accepted in time.
+        """
+        url = (router or next(iter(self.routers.values()))).admin_url
+        last = http.Reply(0, {}, b"")
+        async with asyncio.timeout(_READY_TIMEOUT_S):
+            while last.status != 200:
+                last = await self.try_apply(document, url)
+                if last.status in (400, 401, 409, 422):
+                    break
+                await asyncio.sleep(_POLL_S)
+        if last.status != 200:
+            raise RuntimeError(f"apply: {last.status} {last.body.decode()}")
+        return last.json()["revision"]
+
+    async def try_apply(
+        self, document: dict[str, Any], admin_url: str
+    ) -> http.Reply:
+        """Sends a configuration to a router once."""
+        return await self.http.call(
+            "POST",
+            f"{admin_url}/v1/configuration?applied_by=harness",
+            body=document,
+            headers=operator_headers(),
+        )
+
+    async def wait_ready(self, router: RunningRouter) -> None:
+        """Waits until a router accepts requests."""
+        await self.wait_status(f"{router.admin_url}/health/ready", 200)
+
+    async def wait_status(self, url: str, status: int) -> None:
+        """Waits until a URL answers with a status."""
+        async with asyncio.timeout(_READY_TIMEOUT_S):
+            while (await self.http.call("GET", url)).status != status:
+                await asyncio.sleep(_POLL_S)
+
+    async def control(self, name: str, **fields: Any) -> Any:
+        """Changes an emulator; name is a backend server or `platform`."""
+        url = self.platform_url
+        if name == "rating":
+            url = self.rating_url
+        elif name != "platform":
+            url = self.backend_urls[name]
+        reply = await self.http.call("POST", f"{url}/control", body=fields)
+        if reply.status != 200:
+            raise RuntimeError(f"control {name}: {reply.body.decode()}")
+        return reply.json()
+
+    async def read_ledger(self) -> list[dict[str, Any]]:
+        """Returns all bills as stored in the platform."""
+        reply = await self.http.call(
+            "GET", f"{self.platform_url}/v1/objects/ledger?since=0"
+        )
+        entries = reply.json()["objects"]
+        return [
+            bill | {"journal": entry["name"]}
+            for entry in entries
+            for bill in entry["value"]["bills"]
+        ]
+
+    async def wait_for_bills(self, count: int) -> list[dict[str, Any]]:
+        """Waits until the ledger has a number of bills; returns them."""
+        async with asyncio.timeout(_READY_TIMEOUT_S):
+            while len(bills := await self.read_ledger()) < count:
+                await asyncio.sleep(_POLL_S)
+        return bills
+
+    async def _start(
+        self, name: str, module: str, *flags: str
+    ) -> processes.ManagedProcess:
+        process = processes.ManagedProcess(
+            name, module, ("serve", *flags), self._directory
+        )
+        await process.start()
+        self._started.append(process)
+        return process
+
+    async def _start_platform(self) -> None:
+        process = await self._start(
+            "platform", "dragonflydyke.emulator.platform_main"
+        )
+        self.platform = process
+        self.platform_url = f"http://{process.ready_line}"
+
+    async def _start_rating(self) -> None:
+        process = await self._start(
+            "rating",
+            "dragonflydyke.emulator.service_main",
+            "--rating",
+            "true",
+        )
+        self.rating_url = f"http://{process.ready_line}"
+
+    async def _start_backend(self, entry: dict[str, Any]) -> None:
+        name = entry["name"]
+        if entry["kind"] == "engine":
+            flags = (
+                "--versions",
+                ",".join(entry["serves"]),
+                "--checks-fencing",
+                "true" if entry.get("checks_fencing") else "false",
+                "--slots",
+                str(entry.get("slots", 8)),
+                *self._options.engine_flags,
+            )
+            module = "dragonflydyke.emulator.engine_main"
+        else:
+            flags = ()
+            module = "dragonflydyke.emulator.service_main"
+        process = await self._start(name, module, *flags)
+        self.backends[name] = process
+        self.backend_urls[name] = f"http://{process.ready_line}"
+        entry["url"] = self.backend_urls[name]
+        if self._options.backend_proxies:
+            fault_proxy = await _start_proxy(process.ready_line)
+            self.backend_proxies[name] = fault_proxy
+            entry["url"] = f"http://{fault_proxy.address}"
+
+    async def _router_flags(self, vm: str, data_centre: str) -> tuple[str, ...]:
+        key_file = self._directory / "inner.key"
+        key_file.write_text(INNER_KEY)
+        platform_url = self.platform_url
+        if self._options.platform_proxies:
+            if vm not in self._platform_proxies:
+                address = self.platform.ready_line
+                self._platform_proxies[vm] = await _start_proxy(address)
+            platform_url = f"http://{self._platform_proxies[vm].address}"
+        seeds = [r.inner_address for r in self.routers.values() if r.vm != vm]
+        return (
+            f"--vm-name={vm}",
+            f"--data-centre={data_centre}",
+            f"--public-address={_LOOPBACK}:0",
+            f"--inner-address={_LOOPBACK}:0",
+            f"--admin-address={_LOOPBACK}:0",
+            f"--platform-url={platform_url}",
+            f"--rating-url={self.rating_url}",
+            f"--seed-peers={','.join(seeds)}",
+            f"--inner-key-file={key_file}",
+            f"--operator-key-hashes={hash_key(OPERATOR_KEY)}",
+            *self._options.router_flags,
+        )
+
+
+async def _start_proxy(address: str) -> proxy.FaultProxy:
+    host, _, port = address.rpartition(":")
+    fault_proxy = proxy.FaultProxy(host, int(port))
+    await fault_proxy.start()
+    return fault_proxy
+
+
+def hash_key(key: str) -> str:
+    """Returns the hash under which a bearer key is configured."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def operator_headers() -> dict[str, str]:
+    """Returns the headers of an operator's call."""
+    return {"Authorization": f"Bearer {OPERATOR_KEY}"}
+
+
+def load_documents(directory: pathlib.Path) -> dict[str, Any]:
+    """Merges the YAML files of a configuration directory by list."""
+    merged: dict[str, Any] = {}
+    for path in sorted(directory.glob("*.yaml")):
+        loaded = ruamel.yaml.YAML(typ="safe").load(path.read_text()) or {}
+        for key, value in loaded.items():
+            if isinstance(value, list):
+                merged.setdefault(key, []).extend(value)
+            else:
+                merged[key] = value
+    return json.loads(json.dumps(merged))
--- a/src/dragonflydyke/gateway/accounting.py
+++ b/src/dragonflydyke/gateway/accounting.py
@@ -3,12 +3,10 @@
 import asyncio
 import dataclasses
 import enum
-import hashlib
-import hmac
 import time
 from typing import Any
 
-from dragonflydyke import errors
+from dragonflydyke import billing, errors
 from dragonflydyke.gateway import services
 
 _MS_PER_S = 1_000
@@ -46,8 +44,9 @@
     """
     if not idempotency_key:
         return request_id
-    text = f"{idempotency_key}\0{request_digest}".encode()
-    return hmac.new(account.encode(), text, hashlib.sha256).hexdigest()
+    return billing.derive_bill_id(
+        account, f"{idempotency_key}\0{request_digest}"
+    )
 
 
 class BillDraft:
@@ -124,9 +123,9 @@
         if self._recording is not None:
             await asyncio.shield(self._recording)
 
-    def _create(self, outcome: Outcome) -> Any:
+    def _create(self, outcome: Outcome) -> billing.Bill:
         last = self.attempts[-1]
-        return self._services.create_bill(
+        return billing.Bill(
             bill_id=self.bill_id,
             request_id=self.request_id,
             client_account=self._account,
@@ -137,10 +136,16 @@
             prompt_tokens=sum(a.prompt_tokens for a in self.attempts),
             completion_tokens=sum(a.completion_tokens for a in self.attempts),
             cost=0 if outcome is Outcome.FAILED else self.cost(),
-            outcome=str(outcome),
-            attempts=tuple(self.attempts),
+            outcome=billing.Outcome(outcome.value),
+            attempts=tuple(
+                billing.BillAttempt(
+                    version=attempt.version,
+                    backend_server=attempt.backend_server,
+                    outcome=str(attempt.outcome),
+                    cost=attempt.cost,
+                )
+                for attempt in self.attempts
+            ),
             revision=self._revision,
             finished_at_ms=int(time.time() * _MS_PER_S),
-            incarnation=self._services.incarnation,
-            sequence=0,
         )
--- a/src/dragonflydyke/gateway/application.py
+++ b/src/dragonflydyke/gateway/application.py
@@ -4,6 +4,7 @@
 import hashlib
 import hmac
 import json
+import ssl
 from collections.abc import Awaitable
 from typing import Any, NoReturn
 
@@ -48,10 +49,18 @@
 
 def build_server(
     application: tornado.web.Application,
+    *,
+    ssl_options: ssl.SSLContext | None = None,
 ) -> tornado.httpserver.HTTPServer:
-    """Returns a server that also cuts callers with slow headers."""
+    """Returns a server that also cuts callers with slow headers.
+
+    Args:
+        application: The caller API.
+        ssl_options: Certificate for callers; None serves plain HTTP.
+    """
     return tornado.httpserver.HTTPServer(
         application,
+        ssl_options=ssl_options,
         idle_connection_timeout=_IDLE_CONNECTION_TIMEOUT_S,
         max_header_size=_MAX_HEADER_BYTES,
     )
--- a/src/dragonflydyke/gateway/attempts.py
+++ b/src/dragonflydyke/gateway/attempts.py
@@ -193,6 +193,22 @@
         """Marks a complete answer as not good enough; its cost stays."""
         self.record.outcome = accounting.Outcome.REJECTED
 
+    @property
+    def is_sampled(self) -> bool:
+        """Whether the answer is to be rated for a roll-out."""
+        return (
+            self._services.sampler is not None
+            and self._roll_out is not None
+            and self.record.version == self._roll_out.to_version
+        )
+
+    def offer_sample(self, answer: bytes) -> None:
+        """Has a complete answer rated, if it is sampled."""
+        if self.is_sampled:
+            self._services.sampler.offer(
+                self._roll_out.name, self.record.version, answer
+            )
+
     def build_error(
         self,
         code: str,
--- a/src/dragonflydyke/gateway/calls.py
+++ b/src/dragonflydyke/gateway/calls.py
@@ -256,7 +256,7 @@
         self, server: model.BackendServer
     ) -> services.BackendRequest:
         operation = self._get_operation()
-        headers = {"Dragonflydyke-Request-Id": self._caller.request_id}
+        headers = {replies.REQUEST_ID_HEADER: self._caller.request_id}
         if self._request.body:
             headers["Content-Type"] = self._request.content_type
         key = self._request.options.idempotency_key
--- a/src/dragonflydyke/gateway/chat.py
+++ b/src/dragonflydyke/gateway/chat.py
@@ -5,7 +5,7 @@
 import time
 from typing import Any
 
-from dragonflydyke import errors, routing
+from dragonflydyke import backends, errors, routing
 from dragonflydyke.configuration import model
 from dragonflydyke.gateway import (
     accounting,
@@ -210,6 +210,7 @@
             await relays.check_status(attempt, answer)
             await relay.run()
             await attempt.complete(relay.usage)
+            attempt.offer_sample(bytes(relay.sample))
             accepted = not checked or await self._accept(
                 attempt, bytes(relay.answer)
             )
@@ -235,6 +236,7 @@
             body = await attempt.read_body()
             value = relays.parse_completion(attempt, body)
             await attempt.complete(events.parse_usage(value.get("usage")))
+            attempt.offer_sample(body)
             if self._is_checked() and not await self._accept(attempt, body):
                 return False
         await self._record()
@@ -345,7 +347,8 @@
         stream_id = f"{self._caller.request_id}-{execution.create_request_id()}"
         headers = {
             "Content-Type": replies.JSON_TYPE,
-            "Dragonflydyke-Stream-Id": stream_id,
+            replies.REQUEST_ID_HEADER: self._caller.request_id,
+            backends.STREAM_ID_HEADER: stream_id,
         }
         return services.BackendRequest(server, "POST", _PATH, headers, body)
 
--- a/src/dragonflydyke/gateway/relays.py
+++ b/src/dragonflydyke/gateway/relays.py
@@ -19,6 +19,10 @@
 Send = Callable[[bytes], Awaitable[None]]
 
 
+# The rating service judges the beginning of very long answers.
+_MAX_SAMPLE_BYTES = 1_000_000
+
+
 class EventRelay:
     """Relays events as they come and holds back the end of the stream.
 
@@ -33,6 +37,7 @@
         "_send",
         "_usage_event",
         "answer",
+        "sample",
         "usage",
     )
 
@@ -55,6 +60,7 @@
         self._held: events.LastEvent | None = None
         self._usage_event: events.LastEvent | None = None
         self.answer = bytearray()
+        self.sample = bytearray()
         self.usage: services.Usage | None = None
 
     async def run(self) -> None:
@@ -141,6 +147,8 @@
     def _emit(self, event: bytes) -> None:
         self._attempt.produced_events += 1
         self.answer += event
+        if self._attempt.is_sampled and len(self.sample) < _MAX_SAMPLE_BYTES:
+            self.sample += event
 
     async def _send_pending(self) -> None:
         """Sends the events of one chunk together, which saves writes."""
--- a/src/dragonflydyke/gateway/services.py
+++ b/src/dragonflydyke/gateway/services.py
@@ -1,10 +1,11 @@
 """Components that the gateway uses, as protocols."""
 
 import dataclasses
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Mapping
 from typing import Any, Protocol
 
 from dragonflydyke import metrics
+from dragonflydyke.backends import BackendRequest
 from dragonflydyke.configuration import model
 from dragonflydyke.gateway import tracking
 from dragonflydyke.rollouts import counts as rollout_counts
@@ -60,17 +61,6 @@
         """Tokens of the answer so far."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class BackendRequest:
-    """A request to a backend server."""
-
-    server: model.BackendServer
-    method: str
-    path: str
-    headers: Mapping[str, str]
-    body: bytes
-
-
 class BackendAnswer(Protocol):
     """An answer of a backend server whose headers were received."""
 
@@ -203,6 +193,13 @@
         """Returns False to have the next stage answer instead."""
 
 
+class Sampler(Protocol):
+    """Has answers of roll-outs rated in the background."""
+
+    def offer(self, roll_out: str, version: str, answer: bytes) -> None:
+        """Queues the body of an answer of a version."""
+
+
 @dataclasses.dataclass(slots=True)
 class GatewayServices:
     """Components that the gateway uses.
@@ -218,10 +215,9 @@
         sessions: Session tokens; the module `sessions.tokens`.
         claims: Registry of non-idempotent calls.
         bills: Writer of bills.
-        create_bill: Called with the fields of `billing.model.Bill` by name;
-            `attempts` holds `accounting.Attempt` entries.
         counters: Counters of the process.
         check: Check of cascade answers; None accepts each answer.
+        sampler: Receives answers of roll-outs for rating; None rates none.
         version_counts: Counts for roll-outs.
         retry_budget: Bound on retries.
         tracker: Requests in progress, for a graceful shutdown.
@@ -237,9 +233,9 @@
     sessions: SessionTokens
     claims: Claims
     bills: Bills
-    create_bill: Callable[..., Any]
     counters: metrics.Counters
     check: AnswerCheck | None = None
+    sampler: Sampler | None = None
     version_counts: rollout_counts.VersionCounts = dataclasses.field(
         default_factory=rollout_counts.VersionCounts
     )
--- a/src/dragonflydyke/membership/node.py
+++ b/src/dragonflydyke/membership/node.py
@@ -164,6 +164,18 @@
         """Whether this node is about to stop."""
         return self._reports.leaving
 
+    def confirmed_age_s(self) -> float | None:
+        """Returns the seconds since the newest platform confirmation."""
+        return self._confirmations.newest_age(asyncio.get_running_loop().time())
+
+    def live_incarnations(self) -> frozenset[int]:
+        """Returns the incarnations of this router and of those heard."""
+        now_s = asyncio.get_running_loop().time()
+        heard = self.contacts.heard_contacts(now_s).values()
+        return frozenset(
+            (self.identity.incarnation, *(c.report.incarnation for c in heard))
+        )
+
     async def start(self) -> None:
         """Reads the platform, or the seed peers, and starts the loops.
 
--- a/src/dragonflydyke/rollouts/counts.py
+++ b/src/dragonflydyke/rollouts/counts.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from dragonflydyke.configuration import model
+from dragonflydyke.rollouts import decisions
 
 _MILLI = 1_000
 
@@ -63,24 +64,19 @@
 
     def meets_stop(self, roll_out: model.RollOut) -> bool:
         """Returns whether the own sample meets the stop condition."""
-        sample = self._counts.get((roll_out.name, roll_out.to_version))
-        return sample is not None and meets_stop(sample, roll_out.stop)
+        count = self._counts.get((roll_out.name, roll_out.to_version))
+        if count is None:
+            return False
+        sample = decisions.VersionSample(
+            requests=count.requests,
+            failures=count.failures,
+            ratings=count.ratings,
+            rating_sum=count.rating_sum_milli / _MILLI,
+        )
+        return decisions.find_stop_reason(roll_out.stop, sample) is not None
 
     def _count(self, roll_out: str, version: str) -> VersionCount:
         key = (roll_out, version)
         if key not in self._counts:
             self._counts[key] = VersionCount(roll_out, version)
         return self._counts[key]
-
-
-def meets_stop(sample: VersionCount, stop: model.StopCondition) -> bool:
-    """Returns whether counts of the new version meet a stop condition."""
-    minimum = max(stop.min_samples, 1)
-    if sample.requests >= minimum:
-        error_share = sample.failures / sample.requests
-        if error_share > stop.max_error_share:
-            return True
-    if sample.ratings < minimum:
-        return False
-    mean = sample.rating_sum_milli / sample.ratings / _MILLI
-    return mean < stop.min_rating
--- a/src/dragonflydyke/rollouts/decisions.py
+++ b/src/dragonflydyke/rollouts/decisions.py
@@ -32,10 +32,8 @@
     stop: model.StopCondition, sample: VersionSample
 ) -> str | None:
     """Returns why the sample calls for a stop, or None."""
-    if (
-        sample.requests >= stop.min_samples
-        and sample.error_share > stop.max_error_share
-    ):
+    minimum = max(stop.min_samples, 1)
+    if sample.requests >= minimum and sample.error_share > stop.max_error_share:
         return (
             f"error share {sample.error_share:.3f} over"
             f" {stop.max_error_share} in {sample.requests} requests"
@@ -43,7 +41,7 @@
     rating = sample.mean_rating
     if (
         rating is not None
-        and sample.ratings >= stop.min_samples
+        and sample.ratings >= minimum
         and rating < stop.min_rating
     ):
         return (
--- a/src/dragonflydyke/rollouts/ratings.py
+++ b/src/dragonflydyke/rollouts/ratings.py
@@ -7,7 +7,7 @@
 from tornado import httpclient, simple_httpclient
 
 from dragonflydyke import metrics
-from dragonflydyke.rollouts import counts
+from dragonflydyke.rollouts import answers, counts
 
 _TIMEOUT_S = 2.0
 # More waiting answers would be rated too late to matter.
@@ -64,7 +64,7 @@
 class _Sample:
     roll_out: str
     version: str
-    answer: str
+    answer: bytes
 
 
 class RatingSampler:
@@ -96,8 +96,8 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def offer(self, roll_out: str, version: str, answer: str) -> None:
-        """Queues an answer; drops and counts it when the queue is full."""
+    def offer(self, roll_out: str, version: str, answer: bytes) -> None:
+        """Queues the body of an answer; drops it when the queue is full."""
         try:
             self._queue.put_nowait(_Sample(roll_out, version, answer))
         except asyncio.QueueFull:
@@ -106,6 +106,9 @@
     async def _run(self) -> None:
         while True:
             sample = await self._queue.get()
-            rating = await self._client.rate(sample.version, sample.answer)
+            text = answers.extract_text(sample.answer)
+            rating = await self._client.rate(sample.version, text)
             if rating is not None:
-                self._counts.add_rating(sample.roll_out, sample.version, rating)
+                self._counts.record_rating(
+                    sample.roll_out, sample.version, rating
+                )
--- /dev/null
+++ b/src/dragonflydyke/router/checks.py
@@ -0,0 +1,32 @@
+"""Check of cascade answers by the rating service."""
+
+from dragonflydyke import metrics
+from dragonflydyke.configuration import model
+from dragonflydyke.gateway import services
+from dragonflydyke.rollouts import answers, ratings
+
+
+class RatingCheck:
+    """Accepts an answer whose rating reaches the class's quality target."""
+
+    __slots__ = ("_client", "_counters")
+
+    def __init__(
+        self, client: ratings.RatingClient, counters: metrics.Counters
+    ) -> None:
+        self._client = client
+        self._counters = counters
+
+    async def accept(self, candidate: services.CandidateAnswer) -> bool:
+        """Returns whether the answer is good enough.
+
+        Without a rating the answer is accepted: the version was selected for
+        a configured quality that reaches the target.
+        """
+        version = model.version_id(candidate.model, candidate.version)
+        text = answers.extract_text(candidate.answer)
+        rating = await self._client.rate(version, text)
+        if rating is None:
+            self._counters.increment("cascade.unrated")
+            return True
+        return rating >= candidate.request_class.quality_target
--- /dev/null
+++ b/src/dragonflydyke/router/engines.py
@@ -0,0 +1,98 @@
+"""Load reports of the engines in use, and orders to engines."""
+
+import asyncio
+import time
+from collections.abc import Iterable
+
+from dragonflydyke import backends, errors, metrics, routing
+from dragonflydyke.configuration import model
+from dragonflydyke.membership import node
+from dragonflydyke.rollouts import orders
+
+LOAD_INTERVAL_S = 2.0
+_CALL_TIMEOUT_S = 1.0
+_MS_PER_S = 1_000
+_ORDER_KINDS = {
+    orders.OrderKind.LOAD: backends.OrderKind.LOAD,
+    orders.OrderKind.UNLOAD: backends.OrderKind.UNLOAD,
+}
+
+
+class LoadObserver:
+    """Polls the load reports of the servers in this node's subsets."""
+
+    __slots__ = ("_client", "_counters", "_member", "_pool")
+
+    def __init__(
+        self,
+        member: node.Membership,
+        pool: routing.ServerPool,
+        client: backends.BackendClient,
+        counters: metrics.Counters,
+    ) -> None:
+        self._member = member
+        self._pool = pool
+        self._client = client
+        self._counters = counters
+
+    async def run(self) -> None:
+        """Polls every two seconds until cancelled."""
+        while True:
+            await self.poll()
+            await asyncio.sleep(LOAD_INTERVAL_S)
+
+    async def poll(self) -> None:
+        """Reads all reports once."""
+        await asyncio.gather(*(self._read(s) for s in self._list_servers()))
+
+    def _list_servers(self) -> list[model.BackendServer]:
+        in_force = self._member.state.current
+        if in_force is None:
+            return []
+        used = {
+            server.name: server
+            for entry in in_force.document.models
+            for version in entry.versions
+            for server in self._pool.candidates(
+                in_force, model.version_id(entry.name, version.name)
+            )
+        }
+        return list(used.values())
+
+    async def _read(self, server: model.BackendServer) -> None:
+        deadline = asyncio.get_running_loop().time() + _CALL_TIMEOUT_S
+        try:
+            report = await self._client.fetch_load(server, deadline=deadline)
+        except errors.DragonflydykeError:
+            self._counters.increment("load_report.unavailable")
+            return
+        age_s = max(0.0, time.time() - report.as_of_ms / _MS_PER_S)
+        self._pool.record_load(
+            server.name, report.running, report.waiting, age_s
+        )
+
+
+class EngineControl:
+    """Sends the roll-out driver's orders."""
+
+    __slots__ = ("_client",)
+
+    def __init__(self, client: backends.BackendClient) -> None:
+        self._client = client
+
+    async def read_loaded(self, server: model.BackendServer) -> Iterable[str]:
+        """Returns the `model@version` names that an engine has loaded."""
+        deadline = asyncio.get_running_loop().time() + _CALL_TIMEOUT_S
+        report = await self._client.fetch_load(server, deadline=deadline)
+        return report.versions
+
+    async def send_order(self, order: orders.Order, fencing: int) -> None:
+        """Sends one order with the fencing token of the lease."""
+        deadline = asyncio.get_running_loop().time() + _CALL_TIMEOUT_S
+        await self._client.send_order(
+            order.server,
+            backends.EngineOrder(
+                _ORDER_KINDS[order.kind], order.version, fencing
+            ),
+            deadline=deadline,
+        )
--- /dev/null
+++ b/src/dragonflydyke/router/fleet.py
@@ -0,0 +1,168 @@
+"""The fleet as one router sees it: status, demand and roll-out counts."""
+
+import asyncio
+from collections.abc import Iterable
+
+from dragonflydyke import admin, limits
+from dragonflydyke.configuration import model
+from dragonflydyke.membership import contacts, node
+from dragonflydyke.protocol import node_pb2
+from dragonflydyke.rollouts import counts, decisions
+from dragonflydyke.rollouts import model as rollouts_model
+
+LIMITS_INTERVAL_S = 1.0
+_MS_PER_S = 1_000
+_MILLI = 1_000
+
+
+class FleetStatusProvider:
+    """Builds the status for operators from memory."""
+
+    __slots__ = ("_member",)
+
+    def __init__(self, member: node.Membership) -> None:
+        self._member = member
+
+    def status(self) -> admin.FleetStatus:
+        """Returns the present state of all listed entry VMs."""
+        member = self._member
+        ready, reason = describe_readiness(member)
+        current = member.state.current
+        return admin.FleetStatus(
+            vm=member.identity.vm,
+            revision=current.revision if current else None,
+            ready=ready,
+            reason=reason,
+            vms=tuple(
+                self._describe(vm.name, vm.data_centre)
+                for vm in member.contacts.entry_vms()
+            ),
+        )
+
+    def _describe(self, name: str, data_centre: str) -> admin.VmStatus:
+        member = self._member
+        if name == member.identity.vm:
+            current = member.state.current
+            return admin.VmStatus(
+                vm=name,
+                data_centre=data_centre,
+                state="leaving" if member.leaving else "serving",
+                revision=current.revision if current else None,
+                age_s=0.0,
+                confirmed_age_s=member.confirmed_age_s(),
+            )
+        now_s = asyncio.get_running_loop().time()
+        contact = member.contacts.newest(name)
+        if contact is None:
+            return admin.VmStatus(
+                name, data_centre, "not heard", None, None, None
+            )
+        return _describe_contact(contact, data_centre, now_s)
+
+
+def _describe_contact(
+    contact: contacts.Contact, data_centre: str, now_s: float
+) -> admin.VmStatus:
+    report = contact.report
+    age_s = now_s - contact.made_s
+    state = "serving"
+    if report.state == node_pb2.NODE_STATE_LEAVING:
+        state = "leaving"
+    if age_s > contacts.HEARD_S:
+        state = "not heard"
+    confirmed_age_s = None
+    if report.has_confirmation:
+        confirmed_age_s = age_s + report.confirmation_age_ms / _MS_PER_S
+    return admin.VmStatus(
+        vm=report.vm,
+        data_centre=data_centre,
+        state=state,
+        revision=report.revision or None,
+        age_s=age_s,
+        confirmed_age_s=confirmed_age_s,
+    )
+
+
+def describe_readiness(member: node.Membership) -> tuple[bool, str]:
+    """Returns whether a router accepts new requests, and why not."""
+    if member.leaving:
+        return False, "leaving"
+    if member.state.current is None:
+        return False, "no configuration"
+    if not member.permit.holds():
+        return False, "not confirmed"
+    return True, ""
+
+
+class RollOutView:
+    """Fleet-wide counts of roll-outs for the driver."""
+
+    __slots__ = ("_counts", "_member")
+
+    def __init__(
+        self, member: node.Membership, version_counts: counts.VersionCounts
+    ) -> None:
+        self._member = member
+        self._counts = version_counts
+
+    def document(self) -> model.Document | None:
+        """Returns the configuration in force, or None before the first."""
+        current = self._member.state.current
+        return current.document if current else None
+
+    def sample(self, roll_out: str, version: str) -> decisions.VersionSample:
+        """Returns the counts of a version summed over all routers."""
+        own = self._counts.count(roll_out, version)
+        reported: list[counts.VersionCount | node_pb2.VersionCounts] = [own]
+        fleet = self._member.contacts.fleet_version_counts()
+        for entries in fleet.values():
+            reported += (
+                entry
+                for entry in entries
+                if (entry.roll_out, entry.version) == (roll_out, version)
+            )
+        return decisions.VersionSample(
+            requests=sum(entry.requests for entry in reported),
+            failures=sum(entry.failures for entry in reported),
+            ratings=sum(entry.ratings for entry in reported),
+            rating_sum=sum(entry.rating_sum_milli for entry in reported)
+            / _MILLI,
+        )
+
+
+def list_roll_outs(
+    member: node.Membership,
+) -> Iterable[rollouts_model.RollOutState]:
+    """Returns the decisions in force on roll-outs."""
+    current = member.state.current
+    return current.roll_outs.values() if current else ()
+
+
+def build_version_counts(
+    version_counts: counts.VersionCounts,
+) -> Iterable[node_pb2.VersionCounts]:
+    """Returns the own counts as they are reported to the other routers."""
+    return [
+        node_pb2.VersionCounts(
+            roll_out=entry.roll_out,
+            version=entry.version,
+            requests=entry.requests,
+            failures=entry.failures,
+            ratings=entry.ratings,
+            rating_sum_milli=entry.rating_sum_milli,
+        )
+        for entry in version_counts.counts()
+    ]
+
+
+def update_limits(
+    member: node.Membership, limiter: limits.AccountLimiter
+) -> None:
+    """Gives the limiter the newest demands of the other routers."""
+    now_s = asyncio.get_running_loop().time()
+    demands = member.contacts.fleet_demands(now_s)
+    limiter.set_fleet(
+        [entry for entries in demands.values() for entry in entries],
+        {member.identity.vm, *demands},
+        listed_vms=len(member.contacts.entry_vms()),
+    )
