idempotency: add claims of calls that must not be repeated

A claim is created before dispatch, begin_dispatch() grants the one dispatch after a last look at the deadline, and finish() or abandon() settles it, in the background if the platform does not answer.

Cause of a fault found by the randomised test: a create whose answer was lost could take effect after the claim had been abandoned, and then blocked its key for good, although nothing had run. Claims now remember a lost create and remove what it leaves for 15 s after an abandoned or refused claim. Leaving the late claim to its expiry was ruled out, as an expired claim is final.

--- a/src/dragonflydyke/idempotency/__init__.py
+++ b/src/dragonflydyke/idempotency/__init__.py
@@ -1,1 +1,17 @@
-"""At most one execution of calls that may not be repeated."""
+"""At-most-once execution of calls that must not be repeated."""
+
+from dragonflydyke.idempotency.claims import ClaimRegistry
+from dragonflydyke.idempotency.model import (
+    BODY_NOT_STORED,
+    REPLAY_HEADER,
+    Claim,
+    StoredResponse,
+)
+
+__all__ = [
+    "BODY_NOT_STORED",
+    "REPLAY_HEADER",
+    "Claim",
+    "ClaimRegistry",
+    "StoredResponse",
+]
--- /dev/null
+++ b/src/dragonflydyke/idempotency/claims.py
@@ -0,0 +1,395 @@
+"""At-most-once execution of calls that must not be repeated."""
+
+import asyncio
+import random
+import secrets
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from dragonflydyke import errors, logs, metrics, objects
+from dragonflydyke.idempotency import model
+
+CALLS_KIND = "calls"
+# Time after the operation's timeout in which its holder may still answer.
+HOLDER_GRACE_S = 30.0
+_CREATE_ATTEMPTS = 3
+_CREATE_PAUSE_S = 0.05
+_MAX_RETRY_AFTER_S = 5.0
+_FIRST_BACK_OFF_S = 0.25
+_MAX_BACK_OFF_S = 10.0
+# A lost create may still take effect; the platform bounds calls to seconds.
+_LATE_CREATE_S = 15.0
+
+_log = logs.get_logger("idempotency.claims")
+
+
+def _read_clock_ms() -> int:
+    return int(time.time() * 1_000)
+
+
+class ClaimRegistry:
+    """Claims calls in the platform, so that each is made at most once.
+
+    A caller of `claim` that gets no replay calls `begin_dispatch` directly
+    before sending the request, and afterwards either `finish` with the
+    response, or `abandon` if the call certainly did not run. When the outcome
+    is unknown it calls neither, and the claim stays.
+    """
+
+    __slots__ = (
+        "_clock_ms",
+        "_counters",
+        "_generator",
+        "_objects",
+        "_tasks",
+        "_vm_name",
+    )
+
+    def __init__(
+        self,
+        objects_client: objects.ObjectStore,
+        vm_name: str,
+        counters: metrics.Counters,
+        *,
+        clock_ms: Callable[[], int] = _read_clock_ms,
+        generator: random.Random | None = None,
+    ) -> None:
+        """Creates a registry.
+
+        Args:
+            objects_client: The platform.
+            vm_name: Name of this VM, stored as the holder.
+            counters: Receives `claim.<event>`.
+            clock_ms: Returns the Unix time in milliseconds.
+            generator: Source of jitter.
+        """
+        self._objects = objects_client
+        self._vm_name = vm_name
+        self._counters = counters
+        self._clock_ms = clock_ms
+        self._generator = generator or random.Random()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def claim(
+        self,
+        account: str,
+        service: str,
+        operation: str,
+        key: str,
+        request_digest: str,
+        timeout_s: float,
+    ) -> model.Claim:
+        """Claims a call, or returns the response of the same call before.
+
+        Args:
+            account: Client account.
+            service: Name of the service.
+            operation: Name of the operation.
+            key: Idempotency key of the caller.
+            request_digest: Digest of everything that is sent to the service.
+            timeout_s: Timeout of the operation.
+
+        Raises:
+            DragonflydykeError: `idempotency_key_reused` (422),
+                `call_in_progress` or `call_outcome_unknown` (409, execution
+                unknown), `platform_unavailable` (503, not run).
+        """
+        claim = model.Claim(
+            name=model.derive_name(account, service, operation, key),
+            nonce=secrets.token_hex(16),
+            request_digest=request_digest,
+            claimed_at_ms=self._clock_ms(),
+        )
+        try:
+            present = await self._create(claim)
+        except asyncio.CancelledError:
+            # The create may have taken effect when the caller went away.
+            self._start(self._remove(claim, _LATE_CREATE_S))
+            raise
+        if present is None:
+            self._counters.increment("claim.created")
+            return claim
+        return self._judge(claim, present.value, timeout_s)
+
+    async def begin_dispatch(
+        self, claim: model.Claim, deadline_s: float
+    ) -> None:
+        """Takes the right to send the call; to be called once per claim.
+
+        Args:
+            claim: A claim without a replay.
+            deadline_s: Loop time until which the caller waits.
+
+        Raises:
+            DragonflydykeError: `deadline_exceeded` (504, not run) if the
+                deadline passed since the claim, which is then abandoned.
+        """
+        errors.check_invariant(
+            claim.replay is None
+            and not claim.is_dispatched
+            and not claim.is_settled,
+            f"call {claim.name} dispatched twice or without a claim",
+        )
+        if asyncio.get_running_loop().time() >= deadline_s:
+            await self.abandon(claim)
+            raise errors.DragonflydykeError(
+                "deadline_exceeded",
+                "the deadline passed before the call was sent; "
+                "retry with a later deadline",
+                step=errors.Step.CLAIM,
+                retry_after_s=0.0,
+                status=504,
+            )
+        claim.is_dispatched = True
+
+    async def finish(
+        self,
+        claim: model.Claim,
+        status: int,
+        content_type: str,
+        body: bytes,
+    ) -> bool:
+        """Stores the response for replays.
+
+        Returns:
+            Whether it is stored; if not, the write is retried in the
+            background and the response can be delivered all the same.
+        """
+        errors.check_invariant(
+            claim.is_dispatched and not claim.is_settled,
+            f"call {claim.name} finished without dispatch or twice",
+        )
+        claim.is_settled = True
+        value = model.format_done(
+            claim, self._vm_name, status, content_type, body
+        )
+        return await self._settle(lambda: self._store(claim, value))
+
+    async def abandon(self, claim: model.Claim) -> bool:
+        """Removes the claim of a call that certainly did not run.
+
+        Returns:
+            Whether it is removed; if not, the delete is retried in the
+            background.
+        """
+        errors.check_invariant(
+            claim.replay is None and not claim.is_settled,
+            f"call {claim.name} abandoned after its end",
+        )
+        claim.is_settled = True
+        self._counters.increment("claim.abandoned")
+        if claim.has_lost_create:
+            # Taking effect after the delete, it would block the key for good.
+            self._start(self._remove(claim, _LATE_CREATE_S))
+        return await self._settle(lambda: self._delete(claim))
+
+    def pending(self) -> int:
+        """Returns the number of writes being retried in the background."""
+        return len(self._tasks)
+
+    async def close(self, timeout_s: float) -> None:
+        """Waits for the background writes, then cancels those left."""
+        tasks = set(self._tasks)
+        if tasks:
+            await asyncio.wait(tasks, timeout=timeout_s)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _create(self, claim: model.Claim) -> objects.StoredObject | None:
+        """Creates the claim; returns the object of another, or None."""
+        value = model.format_claimed(claim, self._vm_name)
+        for _ in range(_CREATE_ATTEMPTS):
+            try:
+                stored = await self._objects.create(
+                    CALLS_KIND, claim.name, value
+                )
+            except objects.ConflictError as error:
+                stored = error.present
+            except objects.OutcomeUnknownError:
+                claim.has_lost_create = True
+                stored = await self._read(claim.name)
+            except objects.PlatformUnavailableError as error:
+                raise self._refuse(claim, error) from error
+            if stored is None:
+                # Either not yet in effect or deleted by another; the next
+                # create decides.
+                await asyncio.sleep(_CREATE_PAUSE_S)
+                continue
+            if stored.value["nonce"] == claim.nonce:
+                claim.version = stored.version
+                return None
+            return stored
+        raise self._refuse(claim, None)
+
+    async def _read(self, name: str) -> objects.StoredObject | None:
+        try:
+            return await self._objects.get(CALLS_KIND, name)
+        except objects.PlatformUnavailableError:
+            return None
+
+    def _refuse(
+        self,
+        claim: model.Claim,
+        cause: errors.DragonflydykeError | None,
+    ) -> errors.DragonflydykeError:
+        """Returns the refusal of a call, which was not dispatched."""
+        self._counters.increment("claim.refused")
+        if claim.has_lost_create:
+            self._start(self._remove(claim, _LATE_CREATE_S))
+        return errors.DragonflydykeError(
+            "platform_unavailable",
+            "the call could not be claimed; retry later with the same key",
+            step=errors.Step.CLAIM,
+            peer=cause.peer if cause else "",
+            retry_after_s=_MAX_RETRY_AFTER_S,
+            status=503,
+        )
+
+    def _judge(
+        self, claim: model.Claim, value: dict[str, Any], timeout_s: float
+    ) -> model.Claim:
+        if value["request_digest"] != claim.request_digest:
+            raise errors.DragonflydykeError(
+                "idempotency_key_reused",
+                "the idempotency key belongs to a different request; "
+                "use a new key",
+                step=errors.Step.CLAIM,
+                status=422,
+                field="Idempotency-Key",
+            )
+        if value["state"] == "done":
+            self._counters.increment("claim.replayed")
+            claim.replay = model.parse_response(value)
+            claim.is_settled = True
+            return claim
+        age_s = (self._clock_ms() - value["claimed_at_ms"]) / 1_000
+        left_s = timeout_s + HOLDER_GRACE_S - age_s
+        if left_s > 0:
+            raise errors.DragonflydykeError(
+                "call_in_progress",
+                "a call with this idempotency key is in progress; retry "
+                "with the same key to get its response",
+                step=errors.Step.CLAIM,
+                peer=value["holder"],
+                execution=errors.Execution.UNKNOWN,
+                retry_after_s=min(_MAX_RETRY_AFTER_S, max(1.0, left_s)),
+                status=409,
+            )
+        raise errors.DragonflydykeError(
+            "call_outcome_unknown",
+            "the router that made this call died before it stored the "
+            "response; find out from the service whether the call was made",
+            step=errors.Step.CLAIM,
+            peer=value["holder"],
+            execution=errors.Execution.UNKNOWN,
+            status=409,
+        )
+
+    async def _store(self, claim: model.Claim, value: dict[str, Any]) -> None:
+        try:
+            await self._objects.update(
+                CALLS_KIND, claim.name, value, claim.version
+            )
+        except objects.ConflictError as error:
+            # A lost answer to an earlier update makes the next one conflict.
+            present = error.present
+            is_stored = (
+                present is not None
+                and present.value["nonce"] == claim.nonce
+                and present.value["state"] == "done"
+            )
+            errors.check_invariant(
+                is_stored, f"claim {claim.name} was changed by another router"
+            )
+
+    async def _delete(self, claim: model.Claim) -> None:
+        try:
+            await self._objects.delete(CALLS_KIND, claim.name, claim.version)
+        except objects.ConflictError as error:
+            # Deleted by an earlier attempt, and claimed again by another; or
+            # a lost create took effect late, which `_remove` deals with.
+            present = error.present
+            errors.check_invariant(
+                present is None
+                or present.value["nonce"] != claim.nonce
+                or claim.has_lost_create,
+                f"claim {claim.name} was changed while it was abandoned",
+            )
+
+    async def _remove(self, claim: model.Claim, late_s: float) -> None:
+        """Deletes a claim whose create may have taken effect, or yet may."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + late_s
+        delay_s = _FIRST_BACK_OFF_S
+        while True:
+            try:
+                stored = await self._objects.get(CALLS_KIND, claim.name)
+                if stored and stored.value["nonce"] == claim.nonce:
+                    await self._objects.delete(
+                        CALLS_KIND, claim.name, stored.version
+                    )
+                if loop.time() >= end_s:
+                    return
+            except errors.DragonflydykeError:
+                # The time for a late create counts from the last outage.
+                end_s = loop.time() + late_s
+            await asyncio.sleep(delay_s)
+            delay_s = self._next_delay_s(delay_s)
+
+    async def _settle(
+        self, write: Callable[[], Coroutine[Any, Any, None]]
+    ) -> bool:
+        """Returns the success of the first attempt; a task goes on if needed.
+
+        The task also goes on when the caller is cancelled.
+        """
+        first = asyncio.get_running_loop().create_future()
+        self._start(self._retry(write, first))
+        return await asyncio.shield(first)
+
+    async def _retry(
+        self,
+        write: Callable[[], Coroutine[Any, Any, None]],
+        first: asyncio.Future[bool],
+    ) -> None:
+        delay_s = _FIRST_BACK_OFF_S
+        try:
+            while not await self._attempt(write()):
+                if not first.done():
+                    self._counters.increment("claim.settle_retried")
+                    first.set_result(False)
+                await asyncio.sleep(delay_s * self._generator.uniform(0.5, 1.0))
+                delay_s = self._next_delay_s(delay_s)
+        except Exception as error:
+            if first.done():
+                raise
+            first.set_exception(error)
+        else:
+            if not first.done():
+                first.set_result(True)
+
+    async def _attempt(self, write: Coroutine[Any, Any, None]) -> bool:
+        try:
+            await write
+        except (
+            objects.PlatformUnavailableError,
+            objects.OutcomeUnknownError,
+        ):
+            return False
+        return True
+
+    def _next_delay_s(self, delay_s: float) -> float:
+        return min(_MAX_BACK_OFF_S, 2 * delay_s)
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish_task)
+
+    def _finish_task(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._counters.increment("claim.background_fault")
+            _log.error("claim not settled", cause=str(task.exception()))
--- /dev/null
+++ b/tests/test_idempotency.py
@@ -0,0 +1,303 @@
+"""Tests of claims of non-idempotent calls."""
+
+import asyncio
+import random
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+import hypothesis
+from hypothesis import strategies
+
+from dragonflydyke import errors, metrics, objects
+from dragonflydyke.idempotency import claims, model
+from tests.builders import faulty_objects, virtual_loop
+
+_TIMEOUT_S = 10.0
+_RUNS = 6
+_Result = TypeVar("_Result")
+
+
+class _StalePlatform(faulty_objects.Platform):
+    """Platform whose first read does not see the last write."""
+
+    is_stale = True
+
+    async def get(self, kind: str, name: str) -> objects.StoredObject | None:
+        if self.is_stale:
+            self.is_stale = False
+            return None
+        return await super().get(kind, name)
+
+
+class _OutagePlatform(faulty_objects.Platform):
+    """Platform that becomes unavailable at the first read."""
+
+    ends_at_read = True
+
+    async def get(self, kind: str, name: str) -> objects.StoredObject | None:
+        if self.ends_at_read:
+            self.available = False
+        return await super().get(kind, name)
+
+
+class _ClaimsTestCase(virtual_loop.VirtualTimeTestCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.platform = faulty_objects.Platform()
+        self.counters = metrics.Counters()
+
+    def build(self, seed: int = 0) -> claims.ClaimRegistry:
+        """Returns the registry of one router."""
+        return claims.ClaimRegistry(
+            faulty_objects.FaultyObjects(self.platform, seed),
+            f"vm-{seed}",
+            self.counters,
+            clock_ms=lambda: int(self.loop.time() * 1_000),
+            generator=random.Random(seed),
+        )
+
+    async def finish(
+        self, work: Coroutine[Any, Any, _Result], seconds: float = 1.0
+    ) -> _Result:
+        """Returns the result of work within virtual seconds."""
+        task = asyncio.create_task(work)
+        await self.loop.advance(seconds)
+        self.assertTrue(task.done())
+        return task.result()
+
+    async def claim(
+        self, registry: claims.ClaimRegistry, digest: str = "d"
+    ) -> model.Claim:
+        """Claims the same call each time."""
+        return await self.finish(
+            registry.claim("a", "labels", "print", "key", digest, _TIMEOUT_S)
+        )
+
+    async def expect(
+        self, registry: claims.ClaimRegistry, code: str, digest: str = "d"
+    ) -> errors.DragonflydykeError:
+        """Claims the same call and returns the error."""
+        with self.assertRaises(errors.DragonflydykeError) as caught:
+            await self.claim(registry, digest)
+        self.assertEqual(caught.exception.code, code)
+        return caught.exception
+
+
+class ClaimTest(_ClaimsTestCase):
+    """Guards against calls made twice and false statements on execution."""
+
+    async def test_second_caller_gets_the_response(self) -> None:
+        for body, expected, status in (
+            (b"\x00label", b"\x00label", 201),
+            (b"x" * 65_536, b"x" * 65_536, 201),
+            (b"x" * 65_537, b"", 200),
+        ):
+            with self.subTest(size=len(body)):
+                self.platform = faulty_objects.Platform()
+                registry, other = self.build(0), self.build(1)
+                claim = await self.claim(registry)
+                self.assertIsNone(claim.replay)
+                error = await self.expect(other, "call_in_progress")
+                self.assertEqual(error.execution, errors.Execution.UNKNOWN)
+                self.assertGreater(error.retry_after_s, 0)
+                await registry.begin_dispatch(claim, self.loop.time() + 1)
+                await self.finish(registry.finish(claim, 201, "a/b", body))
+                replay = (await self.claim(other)).replay
+                self.assertEqual(
+                    replay,
+                    model.StoredResponse(
+                        status, "a/b", expected, bool(expected)
+                    ),
+                )
+                error = await self.expect(other, "idempotency_key_reused", "e")
+                self.assertEqual(error.status, 422)
+
+    async def test_dead_holder_is_final(self) -> None:
+        await self.claim(self.build(0))
+        await self.expect(self.build(1), "idempotency_key_reused", "e")
+        await self.loop.advance(_TIMEOUT_S + claims.HOLDER_GRACE_S)
+        error = await self.expect(self.build(1), "call_outcome_unknown")
+        self.assertEqual(error.execution, errors.Execution.UNKNOWN)
+        self.assertIsNone(error.retry_after_s)
+
+    async def test_lost_answer_to_the_create(self) -> None:
+        self.platform.lose_answers = 1
+        claim = await self.claim(self.build(0))
+        self.assertIsNone(claim.replay)
+        self.assertGreater(claim.version, 0)
+        await self.expect(self.build(1), "call_in_progress")
+
+    async def test_conflict_with_the_own_claim(self) -> None:
+        # The lost create was not visible yet when it was read back.
+        self.platform = _StalePlatform()
+        self.platform.lose_answers = 1
+        claim = await self.claim(self.build(0))
+        self.assertIsNone(claim.replay)
+        self.assertFalse(self.platform.is_stale)
+
+    async def test_refused_call_does_not_block_its_key(self) -> None:
+        # The create takes effect, and then the platform goes down.
+        platform = self.platform = _OutagePlatform()
+        platform.lose_answers = 1
+        registry = self.build(0)
+        error = await self.expect(registry, "platform_unavailable")
+        self.assertEqual(error.execution, errors.Execution.NOT_RUN)
+        self.assertEqual(len(platform.store.list("calls").objects), 1)
+        await self.loop.advance(60.0)
+        platform.ends_at_read, platform.available = False, True
+        await self.loop.advance(11.0)
+        self.assertIsNone((await self.claim(self.build(1))).replay)
+        await self.loop.advance(30.0)
+        self.assertEqual(registry.pending(), 0)
+        await self.expect(self.build(2), "call_in_progress")
+
+    async def test_late_create_does_not_block_an_abandoned_key(self) -> None:
+        registry = self.build(0)
+        self.platform.lose_answers = 1
+        claim = await self.claim(registry)
+        late = self.platform.store.list("calls").objects[0]
+        self.assertTrue(await self.finish(registry.abandon(claim)))
+        await self.platform.create("calls", late.name, late.value)
+        await self.loop.advance(30.0)
+        self.assertIsNone((await self.claim(self.build(1))).replay)
+
+    async def test_platform_unavailable(self) -> None:
+        self.platform.available = False
+        error = await self.expect(self.build(0), "platform_unavailable")
+        self.assertEqual(error.execution, errors.Execution.NOT_RUN)
+        self.assertEqual(error.status, 503)
+
+    async def test_deadline_between_claim_and_dispatch(self) -> None:
+        registry = self.build(0)
+        claim = await self.claim(registry)
+        with self.assertRaises(errors.DragonflydykeError) as caught:
+            await self.finish(registry.begin_dispatch(claim, self.loop.time()))
+        self.assertEqual(caught.exception.code, "deadline_exceeded")
+        self.assertEqual(caught.exception.execution, errors.Execution.NOT_RUN)
+        claim = await self.claim(self.build(1))
+        self.assertIsNone(claim.replay)
+
+    async def test_dispatched_and_settled_once(self) -> None:
+        registry = self.build(0)
+        claim = await self.claim(registry)
+        await registry.begin_dispatch(claim, self.loop.time() + 1)
+        with self.assertRaises(errors.InvariantError):
+            await registry.begin_dispatch(claim, self.loop.time() + 1)
+        await self.finish(registry.abandon(claim))
+        with self.assertRaises(errors.InvariantError):
+            await registry.finish(claim, 200, "", b"")
+
+    async def test_writes_go_on_in_the_background(self) -> None:
+        for lost in (False, True):
+            for abandoned in (False, True):
+                with self.subTest(lost=lost, abandoned=abandoned):
+                    await self._settle_late(lost, abandoned)
+
+    async def _settle_late(self, lost: bool, abandoned: bool) -> None:
+        self.platform = faulty_objects.Platform()
+        registry = self.build(0)
+        claim = await self.claim(registry)
+        await registry.begin_dispatch(claim, self.loop.time() + 1)
+        self.platform.available = lost
+        self.platform.lose_answers = 1
+        work = registry.finish(claim, 200, "", b"1")
+        if abandoned:
+            work.close()
+            work = registry.abandon(claim)
+        self.assertFalse(await self.finish(work, 0.05))
+        await self.loop.advance(60.0 if not lost else 0.0)
+        self.assertEqual(registry.pending(), 1)
+        self.platform.available = True
+        # Two back-offs: the first write after an outage loses its answer.
+        await self.loop.advance(21.0)
+        self.assertEqual(registry.pending(), 0)
+        replay = (await self.claim(self.build(1))).replay
+        self.assertEqual(replay is None, abandoned)
+
+    @hypothesis.given(
+        body=strategies.binary(max_size=100),
+        status=strategies.integers(100, 599),
+    )
+    def test_response_round_trip(self, body: bytes, status: int) -> None:
+        value = model.format_done(
+            model.Claim("n", "o", "d", 1), "vm", status, "text/plain", body
+        )
+        self.assertEqual(
+            model.parse_response(value),
+            model.StoredResponse(status, "text/plain", body, True),
+        )
+
+
+class RandomFaultsTest(_ClaimsTestCase):
+    """Guards against any order of faults that makes a call twice."""
+
+    async def test_calls_run_at_most_once(self) -> None:
+        seed = faulty_objects.read_seed()
+        executed = 0
+        for run in range(_RUNS):
+            await self._run(seed + run)
+            executed += sum(self.runs.values())
+        self.assertGreater(executed, 3 * _RUNS, self.message)
+
+    async def _run(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.platform = faulty_objects.Platform()
+        self.platform.latency_s = 0.02
+        self.runs = dict.fromkeys(range(20), 0)
+        self.answers: dict[int, set[bytes]] = {}
+        self.message = f"DRAGONFLYDYKE_SEED={seed}"
+        registries = [self.build(seed + number) for number in range(4)]
+        tasks = []
+        for _ in range(100):
+            self.platform.available ^= self.random.random() < 0.1
+            self.platform.fault_share = self.random.choice((0.0, 0.3, 0.9))
+            for _ in range(self.random.randrange(6)):
+                registry = self.random.choice(registries)
+                task = asyncio.create_task(self._call(registry))
+                if self.random.random() < 0.1:
+                    self.loop.call_later(self.random.random(), task.cancel)
+                tasks.append(task)
+            await self.loop.advance(0.5)
+        self.platform.available = True
+        self.platform.fault_share = 0.0
+        await self.loop.advance(60.0)
+        for result in await asyncio.gather(*tasks, return_exceptions=True):
+            is_cancelled = isinstance(result, asyncio.CancelledError)
+            self.assertTrue(result is None or is_cancelled, repr(result))
+        self.assertLessEqual(max(self.runs.values()), 1, self.message)
+        self.assertTrue(all(len(a) == 1 for a in self.answers.values()))
+        self.assertEqual([r.pending() for r in registries], [0] * 4)
+        faults = self.counters.total("claim.background_fault")
+        self.assertEqual(faults, 0, self.message)
+
+    async def _call(self, registry: claims.ClaimRegistry) -> None:
+        number = self.random.randrange(len(self.runs))
+        before = self.runs[number]
+        deadline_s = self.loop.time() + self.random.choice((0.1, 5.0))
+        try:
+            claim = await registry.claim(
+                "a", "labels", "print", str(number), "d", _TIMEOUT_S
+            )
+            if claim.replay is None:
+                await registry.begin_dispatch(claim, deadline_s)
+        except errors.DragonflydykeError as error:
+            if error.code == "call_outcome_unknown":
+                self.assertNotEqual(error.execution, errors.Execution.NOT_RUN)
+            return
+        if claim.replay is not None:
+            self.assertEqual(self.runs[number], 1, self.message)
+            self.answers.setdefault(number, set()).add(claim.replay.body)
+            return
+        # Whoever may dispatch relies on no earlier call having run.
+        self.assertEqual(self.runs[number], 0, self.message)
+        self.assertEqual(before, 0, self.message)
+        fate = self.random.random()
+        if fate < 0.3:  # Connection refused.
+            await registry.abandon(claim)
+            return
+        self.runs[number] += 1
+        body = str(self.random.random()).encode()
+        await asyncio.sleep(self.random.random())
+        if fate < 0.9:  # Otherwise the answer of the service is lost.
+            await registry.finish(claim, 200, "text/plain", body)
+            self.answers.setdefault(number, set()).add(body)
