--- a/harness/deployment.py
+++ b/harness/deployment.py
@@ -142,6 +142,10 @@
         await asyncio.gather(*(entry.stop() for entry in proxies))
         self.http.close()
 
+    def list_processes(self) -> list[processes.ManagedProcess]:
+        """Returns all running processes."""
+        return [p for p in self._started if p.is_running]
+
     async def start_router(self, vm: str, data_centre: str) -> RunningRouter:
         """Starts a router on a VM; replaces one of the same name."""
         process = processes.ManagedProcess(
--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -9,7 +9,7 @@
 from collections.abc import AsyncIterator, Mapping
 from typing import Any
 
-from dragonflydyke import errors, metrics
+from dragonflydyke import billing, errors, metrics
 from dragonflydyke.configuration import model
 from dragonflydyke.gateway import services
 from dragonflydyke.gateway.events import TokenUsage
@@ -112,12 +112,12 @@
     """Keeps bills; `gate` holds `record` back until it is set."""
 
     def __init__(self) -> None:
-        self.bills: list[dict[str, Any]] = []
+        self.bills: list[billing.Bill] = []
         self.gate = asyncio.Event()
         self.gate.set()
         self.entered = asyncio.Event()
 
-    async def record(self, bill: dict[str, Any]) -> None:
+    async def record(self, bill: billing.Bill) -> None:
         self.entered.set()
         await self.gate.wait()
         self.bills.append(bill)
@@ -176,7 +176,6 @@
         sessions=types.SimpleNamespace(issue=issue_token, verify=verify_token),
         claims=MemoryClaims(),
         bills=RecordedBills(),
-        create_bill=dict,
         counters=counters,
     )
 
--- a/tests/builders/gateway_case.py
+++ b/tests/builders/gateway_case.py
@@ -10,7 +10,7 @@
 import tornado.httpclient
 import tornado.testing
 
-from dragonflydyke import errors
+from dragonflydyke import billing, errors
 from dragonflydyke.gateway import build_application, build_server
 from tests.builders import documents, gateway
 
@@ -51,7 +51,7 @@
             await self.services.tracker.wait_idle()
 
     @property
-    def bills(self) -> list[dict[str, Any]]:
+    def bills(self) -> list[billing.Bill]:
         return self.services.bills.bills
 
     def play(self, *entries: Any) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -31,10 +31,10 @@
         self.assertEqual(response.code, 200)
         extra = json.loads(response.body)["dragonflydyke"]
         (bill,) = self.bills
-        self.assertEqual(bill["outcome"], "completed")
-        self.assertEqual(bill["cost"], 100 + 2_000)
-        self.assertEqual(extra["cost"], bill["cost"])
-        self.assertEqual(extra["bill_id"], bill["bill_id"])
+        self.assertEqual(bill.outcome, "completed")
+        self.assertEqual(bill.cost, 100 + 2_000)
+        self.assertEqual(extra["cost"], bill.cost)
+        self.assertEqual(extra["bill_id"], bill.bill_id)
         admission = self.services.limiter.admit.return_value
         admission.release.assert_called_once_with(3_000)
         sent = json.loads(self.services.backends.requests[0].body)
@@ -48,7 +48,7 @@
         for fields in ({}, {}, {"user": "other"}):
             self.play([gateway.build_completion()])
             await self.fetch(headers=key, **fields)
-        ids = [bill["bill_id"] for bill in self.bills]
+        ids = [bill.bill_id for bill in self.bills]
         self.assertEqual(ids[0], ids[1])
         self.assertNotEqual(ids[0], ids[2])
 
@@ -78,7 +78,7 @@
             self.assertTrue(response.body.endswith(b"data: [DONE]\n\n"))
             sent = json.loads(self.services.backends.requests[-1].body)
             self.assertTrue(sent["stream_options"]["include_usage"])
-        self.assertEqual({bill["cost"] for bill in self.bills}, {2_100})
+        self.assertEqual({bill.cost for bill in self.bills}, {2_100})
 
     async def test_broken_stream(self) -> None:
         # Guards against a caller that takes a cut answer for a whole one.
@@ -97,7 +97,7 @@
                 self.assertEqual(error["code"], code)
                 self.assertEqual(error["execution"], "unknown")
                 bill = self.bills[-1]
-                self.assertEqual((bill["outcome"], bill["cost"]), ("failed", 0))
+                self.assertEqual((bill.outcome, bill.cost), ("failed", 0))
         self.assertEqual(len(self.services.backends.requests), 3)
 
     async def test_disconnect_cancels(self) -> None:
@@ -112,8 +112,8 @@
             await answer.closed.wait()
             await self.services.tracker.wait_idle()
         (bill,) = self.bills
-        self.assertEqual(bill["outcome"], "cancelled")
-        self.assertEqual(bill["cost"], 100 + 10)
+        self.assertEqual(bill.outcome, "cancelled")
+        self.assertEqual(bill.cost, 100 + 10)
 
     async def test_disconnect_while_bill_is_recorded(self) -> None:
         # Guards against a second bill for a request that was complete.
@@ -126,7 +126,7 @@
             await self.services.counters.wait("caller.disconnected")
             self.services.bills.gate.set()
             await self.services.tracker.wait_idle()
-        self.assertEqual([b["outcome"] for b in self.bills], ["completed"])
+        self.assertEqual([b.outcome for b in self.bills], ["completed"])
 
     async def test_slow_caller_is_cut(self) -> None:
         # Guards against answers that pile up in memory for a slow caller.
@@ -140,7 +140,7 @@
                 await self.services.tracker.wait_idle()
         writer.close()
         self.assertEqual(self.services.counters.total("caller.too_slow"), 1)
-        self.assertEqual([b["outcome"] for b in self.bills], ["cancelled"])
+        self.assertEqual([b.outcome for b in self.bills], ["cancelled"])
 
     async def test_deadline(self) -> None:
         answer = gateway.ScriptedAnswer([asyncio.Event()])
@@ -148,7 +148,7 @@
         response = await self.fetch(headers={"Dragonflydyke-Deadline-Ms": "50"})
         self.check_error(response, 504, "deadline_exceeded", "unknown")
         self.assertTrue(answer.closed.is_set())
-        self.assertEqual([b["outcome"] for b in self.bills], ["failed"])
+        self.assertEqual([b.outcome for b in self.bills], ["failed"])
 
     async def test_session(self) -> None:
         self.play([gateway.build_completion()], [gateway.build_completion()])
@@ -201,7 +201,7 @@
             with self.subTest(step):
                 self.play(fail_at(step), [gateway.build_completion()])
                 self.assertEqual((await self.fetch()).code, 200)
-                self.assertEqual(len(self.bills[-1]["attempts"]), attempts)
+                self.assertEqual(len(self.bills[-1].attempts), attempts)
         total = self.services.counters.total("retry.backend_unavailable")
         self.assertEqual(total, 4)
 
@@ -226,7 +226,7 @@
         )
         response = await self.fetch()
         self.check_error(response, 502, "backend_unavailable", "unknown")
-        self.assertEqual([b["outcome"] for b in self.bills], ["failed"])
+        self.assertEqual([b.outcome for b in self.bills], ["failed"])
 
     async def test_answers_of_engines(self) -> None:
         self.play(gateway.ScriptedAnswer([b"bad"], status=400))
@@ -243,7 +243,7 @@
             with self.subTest(code):
                 self.play(gateway.ScriptedAnswer([body], status=given))
                 self.check_error(await self.fetch(), status, code, execution)
-        self.assertEqual([b["cost"] for b in self.bills], [0, 0, 0])
+        self.assertEqual([b.cost for b in self.bills], [0, 0, 0])
         # A fault of the program after the dispatch: the script is empty.
         response = await self.fetch()
         self.check_error(response, 500, "internal_error", "unknown")
@@ -265,7 +265,7 @@
         response = await self.fetch()
         self.check_error(response, 503, "no_version_available", "unknown")
         self.assertEqual(len(self.services.backends.requests), 1)
-        self.assertEqual([b["outcome"] for b in self.bills], ["failed"])
+        self.assertEqual([b.outcome for b in self.bills], ["failed"])
 
     async def _withdraw(self) -> None:
         version = documents.build_version(state=model.VersionState.WITHDRAWN)
@@ -293,9 +293,9 @@
             version = response.headers["Dragonflydyke-Version"]
             self.assertEqual(version, "planner-large@v1")
             bill = self.bills[-1]
-            outcomes = [str(a.outcome) for a in bill["attempts"]]
+            outcomes = [str(a.outcome) for a in bill.attempts]
             self.assertEqual(outcomes, ["rejected", "completed"])
-            self.assertEqual(bill["cost"], 2_100 + 16_100)
+            self.assertEqual(bill.cost, 2_100 + 16_100)
 
     async def test_failure_after_rejection_has_run(self) -> None:
         small = gateway.build_completion("x")
@@ -348,7 +348,7 @@
             go.set()
             await self.services.tracker.wait_idle()
         self.assertEqual(self.services.claims.states["k"].body, b"printed")
-        self.assertEqual([b["outcome"] for b in self.bills], ["completed"])
+        self.assertEqual([b.outcome for b in self.bills], ["completed"])
 
     async def test_repeatable_call(self) -> None:
         self.play(fail_at(errors.Step.READ_ANSWER), [b"found"])
