idempotency: test that a cancelled caller does not block its key

The claim may exist when the caller goes away during the create. Without the background removal no other test failed (trial on a scratch copy); this one does.

--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -151,6 +151,17 @@
         self.assertEqual(registry.pending(), 0)
         await self.expect(self.build(2), "call_in_progress")
 
+    async def test_cancelled_caller_does_not_block_its_key(self) -> None:
+        self.platform.latency_s = 0.5
+        work = self.build(0).claim("a", "labels", "print", "key", "d", 1.0)
+        task = asyncio.create_task(work)
+        await self.loop.advance(0.2)
+        task.cancel()
+        await self.loop.advance(30.0)
+        self.platform.latency_s = 0.0
+        self.assertTrue(task.cancelled())
+        self.assertIsNone((await self.claim(self.build(1))).replay)
+
     async def test_late_create_does_not_block_an_abandoned_key(self) -> None:
         registry = self.build(0)
         self.platform.lose_answers = 1
