--- a/src/dragonflydyke/billing/ledger.py
+++ b/src/dragonflydyke/billing/ledger.py
@@ -7,6 +7,12 @@
 from dragonflydyke import objects
 from dragonflydyke.billing import journal, model
 
+_OUTCOME_RANKS = {
+    model.Outcome.COMPLETED: 0,
+    model.Outcome.CANCELLED: 1,
+    model.Outcome.FAILED: 2,
+}
+
 
 @dataclasses.dataclass(slots=True)
 class Statement:
@@ -14,8 +20,8 @@
 
     Attributes:
         client_account: The account.
-        bills: One bill per bill_id, by time.
-        repeated: Later bills with a bill_id already counted.
+        bills: One bill per bill_id, completed ones first.
+        repeated: Other bills with a bill_id already counted.
     """
 
     client_account: str
@@ -75,7 +81,8 @@
     async def read(self, account: str | None = None) -> list[Statement]:
         """Returns the statements of all accounts, or of one.
 
-        Of several bills with one bill_id the earliest counts.
+        Of several bills with one bill_id the earliest completed one counts,
+        else the earliest cancelled one, else the earliest.
 
         Raises:
             PlatformUnavailableError: If the platform did not answer.
@@ -128,9 +135,7 @@
 def _build_statements(bills: Iterable[model.Bill]) -> list[Statement]:
     statements: dict[str, Statement] = {}
     counted: set[tuple[str, str]] = set()
-    for bill in sorted(
-        bills, key=lambda b: (b.finished_at_ms, b.incarnation, b.sequence)
-    ):
+    for bill in sorted(bills, key=_rank):
         statement = statements.setdefault(
             bill.client_account, Statement(bill.client_account)
         )
@@ -143,6 +148,20 @@
     return [statements[name] for name in sorted(statements)]
 
 
+def _rank(bill: model.Bill) -> tuple[int, int, int, int]:
+    """Orders bills so that the first of each bill_id is the one to count.
+
+    A failed try is not billed, so it must not take the place of the retry
+    that answered.
+    """
+    return (
+        _OUTCOME_RANKS[bill.outcome],
+        bill.finished_at_ms,
+        bill.incarnation,
+        bill.sequence,
+    )
+
+
 def _check_journal(
     incarnation: int, contents: _Contents, is_live: bool
 ) -> JournalProblem | None:
--- a/src/dragonflydyke/gateway/calls.py
+++ b/src/dragonflydyke/gateway/calls.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from typing import NoReturn
 
-from dragonflydyke import errors
+from dragonflydyke import errors, idempotency
 from dragonflydyke.configuration import model
 from dragonflydyke.gateway import (
     accounting,
@@ -19,7 +19,6 @@
 from dragonflydyke.gateway.caller import Caller
 
 _MAX_STATUS_BILLED = 499
-_BODY_NOT_STORED = "body-not-stored"
 _DEFAULT_TYPE = "application/octet-stream"
 
 
@@ -118,15 +117,16 @@
             self._replay(claim.replay)
             return
         try:
-            response = await self._call()
+            response = await self._call(claim)
         except errors.DragonflydykeError as error:
-            if error.execution is errors.Execution.NOT_RUN:
+            not_run = error.execution is errors.Execution.NOT_RUN
+            if not_run and not claim.is_settled:
                 await self._abandon(claim)
             raise
         await self._finish(claim, response)
         await self._respond(response)
 
-    async def _claim(self) -> services.Claim:
+    async def _claim(self) -> idempotency.Claim:
         # Not bounded by the deadline: an unfinished claim would block the key.
         return await self._services.claims.claim(
             self._account_name,
@@ -137,7 +137,7 @@
             self._get_operation().timeout_s,
         )
 
-    async def _abandon(self, claim: services.Claim) -> None:
+    async def _abandon(self, claim: idempotency.Claim) -> None:
         try:
             await self._services.claims.abandon(claim)
         except errors.DragonflydykeError:
@@ -145,7 +145,9 @@
             # that the call did not run.
             self._services.counters.increment("claim.abandon_failed")
 
-    async def _finish(self, claim: services.Claim, response: _Response) -> None:
+    async def _finish(
+        self, claim: idempotency.Claim, response: _Response
+    ) -> None:
         try:
             await self._services.claims.finish(
                 claim, response.status, response.content_type, response.body
@@ -154,14 +156,13 @@
             # The call ran, so its response is delivered all the same.
             self._services.counters.increment("claim.finish_failed")
 
-    def _replay(self, stored: services.StoredResponse) -> None:
+    def _replay(self, stored: idempotency.StoredResponse) -> None:
         self._services.counters.increment("call.replayed")
         headers = {}
-        if stored.body is None:
-            headers[replies.REPLAY_HEADER] = _BODY_NOT_STORED
-        status = 200 if stored.body is None else stored.status
+        if not stored.is_body_stored:
+            headers[idempotency.REPLAY_HEADER] = idempotency.BODY_NOT_STORED
         content_type = stored.content_type or _DEFAULT_TYPE
-        self._caller.finish(status, content_type, headers, stored.body or b"")
+        self._caller.finish(stored.status, content_type, headers, stored.body)
 
     async def _call_with_retries(self) -> _Response:
         while True:
@@ -171,8 +172,8 @@
                 if not self._may_retry(error):
                     raise
 
-    async def _call(self) -> _Response:
-        """Makes one attempt."""
+    async def _call(self, claim: idempotency.Claim | None = None) -> _Response:
+        """Makes one attempt, with the right to it if there may be only one."""
         operation = self._get_operation()
         errors.check_invariant(
             operation.repeatable or not self._tried,
@@ -180,6 +181,8 @@
         )
         server = self._pick_server()
         self._check_dispatch()
+        if claim is not None:
+            await self._services.claims.begin_dispatch(claim, self._deadline)
         self._tried.add(server.name)
         assert self._bill is not None
         attempt = attempts.BackendAttempt(
--- a/src/dragonflydyke/gateway/replies.py
+++ b/src/dragonflydyke/gateway/replies.py
@@ -10,7 +10,6 @@
 VERSION_HEADER = "Dragonflydyke-Version"
 SESSION_HEADER = "Dragonflydyke-Session"
 REVISION_HEADER = "Dragonflydyke-Revision"
-REPLAY_HEADER = "Dragonflydyke-Replay"
 JSON_TYPE = "application/json"
 EVENT_STREAM_TYPE = "text/event-stream"
 
--- a/src/dragonflydyke/gateway/services.py
+++ b/src/dragonflydyke/gateway/services.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncIterator, Mapping
 from typing import Any, Protocol
 
-from dragonflydyke import metrics
+from dragonflydyke import idempotency, metrics
 from dragonflydyke.backends import BackendRequest
 from dragonflydyke.configuration import model
 from dragonflydyke.gateway import tracking
@@ -120,53 +120,6 @@
         """Returns the session of a token or raises a 403 refusal."""
 
 
-class StoredResponse(Protocol):
-    """Response of a finished call; the body is None if it was too large."""
-
-    @property
-    def status(self) -> int:
-        """HTTP status."""
-
-    @property
-    def content_type(self) -> str:
-        """Content type."""
-
-    @property
-    def body(self) -> bytes | None:
-        """Body, None if it was not stored."""
-
-
-class Claim(Protocol):
-    """The right to dispatch a non-idempotent call, or its response."""
-
-    @property
-    def replay(self) -> StoredResponse | None:
-        """Stored response of an earlier request with the same key."""
-
-
-class Claims(Protocol):
-    """Registry of non-idempotent calls."""
-
-    async def claim(
-        self,
-        account: str,
-        service: str,
-        operation: str,
-        key: str,
-        request_digest: str,
-        timeout_s: float,
-    ) -> Claim:
-        """Claims a call, returns its replay, or raises a refusal."""
-
-    async def finish(
-        self, claim: Any, status: int, content_type: str, body: bytes
-    ) -> None:
-        """Stores the response of a call."""
-
-    async def abandon(self, claim: Any) -> None:
-        """Gives up a claim whose call certainly did not run."""
-
-
 class Bills(Protocol):
     """Writer of bills."""
 
@@ -231,7 +184,7 @@
     pool: ServerPool
     limiter: Limiter
     sessions: SessionTokens
-    claims: Claims
+    claims: idempotency.ClaimRegistry
     bills: Bills
     counters: metrics.Counters
     check: AnswerCheck | None = None
--- a/src/dragonflydyke/router/peers.py
+++ b/src/dragonflydyke/router/peers.py
@@ -3,9 +3,10 @@
 import asyncio
 from collections.abc import Sequence
 
-from dragonflydyke import metrics, protocol
+from dragonflydyke import metrics
 from dragonflydyke.billing import holders
 from dragonflydyke.membership import node
+from dragonflydyke.protocol import client as inner_client
 from dragonflydyke.protocol import node_pb2
 
 ORIGIN_SILENCE_S = 10.0
@@ -18,7 +19,7 @@
     __slots__ = ("_client", "data_centre", "incarnation", "vm")
 
     def __init__(
-        self, report: node_pb2.NodeReport, client: protocol.PeerClient
+        self, report: node_pb2.NodeReport, client: inner_client.PeerClient
     ) -> None:
         self.vm = report.vm
         self.data_centre = report.data_centre
