harness: add probes and fleets for the capacity measurement

A router and a light control process (membership and its gRPC calls, no request path) write processor time, resident memory and socket bytes of themselves on SIGUSR1. gRPC's sockets belong to native code, so their bytes come from TCP_INFO.

--- /dev/null
+++ b/harness/measures/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the capacity measurement."""
--- /dev/null
+++ b/harness/measures/control_node.py
@@ -0,0 +1,124 @@
+"""A control process without a request path: membership and its gRPC calls.
+
+SIGUSR1 writes a snapshot; SIGUSR2 applies a changed configuration through this
+node.
+"""
+
+import argparse
+import asyncio
+import copy
+import pathlib
+import signal
+import sys
+import time
+
+from dragonflydyke import configuration, errors, metrics, objects, settings
+from dragonflydyke.membership import node, state
+from dragonflydyke.protocol import client, server
+from harness.measures import probe
+
+_LOOPBACK = "127.0.0.1"
+_GRACE_S = 0.1
+
+
+class ControlNode:
+    """One node of a fleet."""
+
+    def __init__(self, arguments: argparse.Namespace) -> None:
+        self._arguments = arguments
+        self._output = pathlib.Path(arguments.output)
+        self._counters = metrics.Counters()
+        self._deadline_s = 30.0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._revision = 0
+
+    async def run(self) -> None:
+        """Serves until SIGTERM."""
+        stopping = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, stopping.set)
+        loop.add_signal_handler(signal.SIGUSR2, self._start_apply)
+        probe.install(self._output, self._counters.totals)
+        store = objects.ObjectClient(
+            self._arguments.platform_url, counters=self._counters
+        )
+        inner = server.NodeServer(
+            self, inner_key=self._arguments.key, counters=self._counters
+        )
+        port = await inner.start(settings.Address(_LOOPBACK, 0))
+        address = f"{_LOOPBACK}:{port}"
+        self._member = self._create_member(store, address)
+        self.exchange = self._member.exchange
+        self.announce_change = self._member.announce_change
+        self.fetch_state = self._member.fetch_state
+        self._member.state.subscribe(self._note_adopted)
+        await self._member.start()
+        print(f"listening on {address}", flush=True)
+        await stopping.wait()
+        # Leaving is not reported: whole fleets stop at once.
+        await inner.stop(_GRACE_S)
+
+    def _create_member(
+        self, store: objects.ObjectStore, address: str
+    ) -> node.Membership:
+        return node.Membership(
+            node.MembershipSettings(
+                vm=self._arguments.vm,
+                data_centre=self._arguments.data_centre,
+                inner_address=address,
+            ),
+            store,
+            lambda peer: client.PeerClient(
+                peer, inner_key=self._arguments.key, counters=self._counters
+            ),
+            parse=configuration.parse,
+            check_transition=configuration.check_transition,
+            counters=self._counters,
+        )
+
+    def _note_adopted(self, in_force: state.InForce) -> None:
+        if in_force.revision == self._revision:
+            return
+        self._revision = in_force.revision
+        probe.append(
+            self._output,
+            {"adopted": in_force.revision, "at_s": time.monotonic()},
+        )
+
+    def _start_apply(self) -> None:
+        task = asyncio.get_running_loop().create_task(self._apply())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _apply(self) -> None:
+        started_s = time.monotonic()
+        try:
+            present = await self._member.writer.read()
+            mapping = copy.deepcopy(dict(present.document if present else {}))
+            self._deadline_s += 1.0
+            mapping["policy"] = {"default_deadline_s": self._deadline_s}
+            change = await self._member.writer.apply(mapping, "capacity")
+        except errors.DragonflydykeError as error:
+            probe.append(self._output, {"refused": str(error)})
+            return
+        probe.append(
+            self._output,
+            {
+                "accepted": change.revision,
+                "started_s": started_s,
+                "at_s": time.monotonic(),
+            },
+        )
+
+
+def main() -> int:
+    """Runs the node and returns its exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    for flag in ("vm", "data-centre", "platform-url", "output", "key"):
+        parser.add_argument(f"--{flag}", required=True)
+    asyncio.run(ControlNode(parser.parse_args()).run())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/harness/measures/fits.py
@@ -0,0 +1,37 @@
+"""Lines through measured points."""
+
+import dataclasses
+import statistics
+from collections.abc import Sequence
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Fit:
+    """Least-squares line `y = intercept + slope * x`.
+
+    Attributes:
+        slope: Increase of y per unit of x.
+        intercept: y at 0.
+        residual: Root mean square distance of the points from the line.
+        points: The measured points.
+    """
+
+    slope: float
+    intercept: float
+    residual: float
+    points: tuple[tuple[float, float], ...]
+
+    def at(self, x: float) -> float:
+        """Returns y at x."""
+        return self.intercept + self.slope * x
+
+
+def fit_line(points: Sequence[tuple[float, float]]) -> Fit:
+    """Returns the line through at least two points with different x."""
+    xs = [x for x, _ in points]
+    ys = [y for _, y in points]
+    slope, intercept = statistics.linear_regression(xs, ys)
+    squares = [(y - intercept - slope * x) ** 2 for x, y in points]
+    return Fit(
+        slope, intercept, statistics.fmean(squares) ** 0.5, tuple(points)
+    )
--- /dev/null
+++ b/harness/measures/platforms.py
@@ -0,0 +1,90 @@
+"""A platform emulator for one measurement."""
+
+import pathlib
+from collections.abc import Sequence
+from typing import Any
+
+from harness import http, processes
+
+
+class Platform:
+    """The platform emulator and calls to it.
+
+    Attributes:
+        url: Base URL.
+    """
+
+    def __init__(self, directory: pathlib.Path) -> None:
+        self._process = processes.ManagedProcess(
+            "platform",
+            "dragonflydyke.emulator.platform_main",
+            ("serve",),
+            directory,
+        )
+        self._http = http.HttpCaller()
+        self.url = ""
+
+    async def start(self) -> None:
+        """Starts the emulator."""
+        await self._process.start()
+        self.url = f"http://{self._process.ready_line}"
+
+    async def stop(self) -> None:
+        """Stops the emulator."""
+        await self._process.stop()
+        self._http.close()
+
+    async def create_configuration(self, mapping: dict[str, Any]) -> None:
+        """Stores a first revision."""
+        value = {
+            "revision": 1,
+            "document": mapping,
+            "applied_at_ms": 0,
+            "applied_by": "capacity",
+            "change_id": "first",
+        }
+        await self._call(
+            "PUT",
+            "/v1/objects/control/config",
+            value,
+            {"If-None-Match": "*"},
+        )
+
+    async def publish_vms(self, vms: Sequence[dict[str, str]]) -> None:
+        """Replaces the VM list."""
+        await self._call("PUT", "/v1/vms", {"vms": list(vms)})
+
+    async def control(self, **fields: Any) -> dict[str, Any]:
+        """Changes the behaviour; returns it together with the counts."""
+        return await self._call("POST", "/control", fields)
+
+    async def read_calls(self) -> dict[str, int]:
+        """Returns the counts of calls since the start."""
+        return (await self._call("GET", "/control"))["calls"]
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+    ) -> Any:
+        reply = await self._http.call(
+            method, f"{self.url}{path}", body=body, headers=headers
+        )
+        if reply.status != 200:
+            raise RuntimeError(f"{method} {path}: {reply.status} {reply.error}")
+        return reply.json()
+
+
+def describe_vm(
+    name: str, data_centre: str, address: str, role: str = "entry"
+) -> dict[str, str]:
+    """Returns an entry of the VM list."""
+    return {
+        "name": name,
+        "data_centre": data_centre,
+        "role": role,
+        "inner_address": address,
+        "state": "live",
+    }
--- /dev/null
+++ b/harness/measures/probe.py
@@ -0,0 +1,174 @@
+"""Figures that a measured process writes about itself.
+
+On SIGUSR1 one JSON line is appended to a file: processor time, resident memory
+and bytes on sockets since the start. gRPC's sockets belong to its native code,
+so that their bytes are read from the kernel (TCP_INFO).
+"""
+
+import asyncio
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import struct
+import time
+from collections.abc import Callable, Mapping
+
+from tornado import iostream
+
+_TCP_ESTABLISHED = 1
+_TCP_INFO_BYTES = 144
+# Offset and form of tcpi_bytes_acked, bytes_received, segs_out and segs_in.
+_BYTES_OFFSET = 120
+_BYTES_FORM = "=QQII"
+# IP and TCP headers with timestamps; link headers are not counted.
+_SEGMENT_HEADER_BYTES = 52
+# Opening, one request, one answer and closing.
+_SEGMENTS_PER_CONNECTION = 10
+
+
+@dataclasses.dataclass(slots=True)
+class Snapshot:
+    """Figures of one process since its start.
+
+    Attributes:
+        at_s: Monotonic time, the same clock in all processes of a machine.
+        processor_s: User and system time.
+        resident_bytes: Resident memory, shared pages included.
+        private_bytes: Resident memory without shared pages.
+        traffic_bytes: Sent and received, with estimated TCP/IP headers.
+        threads: Threads of the process.
+        counts: Counters of the program.
+    """
+
+    at_s: float
+    processor_s: float
+    resident_bytes: int
+    private_bytes: int
+    traffic_bytes: int
+    threads: int
+    counts: Mapping[str, int] = dataclasses.field(default_factory=dict)
+
+
+class _StreamMeter:
+    """Counts the bytes of tornado's sockets."""
+
+    def __init__(self) -> None:
+        self.transferred = 0
+        self.connections = 0
+
+    def install(self) -> None:
+        write = iostream.IOStream.write_to_fd
+        read = iostream.IOStream.read_from_fd
+        close = iostream.IOStream.close_fd
+
+        def write_to_fd(stream: iostream.IOStream, data: memoryview) -> int:
+            sent = write(stream, data)
+            self.transferred += sent
+            return sent
+
+        def read_from_fd(
+            stream: iostream.IOStream, buffer: bytearray | memoryview
+        ) -> int | None:
+            received = read(stream, buffer)
+            self.transferred += received or 0
+            return received
+
+        def close_fd(stream: iostream.IOStream) -> None:
+            self.connections += 1
+            close(stream)
+
+        iostream.IOStream.write_to_fd = write_to_fd
+        iostream.IOStream.read_from_fd = read_from_fd
+        iostream.IOStream.close_fd = close_fd
+
+    def total(self) -> int:
+        headers = _SEGMENTS_PER_CONNECTION * _SEGMENT_HEADER_BYTES
+        return self.transferred + self.connections * headers
+
+
+def _read_long_lived() -> int:
+    """Returns the bytes of the sockets that are open now."""
+    total = 0
+    for entry in os.listdir("/proc/self/fd"):
+        try:
+            if not os.readlink(f"/proc/self/fd/{entry}").startswith("socket:"):
+                continue
+            with socket.socket(fileno=os.dup(int(entry))) as copy:
+                total += _read_socket(copy)
+        except OSError:
+            continue
+    return total
+
+
+def _read_socket(copy: socket.socket) -> int:
+    if copy.type != socket.SOCK_STREAM or copy.family == socket.AF_UNIX:
+        return 0
+    info = copy.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
+    if len(info) < _TCP_INFO_BYTES or info[0] != _TCP_ESTABLISHED:
+        return 0
+    sent, received, out, in_ = struct.unpack_from(
+        _BYTES_FORM, info, _BYTES_OFFSET
+    )
+    return sent + received + (out + in_) * _SEGMENT_HEADER_BYTES
+
+
+def _read_status() -> dict[str, int]:
+    fields = {}
+    for line in pathlib.Path("/proc/self/status").read_text().splitlines():
+        name, _, rest = line.partition(":")
+        words = rest.split()
+        if words and words[0].isdigit():
+            fields[name] = int(words[0])
+    return fields
+
+
+def install(
+    path: pathlib.Path,
+    read_counts: Callable[[], Mapping[str, int]] = dict,
+) -> None:
+    """Writes a snapshot at each SIGUSR1; call it on the running loop."""
+    meter = _StreamMeter()
+    meter.install()
+
+    def write() -> None:
+        processor_s = time.process_time()
+        status = _read_status()
+        snapshot = Snapshot(
+            at_s=time.monotonic(),
+            processor_s=processor_s,
+            resident_bytes=status["VmRSS"] * 1024,
+            private_bytes=status["RssAnon"] * 1024,
+            traffic_bytes=meter.total() + _read_long_lived(),
+            threads=status["Threads"],
+            counts=dict(read_counts()),
+        )
+        append(path, {"snapshot": dataclasses.asdict(snapshot)})
+
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGUSR1, write)
+
+
+def append(path: pathlib.Path, content: Mapping[str, object]) -> None:
+    """Appends a JSON line."""
+    with path.open("a") as output:
+        output.write(json.dumps(content) + "\n")
+
+
+def read(path: pathlib.Path) -> list[dict[str, object]]:
+    """Returns the lines of a file, without one that is being written."""
+    if not path.exists():
+        return []
+    lines = path.read_text().split("\n")[:-1]
+    return [json.loads(line) for line in lines]
+
+
+def read_snapshots(path: pathlib.Path) -> list[Snapshot]:
+    """Returns the snapshots of a process, oldest first."""
+    return [
+        Snapshot(**line["snapshot"])  # type: ignore[arg-type]
+        for line in read(path)
+        if "snapshot" in line
+    ]
--- /dev/null
+++ b/harness/measures/samples.py
@@ -0,0 +1,101 @@
+"""Rates of a process between two snapshots."""
+
+import asyncio
+import dataclasses
+import os
+import pathlib
+import signal
+from collections.abc import Iterable, Sequence
+
+from harness import processes
+from harness.measures import probe
+
+_SNAPSHOT_TIMEOUT_S = 30.0
+_POLL_S = 0.02
+MIB = 1_048_576
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Sample:
+    """Rates of one process, or the mean of several.
+
+    Attributes:
+        core_percent: Processor time in percent of one core.
+        resident_mib: Resident memory at the end.
+        private_mib: The part that is not shared with other processes.
+        traffic_kb_s: Kilobytes per second, both directions together.
+        threads: Threads at the end.
+        calls_per_s: Increments per second by counter.
+    """
+
+    core_percent: float
+    resident_mib: float
+    private_mib: float
+    traffic_kb_s: float
+    threads: float
+    calls_per_s: dict[str, float]
+
+
+def compare(before: probe.Snapshot, after: probe.Snapshot) -> Sample:
+    """Returns the rates between two snapshots."""
+    seconds = after.at_s - before.at_s
+    return Sample(
+        core_percent=100 * (after.processor_s - before.processor_s) / seconds,
+        resident_mib=after.resident_bytes / MIB,
+        private_mib=after.private_bytes / MIB,
+        traffic_kb_s=(after.traffic_bytes - before.traffic_bytes)
+        / seconds
+        / 1000,
+        threads=after.threads,
+        calls_per_s={
+            name: (count - before.counts.get(name, 0)) / seconds
+            for name, count in after.counts.items()
+        },
+    )
+
+
+def average(samples: Sequence[Sample]) -> Sample:
+    """Returns the mean of at least one sample."""
+    count = len(samples)
+    names = {name for sample in samples for name in sample.calls_per_s}
+    means = {
+        field.name: sum(getattr(s, field.name) for s in samples) / count
+        for field in dataclasses.fields(Sample)
+        if field.name != "calls_per_s"
+    }
+    return Sample(
+        **means,
+        calls_per_s={
+            name: sum(s.calls_per_s.get(name, 0.0) for s in samples) / count
+            for name in names
+        },
+    )
+
+
+async def take_snapshots(
+    measured: Iterable[tuple[processes.ManagedProcess, pathlib.Path]],
+) -> list[probe.Snapshot]:
+    """Has each process write a snapshot and returns them in order."""
+    entries = list(measured)
+    known = [len(probe.read_snapshots(path)) for _, path in entries]
+    for process, _ in entries:
+        os.kill(process.pid, signal.SIGUSR1)
+    result = []
+    async with asyncio.timeout(_SNAPSHOT_TIMEOUT_S):
+        for (_, path), count in zip(entries, known, strict=True):
+            while len(found := probe.read_snapshots(path)) <= count:
+                await asyncio.sleep(_POLL_S)
+            result.append(found[-1])
+    return result
+
+
+async def measure(
+    measured: Iterable[tuple[processes.ManagedProcess, pathlib.Path]],
+    window_s: float,
+) -> list[Sample]:
+    """Returns the rates of each process over a time without traffic."""
+    entries = list(measured)
+    before = await take_snapshots(entries)
+    await asyncio.sleep(window_s)
+    after = await take_snapshots(entries)
+    return [compare(b, a) for b, a in zip(before, after, strict=True)]
