--- a/src/dragonflydyke/logs.py
+++ b/src/dragonflydyke/logs.py
@@ -34,12 +34,15 @@
     return f"{line} {fields}".rstrip()
 
 
-def configure(level: str, output_format: str) -> None:
+def configure(level: str, output_format: str) -> logbook.Handler:
     """Sends the log of this process to standard error.
 
     Args:
         level: One of LEVELS; less severe lines are dropped.
         output_format: One of FORMATS.
+
+    Returns:
+        The installed handler, so that tests can remove it.
     """
     handler = logbook.StreamHandler(
         sys.stderr, level=logbook.lookup_level(level.upper())
@@ -48,6 +51,7 @@
         _format_json if output_format == "json" else _format_text
     )
     handler.push_application()
+    return handler
 
 
 def get_logger(channel: str) -> logbook.Logger:
