--- a/src/dragonflydyke/membership/exchange.py
+++ b/src/dragonflydyke/membership/exchange.py
@@ -239,10 +239,8 @@
         deleted = set(self._state.stored).difference(bundle.object_names)
         try:
             self._state.adopt(stored, bundle.control_version, deleted)
-        except errors.InvariantError as error:
-            self._counters.increment("invariant.broken")
-            _logger.critical("peer state refused", error=str(error))
-            return
+        except errors.InvariantError:
+            return  # Counted and logged by the state store.
         if self._contacts.vms is None and bundle.vms:
             self._contacts.set_vms(_parse_vms(bundle))
         if bundle.has_confirmation:
--- a/src/dragonflydyke/membership/node.py
+++ b/src/dragonflydyke/membership/node.py
@@ -101,12 +101,7 @@
         """
         self._settings = settings
         self._counters = counters
-        self.identity = reports.NodeIdentity(
-            settings.vm,
-            settings.data_centre,
-            settings.inner_address,
-            secrets.randbits(_INCARNATION_BITS) or 1,
-        )
+        self.identity = _identify(settings)
         self.state = state.StateStore(counters, parse)
         self.contacts = contacts.Contacts(settings.vm, counters)
         self.keys = keys.KeyRingKeeper(object_store, self.state, counters)
@@ -129,22 +124,7 @@
             self.permit,
             sources or reports.ReportSources(),
         )
-        self.peers = exchange.PeerExchange(
-            connect,
-            self.state,
-            self._confirmations,
-            self.contacts,
-            self._reports,
-            counters,
-        )
-        self._poller = poller.ControlPoller(
-            object_store,
-            self.state,
-            self._confirmations,
-            self.contacts,
-            self.keys,
-            counters,
-        )
+        self._poller, self.peers = self._build_learners(object_store, connect)
         self.writer = writer.ConfigurationWriter(
             settings.vm,
             object_store,
@@ -159,6 +139,27 @@
         self._heard: frozenset[str] = frozenset({settings.vm})
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _build_learners(
+        self, object_store: objects.ObjectStore, connect: exchange.Connect
+    ) -> tuple[poller.ControlPoller, exchange.PeerExchange]:
+        control_poller = poller.ControlPoller(
+            object_store,
+            self.state,
+            self._confirmations,
+            self.contacts,
+            self.keys,
+            self._counters,
+        )
+        peers = exchange.PeerExchange(
+            connect,
+            self.state,
+            self._confirmations,
+            self.contacts,
+            self._reports,
+            self._counters,
+        )
+        return control_poller, peers
+
     @property
     def leaving(self) -> bool:
         """Whether this node is about to stop."""
@@ -329,6 +330,15 @@
         self._heard = heard
 
 
+def _identify(settings: MembershipSettings) -> reports.NodeIdentity:
+    return reports.NodeIdentity(
+        settings.vm,
+        settings.data_centre,
+        settings.inner_address,
+        secrets.randbits(_INCARNATION_BITS) or 1,
+    )
+
+
 def _report_end(task: asyncio.Task[None]) -> None:
     if not task.cancelled() and task.exception() is not None:
         _logger.critical("membership loop ended", error=repr(task.exception()))
--- a/src/dragonflydyke/membership/poller.py
+++ b/src/dragonflydyke/membership/poller.py
@@ -117,9 +117,9 @@
             version = listed.version
         try:
             return self._state.adopt(listed.objects, version, listed.deleted)
-        except errors.InvariantError as error:
-            self._counters.increment("invariant.broken")
-            _logger.critical("platform state refused", error=str(error))
+        except errors.InvariantError:
+            # Counted and logged by the state store; the polling goes on, and
+            # without a confirmation the permit ends.
             return False
 
     def _note_reachable(self, reachable: bool) -> None:
--- a/src/dragonflydyke/membership/state.py
+++ b/src/dragonflydyke/membership/state.py
@@ -51,6 +51,7 @@
         "_logged_version",
         "_objects",
         "_parse",
+        "_refused_version",
         "_revision",
         "_roll_outs",
         "_subscribers",
@@ -70,6 +71,7 @@
         self._control_version = 0
         self._revision = 0
         self._logged_version = 0
+        self._refused_version = 0
         self._document: model.Document | None = None
         self._key_ring = sessions_model.KeyRing(())
         self._roll_outs: dict[str, rollouts_model.RollOutState] = {}
@@ -133,15 +135,7 @@
             return False
         for entry in fresh:
             self._check_revision(entry)
-        complete = True
-        changed = False
-        for entry in sorted(fresh, key=lambda o: o.version):
-            known = self._objects.get(entry.name)
-            if known is not None and known.version >= entry.version:
-                continue
-            readable = self._apply(entry)
-            complete = complete and readable
-            changed = True
+        changed, complete = self._apply_all(fresh)
         if not stale:
             changed = self._remove(deleted, control_version) or changed
         if complete and control_version > self._control_version:
@@ -151,6 +145,20 @@
             self._publish()
         return complete and not stale
 
+    def _apply_all(
+        self, stored: Iterable[objects.StoredObject]
+    ) -> tuple[bool, bool]:
+        """Returns whether anything changed, and whether all is in force."""
+        complete = True
+        changed = False
+        for entry in sorted(stored, key=lambda o: o.version):
+            known = self._objects.get(entry.name)
+            if known is not None and known.version >= entry.version:
+                continue
+            complete = self._apply(entry) and complete
+            changed = True
+        return changed, complete
+
     def _floor(self, entry: objects.StoredObject) -> int:
         known = self._objects.get(entry.name)
         return max(self._control_version, known.version if known else 0)
@@ -203,8 +211,19 @@
         if not isinstance(revision, int):
             return
         older = known is not None and entry.version <= known.version
+        if older or revision >= self._revision:
+            return
+        self._counters.increment("invariant.broken")
+        if entry.version != self._refused_version:
+            self._refused_version = entry.version
+            _logger.critical(
+                "lower revision refused",
+                revision=revision,
+                version=entry.version,
+                in_force=self._revision,
+            )
         errors.check_invariant(
-            older or revision >= self._revision,
+            False,
             f"revision {revision} at version {entry.version} must not be "
             f"lower than revision {self._revision} in force",
         )
--- a/src/dragonflydyke/membership/writer.py
+++ b/src/dragonflydyke/membership/writer.py
@@ -1,7 +1,6 @@
 """Changes of the configuration, each accepted at most once."""
 
 import asyncio
-import dataclasses
 import time
 import uuid
 from collections.abc import Awaitable, Callable, Coroutine, Mapping
@@ -9,7 +8,7 @@
 
 from dragonflydyke import errors, logs, metrics, objects
 from dragonflydyke.configuration import model
-from dragonflydyke.membership import announcements, contacts, state
+from dragonflydyke.membership import announcements, changes, contacts, state
 from dragonflydyke.protocol import node_pb2
 
 HISTORY_KIND = "history"
@@ -34,42 +33,6 @@
 ]
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class AppliedChange:
-    """A revision of the configuration and where it came from.
-
-    Attributes:
-        revision: Number of the revision.
-        change_id: Unique per call of `apply`.
-        applied_at_ms: Unix time in milliseconds.
-        applied_by: Operator.
-        document: Mapping of the document.
-    """
-
-    revision: int
-    change_id: str
-    applied_at_ms: int
-    applied_by: str
-    document: Mapping[str, Any] = dataclasses.field(repr=False)
-
-    def to_mapping(self) -> dict[str, Any]:
-        """Returns the JSON value that the platform stores."""
-        return dataclasses.asdict(self)
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class _Proposal:
-    change: AppliedChange
-    base_version: int | None
-
-    def announcement(self, acceptor: str) -> node_pb2.ChangeAnnouncement:
-        return node_pb2.ChangeAnnouncement(
-            acceptor=acceptor,
-            change_id=self.change.change_id,
-            revision=self.change.revision,
-        )
-
-
 class ConfigurationWriter:
     """Validates, announces and writes revisions of the configuration."""
 
@@ -129,7 +92,7 @@
         mapping: Mapping[str, Any],
         applied_by: str,
         base_revision: int | None = None,
-    ) -> AppliedChange:
+    ) -> changes.AppliedChange:
         """Makes a document the configuration of the whole fleet.
 
         Args:
@@ -158,7 +121,9 @@
         self._counters.increment("apply.accepted")
         return change
 
-    async def read(self, revision: int | None = None) -> AppliedChange | None:
+    async def read(
+        self, revision: int | None = None
+    ) -> changes.AppliedChange | None:
         """Reads a revision from the platform; None reads the present one.
 
         Raises:
@@ -166,17 +131,17 @@
         """
         present = await self._read_present()
         if present is None or revision is None:
-            return _parse_change(present) if present else None
+            return changes.parse_change(present) if present else None
         if present.value["revision"] == revision:
-            return _parse_change(present)
+            return changes.parse_change(present)
         archived = await self._objects.get(
-            HISTORY_KIND, _history_name(revision)
+            HISTORY_KIND, changes.history_name(revision)
         )
-        return _parse_change(archived) if archived else None
+        return changes.parse_change(archived) if archived else None
 
     async def history(
         self, limit: int = _HISTORY_LIMIT
-    ) -> tuple[AppliedChange, ...]:
+    ) -> tuple[changes.AppliedChange, ...]:
         """Returns the newest revisions, newest first.
 
         Raises:
@@ -186,14 +151,14 @@
         if present is None:
             return ()
         oldest = max(1, present.revision - limit + 1)
-        changes = [present]
+        revisions = [present]
         for revision in range(present.revision - 1, oldest - 1, -1):
             archived = await self._objects.get(
-                HISTORY_KIND, _history_name(revision)
+                HISTORY_KIND, changes.history_name(revision)
             )
             if archived is not None:
-                changes.append(_parse_change(archived))
-        return tuple(changes)
+                revisions.append(changes.parse_change(archived))
+        return tuple(revisions)
 
     async def stop(self) -> None:
         """Ends all background work."""
@@ -209,28 +174,32 @@
         mapping: Mapping[str, Any],
         applied_by: str,
         base_revision: int | None,
-    ) -> AppliedChange:
+    ) -> changes.AppliedChange:
         if not self._contacts.is_majority(self._contacts.heard(_now_s())):
             raise self._no_majority("are in contact")
         present = await self._read_present()
         present_revision = present.value["revision"] if present else 0
         if base_revision not in (None, present_revision):
-            raise _revision_conflict(present_revision)
+            raise changes.revision_conflict(present_revision)
         if present is not None:
             present_document = self._parse(present.value["document"])
             self._check_transition(present_document, document)
             await self._archive(present)
-        change = AppliedChange(
+        change = changes.AppliedChange(
             revision=present_revision + 1,
             change_id=uuid.uuid4().hex,
             applied_at_ms=time.time_ns() // 1_000_000,
             applied_by=applied_by,
             document=mapping,
         )
-        proposal = _Proposal(change, present.version if present else None)
+        proposal = changes.Proposal(
+            change, present.version if present else None
+        )
         return await self._announce_and_write(proposal)
 
-    async def _announce_and_write(self, proposal: _Proposal) -> AppliedChange:
+    async def _announce_and_write(
+        self, proposal: changes.Proposal
+    ) -> changes.AppliedChange:
         announced_s = _now_s()
         announcement = proposal.announcement(self._own_name)
         try:
@@ -255,7 +224,7 @@
             raise
         return await self._finish(proposal, repeat, stored)
 
-    async def _write(self, proposal: _Proposal) -> objects.StoredObject:
+    async def _write(self, proposal: changes.Proposal) -> objects.StoredObject:
         """Writes the revision once.
 
         Raises:
@@ -275,19 +244,19 @@
                 proposal.base_version,
             )
         except objects.ConflictError as error:
-            if _is_written(error.present, proposal):
+            if changes.is_written(error.present, proposal):
                 return error.present
             present = error.present
-            raise _revision_conflict(
+            raise changes.revision_conflict(
                 present.value["revision"] if present else 0
             ) from error
 
     async def _resolve_lost_answer(
         self,
-        proposal: _Proposal,
+        proposal: changes.Proposal,
         repeat: asyncio.Task[None],
         announced_s: float,
-    ) -> AppliedChange:
+    ) -> changes.AppliedChange:
         outcome = self._spawn(
             self._await_outcome(proposal, repeat, announced_s)
         )
@@ -307,10 +276,10 @@
 
     async def _await_outcome(
         self,
-        proposal: _Proposal,
+        proposal: changes.Proposal,
         repeat: asyncio.Task[None],
         announced_s: float,
-    ) -> AppliedChange:
+    ) -> changes.AppliedChange:
         """Reads the configuration until the outcome of the write is certain.
 
         While the base is still present, the write may take effect for as long
@@ -320,10 +289,10 @@
         while True:
             started_s = _now_s()
             present = await self._read_until_answered()
-            if _is_written(present, proposal):
+            if changes.is_written(present, proposal):
                 return await self._finish(proposal, repeat, present)
             version = present.version if present else None
-            if _is_newer(version, proposal.base_version):
+            if changes.is_newer(version, proposal.base_version):
                 break
             certain_s = last_write_s + announcements.PENDING_S
             if started_s >= certain_s and version == proposal.base_version:
@@ -339,10 +308,12 @@
             return await self._finish(proposal, repeat, None)
         repeat.cancel()
         self._resolve(proposal, written=False)
-        raise _revision_conflict(present.value["revision"] if present else 0)
+        raise changes.revision_conflict(
+            present.value["revision"] if present else 0
+        )
 
     async def _retry_write(
-        self, proposal: _Proposal
+        self, proposal: changes.Proposal
     ) -> objects.StoredObject | None:
         """Writes again under the same condition, so at most one succeeds."""
         self._counters.increment("retry.apply_answer_lost")
@@ -361,19 +332,19 @@
                 self._counters.increment("apply.read_back_failed")
                 await asyncio.sleep(_READ_BACK_PERIOD_S)
 
-    async def _is_archived(self, proposal: _Proposal) -> bool:
+    async def _is_archived(self, proposal: changes.Proposal) -> bool:
         """Returns whether our change was written and already replaced."""
         archived = await self._read_until_answered(
-            HISTORY_KIND, _history_name(proposal.change.revision)
+            HISTORY_KIND, changes.history_name(proposal.change.revision)
         )
-        return _is_written(archived, proposal)
+        return changes.is_written(archived, proposal)
 
     async def _finish(
         self,
-        proposal: _Proposal,
+        proposal: changes.Proposal,
         repeat: asyncio.Task[None],
         stored: objects.StoredObject | None,
-    ) -> AppliedChange:
+    ) -> changes.AppliedChange:
         repeat.cancel()
         await self._adopt(stored)
         self._resolve(proposal, written=True)
@@ -399,7 +370,7 @@
             await asyncio.sleep(_REPEAT_S)
             await self._send(announcement)
 
-    def _resolve(self, proposal: _Proposal, *, written: bool) -> None:
+    def _resolve(self, proposal: changes.Proposal, *, written: bool) -> None:
         resolution = proposal.announcement(self._own_name)
         resolution.resolved = True
         resolution.written = written
@@ -422,14 +393,14 @@
         return await self._objects.get(state.CONTROL_KIND, state.CONFIG_NAME)
 
     async def _archive(self, present: objects.StoredObject) -> None:
-        name = _history_name(present.value["revision"])
+        name = changes.history_name(present.value["revision"])
         try:
             await self._objects.create(HISTORY_KIND, name, present.value)
         except objects.ConflictError:
             return
         except objects.OutcomeUnknownError:
             if await self._objects.get(HISTORY_KIND, name) is None:
-                raise _not_archived(present.value["revision"]) from None
+                raise changes.not_archived(present.value["revision"]) from None
 
     def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         task = asyncio.get_running_loop().create_task(work)
@@ -459,51 +430,3 @@
 
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
-
-
-def _history_name(revision: int) -> str:
-    return f"config.{revision}"
-
-
-def _is_written(
-    present: objects.StoredObject | None, proposal: _Proposal
-) -> bool:
-    if present is None:
-        return False
-    return present.value["change_id"] == proposal.change.change_id
-
-
-def _is_newer(version: int | None, base_version: int | None) -> bool:
-    return version is not None and version > (base_version or 0)
-
-
-def _parse_change(stored: objects.StoredObject) -> AppliedChange:
-    value = stored.value
-    return AppliedChange(
-        revision=value["revision"],
-        change_id=value["change_id"],
-        applied_at_ms=value["applied_at_ms"],
-        applied_by=value["applied_by"],
-        document=value["document"],
-    )
-
-
-def _revision_conflict(present_revision: int) -> errors.DragonflydykeError:
-    return errors.DragonflydykeError(
-        "revision_conflict",
-        f"the present revision is {present_revision}; read it, merge and "
-        "apply again",
-        step=errors.Step.APPLY_CONFIGURATION,
-        status=409,
-    )
-
-
-def _not_archived(revision: int) -> errors.DragonflydykeError:
-    return errors.DragonflydykeError(
-        "platform_unavailable",
-        f"revision {revision} could not be archived; the change was not "
-        "written, apply it again",
-        step=errors.Step.APPLY_CONFIGURATION,
-        retry_after_s=_RETRY_AFTER_S,
-        status=503,
-    )
--- a/tests/builders/fleet.py
+++ b/tests/builders/fleet.py
@@ -73,6 +73,7 @@
         nodes: Running memberships by VM name.
         views: Each node's way to the platform.
         cuts: Pairs (caller, called) that are cut off.
+        blocked: Names of calls that fail everywhere.
         delays_s: Round trip by (caller, called), in seconds.
     """
 
@@ -90,6 +91,7 @@
         self.counters: dict[str, metrics.Counters] = {}
         self.views = {name: NodePlatform(self.platform) for name in self.names}
         self.cuts: set[tuple[str, str]] = set()
+        self.blocked: set[str] = set()
         self.delays_s: dict[tuple[str, str], float] = {}
 
     async def start(self, name: str) -> node.Membership:
@@ -172,6 +174,8 @@
         try:
             async with asyncio.timeout(timeout_s):
                 self._check(pair)
+                if name in self._fleet.blocked:
+                    raise ConnectionError
                 member = self._fleet.nodes[self._called]
                 delay_s = self._fleet.delays_s.get(pair, 0.0)
                 if delay_s:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -139,6 +139,34 @@
         await self.loop.advance(3)
         self.assertEqual(set(self.fleet.names), self.fleet.serving())
 
+    async def test_outage_rule_obeys_heard_vms(self) -> None:
+        """A pending change or higher revision of a heard VM ends rule B."""
+        change = node_pb2.ChangeAnnouncement(change_id="x", revision=2)
+        await self.fleet.nodes["vm-1"].announce_change(change)
+        self.fleet.platform.available = False
+        await self.loop.advance(6)
+        self.assertEqual(set(), self.fleet.serving())
+        change.resolved = True
+        await self.fleet.nodes["vm-1"].announce_change(change)
+        await self.loop.advance(2)
+        self.assertEqual(set(self.fleet.names), self.fleet.serving())
+        newer = node_pb2.NodeReport(vm="vm-9", revision=2, uptime_ms=60_000)
+        now_s = self.loop.time()
+        self.fleet.nodes["vm-0"].contacts.record(newer, now_s, now_s)
+        self.assertFalse(self.fleet.nodes["vm-0"].permit.holds())
+
+    async def test_confirmation_waits_for_its_version(self) -> None:
+        """A confirmation of control objects not yet adopted is no permit."""
+        self.fleet.blocked.add("fetch_state")
+        self.fleet.views["vm-1"].cut = True
+        await self.apply("vm-0")
+        await self.loop.advance(5)
+        self.assertEqual(1, self.fleet.nodes["vm-1"].state.revision)
+        self.assertEqual({"vm-0", "vm-2"}, self.fleet.serving())
+        self.fleet.blocked.clear()
+        await self.loop.advance(2)
+        self.assertEqual(set(self.fleet.names), self.fleet.serving())
+
     async def test_leaving_is_reported(self) -> None:
         """Peers learn of a planned stop at once."""
         await self.fleet.nodes.pop("vm-2").stop()
@@ -279,6 +307,13 @@
         await self.loop.advance(10)
         self.assertEqual({"vm-1", "vm-2"}, self.fleet.serving())
 
+    async def test_unacknowledged_change_is_not_written(self) -> None:
+        """Contact alone does not suffice; a majority must acknowledge."""
+        self.fleet.blocked.add("announce_change")
+        await self.assert_refused("no_majority", "vm-0")
+        stored = self.fleet.platform.store.get("control", "config")
+        self.assertEqual(1, stored.value["revision"])
+
     async def test_key_rotation(self) -> None:
         """The newest key signs everywhere, and old ones still verify."""
         first = self.fleet.nodes["vm-1"].state.current.key_ring.keys
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -1,10 +1,12 @@
 """Tests of the calls between routers over real gRPC."""
 
 import asyncio
+import dataclasses
 import unittest
 
 from dragonflydyke import errors, metrics, settings
 from dragonflydyke.protocol import client, node_pb2, server
+from tests.builders import certificates
 
 # Far above the reconnect back-off, for busy machines.
 _MAX_ATTEMPTS = 1_200
@@ -32,11 +34,14 @@
         self.addAsyncCleanup(self.server.stop, 0)
         return await self.server.start(settings.Address("127.0.0.1", port))
 
-    def _connect(self, inner_key: str) -> client.PeerClient:
+    def _connect(
+        self, inner_key: str, tls: server.Tls | None = None
+    ) -> client.PeerClient:
         peer = client.PeerClient(
             f"127.0.0.1:{self.port}",
             inner_key=inner_key,
             counters=self.counters,
+            tls=tls,
         )
         self.addAsyncCleanup(peer.close)
         return peer
@@ -52,6 +57,23 @@
         self.assertEqual(1, self.counters.total("inner.exchange.refused"))
         self.assertEqual(1, self.counters.total("peer.exchange.failed"))
 
+    async def test_tls_requires_a_client_certificate(self) -> None:
+        """The inner key alone does not open a server with TLS."""
+        tls = certificates.build_tls()
+        secure = server.NodeServer(
+            _Handlers(), inner_key="key", counters=self.counters, tls=tls
+        )
+        self.addAsyncCleanup(secure.stop, 0)
+        self.port = await secure.start(settings.Address("127.0.0.1", 0))
+        report = node_pb2.NodeReport(vm="a")
+        answer = await self._connect("key", tls).exchange(report, timeout_s=30)
+        self.assertEqual("peer of a", answer.vm)
+        other = certificates.build_tls()
+        stranger = dataclasses.replace(other, authority=tls.authority)
+        for wrong in (stranger, None):
+            with self.assertRaises(errors.DragonflydykeError):
+                await self._connect("key", wrong).exchange(report, timeout_s=30)
+
     async def test_replaced_peer_is_reached_again(self) -> None:
         """A client reaches a restarted peer without being made anew."""
         peer = self._connect("key")
