--- a/src/dragonflydyke/membership/contacts.py
+++ b/src/dragonflydyke/membership/contacts.py
@@ -158,8 +158,11 @@
         """Returns VMs of all roles that are leaving by list or report."""
         listed = self._vms.vms if self._vms else ()
         leaving = {vm.name for vm in listed if vm.state == _LEAVING}
-        for name in {name for name, _ in self._contacts}:
-            contact = self.newest(name)
+        newest: dict[str, Contact] = {}
+        for (name, _), contact in self._contacts.items():
+            if name not in newest or newest[name].made_s < contact.made_s:
+                newest[name] = contact
+        for name, contact in newest.items():
             if contact.report.state == node_pb2.NODE_STATE_LEAVING:
                 leaving.add(name)
         return frozenset(leaving)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -155,6 +155,26 @@
         self.fleet.nodes["vm-0"].contacts.record(newer, now_s, now_s)
         self.assertFalse(self.fleet.nodes["vm-0"].permit.holds())
 
+    async def test_late_reports_do_not_replace_newer_ones(self) -> None:
+        """Neither an older report nor a dead incarnation comes back."""
+        known = self.fleet.nodes["vm-0"].contacts
+        now_s = self.loop.time()
+        for incarnation, sent_at_ms, made_s in (
+            (1, 500, now_s - 2),
+            (1, 400, now_s - 1),
+            (2, 10, now_s),
+            (1, 600, now_s - 1),
+        ):
+            report = node_pb2.NodeReport(
+                vm="vm-9", incarnation=incarnation, sent_at_ms=sent_at_ms
+            )
+            known.record(report, made_s, now_s)
+        self.assertEqual(2, known.newest("vm-9").report.incarnation)
+        counts = known.fleet_version_counts()
+        self.assertIn(("vm-9", 1), counts)
+        late = self.fleet.counters["vm-0"].total("contacts.late_report")
+        self.assertEqual(1, late)
+
     async def test_confirmation_waits_for_its_version(self) -> None:
         """A confirmation of control objects not yet adopted is no permit."""
         self.fleet.blocked.add("fetch_state")
