--- /dev/null
+++ b/tests/test_membership_grpc.py
@@ -0,0 +1,91 @@
+"""Test of two memberships over real gRPC."""
+
+import asyncio
+import unittest
+
+from dragonflydyke import metrics, objects, settings
+from dragonflydyke.membership import node
+from dragonflydyke.protocol import client, server
+from tests.builders import fleet
+from tests.builders import objects as memory
+
+
+class _Handlers:
+    """Passes calls on to a membership that is made after the server."""
+
+    membership: node.Membership
+
+    async def exchange(self, report):
+        return await self.membership.exchange(report)
+
+    async def announce_change(self, announcement):
+        return await self.membership.announce_change(announcement)
+
+    async def fetch_state(self, request):
+        return await self.membership.fetch_state(request)
+
+
+class MembershipOverGrpcTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against parts that work only with the in-memory transport."""
+
+    async def asyncSetUp(self) -> None:
+        self.counters = metrics.Counters()
+        self.platform = memory.MemoryObjects()
+        self.handlers = (_Handlers(), _Handlers())
+        self.addresses = [await self._serve(h) for h in self.handlers]
+        self.platform.vms = objects.VmList(
+            1,
+            tuple(
+                objects.ListedVm(f"vm-{i}", "cartago-a", "entry", a, "live")
+                for i, a in enumerate(self.addresses)
+            ),
+        )
+
+    async def _serve(self, handlers: _Handlers) -> str:
+        node_server = server.NodeServer(
+            handlers, inner_key="key", counters=self.counters
+        )
+        self.addAsyncCleanup(node_server.stop, 0)
+        address = settings.Address("127.0.0.1", 0)
+        return f"127.0.0.1:{await node_server.start(address)}"
+
+    def _build(self, index: int, view: fleet.NodePlatform) -> node.Membership:
+        member = node.Membership(
+            node.MembershipSettings(
+                f"vm-{index}",
+                "cartago-a",
+                self.addresses[index],
+                tuple(self.addresses),
+            ),
+            view,
+            lambda address: client.PeerClient(
+                address, inner_key="key", counters=self.counters
+            ),
+            parse=fleet.parse,
+            check_transition=fleet.check_transition,
+            counters=self.counters,
+        )
+        self.handlers[index].membership = member
+        self.addAsyncCleanup(member.stop)
+        return member
+
+    async def test_change_reaches_a_node_without_the_platform(self) -> None:
+        """State, confirmation and permit come through a peer."""
+        view = fleet.NodePlatform(self.platform)
+        first = self._build(0, fleet.NodePlatform(self.platform))
+        second = self._build(1, view)
+        adopted = asyncio.Event()
+        second.state.subscribe(lambda in_force: adopted.set())
+        await first.start()
+        await second.start()
+        await first.peers.exchange(self.addresses[1])
+        view.cut = True
+        change = await first.writer.apply({}, "operator", 0)
+        await adopted.wait()
+        self.assertEqual(change.revision, second.state.revision)
+        await second.peers.fetch(self.addresses[0])
+        self.assertTrue(second.permit.holds())
+
+
+if __name__ == "__main__":
+    unittest.main()
