Read the ledger in pages

Cause: statements and checks read all journals with one list call, which fails above the client's body limit of 8 MB, about 20,000 bills. The object API's list takes a limit now and says whether it is complete.

--- a/src/dragonflydyke/billing/ledger.py
+++ b/src/dragonflydyke/billing/ledger.py
@@ -2,11 +2,13 @@
 
 import collections
 import dataclasses
-from collections.abc import Collection, Iterable
+from collections.abc import AsyncIterator, Collection, Iterable
 
 from dragonflydyke import objects
 from dragonflydyke.billing import journal, model
 
+# Entries may have up to 1 MB, and a list must fit the client's body limit.
+_PAGE_ENTRIES = 5
 _OUTCOME_RANKS = {
     model.Outcome.COMPLETED: 0,
     model.Outcome.CANCELLED: 1,
@@ -116,9 +118,8 @@
         )
 
     async def _read_journals(self) -> dict[int, _Contents]:
-        listed = await self._objects.list(journal.LEDGER_KIND)
         journals: dict[int, _Contents] = collections.defaultdict(_Contents)
-        for stored in listed.objects:
+        async for stored in self._list_entries():
             incarnation, index = journal.parse_entry_name(stored.name)
             contents = journals[incarnation]
             contents.indexes.add(index)
@@ -131,6 +132,18 @@
             )
         return journals
 
+    async def _list_entries(self) -> AsyncIterator[objects.StoredObject]:
+        since = 0
+        while True:
+            listed = await self._objects.list(
+                journal.LEDGER_KIND, since=since, limit=_PAGE_ENTRIES
+            )
+            for stored in listed.objects:
+                yield stored
+            if listed.complete:
+                return
+            since = listed.version
+
 
 def _build_statements(bills: Iterable[model.Bill]) -> list[Statement]:
     statements: dict[str, Statement] = {}
--- a/src/dragonflydyke/emulator/platform.py
+++ b/src/dragonflydyke/emulator/platform.py
@@ -236,6 +236,16 @@
         return int(version)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _ListQuery:
+    """What a list or watch asks for."""
+
+    kind: str
+    since: int
+    prefix: str
+    limit: int
+
+
 class _ListHandler(_PlatformHandler):
     """`/v1/objects/<kind>`: list and watch."""
 
@@ -243,26 +253,31 @@
         """Lists newer objects; with wait_s, waits until there are some."""
         try:
             since = int(self.get_query_argument("since", "0"))
+            limit = int(self.get_query_argument("limit", "0"))
             wait_s = float(self.get_query_argument("wait_s", "0"))
         except ValueError as error:
             raise web.HTTPError(400, f"not a number: {error}") from error
         prefix = self.get_query_argument("prefix", "")
-        found = await self._watch(kind, since, prefix, wait_s)
+        query = _ListQuery(kind, since, prefix, limit)
+        found = await self._watch(query, wait_s)
         await self.answer(
             {
                 "version": found.version,
                 "objects": [_map_object(stored) for stored in found.objects],
                 "deleted": found.deleted,
+                "complete": found.complete,
             }
         )
 
     async def _watch(
-        self, kind: str, since: int, prefix: str, wait_s: float
+        self, query: _ListQuery, wait_s: float
     ) -> objects.ObjectList:
         loop = asyncio.get_running_loop()
         end = loop.time() + min(wait_s, _MAX_WAIT_S)
         while True:
-            found = self.state.read_store().list(kind, since, prefix)
+            found = self.state.read_store().list(
+                query.kind, query.since, query.prefix, query.limit
+            )
             remaining_s = end - loop.time()
             if found.objects or found.deleted or remaining_s <= 0:
                 return found
--- a/src/dragonflydyke/emulator/store.py
+++ b/src/dragonflydyke/emulator/store.py
@@ -56,9 +56,16 @@
         self._deleted[kind, name] = self.version
 
     def list(
-        self, kind: str, since: int = 0, prefix: str = ""
+        self, kind: str, since: int = 0, prefix: str = "", limit: int = 0
     ) -> model.ObjectList:
-        """Returns the objects of a kind that are newer than a version."""
+        """Returns the oldest objects of a kind newer than a version.
+
+        Args:
+            kind: Kind of the objects.
+            since: Version after which the list begins.
+            prefix: Beginning of the names.
+            limit: Largest number of objects, 0 for all.
+        """
         objects = [
             stored
             for (own_kind, name), stored in self._objects.items()
@@ -72,6 +79,10 @@
             if own_kind == kind and name.startswith(prefix) and version > since
         )
         objects.sort(key=lambda stored: stored.version)
+        if limit and len(objects) > limit:
+            page = tuple(objects[:limit])
+            last = page[-1].version
+            return model.ObjectList(last, page, complete=False)
         return model.ObjectList(self.version, tuple(objects), deleted)
 
     def _check(self, kind: str, name: str, expected: int | None) -> None:
--- a/src/dragonflydyke/objects/client.py
+++ b/src/dragonflydyke/objects/client.py
@@ -40,7 +40,7 @@
         """Deletes an object that still has the given version."""
 
     async def list(
-        self, kind: str, *, since: int = 0, prefix: str = ""
+        self, kind: str, *, since: int = 0, prefix: str = "", limit: int = 0
     ) -> model.ObjectList:
         """Returns the objects of a kind that are newer than a version."""
 
@@ -122,16 +122,26 @@
             raise self._conflict(kind, name, response)
 
     async def list(
-        self, kind: str, *, since: int = 0, prefix: str = ""
+        self, kind: str, *, since: int = 0, prefix: str = "", limit: int = 0
     ) -> model.ObjectList:
-        """Returns the objects of a kind that are newer than a version."""
-        query = parse.urlencode({"since": since, "prefix": prefix})
+        """Returns the objects of a kind that are newer than a version.
+
+        Args:
+            kind: Kind of the objects.
+            since: Version after which the list begins.
+            prefix: Beginning of the names.
+            limit: Largest number of objects, 0 for all.
+        """
+        query = parse.urlencode(
+            {"since": since, "prefix": prefix, "limit": limit}
+        )
         path = f"/v1/objects/{parse.quote(kind, safe='')}?{query}"
         body = json.loads((await self._call("GET", path)).body)
         return model.ObjectList(
             version=body["version"],
             objects=tuple(_parse_object(entry) for entry in body["objects"]),
             deleted=tuple(body["deleted"]),
+            complete=body["complete"],
         )
 
     async def list_vms(self) -> model.VmList:
--- a/src/dragonflydyke/objects/model.py
+++ b/src/dragonflydyke/objects/model.py
@@ -28,14 +28,17 @@
     """Objects of one kind that are newer than a given version.
 
     Attributes:
-        version: Version of the store at the time of the read.
+        version: Version of the store at the time of the read; in an
+            incomplete list, the version after which the next one begins.
         objects: Objects written after the given version, oldest first.
         deleted: Names of objects deleted after the given version.
+        complete: False if the list was cut at its limit.
     """
 
     version: int
     objects: tuple[StoredObject, ...]
     deleted: tuple[str, ...] = ()
+    complete: bool = True
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/tests/builders/faulty_objects.py
+++ b/tests/builders/faulty_objects.py
@@ -60,11 +60,13 @@
         return stored
 
     async def list(
-        self, kind: str, *, since: int = 0, prefix: str = ""
+        self, kind: str, *, since: int = 0, prefix: str = "", limit: int = 0
     ) -> objects.ObjectList:
         """Returns the objects of a kind."""
         await self._travel()
-        return await self._platform.list(kind, since=since, prefix=prefix)
+        return await self._platform.list(
+            kind, since=since, prefix=prefix, limit=limit
+        )
 
     async def list_vms(self) -> objects.VmList:
         """Returns the list of VMs."""
--- a/tests/builders/fleet.py
+++ b/tests/builders/fleet.py
@@ -45,10 +45,12 @@
         self.after_config_write: Callable[[], None] | None = None
 
     async def list(
-        self, kind: str, *, since: int = 0, prefix: str = ""
+        self, kind: str, *, since: int = 0, prefix: str = "", limit: int = 0
     ) -> objects.ObjectList:
         """Returns the present list, or the stale one."""
-        present = await super().list(kind, since=since, prefix=prefix)
+        present = await super().list(
+            kind, since=since, prefix=prefix, limit=limit
+        )
         return self.stale or present
 
     def _write(
--- a/tests/builders/objects.py
+++ b/tests/builders/objects.py
@@ -61,12 +61,12 @@
         self._lose_answer()
 
     async def list(
-        self, kind: str, *, since: int = 0, prefix: str = ""
+        self, kind: str, *, since: int = 0, prefix: str = "", limit: int = 0
     ) -> objects.ObjectList:
         """Returns the objects of a kind that are newer than a version."""
         self._check_available(errors.Step.READ_PLATFORM)
         self.reads += 1
-        return self.store.list(kind, since, prefix)
+        return self.store.list(kind, since, prefix, limit)
 
     async def list_vms(self) -> objects.VmList:
         """Returns the list of VMs."""
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -35,3 +35,16 @@
         self.assertEqual([b.sequence for b in statement.bills], [1])
         self.assertEqual(statement.cost, completed.cost)
         self.assertEqual(len(statement.repeated), 2)
+
+    async def test_reads_a_ledger_of_many_pages(self) -> None:
+        # Guards against a ledger that outgrows one list call.
+        platform = objects.MemoryObjects()
+        for number in range(23):
+            await platform.create(
+                journal.LEDGER_KIND,
+                f"0000000000000007.{number}",
+                {"bills": [bills.build_bill(number).to_mapping()]},
+            )
+        (statement,) = await ledger.LedgerReader(platform).read()
+        self.assertEqual(len(statement.bills), 23)
+        self.assertGreater(platform.reads, 4)
