Name bounds in words and foreign configuration objects by error code

Cause: a value over its bound was reported as 'violates maximum 1', and a control/config that no router wrote ended apply with a KeyError. Bounds now read 'must be at most 1', and the object gives platform_object_invalid with its name. The two expectations of the old wording now check the bound itself; one test added, which failed before with a KeyError.

--- a/src/dragonflydyke/configuration/schema.py
+++ b/src/dragonflydyke/configuration/schema.py
@@ -232,6 +232,14 @@
     return f"use one of {', '.join(known)}, or remove it"
 
 
+_BOUNDS = {
+    "minimum": "at least",
+    "exclusiveMinimum": "greater than",
+    "maximum": "at most",
+    "exclusiveMaximum": "less than",
+}
+
+
 def _describe_type(error: jsonschema.ValidationError) -> tuple[str, str]:
     wanted = error.validator_value
     fix = f"give a value of type {wanted}"
@@ -251,6 +259,11 @@
     return "has the wrong form", fix
 
 
+def _describe_bound(error: jsonschema.ValidationError) -> tuple[str, str]:
+    bound = f"{_BOUNDS[error.validator]} {error.validator_value}"
+    return f"must be {bound}", f"give a number that is {bound}"
+
+
 def _describe_other(error: jsonschema.ValidationError) -> tuple[str, str]:
     rule = f"{error.validator} {error.validator_value}"
     return f"violates {rule}", f"give a value that satisfies {rule}"
@@ -262,4 +275,5 @@
     "type": _describe_type,
     "enum": _describe_choice,
     "pattern": _describe_pattern,
+    **dict.fromkeys(_BOUNDS, _describe_bound),
 }
--- a/src/dragonflydyke/membership/changes.py
+++ b/src/dragonflydyke/membership/changes.py
@@ -69,15 +69,30 @@
 
 
 def parse_change(stored: objects.StoredObject) -> AppliedChange:
-    """Parses a stored revision."""
+    """Parses a stored revision.
+
+    Raises:
+        DragonflydykeError: `platform_object_invalid` if something else than a
+            router wrote the object.
+    """
     value = stored.value
-    return AppliedChange(
-        revision=value["revision"],
-        change_id=value["change_id"],
-        applied_at_ms=value["applied_at_ms"],
-        applied_by=value["applied_by"],
-        document=value["document"],
-    )
+    try:
+        return AppliedChange(
+            revision=int(value["revision"]),
+            change_id=value["change_id"],
+            applied_at_ms=value["applied_at_ms"],
+            applied_by=value["applied_by"],
+            document=value["document"],
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise errors.DragonflydykeError(
+            "platform_object_invalid",
+            f"{stored.kind}/{stored.name} is not a stored revision"
+            f" ({error!r}); restore it from the history",
+            step=errors.Step.READ_PLATFORM,
+            peer=f"{stored.kind}/{stored.name}",
+            status=500,
+        ) from error
 
 
 def revision_conflict(present_revision: int) -> errors.DragonflydykeError:
--- a/src/dragonflydyke/membership/writer.py
+++ b/src/dragonflydyke/membership/writer.py
@@ -390,7 +390,10 @@
             await asyncio.sleep(_READ_BACK_PERIOD_S)
 
     async def _read_present(self) -> objects.StoredObject | None:
-        return await self._objects.get(state.CONTROL_KIND, state.CONFIG_NAME)
+        stored = await self._objects.get(state.CONTROL_KIND, state.CONFIG_NAME)
+        if stored is not None:
+            changes.parse_change(stored)
+        return stored
 
     async def _archive(self, present: objects.StoredObject) -> None:
         name = changes.history_name(present.value["revision"])
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -23,7 +23,7 @@
     ("models.0.versions.0.state", "old", "models[0].versions[0].state", "allo"),
     ("models.0.versions.0.price.prompt", 1.5, "", "type integer"),
     ("models.1.name", "planner-small", "models[1].name", "used twice"),
-    ("classes.0.quality_target", 2, "classes[0].quality_target", "maximum"),
+    ("classes.0.quality_target", 2, "classes[0].quality_target", "at most 1"),
     ("classes.0.deadline_s", float("nan"), "", "finite"),
     ("classes.0.deadline_s", 10**400, "classes[0].deadline_s", "at most"),
     ("classes.0.priority", float("inf"), "classes[0].priority", "finite"),
@@ -57,7 +57,7 @@
     ("removed_versions", ["planner-small@v1"], "", "cannot be declared"),
     ("polcy", {}, "polcy", "not a known field"),
     ("roll_outs.0.steps.1.share", 0.1, "roll_outs[0].steps[1].share", "above"),
-    ("roll_outs.0.steps.1.share", 1.1, "", "maximum"),
+    ("roll_outs.0.steps.1.share", 1.1, "", "at most 1"),
     ("roll_outs.0.to_version", "v9", "roll_outs[0].to_version", "not one"),
     ("roll_outs.0.to_version", "v1", "roll_outs[0].to_version", "same as"),
 )
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -313,6 +313,13 @@
             rule = member.permit.rule()
             self.assertIsNot(permit.PermitRule.CONFIRMED, rule)
 
+    async def test_foreign_value_gives_a_typed_error(self) -> None:
+        """An object that no router wrote is named, not a KeyError."""
+        store = self.fleet.platform.store
+        present = store.get("control", "config")
+        store.put("control", "config", {"revision": 9}, present.version)
+        await self.assert_refused("platform_object_invalid", "vm-0")
+
     async def test_acceptor_dies_after_announcing(self) -> None:
         """An outcome that never comes is settled by the platform."""
         announcement = node_pb2.ChangeAnnouncement(
