configuration: adopt accepted documents without the full checks

Membership now builds stored documents with parse_accepted; the full checks run for a proposed document only, in a worker thread, so that the accepting router keeps serving.

A router that has accepted a change holds jsonschema from then on.

--- a/harness/measures/routers.py
+++ b/harness/measures/routers.py
@@ -136,8 +136,13 @@
 async def measure_idle(
     group: Group, directory: pathlib.Path, window_s: float
 ) -> samples.Sample:
-    """Returns the mean rates of the routers of a group without traffic."""
-    directory.mkdir()
+    """Returns the mean rates of the routers of a group without traffic.
+
+    Args:
+        group: What to run.
+        directory: Existing directory for logs and snapshots.
+        window_s: Seconds over which the rates are measured.
+    """
     async with RouterGroup(group, directory) as running:
         await asyncio.sleep(_SETTLE_S)
         return samples.average(await samples.measure(running.running, window_s))
--- a/src/dragonflydyke/admin/handlers.py
+++ b/src/dragonflydyke/admin/handlers.py
@@ -1,5 +1,6 @@
 """Handlers of the admin API and of the health checks."""
 
+import asyncio
 import hmac
 import json
 import secrets
@@ -234,7 +235,9 @@
 
     async def post(self) -> None:
         """Checks a document, also as a successor of the current one."""
-        document = configuration.parse(self.read_document())
+        document = await asyncio.to_thread(
+            configuration.parse, self.read_document()
+        )
         revision = 0
         try:
             stored = await self.services.configuration.read()
@@ -243,7 +246,7 @@
                 raise
         else:
             revision = stored.revision
-            current = configuration.parse(stored.document)
+            current = configuration.parse_accepted(stored.document)
             configuration.check_transition(current, document)
         mapping = configuration.to_mapping(document)
         digest = configuration.digest(mapping)
--- a/src/dragonflydyke/configuration/loader.py
+++ b/src/dragonflydyke/configuration/loader.py
@@ -1,62 +1,18 @@
 """Reading of a configuration from YAML files."""
 
 import pathlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import Any
 
 from ruamel import yaml
 from ruamel.yaml import error as yaml_error
 from ruamel.yaml import nodes
 
-from dragonflydyke.configuration import mapping as codec
-from dragonflydyke.configuration import (
-    model,
-    problems,
-    references,
-    schema,
-)
+from dragonflydyke.configuration import model, parsing, problems
 
 _SUFFIXES = (".yaml", ".yml")
 
 
-def parse(
-    mapping: Mapping[str, Any], locations: problems.Locations | None = None
-) -> model.Document:
-    """Checks a configuration and returns it as a typed document.
-
-    Args:
-        mapping: Plain mappings, lists and scalars.
-        locations: File and line of each node, for the problems.
-
-    Raises:
-        ConfigurationError: With every problem of the configuration.
-    """
-    found = problems.ProblemList(locations)
-    return _check(mapping, found)
-
-
-def parse_accepted(mapping: Mapping[str, Any]) -> model.Document:
-    """Returns a document that was checked before it was stored.
-
-    With 700 backend servers the checks of `parse` take about 0.12 s, which
-    would stop the event loop of every router at each change; this takes 0.02 s.
-
-    Raises:
-        ConfigurationError: If the mapping does not have the form of a document.
-    """
-    try:
-        return codec.build(model.Document, mapping)
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        found = problems.ProblemList()
-        found.add(
-            (),
-            None,
-            f"the stored document cannot be read ({error!r})",
-            "apply a configuration that this version of the router supports",
-        )
-        raise problems.ConfigurationError(found.items) from error
-
-
 def load_files(paths: Iterable[pathlib.Path | str]) -> model.Document:
     """Reads a configuration from files and directories.
 
@@ -72,16 +28,7 @@
     if content.incomplete:
         # Checks of the rest would report what the unread files contain.
         found.raise_if_any()
-    return _check(content.mapping, found)
-
-
-def _check(
-    mapping: Mapping[str, Any], found: problems.ProblemList
-) -> model.Document:
-    schema.check_schema(mapping, found)
-    references.check_references(mapping, found)
-    found.raise_if_any()
-    return codec.build(model.Document, mapping)
+    return parsing.check(content.mapping, found)
 
 
 def _list_files(paths: Iterable[pathlib.Path | str]) -> list[pathlib.Path]:
--- a/src/dragonflydyke/configuration/schema.py
+++ b/src/dragonflydyke/configuration/schema.py
@@ -1,13 +1,15 @@
 """JSON schema of the configuration document and its application."""
 
 import difflib
+import functools
 from collections.abc import Callable, Iterator, Mapping
-from typing import Any
-
-import jsonschema
+from typing import TYPE_CHECKING, Any
 
 from dragonflydyke.configuration import problems
 
+if TYPE_CHECKING:
+    import jsonschema
+
 _NAME = {"type": "string", "pattern": r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,99}\Z"}
 _VERSION_ID = {
     "type": "string",
@@ -157,7 +159,14 @@
 # Larger integers lose digits in JSON readers that use doubles.
 _MAX_NUMBER = 2**53
 
-_VALIDATOR = jsonschema.Draft202012Validator(SCHEMA)
+
+@functools.cache
+def _build_validator() -> "jsonschema.Draft202012Validator":
+    # Only a router that accepts a change needs the library, which takes 5 MiB.
+    import jsonschema
+
+    return jsonschema.Draft202012Validator(SCHEMA)
+
 
 _PATTERN_FIXES = {
     _NAME["pattern"]: "use 1 to 100 letters, digits, `_`, `.` or `-`",
@@ -184,7 +193,7 @@
                 "must be finite and at most 2^53",
                 "give a smaller number",
             )
-    for error in _VALIDATOR.iter_errors(mapping):
+    for error in _build_validator().iter_errors(mapping):
         _add_violation(error, found)
 
 
@@ -202,7 +211,7 @@
 
 
 def _add_violation(
-    error: jsonschema.ValidationError, found: problems.ProblemList
+    error: "jsonschema.ValidationError", found: problems.ProblemList
 ) -> None:
     path = tuple(error.absolute_path)
     if error.validator == "required":
@@ -240,7 +249,7 @@
 }
 
 
-def _describe_type(error: jsonschema.ValidationError) -> tuple[str, str]:
+def _describe_type(error: "jsonschema.ValidationError") -> tuple[str, str]:
     wanted = error.validator_value
     fix = f"give a value of type {wanted}"
     if wanted == "string":
@@ -248,29 +257,29 @@
     return f"must be of type {wanted}", fix
 
 
-def _describe_choice(error: jsonschema.ValidationError) -> tuple[str, str]:
+def _describe_choice(error: "jsonschema.ValidationError") -> tuple[str, str]:
     choices = ", ".join(error.validator_value)
     return "is not an allowed value", f"use one of {choices}"
 
 
-def _describe_pattern(error: jsonschema.ValidationError) -> tuple[str, str]:
+def _describe_pattern(error: "jsonschema.ValidationError") -> tuple[str, str]:
     pattern = error.validator_value
     fix = _PATTERN_FIXES.get(pattern, f"it must match {pattern}")
     return "has the wrong form", fix
 
 
-def _describe_bound(error: jsonschema.ValidationError) -> tuple[str, str]:
+def _describe_bound(error: "jsonschema.ValidationError") -> tuple[str, str]:
     bound = f"{_BOUNDS[error.validator]} {error.validator_value}"
     return f"must be {bound}", f"give a number that is {bound}"
 
 
-def _describe_other(error: jsonschema.ValidationError) -> tuple[str, str]:
+def _describe_other(error: "jsonschema.ValidationError") -> tuple[str, str]:
     rule = f"{error.validator} {error.validator_value}"
     return f"violates {rule}", f"give a value that satisfies {rule}"
 
 
 _DESCRIBERS: dict[
-    str, Callable[[jsonschema.ValidationError], tuple[str, str]]
+    str, Callable[["jsonschema.ValidationError"], tuple[str, str]]
 ] = {
     "type": _describe_type,
     "enum": _describe_choice,
--- a/src/dragonflydyke/membership/node.py
+++ b/src/dragonflydyke/membership/node.py
@@ -3,8 +3,11 @@
 import asyncio
 import dataclasses
 import secrets
+from collections.abc import Mapping
+from typing import Any
 
 from dragonflydyke import logs, metrics, objects
+from dragonflydyke.configuration import model
 from dragonflydyke.membership import (
     announcements,
     confirmations,
@@ -87,6 +90,7 @@
         check_transition: writer.CheckTransition,
         counters: metrics.Counters,
         sources: reports.ReportSources | None = None,
+        parse_proposed: writer.ParseProposed | None = None,
     ) -> None:
         """Assembles a membership; call it on the running loop.
 
@@ -94,10 +98,12 @@
             settings: Who this node is.
             object_store: The platform.
             connect: Returns the client of an inner address.
-            parse: Validates the mapping of a document.
+            parse: Turns the mapping of an accepted document into the document.
             check_transition: Refuses forbidden changes between documents.
             counters: Receives the counters of all parts.
             sources: Demands and counts for the reports.
+            parse_proposed: Validates the mapping of a proposed document; None
+                uses `parse`.
         """
         self._settings = settings
         self._counters = counters
@@ -131,6 +137,7 @@
             self.contacts,
             self._announcements,
             parse=parse,
+            parse_proposed=parse_proposed or _defer(parse),
             check_transition=check_transition,
             announce=self._announce,
             adopt=self._adopt_written,
@@ -351,6 +358,13 @@
     )
 
 
+def _defer(parse: state.Parse) -> writer.ParseProposed:
+    async def parse_proposed(mapping: Mapping[str, Any]) -> model.Document:
+        return parse(mapping)
+
+    return parse_proposed
+
+
 def _report_end(task: asyncio.Task[None]) -> None:
     if not task.cancelled() and task.exception() is not None:
         _logger.critical("membership loop ended", error=repr(task.exception()))
--- a/src/dragonflydyke/membership/writer.py
+++ b/src/dragonflydyke/membership/writer.py
@@ -24,6 +24,8 @@
 
 _logger = logs.get_logger("membership.writer")
 
+# Validates a proposed document; may take long without blocking the loop.
+ParseProposed = Callable[[Mapping[str, Any]], Awaitable[model.Document]]
 CheckTransition = Callable[[model.Document, model.Document], None]
 # Sends an announcement to other VMs and returns the names that acknowledged;
 # None as second argument means all listed VMs.
@@ -46,6 +48,7 @@
         "_objects",
         "_own_name",
         "_parse",
+        "_parse_proposed",
         "_tasks",
     )
 
@@ -57,6 +60,7 @@
         announced: announcements.Announcements,
         *,
         parse: state.Parse,
+        parse_proposed: ParseProposed,
         check_transition: CheckTransition,
         announce: Announce,
         adopt: Callable[[objects.StoredObject | None], Awaitable[None]],
@@ -69,7 +73,8 @@
             object_store: The platform.
             known_contacts: Tells the majority.
             announced: Pending announcements of this node.
-            parse: Validates a document.
+            parse: Turns a stored document into its object.
+            parse_proposed: Validates a proposed document.
             check_transition: Refuses forbidden changes between documents.
             announce: Sends an announcement to other VMs.
             adopt: Puts a written revision in force on this node; None if it
@@ -81,6 +86,7 @@
         self._contacts = known_contacts
         self._announcements = announced
         self._parse = parse
+        self._parse_proposed = parse_proposed
         self._check_transition = check_transition
         self._announce = announce
         self._adopt = adopt
@@ -107,7 +113,7 @@
                 `platform_outcome_unknown` if that is not known; and whatever
                 the validation raises.
         """
-        document = self._parse(mapping)
+        document = await self._parse_proposed(mapping)
         # Once announced, a change must be resolved even if the operator's
         # connection, and with it this call, ends.
         task = self._spawn(
--- a/src/dragonflydyke/router/assembly.py
+++ b/src/dragonflydyke/router/assembly.py
@@ -3,7 +3,7 @@
 import asyncio
 import pathlib
 import ssl
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Mapping
 from typing import Any
 
 from tornado import httpserver, netutil
@@ -22,6 +22,7 @@
     routing,
     settings,
 )
+from dragonflydyke.configuration import model
 from dragonflydyke.membership import node, reports
 from dragonflydyke.protocol import client as inner_client
 from dragonflydyke.protocol import node_pb2
@@ -207,7 +208,8 @@
             ),
             self._objects,
             self._connect,
-            parse=configuration.parse,
+            parse=configuration.parse_accepted,
+            parse_proposed=_parse_proposed,
             check_transition=configuration.check_transition,
             counters=self._counters,
             sources=reports.ReportSources(
@@ -335,6 +337,12 @@
         _log.critical("control loop ended", error=repr(task.exception()))
 
 
+async def _parse_proposed(mapping: Mapping[str, Any]) -> model.Document:
+    # The checks take 0.1 s and more with 700 backend servers, for which the
+    # event loop would neither serve requests nor answer other routers.
+    return await asyncio.to_thread(configuration.parse, mapping)
+
+
 def _create_counters(values: options.RouterSettings) -> metrics.Counters:
     address = values.statsd_address
     if address is None:
