transport: resolve literal addresses without a thread

Each platform call and load poll passed through the default executor for getaddrinfo, although the configured hosts are addresses.

--- a/src/dragonflydyke/backends/client.py
+++ b/src/dragonflydyke/backends/client.py
@@ -8,7 +8,7 @@
 
 from tornado import httputil, tcpclient
 
-from dragonflydyke import errors, metrics
+from dragonflydyke import errors, metrics, transport
 from dragonflydyke.backends import connection, failures, model
 from dragonflydyke.configuration import model as configuration
 
@@ -142,7 +142,7 @@
         """
         self._cancel_timeout_s = cancel_timeout_s
         self._counters = counters
-        self._tcp = tcpclient.TCPClient()
+        self._tcp = tcpclient.TCPClient(transport.AddressResolver())
         self._background: set[asyncio.Task[Any]] = set()
 
     async def open(
--- a/src/dragonflydyke/objects/client.py
+++ b/src/dragonflydyke/objects/client.py
@@ -78,6 +78,7 @@
         self._counters = counters
         self._http = simple_httpclient.SimpleAsyncHTTPClient(
             force_instance=True,
+            resolver=transport.AddressResolver(),
             max_clients=_MAX_CONNECTIONS,
             max_body_size=_MAX_BODY_BYTES,
         )
--- a/src/dragonflydyke/rollouts/ratings.py
+++ b/src/dragonflydyke/rollouts/ratings.py
@@ -6,7 +6,7 @@
 
 from tornado import httpclient, simple_httpclient
 
-from dragonflydyke import metrics
+from dragonflydyke import metrics, transport
 from dragonflydyke.rollouts import answers, counts
 
 _TIMEOUT_S = 2.0
@@ -31,7 +31,9 @@
         self._url = f"{base_url}/v1/ratings"
         self._counters = counters
         self._http = simple_httpclient.SimpleAsyncHTTPClient(
-            force_instance=True, max_clients=_MAX_CONNECTIONS
+            force_instance=True,
+            resolver=transport.AddressResolver(),
+            max_clients=_MAX_CONNECTIONS,
         )
 
     async def rate(self, version: str, answer: str) -> float | None:
