protocol: do not probe for the flow-control window

The window is fixed at 1 MB instead, so that a large configuration does not take several round trips between regions.

--- a/src/dragonflydyke/protocol/client.py
+++ b/src/dragonflydyke/protocol/client.py
@@ -17,6 +17,7 @@
     ("grpc.max_reconnect_backoff_ms", _MAX_BACKOFF_MS),
     ("grpc.max_receive_message_length", server.MAX_MESSAGE_BYTES),
     ("grpc.enable_http_proxy", 0),
+    *server.FLOW_CONTROL_OPTIONS,
 )
 
 
--- a/src/dragonflydyke/protocol/server.py
+++ b/src/dragonflydyke/protocol/server.py
@@ -12,6 +12,13 @@
 INNER_KEY_METADATA = "dragonflydyke-inner-key"
 # A state bundle holds control objects of up to 1 MB each.
 MAX_MESSAGE_BYTES = 16_000_000
+# Probing for the window sends a ping and its answer with each small call,
+# which are a quarter of all bytes. The fixed window lets a configuration of
+# 1 MB through in one round trip between regions.
+FLOW_CONTROL_OPTIONS = (
+    ("grpc.http2.bdp_probe", 0),
+    ("grpc.http2.lookahead_bytes", 1_000_000),
+)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -60,6 +67,7 @@
             options=(
                 ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
                 ("grpc.so_reuseport", 0),
+                *FLOW_CONTROL_OPTIONS,
             )
         )
         node_pb2_grpc.add_NodeServicer_to_server(self, server)
