membership: exchange reports once per pair and period

One Exchange carries both reports, but both routers of a pair called each other every second. A router now leaves out the call to a peer whose own call, of known age, came in the last 0.9 s; it resumes in the next period when the peer stops calling, before the peer counts as not heard (2.5 s). A call without an echo teaches nothing and does not count.

--- a/src/dragonflydyke/membership/exchange.py
+++ b/src/dragonflydyke/membership/exchange.py
@@ -16,6 +16,9 @@
 from dragonflydyke.protocol import node_pb2
 
 EXCHANGE_TIMEOUT_S = 1.0
+# A call of a peer within this time makes an own call to it superfluous. A
+# little less than the period, so that one of two nodes keeps calling.
+_RECENT_CALL_S = 0.9
 _ANNOUNCE_TIMEOUT_S = 1.0
 _FETCH_TIMEOUT_S = 2.0
 # A fetch from a dead peer must not keep a live one from being asked.
@@ -55,6 +58,7 @@
     """Keeps one client per peer address and learns from its answers."""
 
     __slots__ = (
+        "_called_s",
         "_confirmations",
         "_connect",
         "_contacts",
@@ -97,6 +101,7 @@
         self._running: set[str] = set()
         self._fetching: set[str] = set()
         self._failed_s: dict[str, float] = {}
+        self._called_s: dict[str, float] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
 
     def peer(self, address: str) -> Peer:
@@ -110,6 +115,22 @@
         failed_s = self._failed_s.get(address, -math.inf)
         return _now_s() - failed_s > _UNREACHABLE_S
 
+    def learn_request(
+        self, report: node_pb2.NodeReport, made_s: float, address: str
+    ) -> None:
+        """Learns from a peer's call, and that it need not be called.
+
+        A call of unknown age teaches nothing, so the peer is called then.
+        """
+        if made_s > -math.inf:
+            self._called_s[address] = made_s
+        self.learn(report, made_s, address)
+
+    def has_called(self, address: str) -> bool:
+        """Returns whether a peer made a call in the last period."""
+        called_s = self._called_s.get(address, -math.inf)
+        return _now_s() - called_s < _RECENT_CALL_S
+
     def start_exchange(self, address: str, name: str = "") -> None:
         """Sends a report unless the last one to this peer is under way."""
         if address in self._running:
@@ -199,6 +220,11 @@
 
     async def retain(self, addresses: frozenset[str]) -> None:
         """Closes the clients of all other addresses."""
+        self._called_s = {
+            address: called_s
+            for address, called_s in self._called_s.items()
+            if address in addresses
+        }
         for address in tuple(self._peers):
             if address in addresses or address in self._running:
                 continue
--- a/src/dragonflydyke/membership/node.py
+++ b/src/dragonflydyke/membership/node.py
@@ -230,7 +230,7 @@
         now_s = asyncio.get_running_loop().time()
         made_s = self._reports.bound_request(report, now_s)
         if report.vm != self._settings.vm:
-            self.peers.learn(report, made_s, report.inner_address)
+            self.peers.learn_request(report, made_s, report.inner_address)
         return self._reports.build(report.vm)
 
     async def announce_change(
@@ -279,7 +279,8 @@
 
     async def _exchange_once(self) -> None:
         for address, name in self._targets().items():
-            self.peers.start_exchange(address, name)
+            if not self.peers.has_called(address):
+                self.peers.start_exchange(address, name)
         if self.state.current is None:
             self.peers.spawn(self._fetch_from_seeds())
         await self.peers.retain(self._known_addresses())
