rollouts: read and renew the lease every three seconds

Each router read the lease once a second, although design and constant say three seconds: 380 reads/s at 380 nodes, 127 with this change. The rounds of the holder stay at one second. A lost holder is replaced after at most 13 s instead of 11.

--- a/src/dragonflydyke/rollouts/driver.py
+++ b/src/dragonflydyke/rollouts/driver.py
@@ -48,6 +48,7 @@
         "_counters",
         "_engines",
         "_lease",
+        "_next_maintenance_at_s",
         "_next_orders_at_s",
         "_objects",
         "_task",
@@ -71,6 +72,7 @@
         self._engines = engines
         self._counters = counters
         self._next_orders_at_s = 0.0
+        self._next_maintenance_at_s = 0.0
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -86,7 +88,7 @@
 
     async def run_round(self) -> None:
         """Maintains the lease and, if it is held, decides and orders."""
-        if not await self._lease.maintain():
+        if not await self._maintain_lease():
             return
         document = self._view.document()
         if document is None:
@@ -106,6 +108,15 @@
                 self._counters.increment(f"roll_out.error.{error.code}")
             await asyncio.sleep(ROUND_INTERVAL_S)
 
+    async def _maintain_lease(self) -> bool:
+        """Returns whether the lease is held; reads or renews it when due."""
+        now_s = asyncio.get_running_loop().time()
+        if now_s < self._next_maintenance_at_s:
+            return self._lease.is_valid()
+        # Every router of the fleet reads the lease at this interval.
+        self._next_maintenance_at_s = now_s + lease.RENEWAL_INTERVAL_S
+        return await self._lease.maintain()
+
     async def _advance(self, roll_out: model.RollOut) -> None:
         name = f"rollout.{roll_out.name}"
         stored = await self._objects.get(CONTROL_KIND, name)
