harness: add the capacity measurement

make capacity measures documents, reports, bills, the request path, routers without traffic and fleets of control processes at several sizes, fits a line to each quantity and writes figures and fits as JSON.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 BIN := .venv/bin
 
-.PHONY: setup test demo check format soak experiment generate
+.PHONY: setup test demo check format soak experiment generate capacity
 
 .venv/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -30,3 +30,6 @@
 
 demo: setup
 	$(BIN)/python -m harness.demo $(DEMO_FLAGS)
+
+capacity: setup
+	$(BIN)/python -m harness.capacity $(CAPACITY_FLAGS)
--- /dev/null
+++ b/harness/measures/parts.py
@@ -0,0 +1,292 @@
+"""Costs of single operations, measured within one process."""
+
+import asyncio
+import dataclasses
+import gc
+import json
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+from dragonflydyke import billing, configuration, metrics, objects
+from dragonflydyke.billing import pacing
+from dragonflydyke.emulator import store
+from dragonflydyke.membership import node
+from dragonflydyke.protocol import node_pb2
+from harness.measures import documents, platforms
+
+_REPEATS = 5
+_BILL_INCARNATION = 0x1234_5678_9ABC_DEF0
+
+
+def time_call(call: Callable[[], Any], repeats: int = _REPEATS) -> float:
+    """Returns the median processor time of a call in milliseconds."""
+    times = []
+    for _ in range(repeats):
+        started_s = time.process_time()
+        call()
+        times.append((time.process_time() - started_s) * 1000)
+    return sorted(times)[len(times) // 2]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DocumentFigures:
+    """A configuration of one size.
+
+    Attributes:
+        servers: Backend servers.
+        accounts: Client accounts.
+        bytes: Size as JSON.
+        parse_ms: Full checks.
+        adopt_ms: Conversion of an accepted document.
+        json_ms: Decoding of the JSON text.
+        memory_kib: Memory of the mapping and the document together.
+    """
+
+    servers: int
+    accounts: int
+    bytes: int
+    parse_ms: float
+    adopt_ms: float
+    json_ms: float
+    memory_kib: float
+
+
+def measure_document(servers: int, accounts: int) -> DocumentFigures:
+    """Measures a configuration of 20 versions."""
+    mapping = documents.build_configuration(
+        servers, accounts, ("http://10.0.0.1:8000",), vms=True
+    )
+    text = json.dumps(mapping)
+    gc.collect()
+    tracemalloc.start()
+    kept_mapping = json.loads(text)
+    kept = configuration.parse_accepted(kept_mapping)
+    memory = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return DocumentFigures(
+        servers=servers,
+        accounts=accounts,
+        bytes=len(text),
+        parse_ms=time_call(lambda: configuration.parse(mapping)),
+        adopt_ms=time_call(lambda: configuration.parse_accepted(mapping)),
+        json_ms=time_call(lambda: json.loads(text)),
+        memory_kib=memory / 1024,
+    )
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReportFigures:
+    """A report of a relay.
+
+    Attributes:
+        heard: VMs in `heard_vms`.
+        accounts: Client accounts with demand.
+        bytes: Size of the message.
+    """
+
+    heard: int
+    accounts: int
+    bytes: int
+
+
+def measure_report(heard: int, accounts: int) -> ReportFigures:
+    """Returns the size of a report."""
+    report = node_pb2.NodeReport(
+        vm="entry-001",
+        data_centre="cr-central-a",
+        incarnation=_BILL_INCARNATION,
+        state=node_pb2.NODE_STATE_SERVING,
+        revision=1_000,
+        control_version=10_000_000,
+        confirmation_age_ms=900,
+        has_confirmation=True,
+        platform_age_ms=900,
+        has_platform=True,
+        inner_address="10.0.0.1:8081",
+        sent_at_ms=1_000_000_000,
+        echo_incarnation=_BILL_INCARNATION,
+        echo_sent_at_ms=1_000_000_000,
+        echo_held_ms=900,
+        heard_revision=1_000,
+        uptime_ms=1_000_000_000,
+        heard_vms=[f"entry-{index:03}" for index in range(heard)],
+        demands=[
+            node_pb2.AccountDemand(
+                client_account=f"account-{index}",
+                requests_per_s_milli=5_000,
+                requests_in_progress=3,
+                tokens_per_s=1_000,
+            )
+            for index in range(accounts)
+        ],
+    )
+    return ReportFigures(heard, accounts, report.ByteSize())
+
+
+def measure_vm_list(entry: int, backend: int) -> int:
+    """Returns the bytes of the platform's VM list."""
+    vms = [
+        platforms.describe_vm(f"entry-{i:03}", "cr-central-a", "10.0.0.1:8081")
+        for i in range(entry)
+    ]
+    vms += [
+        platforms.describe_vm(f"backend-{i}", "cr-central-a", "", "backend")
+        for i in range(backend)
+    ]
+    return len(json.dumps({"as_of_ms": 1_700_000_000_000, "vms": vms}))
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class BillFigures:
+    """Billing of one node at a rate of requests.
+
+    Attributes:
+        nodes: Size of the fleet, which sets the flush interval.
+        requests_per_s: Rate at this node.
+        writes_per_s: Journal entries.
+        bytes_per_bill: JSON bytes in the journal per bill.
+        copy_calls_per_s: Calls to holders.
+        copy_bytes_per_bill: Bytes of the calls per bill, all holders.
+        release_ms: Median time until the answer is released.
+        processor_ms_per_bill: Processor time of writer and store.
+    """
+
+    nodes: int
+    requests_per_s: float
+    writes_per_s: float
+    bytes_per_bill: float
+    copy_calls_per_s: float
+    copy_bytes_per_bill: float
+    release_ms: float
+    processor_ms_per_bill: float
+
+
+class _CountingStore:
+    """Object store in memory that counts journal bytes."""
+
+    def __init__(self) -> None:
+        self.store = store.MemoryStore()
+        self.writes = 0
+        self.bytes = 0
+
+    async def create(
+        self, kind: str, name: str, value: Any
+    ) -> objects.StoredObject:
+        self.writes += 1
+        self.bytes += len(json.dumps(value, separators=(",", ":")))
+        return self.store.put(kind, name, value, None)
+
+
+class _CountingHolder:
+    """Holder in memory that counts calls and bytes."""
+
+    def __init__(self, vm: str) -> None:
+        self.vm = vm
+        self.data_centre = vm
+        self.incarnation = 1
+        self.calls = 0
+        self.bytes = 0
+
+    async def hold_bills(
+        self, request: node_pb2.HoldBillsRequest, timeout_s: float
+    ) -> node_pb2.HoldBillsReply:
+        del timeout_s
+        self.calls += 1
+        self.bytes += request.ByteSize()
+        return node_pb2.HoldBillsReply(held=len(request.bills))
+
+
+def _build_bill(index: int) -> billing.Bill:
+    return billing.Bill(
+        bill_id=f"{index:032x}",
+        request_id=f"{index:032x}",
+        client_account="account-7",
+        request_class="line_question",
+        model="planner-3",
+        version="v2",
+        backend_server="engine-123",
+        prompt_tokens=900,
+        completion_tokens=355,
+        cost=123_456,
+        outcome=billing.Outcome.COMPLETED,
+        attempts=(),
+        revision=1_000,
+        finished_at_ms=1_700_000_000_000,
+    )
+
+
+async def measure_bills(
+    nodes: int, requests_per_s: float, window_s: float
+) -> BillFigures:
+    """Records bills at a steady rate in a process that does nothing else."""
+    platform = _CountingStore()
+    holders = [_CountingHolder(f"vm-{i}") for i in range(3)]
+    writer = billing.BillWriter(
+        platform,  # type: ignore[arg-type]
+        lambda: holders,
+        _BILL_INCARNATION,
+        metrics.Counters(),
+        vm_name="vm-x",
+        data_centre="x",
+        node_count=lambda: nodes,
+    )
+    loop = asyncio.get_running_loop()
+    released_s: list[float] = []
+
+    async def record(index: int) -> None:
+        started_s = loop.time()
+        await writer.record(_build_bill(index))
+        released_s.append(loop.time() - started_s)
+
+    started_s = loop.time()
+    processor_s = time.process_time()
+    tasks = []
+    count = int(requests_per_s * window_s)
+    for index in range(count):
+        await asyncio.sleep(
+            max(0.0, started_s + index / requests_per_s - loop.time())
+        )
+        tasks.append(asyncio.create_task(record(index)))
+    await asyncio.gather(*tasks)
+    await asyncio.sleep(pacing.flush_interval_s(nodes) + 1.5)
+    processor_s = time.process_time() - processor_s
+    await writer.close()
+    copied = sum(holder.bytes for holder in holders)
+    return BillFigures(
+        nodes=nodes,
+        requests_per_s=requests_per_s,
+        writes_per_s=platform.writes / window_s,
+        bytes_per_bill=platform.bytes / count,
+        copy_calls_per_s=sum(h.calls for h in holders) / window_s,
+        copy_bytes_per_bill=copied / count,
+        release_ms=1000 * sorted(released_s)[count // 2],
+        processor_ms_per_bill=1000 * processor_s / count,
+    )
+
+
+async def measure_report_build(nodes: int) -> float:
+    """Returns the milliseconds in which a relay builds one report."""
+    member = node.Membership(
+        node.MembershipSettings("entry-000", "a", "10.0.0.1:1"),
+        None,  # type: ignore[arg-type]
+        lambda address: None,  # type: ignore[arg-type, return-value]
+        parse=configuration.parse_accepted,
+        check_transition=configuration.check_transition,
+        counters=metrics.Counters(),
+    )
+    vms = tuple(
+        objects.ListedVm(f"entry-{i:03}", "a", "entry", "", "live")
+        for i in range(nodes)
+    )
+    member.contacts.set_vms(objects.VmList(1, vms))
+    now_s = asyncio.get_running_loop().time()
+    # A relay hears its peers and its share of the ordinary nodes.
+    for index in range(1, min(nodes, 64)):
+        report = node_pb2.NodeReport(
+            vm=f"entry-{index:03}", incarnation=index, sent_at_ms=1
+        )
+        member.contacts.record(report, now_s, now_s)
+    return time_call(lambda: member._reports.build("entry-001"), 20)
--- /dev/null
+++ b/harness/measures/requests.py
@@ -0,0 +1,115 @@
+"""Processor time of the request path, per request and per token."""
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+
+from tornado import httpclient, simple_httpclient
+
+from harness.measures import documents, routers, samples
+
+_CONCURRENT = 16
+_PROMPT = "Which hamper takes the small gouda today?"
+_ENGINE_FLAGS = ("--prefill-ms=0.05", "--decode-ms=5", "--slots=64")
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RequestFigures:
+    """A router under one kind of request.
+
+    Attributes:
+        tokens: Completion tokens per request.
+        stream: Whether each token is an event of its own.
+        requests: Completed requests.
+        processor_ms: Processor time per request.
+        bytes: Bytes per request on all sockets of the router.
+        resident_mib: Resident memory afterwards.
+    """
+
+    tokens: int
+    stream: bool
+    requests: int
+    processor_ms: float
+    bytes: float
+    resident_mib: float
+
+
+async def measure_requests(
+    directory: pathlib.Path, kinds: list[tuple[int, bool, int]]
+) -> list[RequestFigures]:
+    """Sends requests through one router.
+
+    Args:
+        directory: Existing directory for logs and snapshots.
+        kinds: Completion tokens, whether streamed, and number of requests.
+    """
+    group = routers.Group(routers=1, servers=14, accounts=10)
+    client = simple_httpclient.SimpleAsyncHTTPClient(
+        force_instance=True, max_clients=_CONCURRENT
+    )
+    async with routers.RouterGroup(group, directory, _ENGINE_FLAGS) as running:
+        url = running.public_urls[0]
+        await client.fetch(
+            f"http://{running.engine.ready_line}/control",
+            method="POST",
+            body=json.dumps(
+                {"completion_tokens": max(tokens for tokens, *_ in kinds)}
+            ),
+        )
+        await _wait_answer(client, url)
+        figures = []
+        for tokens, stream, count in kinds:
+            before = (await samples.take_snapshots(running.running))[0]
+            await asyncio.gather(
+                *(_send(client, url, tokens, stream) for _ in range(count))
+            )
+            after = (await samples.take_snapshots(running.running))[0]
+            processor_s = after.processor_s - before.processor_s
+            traffic = after.traffic_bytes - before.traffic_bytes
+            figures.append(
+                RequestFigures(
+                    tokens=tokens,
+                    stream=stream,
+                    requests=count,
+                    processor_ms=1000 * processor_s / count,
+                    bytes=traffic / count,
+                    resident_mib=after.resident_bytes / samples.MIB,
+                )
+            )
+    client.close()
+    return figures
+
+
+async def _wait_answer(
+    client: simple_httpclient.SimpleAsyncHTTPClient, url: str
+) -> None:
+    async with asyncio.timeout(60):
+        while True:
+            try:
+                await _send(client, url, 8, False)
+            except httpclient.HTTPError:
+                await asyncio.sleep(0.2)
+            else:
+                return
+
+
+async def _send(
+    client: simple_httpclient.SimpleAsyncHTTPClient,
+    url: str,
+    tokens: int,
+    stream: bool,
+) -> None:
+    body = {
+        "model": "planner-0@v1",
+        "messages": [{"role": "user", "content": _PROMPT}],
+        "max_completion_tokens": tokens,
+        "stream": stream,
+    }
+    await client.fetch(
+        f"{url}/v1/chat/completions",
+        method="POST",
+        body=json.dumps(body),
+        headers={"Authorization": f"Bearer {documents.ACCOUNT_KEY}"},
+        request_timeout=60.0,
+    )
