Add proxies of the links between routers to the harness

The platform emulator serves each viewer its own VM list below /as/<viewer>, so that every pair of routers can be given a fault proxy. The engine emulator counts the chat requests that arrived by version, also those that it refuses: a withdrawn version that was already unloaded would otherwise hide a request that was sent to it. Reports carry the sender's own address, so a link is cut in both directions; a cut in one direction is not covered by these proxies. tests/builders/integration.py is the base of the tests with real processes.

--- a/harness/deployment.py
+++ b/harness/deployment.py
@@ -48,6 +48,9 @@
         platform_proxies: Whether each router reaches the platform through a
             fault proxy of its own.
         backend_proxies: Whether backend servers are reached through proxies.
+        peer_proxies: Whether each router reaches each other one through a
+            fault proxy of the pair. A report carries the sender's own
+            address, so cut a link in both directions.
     """
 
     configuration: pathlib.Path
@@ -56,6 +59,7 @@
     router_flags: tuple[str, ...] = ("--drain-s", "0.2")
     platform_proxies: bool = False
     backend_proxies: bool = False
+    peer_proxies: bool = False
 
 
 class Deployment:
@@ -68,6 +72,7 @@
         backends: Backend server processes by configured name.
         backend_urls: Base URLs of the processes, not of their proxies.
         backend_proxies: Fault proxies by configured name.
+        peer_proxies: Fault proxies by viewing and viewed VM.
         routers: Routers by VM name.
         http: Caller for requests.
         document: Configuration mapping that was applied.
@@ -92,6 +97,8 @@
         self.backends: dict[str, processes.ManagedProcess] = {}
         self.backend_urls: dict[str, str] = {}
         self.backend_proxies: dict[str, proxy.FaultProxy] = {}
+        self.peer_proxies: dict[tuple[str, str], proxy.FaultProxy] = {}
+        self._proxied_addresses: dict[tuple[str, str], str] = {}
         self.routers: dict[str, RunningRouter] = {}
         self.document = load_documents(options.configuration)
 
@@ -133,11 +140,10 @@
         await asyncio.gather(*(p.stop() for p in routers))
         rest = [p for p in self._started if p not in routers]
         await asyncio.gather(*(p.stop() for p in rest))
-        proxies = [*self.backend_proxies.values()]
-        proxies += [
-            r.platform_proxy
-            for r in self.routers.values()
-            if r.platform_proxy is not None
+        proxies = [
+            *self.backend_proxies.values(),
+            *self.peer_proxies.values(),
+            *self._platform_proxies.values(),
         ]
         await asyncio.gather(*(entry.stop() for entry in proxies))
         self.http.close()
@@ -179,9 +185,28 @@
             for router in self.routers.values()
             if router.process.is_running
         ]
-        await self.http.call(
-            "PUT", f"{self.platform_url}/v1/vms", body={"vms": vms}
-        )
+        body = {"vms": vms}
+        if self._options.peer_proxies:
+            body["views"] = await self._build_views()
+        await self.http.call("PUT", f"{self.platform_url}/v1/vms", body=body)
+
+    def cut_from_platform(self, vm: str) -> None:
+        """Cuts a router off from the platform."""
+        self._platform_proxies[vm].isolate()
+
+    def cut_from_peers(self, vm: str, *others: str) -> None:
+        """Cuts a router off from some others, or from all."""
+        for pair, link in self.peer_proxies.items():
+            if vm in pair and (not others or set(pair) & set(others)):
+                link.isolate()
+
+    def heal_links(self) -> None:
+        """Ends all faults of the links to the platform and to peers."""
+        for link in (
+            *self._platform_proxies.values(),
+            *self.peer_proxies.values(),
+        ):
+            link.heal()
 
     async def apply(
         self, document: dict[str, Any], router: RunningRouter | None = None
@@ -255,6 +280,27 @@
                 await asyncio.sleep(_POLL_S)
         return bills
 
+    async def _build_views(self) -> dict[str, dict[str, str]]:
+        """Returns the addresses of the proxies of all pairs of routers."""
+        views: dict[str, dict[str, str]] = {}
+        for viewer in self.routers:
+            for vm, router in self.routers.items():
+                if vm == viewer:
+                    continue
+                link = await self._proxy_pair((viewer, vm), router)
+                views.setdefault(viewer, {})[vm] = link.address
+        return views
+
+    async def _proxy_pair(
+        self, pair: tuple[str, str], router: RunningRouter
+    ) -> proxy.FaultProxy:
+        if self._proxied_addresses.get(pair) != router.inner_address:
+            if pair in self.peer_proxies:
+                await self.peer_proxies[pair].stop()
+            self.peer_proxies[pair] = await _start_proxy(router.inner_address)
+            self._proxied_addresses[pair] = router.inner_address
+        return self.peer_proxies[pair]
+
     async def _start(
         self, name: str, module: str, *flags: str
     ) -> processes.ManagedProcess:
@@ -315,6 +361,8 @@
                 address = self.platform.ready_line
                 self._platform_proxies[vm] = await _start_proxy(address)
             platform_url = f"http://{self._platform_proxies[vm].address}"
+        if self._options.peer_proxies:
+            platform_url += f"/as/{vm}"
         seeds = [r.inner_address for r in self.routers.values() if r.vm != vm]
         return (
             f"--vm-name={vm}",
--- a/src/dragonflydyke/emulator/engine.py
+++ b/src/dragonflydyke/emulator/engine.py
@@ -72,6 +72,7 @@
         return {
             "behaviour": dataclasses.asdict(self.behaviour),
             "counts": dict(scheduler.counts),
+            "received": dict(scheduler.received),
             "runs": dict(scheduler.runs),
             "running": scheduler.running,
             "waiting": scheduler.waiting,
@@ -186,6 +187,7 @@
         headers = self.request.headers
         scheduler = self.state.scheduler
         request_id = headers.get(backends.REQUEST_ID_HEADER, "")
+        scheduler.received[prompt.version] += 1
         if prompt.version not in self.state.versions:
             scheduler.counts["not_loaded"] += 1
             raise web.HTTPError(404, f"{prompt.version} is not loaded")
--- a/src/dragonflydyke/emulator/engine_streams.py
+++ b/src/dragonflydyke/emulator/engine_streams.py
@@ -108,6 +108,7 @@
         "_waiting",
         "behaviour",
         "counts",
+        "received",
         "runs",
         "running",
         "seed",
@@ -123,6 +124,7 @@
         self.streams: dict[str, Stream] = {}
         self.counts: collections.Counter[str] = collections.Counter()
         self.runs: collections.Counter[str] = collections.Counter()
+        self.received: collections.Counter[str] = collections.Counter()
         self._cache = prefix_cache.PrefixCache()
         self._order = itertools.count()
         self._waiting: list[tuple[int, int, Stream, asyncio.Event]] = []
--- a/src/dragonflydyke/emulator/platform.py
+++ b/src/dragonflydyke/emulator/platform.py
@@ -16,6 +16,8 @@
 MAX_VALUE_BYTES = 1_000_000
 _MAX_WAIT_S = 60.0
 _MS_PER_S = 1_000
+# Lets each viewer be shown other inner addresses in the VM list.
+_VIEW = "(?:/as/[^/]+)?"
 
 
 @dataclasses.dataclass(slots=True)
@@ -73,6 +75,7 @@
 
     __slots__ = (
         "_stale_store",
+        "_views",
         "_vm_lists",
         "behaviour",
         "calls",
@@ -96,6 +99,8 @@
         self._vm_lists: list[tuple[float, Any]] = [
             (0.0, {"as_of_ms": 0, "vms": []})
         ]
+        # Inner addresses by viewer and VM; others are seen as listed.
+        self._views: dict[str, dict[str, str]] = {}
 
     def read_store(self) -> store.MemoryStore:
         """Returns the store from which reads are answered."""
@@ -128,12 +133,23 @@
         entry = {"as_of_ms": int(time.time() * _MS_PER_S), "vms": vms}
         self._vm_lists.append((visible, entry))
 
-    def visible_vms(self) -> Any:
-        """Returns the newest VM list that is visible."""
+    def set_views(self, views: dict[str, dict[str, str]]) -> None:
+        """Sets the inner addresses that each viewer sees, at once."""
+        self._views = views
+
+    def visible_vms(self, viewer: str | None = None) -> Any:
+        """Returns the newest VM list that is visible to a viewer."""
         now = asyncio.get_running_loop().time()
         while len(self._vm_lists) > 1 and self._vm_lists[1][0] <= now:
             self._vm_lists.pop(0)
-        return self._vm_lists[0][1]
+        listed = self._vm_lists[0][1]
+        addresses = self._views.get(viewer or "", {})
+        vms = [
+            vm
+            | {"inner_address": addresses.get(vm["name"], vm["inner_address"])}
+            for vm in listed["vms"]
+        ]
+        return listed | {"vms": vms}
 
 
 class _PlatformHandler(serving.JsonHandler):
@@ -274,14 +290,15 @@
 
 
 class _VmHandler(_PlatformHandler):
-    """`/v1/vms`."""
+    """`/v1/vms`, and `/as/<viewer>/v1/vms`."""
 
-    async def get(self) -> None:
+    async def get(self, viewer: str | None = None) -> None:
         """Returns the visible VM list."""
-        await self.answer(self.state.visible_vms())
+        await self.answer(self.state.visible_vms(viewer))
 
-    async def put(self) -> None:
+    async def put(self, viewer: str | None = None) -> None:
         """Replaces the VM list: an array, or an object with `vms`."""
+        del viewer
         content = self.read_json()
         vms = content.get("vms") if isinstance(content, dict) else content
         fields = {field.name for field in dataclasses.fields(objects.ListedVm)}
@@ -289,6 +306,8 @@
             raise web.HTTPError(
                 400, f"each VM has the fields {', '.join(sorted(fields))}"
             )
+        if isinstance(content, dict) and "views" in content:
+            self.state.set_views(content["views"])
         self.state.set_vms(vms)
         await self.answer({})
 
@@ -331,9 +350,9 @@
     arguments = {"state": state or PlatformState()}
     return web.Application(
         [
-            (r"/v1/objects/([^/]+)/([^/]+)", _ObjectHandler, arguments),
-            (r"/v1/objects/([^/]+)", _ListHandler, arguments),
-            (r"/v1/vms", _VmHandler, arguments),
+            (rf"{_VIEW}/v1/objects/([^/]+)/([^/]+)", _ObjectHandler, arguments),
+            (rf"{_VIEW}/v1/objects/([^/]+)", _ListHandler, arguments),
+            (r"(?:/as/([^/]+))?/v1/vms", _VmHandler, arguments),
             (r"/control", _ControlHandler, arguments),
         ],
         log_function=serving.discard_log,
--- /dev/null
+++ b/tests/builders/integration.py
@@ -0,0 +1,238 @@
+"""Base of the tests with real processes."""
+
+import asyncio
+import collections
+import json
+import pathlib
+import tempfile
+import time
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from dragonflydyke import configuration
+from dragonflydyke.cli import client as admin_client
+from dragonflydyke.cli import operations
+from harness import deployment, http
+
+ACCOUNT_KEY = "account-key"
+OTHER_KEY = "other-account-key"
+MODEL = "planner-small"
+# Ends a test that waits for something that never happens; no assertion.
+_GIVE_UP_S = 60.0
+_POLL_S = 0.05
+
+
+def build_mapping(
+    versions: int = 2, engines: int = 1, **replaced: Any
+) -> dict[str, Any]:
+    """Returns a configuration with one model and two client accounts.
+
+    Args:
+        versions: Versions v1, v2 and so on of the model, all active.
+        engines: Engines that serve all of them.
+        replaced: Top-level fields to add or replace.
+    """
+    names = [f"v{number}" for number in range(1, versions + 1)]
+    return {
+        "deployment": "proofs",
+        "data_centres": [
+            {"name": "cartago-a", "region": "cr-central"},
+            {"name": "cartago-b", "region": "cr-central"},
+        ],
+        "models": [
+            {
+                "name": MODEL,
+                "versions": [
+                    {
+                        "name": name,
+                        "state": "active",
+                        "price": {"prompt": 100_000, "completion": 400_000},
+                        "quality": {"question": 0.9},
+                    }
+                    for name in names
+                ],
+            }
+        ],
+        "classes": [
+            {
+                "name": "question",
+                "quality_target": 0.5,
+                "deadline_s": 30.0,
+                "max_completion_tokens": 4,
+            }
+        ],
+        "client_accounts": [
+            _build_account("account", ACCOUNT_KEY),
+            _build_account("other", OTHER_KEY),
+        ],
+        "backend_servers": [
+            {
+                "name": f"engine-{number}",
+                "kind": "engine",
+                # Replaced by the deployment.
+                "url": f"http://127.0.0.1:{number}",
+                "data_centre": "cartago-a",
+                "serves": [f"{MODEL}@{name}" for name in names],
+                "checks_fencing": number % 2 == 1,
+                "slots": 64,
+            }
+            for number in range(1, engines + 1)
+        ],
+        **replaced,
+    }
+
+
+def _build_account(name: str, key: str) -> dict[str, Any]:
+    return {
+        "name": name,
+        "key_hashes": [configuration.hash_key(key)],
+        "models": [MODEL],
+        "default_class": "question",
+    }
+
+
+def set_version_state(mapping: dict[str, Any], name: str, state: str) -> None:
+    """Changes the state of a version in a configuration."""
+    for version in mapping["models"][0]["versions"]:
+        if version["name"] == name:
+            version["state"] = state
+
+
+class IntegrationTestCase(unittest.IsolatedAsyncioTestCase):
+    """Starts deployments and sends requests."""
+
+    async def deploy(
+        self, mapping: dict[str, Any], **options: Any
+    ) -> deployment.Deployment:
+        """Starts a deployment that is stopped after the test."""
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        path = pathlib.Path(directory.name)
+        configured = path / "configuration"
+        configured.mkdir()
+        # JSON is YAML.
+        (configured / "all.yaml").write_text(json.dumps(mapping))
+        self.running = deployment.Deployment(
+            path, deployment.DeploymentOptions(configured, **options)
+        )
+        self.addAsyncCleanup(self.running.stop)
+        await self.running.start()
+        for router in self.running.routers.values():
+            await self.poll(
+                f"{router.vm} hears all routers",
+                lambda r=router: self._hears_all(r),
+            )
+        return self.running
+
+    async def _hears_all(self, router: deployment.RunningRouter) -> bool:
+        reply = await self.call_admin(router, "/v1/status")
+        states = [row["state"] for row in reply.json()["vms"]]
+        return states == ["serving"] * len(self.running.routers)
+
+    def router(self, number: int) -> deployment.RunningRouter:
+        """Returns router-1, router-2 and so on."""
+        return self.running.routers[f"router-{number}"]
+
+    async def ask(
+        self,
+        router: deployment.RunningRouter,
+        model: str = MODEL,
+        *,
+        session: str = "",
+        key: str = ACCOUNT_KEY,
+        **options: Any,
+    ) -> http.Reply:
+        """Sends a chat completion."""
+        headers = {"Authorization": f"Bearer {key}"}
+        if session:
+            headers["Dragonflydyke-Session"] = session
+        return await self.running.http.call(
+            "POST",
+            f"{router.public_url}/v1/chat/completions",
+            body={
+                "model": model,
+                "messages": [{"role": "user", "content": "Which hamper?"}],
+            },
+            headers=headers,
+            **options,
+        )
+
+    async def call_admin(
+        self,
+        router: deployment.RunningRouter,
+        path: str,
+        method: str = "GET",
+        body: Any = None,
+    ) -> http.Reply:
+        """Sends an operator's call."""
+        return await self.running.http.call(
+            method,
+            f"{router.admin_url}{path}",
+            body=body,
+            headers=deployment.operator_headers(),
+        )
+
+    async def count(self, router: deployment.RunningRouter, name: str) -> int:
+        """Returns a counter of a router."""
+        reply = await self.call_admin(router, "/v1/counters")
+        return reply.json()["counters"].get(name, 0)
+
+    async def count_received(self) -> collections.Counter[str]:
+        """Returns the requests that reached the engines, by version name."""
+        total: collections.Counter[str] = collections.Counter()
+        for name in self.running.backends:
+            received = (await self.running.control(name)).get("received", {})
+            for version, count in received.items():
+                total[version.rpartition("@")[2]] += count
+        return total
+
+    async def withdraw(self, version: str, through: int = 1) -> int:
+        """Withdraws a version; returns the revision."""
+        set_version_state(self.running.document, version, "withdrawn")
+        return await self.running.apply(
+            self.running.document, self.router(through)
+        )
+
+    async def wait_in_force(self, revision: int, through: int = 1) -> float:
+        """Does what `dragonflydyke wait` does; returns seconds."""
+        started_s = time.monotonic()
+        client = admin_client.AdminClient(
+            [self.router(through).admin_url], deployment.OPERATOR_KEY
+        )
+        try:
+            await operations.wait(client, revision, _GIVE_UP_S)
+        finally:
+            client.close()
+        return time.monotonic() - started_s
+
+    async def poll(
+        self, what: str, condition: Callable[[], Awaitable[Any]]
+    ) -> Any:
+        """Repeats a question until its answer is true; returns the answer."""
+        try:
+            async with asyncio.timeout(_GIVE_UP_S):
+                while not (answer := await condition()):
+                    await asyncio.sleep(_POLL_S)
+        except TimeoutError:
+            self.fail(f"never happened: {what}")
+        return answer
+
+    async def read_revision(self, router: deployment.RunningRouter) -> int:
+        """Returns the revision in force on a router, 0 if none."""
+        reply = await self.call_admin(router, "/v1/status")
+        return reply.json()["revision"] or 0
+
+
+def read_code(reply: http.Reply) -> str:
+    """Returns the error code of a reply, `ok` or `no answer`."""
+    if reply.status == 200:
+        return "ok"
+    if reply.status == 599:
+        return "no answer"
+    return reply.json()["error"]["code"]
+
+
+def read_revision(reply: http.Reply) -> int:
+    """Returns the revision that a reply was served under."""
+    return int(reply.headers["Dragonflydyke-Revision"])
