Let a session key sign only after every router has it

Cause: the newest key of the ring signed as soon as a router had adopted the ring. For up to the propagation time, a router with the previous ring refused such a token with 403 session_token_invalid, so a session that moved between two routers right after a rotation was lost.

The newest key but one signs now. It was added by the rotation before, and a rotation is refused within 10 s of the last one, so every router has it. The ring keeps four keys, so that a token outlives two rotations as before.

Ruled out: delaying the use of a key by the time since its adoption, which a restarted router does not know; and a second write that releases the key, which a router that dies in between would leave undone.

The test of the rotation asserted that the newest key signs. It asserts as strictly that the one before it does.

--- a/src/dragonflydyke/membership/keys.py
+++ b/src/dragonflydyke/membership/keys.py
@@ -1,15 +1,19 @@
 """Creation and rotation of the keys that sign session tokens."""
 
 import secrets
+import time
 from typing import Any
 
 from dragonflydyke import errors, logs, metrics, objects
 from dragonflydyke.membership import state
+from dragonflydyke.sessions import tokens
 
-# Tokens signed with a key stay valid until it leaves the ring.
-MAX_KEYS = 3
+# A ring is in force everywhere 6 s after its write. Before that, a second
+# rotation would let a key sign that some routers do not have.
+MIN_ROTATION_PERIOD_S = 10.0
 _KEY_ID_BYTES = 6
 _SECRET_BYTES = 32
+_MS_PER_S = 1_000
 
 _logger = logs.get_logger("membership.keys")
 
@@ -47,29 +51,63 @@
             return
         _logger.info("key ring created")
 
-    async def rotate(self) -> None:
-        """Adds a new key, which signs from now on, and drops the oldest.
+    async def rotate(self) -> tuple[str, ...]:
+        """Adds a key, lets the one before it sign, and drops the oldest.
+
+        Returns:
+            The key ids of the ring, oldest first.
 
         Raises:
-            DragonflydykeError: If the platform is unavailable, or
-                `platform_conflict` if another router changed the ring.
+            DragonflydykeError: If the platform is unavailable,
+                `platform_conflict` if another router changed the ring, or
+                `session_keys_rotated_recently`.
         """
         stored = await self._objects.get(state.CONTROL_KIND, state.KEYS_NAME)
         if stored is None:
-            await self.ensure()
-            return
-        ring = [*stored.value["keys"], _generate_key()]
+            raise _not_created()
+        keys = stored.value["keys"]
+        if len(keys) > 1:  # The only key of a ring goes on signing.
+            _check_period(keys[-1])
+        ring = [*keys, _generate_key()][-tokens.MAX_KEYS :]
         await self._objects.update(
             state.CONTROL_KIND,
             state.KEYS_NAME,
-            {"keys": ring[-MAX_KEYS:]},
+            {"keys": ring},
             stored.version,
         )
         _logger.info("key ring rotated")
+        return tuple(key["key_id"] for key in ring)
 
 
 def _generate_key() -> dict[str, Any]:
     return {
         "key_id": secrets.token_hex(_KEY_ID_BYTES),
         "secret": secrets.token_urlsafe(_SECRET_BYTES),
+        "created_at_ms": int(time.time() * _MS_PER_S),
     }
+
+
+def _check_period(newest: dict[str, Any]) -> None:
+    age_s = time.time() - newest.get("created_at_ms", 0) / _MS_PER_S
+    # A key from the future was written by a VM whose clock is ahead.
+    if not 0 <= age_s < MIN_ROTATION_PERIOD_S:
+        return
+    raise errors.DragonflydykeError(
+        "session_keys_rotated_recently",
+        "the newest session key is not in force everywhere yet; repeat the "
+        f"rotation after {MIN_ROTATION_PERIOD_S:g} s",
+        step=errors.Step.WRITE_PLATFORM,
+        retry_after_s=MIN_ROTATION_PERIOD_S - age_s,
+        status=409,
+    )
+
+
+def _not_created() -> errors.DragonflydykeError:
+    return errors.DragonflydykeError(
+        "session_keys_missing",
+        "there are no session keys yet; a router that reads the platform "
+        "creates them within seconds",
+        step=errors.Step.READ_PLATFORM,
+        retry_after_s=1.0,
+        status=503,
+    )
--- a/src/dragonflydyke/sessions/tokens.py
+++ b/src/dragonflydyke/sessions/tokens.py
@@ -12,7 +12,8 @@
 from dragonflydyke.sessions import model
 
 MAX_TOKEN_LENGTH = 2_048
-MAX_KEYS = 3
+# The next key, the one that signs, and two whose tokens are still accepted.
+MAX_KEYS = 4
 _SECRET_BYTES = 32
 _KEY_ID_BYTES = 8
 _SESSION_ID_BYTES = 16
@@ -21,13 +22,17 @@
 
 
 def issue(ring: model.KeyRing, session: model.Session) -> str:
-    """Returns a token signed with the newest key.
+    """Returns a token signed with the newest key but one.
+
+    A key signs only after the rotation that follows the one that added it.
+    Routers adopt a ring at different times, and one that lacks the signing key
+    would refuse the sessions of the others.
 
     Raises:
         DragonflydykeError: `session_keys_missing` (503) if the ring is empty,
             `session_token_too_long` if the names do not fit.
     """
-    token = _get_serializer(ring).dumps(
+    token = _get_serializer(_select_signing(ring)).dumps(
         [
             session.client_account,
             session.session_id,
@@ -115,6 +120,10 @@
     }
 
 
+def _select_signing(ring: model.KeyRing) -> model.KeyRing:
+    return model.KeyRing(ring.keys[-2:-1] or ring.keys)
+
+
 @functools.lru_cache(maxsize=8)
 def _get_serializer(ring: model.KeyRing) -> itsdangerous.URLSafeSerializer:
     if not ring.keys:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -280,7 +280,7 @@
         self.assertEqual({"vm-1", "vm-2"}, self.fleet.serving())
 
     async def test_key_rotation(self) -> None:
-        """The newest key signs everywhere, and old ones still verify."""
+        """Every router gets the new key and keeps the old one."""
         first = self.fleet.nodes["vm-1"].state.current.key_ring.keys
         await self.fleet.nodes["vm-0"].keys.rotate()
         await self.loop.advance(2)
@@ -288,6 +288,17 @@
         self.assertEqual(first, keys[:1])
         self.assertEqual(2, len(keys))
 
+    async def test_second_rotation_waits_for_the_first(self) -> None:
+        """Regression: a key must not sign before all routers have it."""
+        keeper = self.fleet.nodes["vm-0"].keys
+        await keeper.rotate()
+        with self.assertRaises(errors.DragonflydykeError) as caught:
+            await keeper.rotate()
+        error = caught.exception
+        self.assertEqual("session_keys_rotated_recently", error.code)
+        self.assertEqual(409, error.status)
+        self.assertEqual(errors.Execution.NOT_RUN, error.execution)
+
 
 class SingleNodeTest(MembershipTestCase):
     """Guards against a single VM that waits for a majority of others."""
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -47,11 +47,25 @@
             account = _SESSION.client_account
             session = tokens.verify(self.ring, token, account)
             self.assertEqual(session, _SESSION)
-        newest = model.KeyRing(self.ring.keys[-1:])
-        tokens.verify(newest, tokens.issue(self.ring, _SESSION), account)
+        signing = model.KeyRing(self.ring.keys[-2:-1])
+        tokens.verify(signing, tokens.issue(self.ring, _SESSION), account)
         self.ring = tokens.rotate(self.ring)
         self.expect_invalid(token)
 
+    def test_router_with_the_previous_ring_accepts_tokens(self) -> None:
+        """Regression: the newest key signed before all routers had it."""
+        for _ in range(2 * tokens.MAX_KEYS):
+            previous, self.ring = self.ring, tokens.rotate(self.ring)
+            for signing, verifying in (
+                (self.ring, previous),
+                (previous, self.ring),
+            ):
+                token = tokens.issue(signing, _SESSION)
+                session = tokens.verify(
+                    verifying, token, _SESSION.client_account
+                )
+                self.assertEqual(session, _SESSION)
+
     def test_truncated_changed_and_foreign_tokens(self) -> None:
         token = tokens.issue(self.ring, _SESSION)
         for end in range(len(token)):
