Add dragonflydyke rotate-session-keys

The membership had the method only; operators had no way to call it. POST /v1/session-keys/rotate returns the key ids of the ring.

--- a/src/dragonflydyke/admin/handlers.py
+++ b/src/dragonflydyke/admin/handlers.py
@@ -297,6 +297,16 @@
         self.send_json({"bills": [bill.to_mapping() for bill in bills]})
 
 
+class RotateSessionKeysHandler(OperatorHandler):
+    """Rotates the session keys."""
+
+    async def post(self) -> None:
+        """Adds a session key and returns the ids of the ring."""
+        key_ids = await self.services.session_keys.rotate()
+        _log.info("session keys rotated", newest=key_ids[-1])
+        self.send_json({"key_ids": list(key_ids)})
+
+
 class CountersHandler(OperatorHandler):
     """Returns the counters of this process."""
 
--- a/src/dragonflydyke/admin/services.py
+++ b/src/dragonflydyke/admin/services.py
@@ -150,6 +150,18 @@
         """Returns gaps and duplicates of all journals."""
 
 
+class SessionKeys(Protocol):
+    """Rotates the session keys; see `membership.keys`."""
+
+    async def rotate(self) -> Sequence[str]:
+        """Adds a key and returns the key ids, oldest first.
+
+        Raises:
+            DragonflydykeError: If the keys were not rotated, or with
+                execution UNKNOWN if that is not known.
+        """
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class AdminServices:
     """Everything that the admin API uses.
@@ -159,6 +171,7 @@
         fleet: Reports the fleet and the readiness of this VM.
         roll_outs: Returns the states of all roll-outs.
         bills: Reads bills.
+        session_keys: Rotates the session keys.
         counters: Counters of this process.
         operator_key_hashes: SHA-256 of each operator key, in hexadecimal.
     """
@@ -167,6 +180,7 @@
     fleet: FleetStatusProvider
     roll_outs: Callable[[], Iterable[rollouts_model.RollOutState]]
     bills: BillsReader
+    session_keys: SessionKeys
     counters: metrics.Counters
     operator_key_hashes: tuple[str, ...]
 
--- a/src/dragonflydyke/cli/commands.py
+++ b/src/dragonflydyke/cli/commands.py
@@ -270,6 +270,25 @@
         return ExitCode.REFUSED if lines else ExitCode.OK
 
 
+class RotateSessionKeysCommand(base.ServerCommand):
+    """Rotates the session keys."""
+
+    name = "rotate-session-keys"
+    description = "Adds a session key and drops the oldest of four."
+
+    def run_command(self) -> ExitCode:
+        """Rotates once; a lost answer leaves the outcome unknown."""
+        answer = self.call(
+            lambda client: client.write("/v1/session-keys/rotate", {})
+        )
+        key_ids = answer["key_ids"]
+        self.show(
+            f"session keys rotated, newest {key_ids[-1]}, {len(key_ids)} keys",
+            answer,
+        )
+        return ExitCode.OK
+
+
 class HashKeyCommand(base.BaseCommand):
     """Hashes a bearer key."""
 
@@ -295,5 +314,6 @@
         WaitCommand(),
         RollOutsCommand(),
         BillsCommand(),
+        RotateSessionKeysCommand(),
         HashKeyCommand(),
     ]
--- a/src/dragonflydyke/router/assembly.py
+++ b/src/dragonflydyke/router/assembly.py
@@ -283,6 +283,7 @@
             bills=operations.LedgerAccess(
                 billing.LedgerReader(self._objects), self._member
             ),
+            session_keys=self._member.keys,
             counters=self._counters,
             operator_key_hashes=self._settings.operator_key_hashes,
         )
--- a/tests/builders/admin.py
+++ b/tests/builders/admin.py
@@ -143,6 +143,18 @@
         return {**dataclasses.asdict(self), "outcome": "completed", **tokens}
 
 
+class MemorySessionKeys:
+    """Key ids of a ring."""
+
+    def __init__(self) -> None:
+        self.key_ids = ["key-1"]
+
+    async def rotate(self) -> list[str]:
+        """Adds a key."""
+        self.key_ids.append(f"key-{len(self.key_ids) + 1}")
+        return self.key_ids
+
+
 class AdminServer:
     """An admin API with its services; `url` is its base URL."""
 
@@ -150,6 +162,7 @@
         self.writer = MemoryWriter()
         self.fleet = MemoryFleet()
         self.bills = MemoryBills([MemoryBill("a", 7), MemoryBill("b", 1)])
+        self.session_keys = MemorySessionKeys()
         state = rollouts_model.RollOutState(
             "next", rollouts_model.RollOutPhase.RUNNING, 1, 0, "vm-0", 3
         )
@@ -158,6 +171,7 @@
             fleet=self.fleet,
             roll_outs=lambda: (state,),
             bills=self.bills,
+            session_keys=self.session_keys,
             counters=metrics.Counters(),
             operator_key_hashes=(
                 documents.hash_key("another"),
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -45,6 +45,7 @@
                 ("/v1/history", None),
                 ("/v1/status", None),
                 ("/v1/roll-outs", None),
+                ("/v1/session-keys/rotate", {}),
                 ("/v1/bills", None),
                 ("/v1/counters", None),
             ):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -209,6 +209,12 @@
         self.assertEqual(code, ExitCode.REFUSED)
         self.assertEqual(out, "gap: incarnation x: 7\n")
 
+    async def test_rotate_session_keys_shows_the_newest(self) -> None:
+        answer = await self._run_json("rotate-session-keys")
+        self.assertEqual(answer["key_ids"], ["key-1", "key-2"])
+        _, out, _ = await self._run("rotate-session-keys")
+        self.assertEqual(out, "session keys rotated, newest key-3, 3 keys\n")
+
     async def test_tables_show_every_row(self) -> None:
         for command, expected in (
             ("status", "vm-1"),
