Stop a roll-out whose version turns bad after many good answers

Cause: each router decided on its restraint, and the lease holder on the stop, from sums since the start of the process. A version that turned bad late had to outweigh all its good samples first. Once every router had restrained itself, no sample came any more, and the sums of the fleet, which still hold the good counts of routers that were replaced, stayed above the threshold: the roll-out was neither stopped nor advanced.

A router now restrains itself by its newest min_samples samples, keeps the restraint, and reports it; a reported restraint stops the roll-out.

Ruled out: the lease (it was held, its holder decided every second) and the rating service (ratings of 0.1 arrived at all routers).

The expected counts in test_ratings_stop have the new field.

--- a/src/dragonflydyke/rollouts/decisions.py
+++ b/src/dragonflydyke/rollouts/decisions.py
@@ -10,12 +10,21 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class VersionSample:
-    """What the fleet has seen of the new version of a roll-out."""
+    """What the fleet has seen of the new version of a roll-out.
+
+    Attributes:
+        requests: Attempts that ended.
+        failures: Attempts that failed.
+        ratings: Answers that were rated.
+        rating_sum: Sum of the ratings.
+        restrained: Routers whose newest samples met the stop condition.
+    """
 
     requests: int = 0
     failures: int = 0
     ratings: int = 0
     rating_sum: float = 0.0
+    restrained: int = 0
 
     @property
     def error_share(self) -> float:
@@ -31,7 +40,13 @@
 def find_stop_reason(
     stop: model.StopCondition, sample: VersionSample
 ) -> str | None:
-    """Returns why the sample calls for a stop, or None."""
+    """Returns why the sample calls for a stop, or None.
+
+    A router that restrained itself is a reason: it takes no more samples, so
+    without a decision the roll-out would neither stop nor go on.
+    """
+    if sample.restrained:
+        return f"met by the newest samples of {sample.restrained} routers"
     minimum = max(stop.min_samples, 1)
     if sample.requests >= minimum and sample.error_share > stop.max_error_share:
         return (
--- a/src/dragonflydyke/router/fleet.py
+++ b/src/dragonflydyke/router/fleet.py
@@ -127,6 +127,7 @@
             ratings=sum(entry.ratings for entry in reported),
             rating_sum=sum(entry.rating_sum_milli for entry in reported)
             / _MILLI,
+            restrained=sum(entry.restrained for entry in reported),
         )
 
 
@@ -150,6 +151,7 @@
             failures=entry.failures,
             ratings=entry.ratings,
             rating_sum_milli=entry.rating_sum_milli,
+            restrained=entry.restrained,
         )
         for entry in version_counts.counts()
     ]
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -6,7 +6,7 @@
 
 from dragonflydyke import errors, metrics
 from dragonflydyke.configuration import model
-from dragonflydyke.rollouts import decisions, driver, lease, orders
+from dragonflydyke.rollouts import counts, decisions, driver, lease, orders
 from dragonflydyke.rollouts import model as rollout_model
 from tests.builders import documents, objects, virtual_loop
 
@@ -62,6 +62,31 @@
                 self.assertIs(decided.phase, rollout_model.RollOutPhase.STOPPED)
                 self.assertTrue(decided.reason)
 
+    def test_many_good_samples_do_not_hide_a_bad_version(self) -> None:
+        """Regression: sums since the start held a restrained roll-out."""
+        version = _ROLL_OUT.to_version
+        for is_failing in (False, True):
+            own = counts.VersionCounts()
+            for _ in range(1_000):
+                own.record_request(_ROLL_OUT.name, version, failed=False)
+                own.record_rating(_ROLL_OUT.name, version, 0.9)
+            self.assertFalse(own.meets_stop(_ROLL_OUT))
+            for _ in range(_STOP.min_samples):
+                if is_failing:
+                    own.record_request(_ROLL_OUT.name, version, failed=True)
+                else:
+                    own.record_rating(_ROLL_OUT.name, version, 0.1)
+            self.assertTrue(own.meets_stop(_ROLL_OUT))
+            self.assertTrue(own.count(_ROLL_OUT.name, version).restrained)
+            # Later good samples, of sessions, do not end the restraint.
+            for _ in range(_STOP.min_samples):
+                own.record_request(_ROLL_OUT.name, version, failed=False)
+                own.record_rating(_ROLL_OUT.name, version, 0.9)
+            self.assertTrue(own.meets_stop(_ROLL_OUT))
+        sample = dataclasses.replace(_GOOD, restrained=1)
+        decided = decisions.decide(_ROLL_OUT, _running(), sample, 1)
+        self.assertIs(decided.phase, rollout_model.RollOutPhase.STOPPED)
+
     def test_finishes_after_the_last_step(self) -> None:
         decided = decisions.decide(_ROLL_OUT, _running(1), _GOOD, 60_000)
         self.assertIs(decided.phase, rollout_model.RollOutPhase.FINISHED)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -314,5 +314,5 @@
         self.assertFalse(own.meets_stop(ROLL_OUT))
         own.record_rating("r", "v2", 0.4)
         self.assertTrue(own.meets_stop(ROLL_OUT))
-        expected = counts.VersionCount("r", "v2", 0, 0, 4, 1_700)
+        expected = counts.VersionCount("r", "v2", 0, 0, 4, 1_700, True)
         self.assertEqual(own.counts(), (expected,))
