--- a/tests/builders/integration.py
+++ b/tests/builders/integration.py
@@ -153,6 +153,7 @@
             body={
                 "model": model,
                 "messages": [{"role": "user", "content": "Which hamper?"}],
+                "max_tokens": 2,
             },
             headers=headers,
             **options,
@@ -218,6 +219,17 @@
             self.fail(f"never happened: {what}")
         return answer
 
+    async def read_object(self, kind: str, name: str) -> Any:
+        """Returns the value of an object of the platform, None without one."""
+        url = f"{self.running.platform_url}/v1/objects/{kind}/{name}"
+        reply = await self.running.http.call("GET", url)
+        return reply.json()["value"] if reply.status == 200 else None
+
+    async def read_lease_holder(self) -> str:
+        """Returns the VM that holds the lease of the roll-outs."""
+        lease = await self.read_object("leases", "rollout")
+        return lease["holder"].partition("/")[0]
+
     async def read_revision(self, router: deployment.RunningRouter) -> int:
         """Returns the revision in force on a router, 0 if none."""
         reply = await self.call_admin(router, "/v1/status")
@@ -236,3 +248,26 @@
 def read_revision(reply: http.Reply) -> int:
     """Returns the revision that a reply was served under."""
     return int(reply.headers["Dragonflydyke-Revision"])
+
+
+def build_roll_out(
+    steps: tuple[tuple[float, float], ...], min_samples: int = 5
+) -> dict[str, Any]:
+    """Returns a roll-out from v1 to v2; steps are shares and seconds."""
+    return {
+        "name": "next",
+        "model": MODEL,
+        "from_version": "v1",
+        "to_version": "v2",
+        "steps": [{"share": share, "hold_s": hold} for share, hold in steps],
+        "stop": {
+            "min_samples": min_samples,
+            "min_rating": 0.5,
+            "max_error_share": 0.2,
+        },
+    }
+
+
+def read_version(reply: http.Reply) -> str:
+    """Returns the name of the version that served a reply."""
+    return reply.headers["Dragonflydyke-Version"].rpartition("@")[2]
--- /dev/null
+++ b/tests/test_proof_roll_outs.py
@@ -0,0 +1,133 @@
+"""Roll-outs with real routers: exposure, one decision, loss of the holder."""
+
+import asyncio
+from typing import Any
+
+from harness import deployment
+from tests.builders import integration
+
+_MODEL = integration.MODEL
+_MIN_SAMPLES = 5
+
+
+def _build_mapping() -> dict[str, Any]:
+    """Returns a roll-out whose new version has engines of its own."""
+    mapping = integration.build_mapping(
+        engines=3,
+        roll_outs=[
+            integration.build_roll_out(((0.5, 3_600),), _MIN_SAMPLES),
+        ],
+    )
+    # engine-1 checks fencing tokens, engine-2 ignores them.
+    for number, version in ((0, "v1"), (1, "v1"), (2, "v2")):
+        mapping["backend_servers"][number]["serves"] = [f"{_MODEL}@{version}"]
+    return mapping
+
+
+class LeaseHolderTest(integration.IntegrationTestCase):
+    """Guards against two decisions, and stale orders, of two holders."""
+
+    async def test_frozen_holder_and_bad_version(self) -> None:
+        await self.deploy(_build_mapping())
+        self.decisions: list[dict[str, Any]] = []
+        await self.poll("the roll-out runs", self._read_decision)
+        lease = await self.read_object("leases", "rollout")
+        frozen = self.running.routers[await self.read_lease_holder()]
+        live = [r for r in self.running.routers.values() if r is not frozen]
+        frozen.process.pause()
+        watch = asyncio.create_task(self._watch_decisions())
+        await self.running.control("engine-3", error_share=1.0)
+        await self._expose(live)
+        await self.poll("the roll-out is stopped", self._is_stopped)
+        taken = await self.read_object("leases", "rollout")
+        self.assertGreater(taken["fencing"], lease["fencing"])
+        frozen.process.resume()
+        await self.poll(
+            "the woken router knows of the stop",
+            lambda: self._shows_stop(frozen),
+        )
+        await self._check_orders(taken["fencing"])
+        before = await self.count_received()
+        for router in (*self.running.routers.values(),) * 4:
+            reply = await self.ask(router)
+            self.assertEqual(integration.read_version(reply), "v1")
+        received = await self.count_received() - before
+        self.assertEqual(received["v2"], 0)
+        watch.cancel()
+        await asyncio.gather(watch, return_exceptions=True)
+        self._check_decisions(taken["fencing"])
+
+    async def _expose(self, live: list[deployment.RunningRouter]) -> None:
+        """Sends until each router restrains itself, before any decision.
+
+        Each router has one request at a time, so its bound is exact: it counts
+        a failure before its next request.
+        """
+        before = await self.count_received()
+        await asyncio.gather(*(self._fail_until_restrained(r) for r in live))
+        received = await self.count_received() - before
+        print("requests on the bad version:", received["v2"])
+        self.assertEqual(received["v2"], len(live) * _MIN_SAMPLES)
+        after = await self.count_received()
+        await asyncio.gather(*(self.ask(router) for router in live * 10))
+        received = await self.count_received() - after
+        self.assertEqual(received["v2"], 0)
+
+    async def _fail_until_restrained(
+        self, router: deployment.RunningRouter
+    ) -> None:
+        failures = 0
+        while failures < _MIN_SAMPLES:
+            failures += (await self.ask(router)).status != 200
+
+    async def _read_decision(self) -> Any:
+        return await self.read_object("control", "rollout.next")
+
+    async def _is_stopped(self) -> bool:
+        return (await self._read_decision())["state"] == "stopped"
+
+    async def _shows_stop(self, router: deployment.RunningRouter) -> bool:
+        reply = await self.call_admin(router, "/v1/roll-outs")
+        rows = reply.json()["roll_outs"]
+        return [row["state"] for row in rows] == ["stopped"]
+
+    async def _watch_decisions(self) -> None:
+        while True:
+            decision = await self._read_decision()
+            if decision not in self.decisions:
+                self.decisions.append(decision)
+            await asyncio.sleep(0.02)
+
+    def _check_decisions(self, fencing: int) -> None:
+        """One decision follows the first one, and it is final."""
+        states = [decision["state"] for decision in self.decisions]
+        self.assertEqual(states, ["running", "stopped"])
+        self.assertEqual(self.decisions[1]["fencing"], fencing)
+
+    async def _check_orders(self, fencing: int) -> None:
+        """Makes the engines lose their versions; the holder loads them."""
+        for name, version in (("engine-1", "v1"), ("engine-2", "v1")):
+            await self.running.control(name, versions=[])
+            state = await self.poll(
+                f"{name} has its version again",
+                lambda n=name, v=version: self._read_loaded(n, v),
+            )
+            self.assertEqual(state["highest_fencing"], fencing)
+            tokens = [order["fencing"] for order in state["orders"]]
+            self.assertEqual(tokens, sorted(tokens))
+            stale = {
+                "order": "load",
+                "version": f"{_MODEL}@{version}",
+                "fencing": fencing - 1,
+            }
+            reply = await self.running.http.call(
+                "POST",
+                f"{self.running.backend_urls[name]}/v1/orders",
+                body=stale,
+            )
+            expected = 409 if name == "engine-1" else 200
+            self.assertEqual(reply.status, expected, name)
+
+    async def _read_loaded(self, name: str, version: str) -> Any:
+        state = await self.running.control(name)
+        return state if f"{_MODEL}@{version}" in state["versions"] else None
