Store the response of a call only after its bill is safe

A router stored the response of a call that is not repeatable in its claim and recorded the bill afterwards. When it died in between, a retry with the same key at another router replayed the stored response, which has no bill of its own: a whole answer reached the caller and was never billed.

The bill is now recorded first. A router that dies between the two leaves a billed call whose key answers `call_outcome_unknown`.

Ruled out: a bill per replay, which costs a write per retry and needs the attempts of the call in the claim; and a lost flush, because the journals of the dead routers had no gap.

--- a/src/dragonflydyke/gateway/calls.py
+++ b/src/dragonflydyke/gateway/calls.py
@@ -69,7 +69,9 @@
     async def _serve(self) -> None:
         self._admit()
         if self._get_operation().repeatable:
-            await self._respond(await self._call_with_retries())
+            response = await self._call_with_retries()
+            await self._record(response)
+            self._respond(response)
             return
         # A disconnect must not leave the outcome unknown: the call runs to its
         # end, and a request with the same key gets the stored response.
@@ -123,8 +125,11 @@
             if not_run and not claim.is_settled:
                 await self._abandon(claim)
             raise
+        # A stored response is replayed without a bill of its own, so it is
+        # stored only after the bill is safe.
+        await self._record(response)
         await self._finish(claim, response)
-        await self._respond(response)
+        self._respond(response)
 
     async def _claim(self) -> idempotency.Claim:
         # Not bounded by the deadline: an unfinished claim would block the key.
@@ -242,13 +247,15 @@
         self._services.counters.increment(f"retry.{error.code}")
         return True
 
-    async def _respond(self, response: _Response) -> None:
+    async def _record(self, response: _Response) -> None:
         assert self._bill is not None
         outcome = accounting.Outcome.COMPLETED
         if response.status > _MAX_STATUS_BILLED:
             outcome = accounting.Outcome.FAILED
         self._bill.begin_record(outcome)
         await self._bill.wait_recorded()
+
+    def _respond(self, response: _Response) -> None:
         in_force = execution.read_in_force(self._services)
         headers = {replies.REVISION_HEADER: str(in_force.revision)}
         self._caller.finish(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -321,6 +321,20 @@
         self.assertEqual(len(self.services.backends.requests), 1)
         self.assertEqual(len(self.bills), 1)
 
+    async def test_stored_only_after_the_bill(self) -> None:
+        # Guards against a replay whose bill died with the first router.
+        self.services.bills.gate.clear()
+        self.play([b"printed"])
+        first = asyncio.ensure_future(self.print_label())
+        async with asyncio.timeout(GUARD_S):
+            await self.services.bills.entered.wait()
+            response = await self.print_label()
+            self.check_error(response, 409, "call_in_progress", "unknown")
+            self.services.bills.gate.set()
+            self.assertEqual((await first).body, b"printed")
+        self.assertEqual((await self.print_label()).body, b"printed")
+        self.assertEqual(len(self.bills), 1)
+
     async def test_unknown_outcome_blocks_the_key(self) -> None:
         self.play(fail_at(errors.Step.READ_ANSWER))
         response = await self.print_label()
