Resume broken streams of engines in the gateway

The backends client could resume a stream, but the gateway did not use it: a link that broke in the middle of an answer ended the answer with an error although the engine still had the stream.

A lost connection to an engine is now followed by up to `max_attempts - 1` connections, less the retries already made, that continue the stream at the first event that has not been relayed. They stay within the deadline. The part of an event that was received before the loss is dropped, because the engine sends the event again. A stream that the engine no longer knows (404), or that breaks again, ends with the first error and without an end marker, as before.

Resumes do not draw on the retry budget, as they cause no second run. Unit tests cover the index, the half event, a failed resume and a forgotten stream.

--- a/src/dragonflydyke/gateway/attempts.py
+++ b/src/dragonflydyke/gateway/attempts.py
@@ -13,9 +13,13 @@
 
 MAX_ANSWER_BYTES = 16_000_000
 MAX_ERROR_BYTES = 64_000
+_OK = 200
 # The cancel request to an engine gets its own time, because the deadline of
 # the request may be over.
 _CLOSE_TIMEOUT_S = 2.0
+# Lets an engine whose link broke accept connections again.
+_RESUME_PAUSE_S = 0.1
+_CONNECTION_LOST = "backend_connection_lost"
 _CALLER_FAULTS = frozenset({"backend_rejected", "answer_too_long"})
 
 _T = TypeVar("_T")
@@ -71,6 +75,7 @@
         "_deadline",
         "_placement",
         "_price",
+        "_resumes_left",
         "_roll_out",
         "_server",
         "_services",
@@ -92,6 +97,7 @@
         blame_after_s: float,
         kind: str,
         roll_out: model.RollOut | None = None,
+        max_resumes: int = 0,
     ) -> None:
         """Begins an attempt.
 
@@ -107,6 +113,7 @@
                 and version are at fault, not the deadline of the caller.
             kind: Kind of work, whose times to the first byte are comparable.
             roll_out: Roll-out of the model, if any.
+            max_resumes: Connections that may continue a broken stream.
         """
         self._services = gateway_services
         self._bill = bill
@@ -115,6 +122,7 @@
         self._deadline = deadline
         self._blame_after_s = blame_after_s
         self._roll_out = roll_out
+        self._resumes_left = max_resumes
         self._answer: services.BackendAnswer | None = None
         self._usage: services.Usage | None = None
         self.produced_events = 0
@@ -149,6 +157,53 @@
         )
         return self._answer
 
+    async def resume(
+        self, event_index: int, cause: errors.DragonflydykeError
+    ) -> None:
+        """Continues a stream whose connection broke at an event.
+
+        Raises:
+            DragonflydykeError: `cause` if it is no lost connection, or the
+                engine does not continue the stream.
+        """
+        if cause.code != _CONNECTION_LOST:
+            raise cause
+        while self._resumes_left > 0:
+            self._resumes_left -= 1
+            answer = await self._try_resume(event_index)
+            if answer is None:
+                await self._pause()
+                continue
+            self._answer = answer
+            if answer.status != _OK:
+                break
+            self._services.counters.increment("stream.resumed")
+            return
+        self._services.counters.increment("stream.not_resumed")
+        raise cause
+
+    async def _try_resume(
+        self, event_index: int
+    ) -> services.BackendAnswer | None:
+        assert self._answer is not None
+        try:
+            return await wait_until(
+                self._services.backends.resume(
+                    self._answer, event_index, deadline=self._deadline
+                ),
+                self._deadline,
+                step=errors.Step.AWAIT_ANSWER,
+                peer=self._server.name,
+                execution=errors.Execution.UNKNOWN,
+            )
+        except errors.DragonflydykeError as error:
+            self._services.counters.increment(f"resume.{error.code}")
+            return None
+
+    async def _pause(self) -> None:
+        left_s = self._deadline - asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0.0, min(_RESUME_PAUSE_S, left_s)))
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body of the answer until the deadline."""
         assert self._answer is not None
--- a/src/dragonflydyke/gateway/chat.py
+++ b/src/dragonflydyke/gateway/chat.py
@@ -153,6 +153,9 @@
             blame_after_s=self._request_class.deadline_s,
             kind=self._describe_work(),
             roll_out=in_force.document.roll_out_for(stage.model),
+            max_resumes=in_force.document.policy.max_attempts
+            - self._retries
+            - 1,
         )
         if self._request.stream:
             return await self._run_stream(attempt, server, in_force)
--- a/src/dragonflydyke/gateway/events.py
+++ b/src/dragonflydyke/gateway/events.py
@@ -20,12 +20,18 @@
 
 
 class EventSplitter:
-    """Splits a byte stream into events, whatever its chunks are."""
+    """Splits a byte stream into events, whatever its chunks are.
 
-    __slots__ = ("_rest",)
+    Attributes:
+        count: Whole events so far, over all connections; the index from which
+            a broken stream is resumed.
+    """
+
+    __slots__ = ("_rest", "count")
 
     def __init__(self) -> None:
         self._rest = b""
+        self.count = 0
 
     def feed(self, chunk: bytes) -> list[bytes]:
         """Returns the data of the events that the chunk completes.
@@ -38,6 +44,7 @@
         plain = b"\r" not in data
         parts = data.split(b"\n\n") if plain else _EVENT_END.split(data)
         self._rest = parts.pop()
+        self.count += len(parts)
         if len(self._rest) > MAX_EVENT_BYTES:
             raise errors.DragonflydykeError(
                 "answer_invalid",
@@ -49,6 +56,10 @@
             )
         return [data for data in map(_extract_data, parts) if data]
 
+    def drop_rest(self) -> None:
+        """Forgets a part of an event, which a resumed stream repeats."""
+        self._rest = b""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class TokenUsage:
--- a/src/dragonflydyke/gateway/relays.py
+++ b/src/dragonflydyke/gateway/relays.py
@@ -64,20 +64,22 @@
         self.usage: services.Usage | None = None
 
     async def run(self) -> None:
-        """Relays everything but the end.
+        """Relays everything but the end; resumes a stream that breaks.
 
         Raises:
             DragonflydykeError: If the stream breaks or ends without marker.
             CallerGoneError: If the caller has gone.
         """
         splitter = events.EventSplitter()
-        chunks = self._attempt.chunks()
-        async for chunk in chunks:
-            done = self._relay_all(splitter.feed(chunk))
-            await self._send_pending()
-            if done:
-                await self._drain(chunks)
-                return
+        while True:
+            try:
+                done = await self._relay_connection(splitter)
+                break
+            except errors.DragonflydykeError as error:
+                splitter.drop_rest()
+                await self._attempt.resume(splitter.count, error)
+        if done:
+            return
         raise self._attempt.build_error(
             "answer_incomplete",
             "The engine ended the stream without its end marker; discard "
@@ -98,6 +100,17 @@
         end = b"".join(events.encode_value(value) for value in values)
         return end + events.DONE_EVENT
 
+    async def _relay_connection(self, splitter: events.EventSplitter) -> bool:
+        """Relays one connection; returns whether the end marker came."""
+        chunks = self._attempt.chunks()
+        async for chunk in chunks:
+            done = self._relay_all(splitter.feed(chunk))
+            await self._send_pending()
+            if done:
+                await self._drain(chunks)
+                return True
+        return False
+
     def _relay_all(self, parts: list[bytes]) -> bool:
         for data in parts:
             if events.is_done(data):
--- a/src/dragonflydyke/gateway/services.py
+++ b/src/dragonflydyke/gateway/services.py
@@ -91,6 +91,15 @@
             DragonflydykeError: With the exact step and execution.
         """
 
+    async def resume(
+        self, broken: BackendAnswer, event_index: int, *, deadline: float
+    ) -> BackendAnswer:
+        """Continues the stream of a broken answer on a new connection.
+
+        Raises:
+            DragonflydykeError: Never with execution not run.
+        """
+
 
 class Admission(Protocol):
     """An admitted request that counts against the limits."""
--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -93,6 +93,8 @@
 
     def __init__(self) -> None:
         self.script: list[ScriptedAnswer | Exception] = []
+        self.resumes: list[ScriptedAnswer | Exception] = []
+        self.resumed_from: list[int] = []
         self.requests: list[services.BackendRequest] = []
         self.opened = asyncio.Event()
 
@@ -107,6 +109,15 @@
             raise entry
         return entry
 
+    async def resume(
+        self, broken: ScriptedAnswer, event_index: int, *, deadline: float
+    ) -> ScriptedAnswer:
+        self.resumed_from.append(event_index)
+        entry = self.resumes.pop(0)
+        if isinstance(entry, Exception):
+            raise entry
+        return entry
+
 
 class RecordedBills:
     """Keeps bills; `gate` holds `record` back until it is set."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -100,6 +100,50 @@
                 self.assertEqual((bill.outcome, bill.cost), ("failed", 0))
         self.assertEqual(len(self.services.backends.requests), 3)
 
+    async def test_broken_link_is_resumed(self) -> None:
+        # Guards against lost and repeated events when a link breaks.
+        lost = gateway.build_error(
+            "backend_connection_lost",
+            "read_answer",
+            502,
+            errors.Execution.UNKNOWN,
+        )
+        whole = gateway.build_stream("a", "b", "c")
+        self.play([whole[0], whole[1][:9], lost])
+        self.services.backends.resumes = [
+            lost,
+            gateway.ScriptedAnswer(whole[1:]),
+        ]
+        response = await self.fetch(stream=True)
+        self.assertEqual(self.services.backends.resumed_from, [1, 1])
+        events = [e for e in whole[:3] if e in response.body]
+        self.assertEqual(events, whole[:3])
+        self.assertEqual(response.body.count(b'"content": "b"'), 1)
+        self.assertTrue(response.body.endswith(b"data: [DONE]\n\n"))
+        self.assertEqual([b.outcome for b in self.bills], ["completed"])
+
+    async def test_stream_that_the_engine_forgot(self) -> None:
+        # Guards against an end marker after a gap, and endless resumes.
+        lost = gateway.build_error(
+            "backend_connection_lost",
+            "read_answer",
+            502,
+            errors.Execution.UNKNOWN,
+        )
+        for resumes, count in (
+            ([gateway.ScriptedAnswer([b"{}"], status=404)], 1),
+            ([lost, lost], 2),
+        ):
+            self.play([gateway.build_event("a"), lost])
+            self.services.backends.resumes = resumes
+            self.services.backends.resumed_from.clear()
+            response = await self.fetch(stream=True)
+            self.assertNotIn(b"[DONE]", response.body)
+            self.assertIn(b"backend_connection_lost", response.body)
+            resumed_from = self.services.backends.resumed_from
+            self.assertEqual(resumed_from, [1] * count)
+            self.assertEqual(self.bills[-1].outcome, "failed")
+
     async def test_disconnect_cancels(self) -> None:
         answer = gateway.ScriptedAnswer(
             [gateway.build_event("a"), asyncio.Event()]
