Prove with killed routers that each request is billed once

The tests start real routers and emulators and compare what callers received with the ledger: a router killed before dispatch, in the prefill, in the stream, with the whole text sent and the bill in its memory only, and right after the end marker; lost answers of all ledger writes; a platform outage of more than 12 s with one router killed and one frozen until their holders wrote their bills.

The engines get their seed as a flag, because DRAGONFLYDYKE_SEED of the tests reached them through the environment.

--- a/harness/deployment.py
+++ b/harness/deployment.py
@@ -1,6 +1,7 @@
 """A whole deployment of real processes on loopback."""
 
 import asyncio
+import collections
 import dataclasses
 import hashlib
 import json
@@ -12,6 +13,8 @@
 from harness import http, processes, proxy
 
 OPERATOR_KEY = "operator-key-for-tests"
+# Decides the texts of answers.
+ENGINE_SEED = 0
 INNER_KEY = "inner-key-for-tests"
 ROUTERS = (
     ("router-1", "cartago-a"),
@@ -146,6 +149,10 @@
         """Returns all running processes."""
         return [p for p in self._started if p.is_running]
 
+    def read_logs(self) -> dict[str, str]:
+        """Returns the logs of all processes by their names."""
+        return {p.name: p.read_log() for p in self._started}
+
     async def start_router(self, vm: str, data_centre: str) -> RunningRouter:
         """Starts a router on a VM; replaces one of the same name."""
         process = processes.ManagedProcess(
@@ -166,9 +173,18 @@
         self.routers[vm] = router
         return router
 
-    async def publish_vms(self, leaving: frozenset[str] = frozenset()) -> None:
-        """Puts the present routers and backend servers on the VM list."""
-        vms = [
+    async def publish_vms(
+        self,
+        leaving: frozenset[str] = frozenset(),
+        keep: frozenset[str] = frozenset(),
+    ) -> None:
+        """Puts the present routers and backend servers on the VM list.
+
+        Args:
+            leaving: VMs with the state `leaving`.
+            keep: Routers that stay on the list although they ended.
+        """
+        vms: list[dict[str, Any]] = [
             {
                 "name": router.vm,
                 "data_centre": router.data_centre,
@@ -177,7 +193,18 @@
                 "state": "leaving" if router.vm in leaving else "live",
             }
             for router in self.routers.values()
-            if router.process.is_running
+            if router.process.is_running or router.vm in keep
+        ]
+        vms += [
+            {
+                "name": entry["vm"],
+                "data_centre": entry["data_centre"],
+                "role": "backend",
+                "inner_address": "",
+                "state": "leaving" if entry["vm"] in leaving else "live",
+            }
+            for entry in self.document["backend_servers"]
+            if entry.get("vm")
         ]
         await self.http.call(
             "PUT", f"{self.platform_url}/v1/vms", body={"vms": vms}
@@ -243,11 +270,53 @@
         )
         entries = reply.json()["objects"]
         return [
-            bill | {"journal": entry["name"]}
+            {"request_id": bill["bill_id"], **bill, "journal": entry["name"]}
             for entry in entries
             for bill in entry["value"]["bills"]
         ]
 
+    async def read_statement(
+        self, router: RunningRouter
+    ) -> list[dict[str, Any]]:
+        """Returns the bills that statements count, each bill_id once."""
+        reply = await self.http.call(
+            "GET", f"{router.admin_url}/v1/bills", headers=operator_headers()
+        )
+        return reply.json()["bills"]
+
+    async def check_ledger(self, router: RunningRouter) -> dict[str, Any]:
+        """Returns what `bills --check` says: gaps and duplicates."""
+        reply = await self.http.call(
+            "GET",
+            f"{router.admin_url}/v1/bills?check=true",
+            headers=operator_headers(),
+        )
+        return reply.json()
+
+    async def read_counters(self, router: RunningRouter) -> dict[str, int]:
+        """Returns the counters of a router."""
+        reply = await self.http.call(
+            "GET",
+            f"{router.admin_url}/v1/counters",
+            headers=operator_headers(),
+        )
+        return reply.json()["counters"]
+
+    async def read_emulator(self, name: str) -> Any:
+        """Returns behaviour and counts of a backend server."""
+        url = f"{self.backend_urls[name]}/control"
+        return (await self.http.call("GET", url)).json()
+
+    async def read_runs(self) -> dict[str, int]:
+        """Returns executions by request id, over all backend servers."""
+        runs: collections.Counter[str] = collections.Counter()
+        for name in self.backends:
+            state = await self.read_emulator(name)
+            runs.update(state.get("runs", {}))
+            executions = state.get("executions", ())
+            runs.update(entry["request_id"] for entry in executions)
+        return dict(runs)
+
     async def wait_for_bills(self, count: int) -> list[dict[str, Any]]:
         """Waits until the ledger has a number of bills; returns them."""
         async with asyncio.timeout(_READY_TIMEOUT_S):
@@ -291,6 +360,9 @@
                 "true" if entry.get("checks_fencing") else "false",
                 "--slots",
                 str(entry.get("slots", 8)),
+                # Otherwise the seed of the tests in the environment decides.
+                "--seed",
+                str(ENGINE_SEED),
                 *self._options.engine_flags,
             )
             module = "dragonflydyke.emulator.engine_main"
--- /dev/null
+++ b/tests/builders/live.py
@@ -0,0 +1,97 @@
+"""Test case around a deployment of real processes."""
+
+import asyncio
+import functools
+import pathlib
+import tempfile
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from harness import callers, deployment
+
+CONFIGURATION = (
+    pathlib.Path(__file__).resolve().parents[2] / "examples" / "demo"
+)
+# Ends a test that hangs; no test depends on being faster than this.
+GUARD_S = 120.0
+
+
+def on_deployment(
+    test: Callable[..., Awaitable[None]],
+) -> Callable[..., None]:
+    """Runs a test on the loop of the deployment of its class."""
+
+    @functools.wraps(test)
+    def run(case: "LiveTestCase") -> None:
+        async def guarded() -> None:
+            async with asyncio.timeout(GUARD_S):
+                await test(case)
+
+        case.runner.run(guarded())
+
+    return run
+
+
+class LiveTestCase(unittest.TestCase):
+    """Shares one deployment among the tests of a class, to save its start."""
+
+    @classmethod
+    def build_options(cls) -> deployment.DeploymentOptions:
+        return deployment.DeploymentOptions(CONFIGURATION)
+
+    @classmethod
+    def change_document(cls, document: dict[str, Any]) -> None:
+        """Changes the configuration before it is applied."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.runner = asyncio.Runner()
+        cls.addClassCleanup(cls.runner.close)
+        directory = tempfile.TemporaryDirectory()
+        cls.addClassCleanup(directory.cleanup)
+        cls.runner.run(cls._start(pathlib.Path(directory.name)))
+        cls.addClassCleanup(lambda: cls.runner.run(cls._stop()))
+
+    @classmethod
+    async def _start(cls, directory: pathlib.Path) -> None:
+        cls.running = deployment.Deployment(directory, cls.build_options())
+        cls.change_document(cls.running.document)
+        cls.callers = callers.Callers()
+        try:
+            await cls.running.start()
+        except BaseException:
+            await cls.running.stop()
+            raise
+
+    @classmethod
+    async def _stop(cls) -> None:
+        cls.callers.close()
+        await cls.running.stop()
+
+    def router(self, number: int) -> deployment.RunningRouter:
+        return self.running.routers[f"router-{number}"]
+
+    async def replace_router(self, number: int) -> None:
+        """Starts a router on the VM of one that was killed."""
+        old = self.router(number)
+        await old.process.wait()
+        await self.running.start_router(old.vm, old.data_centre)
+        await self.running.publish_vms()
+        await self.running.wait_ready(self.router(number))
+
+    async def wait_engines_run(self, count: int = 1) -> None:
+        """Waits until engines run a number of requests."""
+        while True:
+            states = [
+                await self.running.read_emulator(name)
+                for name in self.running.backends
+            ]
+            if sum(state.get("running", 0) for state in states) >= count:
+                return
+            await asyncio.sleep(0.01)
+
+    async def control_engines(self, **fields: Any) -> None:
+        for name, process in self.running.backends.items():
+            if process.is_running and name.startswith("engine"):
+                await self.running.control(name, **fields)
