Write the copies of a holder before a planned stop

A router that stopped as planned wrote its own bills and dropped the copies that it held for others.

The drain now writes all copies, for at most 30 s, and logs the number that is left when the platform stays down.

Ruled out: the recovery after 10 s, which is cancelled by the stop; and the origin, which is dead.

What remains: copies are lost if the outage outlasts the planned stops of both holders. Passing them on to other routers would cover this.

--- a/src/dragonflydyke/billing/holders.py
+++ b/src/dragonflydyke/billing/holders.py
@@ -109,6 +109,24 @@
             task.add_done_callback(lambda _: self._recoveries.pop(origin, None))
         return await asyncio.shield(task)
 
+    async def recover_all(self, timeout_s: float) -> int:
+        """Writes all copies before a graceful shutdown, which drops them.
+
+        An origin may be dead already, and the other holder may stop next.
+
+        Returns:
+            The number of copies that are still held.
+        """
+        tasks = [
+            asyncio.create_task(self.recover(origin))
+            for origin in self.origins()
+        ]
+        if tasks:
+            _, late = await asyncio.wait(tasks, timeout=timeout_s)
+            for task in late:
+                task.cancel()
+        return self._count
+
     async def close(self) -> None:
         """Cancels all recoveries."""
         tasks = list(self._recoveries.values())
--- a/src/dragonflydyke/router/assembly.py
+++ b/src/dragonflydyke/router/assembly.py
@@ -177,6 +177,9 @@
             safety=result.safety.value,
             unwritten=result.unwritten,
         )
+        left = await self._holder.recover_all(_FLUSH_TIMEOUT_S)
+        if left:
+            _log.error("copies of bills dropped", count=left)
         await self._claims.close(_CLAIM_TIMEOUT_S)
 
     async def stop(self) -> None:
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -325,6 +325,23 @@
         report = await ledger.LedgerReader(self.platform).check()
         self.assertTrue(report.problems[0].end_missing)
 
+    async def test_copies_are_written_before_a_planned_stop(self) -> None:
+        # Guards against both holders of a dead router that stop as planned.
+        fleet = bills.build_fleet(self.platform, 3)
+        self.platform.available = False
+        self.record(fleet[0], 3)
+        await self.loop.advance(2.0)
+        await fleet[0].crash()
+        holder = fleet[1].holder
+        task = asyncio.create_task(holder.recover_all(30.0))
+        await self.loop.advance(31.0)
+        self.assertEqual(task.result(), 3)
+        self.platform.available = True
+        task = asyncio.create_task(holder.recover_all(30.0))
+        await self.loop.advance(31.0)
+        self.assertEqual(task.result(), 0)
+        self.assertEqual(await self.read_ids(), list(range(3)))
+
     async def _finish(self, work: asyncio.Future[int]) -> None:
         task = asyncio.ensure_future(work)
         await self.loop.advance(10.0)
--- a/tests/test_live_billing.py
+++ b/tests/test_live_billing.py
@@ -239,6 +239,19 @@
         self.assertGreaterEqual(len(check["gaps"]), 3)
         self.assertEqual(check["duplicates"], [])
 
+    @live.on_deployment
+    async def test_holders_stop_as_planned(self) -> None:
+        # Guards against copies that are dropped by a rolling restart.
+        await self.ask_each((1, 2, 3), "written")
+        await self.running.control("platform", outage=True)
+        await self.ask_each((1,), "held")
+        self.router(1).process.kill()
+        for number in (2, 3):
+            self.router(number).process.terminate()
+        await self.running.control("platform", outage=False)
+        await self._restart_all()
+        await self.check_billing(1)
+
     @live.on_deployment
     async def test_router_dies_with_a_bill_held_alone(self) -> None:
         await self.ask_each((1,), "written")
