Add the load generator and the choice of a server as a strategy

The load generator plays seeded schedules in open loop and counts latency from the intended start, so that a slow router does not thin out its own load.

--- a/src/dragonflydyke/load/__init__.py
+++ b/src/dragonflydyke/load/__init__.py
@@ -1,1 +1,1 @@
-"""Load and experiment tool."""
+"""Load generation with open-loop arrivals from seeded schedules."""
--- /dev/null
+++ b/src/dragonflydyke/load/main.py
@@ -0,0 +1,131 @@
+"""Program dragonflydyke-load."""
+
+import asyncio
+import pathlib
+import sys
+
+from cleo import application
+from cleo.commands import command
+from cleo.helpers import option
+
+import dragonflydyke
+from dragonflydyke.load import model, player, plot, results, workloads
+
+_EXIT_FAILURE = 1
+_EXIT_USAGE = 2
+
+
+class _RunCommand(command.Command):
+    name = "run"
+    description = "Plays a workload to routers and prints what came of it."
+    options = [
+        option("url", None, "Public URL of a router.", False, multiple=True),
+        option(
+            "key-file",
+            None,
+            "File with the bearer key of a client account.",
+            False,
+            multiple=True,
+        ),
+        option(
+            "workload",
+            None,
+            f"One of {', '.join(workloads.WORKLOADS)}.",
+            False,
+            default="line_questions",
+        ),
+        option(
+            "rate",
+            None,
+            "Requests per second at the start.",
+            False,
+            default="10",
+        ),
+        option("duration", None, "Seconds.", False, default="10"),
+        option("seed", None, "Seed of the schedule.", False, default="1"),
+        option(
+            "timeout",
+            None,
+            "Seconds after which a response is given up.",
+            False,
+            default="120",
+        ),
+        option("json", None, "File for the result as JSON.", False),
+        option("plot", None, "File for a plot; needs the extra plot.", False),
+    ]
+
+    def handle(self) -> int:
+        """Returns 0 if every request got a response."""
+        try:
+            records = self._play()
+        except (KeyError, ValueError, OSError) as error:
+            self.line_error(f"cannot use the options: {error}")
+            return _EXIT_USAGE
+        self.line(results.format_table(results.summarize_classes(records)))
+        if self.option("plot"):
+            try:
+                plot.draw(pathlib.Path(self.option("plot")), records)
+            except ImportError:
+                self.line_error(
+                    "--plot needs matplotlib; install dragonflydyke[plot]"
+                )
+                return _EXIT_USAGE
+        lost = any(record.outcome == "no_response" for record in records)
+        return _EXIT_FAILURE if lost else 0
+
+    def _play(self) -> list[model.Record]:
+        urls = [url.rstrip("/") for url in self.option("url")]
+        keys = [
+            pathlib.Path(name).read_text().strip()
+            for name in self.option("key-file")
+        ]
+        if not urls or not keys:
+            raise ValueError("give at least one --url and one --key-file")
+        settings = {
+            "workload": self.option("workload"),
+            "rate": float(self.option("rate")),
+            "duration_s": float(self.option("duration")),
+            "seed": int(self.option("seed")),
+        }
+        if settings["workload"] not in workloads.WORKLOADS:
+            raise ValueError(f"unknown workload {settings['workload']}")
+        arrivals = workloads.build_schedule(
+            workloads.WORKLOADS[settings["workload"]],
+            rate=settings["rate"],
+            duration_s=settings["duration_s"],
+            seed=settings["seed"],
+            accounts=len(keys),
+        )
+        timeout_s = float(self.option("timeout"))
+        records = asyncio.run(_play(urls, keys, timeout_s, arrivals))
+        if self.option("json"):
+            path = pathlib.Path(self.option("json"))
+            results.write_json(path, settings, records)
+        return records
+
+
+async def _play(
+    urls: list[str],
+    keys: list[str],
+    timeout_s: float,
+    arrivals: list[model.Arrival],
+) -> list[model.Record]:
+    sender = player.Player(urls, keys, timeout_s)
+    try:
+        return await sender.play(arrivals)
+    finally:
+        sender.close()
+
+
+def main() -> int:
+    """Runs the program and returns its exit code."""
+    frame = application.Application(
+        "dragonflydyke-load", dragonflydyke.__version__
+    )
+    frame.auto_exits(False)
+    frame.add(_RunCommand())
+    return frame.run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/dragonflydyke/load/player.py
@@ -0,0 +1,151 @@
+"""Plays a schedule in open loop to one or more routers."""
+
+import asyncio
+import json
+from collections.abc import Sequence
+from typing import Any
+
+from tornado import httpclient, simple_httpclient
+
+from dragonflydyke.load import model
+
+_MAX_CLIENTS = 10_000
+_DATA = b"data: "
+_NO_RESPONSE = "no_response"
+
+
+class Player:
+    """Sends arrivals at their times, whatever became of earlier ones."""
+
+    def __init__(
+        self, urls: Sequence[str], keys: Sequence[str], timeout_s: float
+    ) -> None:
+        """Creates a player.
+
+        Args:
+            urls: Public base URLs of routers, used in turn.
+            keys: Bearer keys of the client accounts.
+            timeout_s: Time after which a response is given up.
+        """
+        self._urls = urls
+        self._keys = keys
+        self._timeout_s = timeout_s
+        self._client = simple_httpclient.SimpleAsyncHTTPClient(
+            force_instance=True, max_clients=_MAX_CLIENTS
+        )
+
+    async def play(
+        self, arrivals: Sequence[model.Arrival]
+    ) -> list[model.Record]:
+        """Plays a schedule; returns the records in order of arrival."""
+        loop = asyncio.get_running_loop()
+        start_s = loop.time()
+        tasks = []
+        for index, arrival in enumerate(arrivals):
+            delay_s = start_s + arrival.at_s - loop.time()
+            if delay_s > 0:
+                await asyncio.sleep(delay_s)
+            target = index % len(self._urls)
+            tasks.append(
+                asyncio.create_task(self._send(arrival, start_s, target))
+            )
+        return list(await asyncio.gather(*tasks))
+
+    def close(self) -> None:
+        """Closes the HTTP client."""
+        self._client.close()
+
+    async def _send(
+        self, arrival: model.Arrival, start_s: float, target: int
+    ) -> model.Record:
+        loop = asyncio.get_running_loop()
+        record = model.Record(
+            arrival.request_class, arrival.at_s, target=target
+        )
+        intended_s = start_s + arrival.at_s
+        parts: list[bytes] = []
+
+        def receive(chunk: bytes) -> None:
+            if record.first_token_s is None and b'"content"' in chunk:
+                record.first_token_s = loop.time() - intended_s
+            parts.append(chunk)
+
+        sent_s = loop.time()
+        record.sent_s = sent_s - start_s
+        request = self._build_request(arrival, self._urls[target], receive)
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+            _read_response(record, response.code, b"".join(parts))
+        except (OSError, httpclient.HTTPError):
+            record.outcome, record.execution = _NO_RESPONSE, "unknown"
+        record.answer_s = loop.time() - sent_s
+        record.total_s = loop.time() - intended_s
+        return record
+
+    def _build_request(
+        self, arrival: model.Arrival, url: str, receive: Any
+    ) -> httpclient.HTTPRequest:
+        headers = {
+            "Authorization": f"Bearer {self._keys[arrival.account]}",
+            "Content-Type": "application/json",
+            "Dragonflydyke-Class": arrival.request_class,
+        }
+        if arrival.is_call:
+            headers.pop("Dragonflydyke-Class")
+            url, body = f"{url}/v1/services/{arrival.model}", None
+        else:
+            url = f"{url}/v1/chat/completions"
+            body = json.dumps(
+                {
+                    "model": arrival.model,
+                    "messages": [{"role": "user", "content": arrival.prompt}],
+                    "max_completion_tokens": arrival.max_tokens,
+                    "stream": True,
+                }
+            )
+        return httpclient.HTTPRequest(
+            url,
+            method="GET" if arrival.is_call else "POST",
+            headers=headers,
+            body=body,
+            streaming_callback=receive,
+            connect_timeout=self._timeout_s,
+            request_timeout=self._timeout_s,
+        )
+
+
+def _read_response(record: model.Record, status: int, body: bytes) -> None:
+    if status == httpclient.HTTPError(599).code or not body:
+        record.outcome, record.execution = _NO_RESPONSE, "unknown"
+        return
+    for value in _parse_values(body):
+        error = value.get("error")
+        if isinstance(error, dict):
+            record.outcome = str(error.get("code", status))
+            record.execution = str(error.get("execution", ""))
+            return
+        extra = value.get("dragonflydyke")
+        if isinstance(extra, dict):
+            record.version = str(extra.get("version", ""))
+            record.cost = int(extra.get("cost", 0))
+    ended = body.rstrip().endswith(b"[DONE]") or not body.startswith(_DATA)
+    record.outcome = model.COMPLETED if ended else "answer_incomplete"
+    record.execution = "" if ended else "unknown"
+
+
+def _parse_values(body: bytes) -> list[dict[str, Any]]:
+    """Returns the whole body, or the last events of a stream, as objects."""
+    texts = [body]
+    if body.startswith(_DATA):
+        # The extra field and errors are at the end of a stream.
+        lines = [line for line in body.splitlines() if line.startswith(_DATA)]
+        texts = [line.removeprefix(_DATA) for line in lines[-4:]]
+    values = []
+    for text in texts:
+        try:
+            value = json.loads(text)
+        except ValueError:
+            continue
+        if isinstance(value, dict):
+            values.append(value)
+    return values
--- a/src/dragonflydyke/router/assembly.py
+++ b/src/dragonflydyke/router/assembly.py
@@ -109,7 +109,10 @@
         self._limiter = limits.AccountLimiter(self._counters)
         self._version_counts = counts.VersionCounts()
         self._pool = routing.ServerPool(
-            values.data_centre, values.vm_name, self._counters
+            values.data_centre,
+            values.vm_name,
+            self._counters,
+            server_choice=values.server_choice,
         )
         self._claims = idempotency.ClaimRegistry(
             self._objects, values.vm_name, self._counters
--- a/src/dragonflydyke/router/options.py
+++ b/src/dragonflydyke/router/options.py
@@ -5,6 +5,7 @@
 import re
 
 from dragonflydyke import logs, settings
+from dragonflydyke.routing import strategies
 
 _SHA256_HEX = re.compile(r"[0-9a-f]{64}")
 
@@ -91,6 +92,11 @@
         settings.parse_file,
         optional=True,
     )
+    server_choice: str = settings.setting(
+        f"How a backend server is chosen: {', '.join(strategies.NAMES)}.",
+        settings.parse_choice(*strategies.NAMES),
+        strategies.DEFAULT,
+    )
     statsd_address: settings.Address | None = settings.setting(
         "host:port of the statsd server; counters stay local without it.",
         settings.parse_address,
--- a/src/dragonflydyke/routing/servers.py
+++ b/src/dragonflydyke/routing/servers.py
@@ -10,7 +10,7 @@
 
 from dragonflydyke import errors, logs, metrics
 from dragonflydyke.configuration import model
-from dragonflydyke.routing import outliers, selection
+from dragonflydyke.routing import outliers, selection, strategies
 
 MAX_SUBSET_SERVERS = 12
 # The rest of the subset is farther away, so that a data centre whose servers
@@ -64,6 +64,7 @@
         "_loads",
         "_outliers",
         "_random",
+        "_strategy",
         "_subsets",
         "_usual_latencies_s",
         "_vm",
@@ -76,6 +77,7 @@
         counters: metrics.Counters,
         *,
         source: random.Random | None = None,
+        server_choice: str = strategies.DEFAULT,
     ) -> None:
         """Creates a pool.
 
@@ -84,11 +86,13 @@
             vm: Name of this node, which selects its subsets of servers.
             counters: Counters of the process.
             source: Source of random choices; tests give a seeded one.
+            server_choice: Name of the strategy, one of `strategies.NAMES`.
         """
         self._data_centre = data_centre
         self._vm = vm
         self._counters = counters
         self._random = source or random.Random()
+        self._strategy = strategies.build_strategy(server_choice, self._random)
         self._loads: dict[str, _Load] = {}
         self._outliers = outliers.OutlierDetector()
         self._leaving_vms: frozenset[str] = frozenset()
@@ -276,10 +280,7 @@
     def _choose(
         self, servers: Sequence[model.BackendServer]
     ) -> model.BackendServer:
-        if len(servers) == 1:
-            return servers[0]
-        pair = self._random.sample(servers, 2)
-        return min(pair, key=self._load_with_next)
+        return self._strategy.choose(servers, self._load_with_next)
 
     def _load_with_next(self, server: model.BackendServer) -> float:
         # Counting the next request prefers the larger of two idle servers.
