Add the experiment runner

Plays the same arrivals to each policy and prints median and range over the seeds. The cascade buffers an answer until it is rated, so only the cost measure uses it.

--- /dev/null
+++ b/harness/experiments.py
@@ -0,0 +1,482 @@
+"""Measures the decisions of the router beside baselines.
+
+Each measure starts a deployment for each policy in turn, plays the same
+arrivals to each with scripted faults, and prints the median and the spread
+over the seeds.
+"""
+
+import argparse
+import asyncio
+import dataclasses
+import os
+import pathlib
+import statistics
+import sys
+import tempfile
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
+
+from dragonflydyke.load import model, player, results, workloads
+from harness import deployment
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_CONFIGURATION = _ROOT / "examples" / "demo"
+_KEY = "demo-key"
+_TIMEOUT_S = 90.0
+_SHORT = ("line_question", "substitution_check")
+_BEST_MODEL = "planner-large"
+_MANY_TOKENS = 1_000_000
+# The engine emulators report their load once before a play begins.
+_SETTLE_S = 2.5
+_STRAGGLER_FACTOR = 10.0
+
+Fault = Callable[[deployment.Deployment], Awaitable[None]]
+Figures = dict[str, float]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Policy:
+    """A way to decide, run in the same programs.
+
+    Attributes:
+        name: Name in the table.
+        choice: Value of the router setting `--server-choice`.
+        best_model: Whether every request names the best model.
+    """
+
+    name: str
+    choice: str
+    best_model: bool = False
+
+
+BASELINES = (
+    Policy("random", "random"),
+    Policy("round robin", "round_robin"),
+    Policy("least outstanding", "least_outstanding"),
+)
+BEST = Policy("always best model", "least_outstanding", best_model=True)
+ROUTER = Policy("router", "power_of_two")
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Measure:
+    """One experiment.
+
+    Attributes:
+        workload: Name of the workload.
+        rate: Requests per second at the start.
+        duration_s: Length of the schedule.
+        engines: Number of engine emulators.
+        figures: Returns the figures of a play.
+        policies: What is compared.
+        slots: Slots of each engine.
+        fault: Scripted faults beside the play.
+        compare_fault: Whether each seed is also played without the fault.
+        stop: Stop condition and steps of a roll-out to a bad version, by
+            policy name.
+    """
+
+    workload: str
+    rate: float
+    duration_s: float
+    engines: int
+    figures: Callable[[Sequence[model.Record]], Figures]
+    policies: tuple[Policy, ...] = (*BASELINES, ROUTER)
+    slots: int = 8
+    fault: Fault | None = None
+    compare_fault: bool = False
+    roll_outs: dict[str, dict[str, Any]] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+def _select(
+    records: Sequence[model.Record], names: Sequence[str] = _SHORT
+) -> list[model.Record]:
+    return [r for r in records if r.request_class in names]
+
+
+def _measure_times(records: Sequence[model.Record]) -> Figures:
+    done = [r for r in records if r.is_completed]
+    first = results.compute_percentiles_ms(
+        r.first_token_s for r in done if r.first_token_s is not None
+    )
+    total = results.compute_percentiles_ms(r.total_s for r in done)
+    names = ("p50", "p95", "p99")
+    return {
+        **{f"first token {n} ms": v for n, v in zip(names, first, strict=True)},
+        **{f"total {n} ms": v for n, v in zip(names, total, strict=True)},
+        "completed %": _percent(len(done), len(records)),
+    }
+
+
+def _measure_short(records: Sequence[model.Record]) -> Figures:
+    short = _select(records)
+    long = [r for r in records if r.request_class not in _SHORT]
+    times = _measure_times(short)
+    refused = [r for r in records if r.execution == "not run"]
+    long_ms = results.compute_percentiles_ms(
+        r.total_s for r in long if r.is_completed
+    )
+    return {
+        "short first token p99 ms": times["first token p99 ms"],
+        "short total p50 ms": times["total p50 ms"],
+        "short total p99 ms": times["total p99 ms"],
+        "short completed %": times["completed %"],
+        "refused %": _percent(len(refused), len(records)),
+        "refusal p99 ms": results.compute_percentiles_ms(
+            r.answer_s for r in refused
+        )[2],
+        "long total p99 ms": long_ms[2],
+        "long completed %": _percent(
+            sum(r.is_completed for r in long), len(long)
+        ),
+    }
+
+
+def _measure_cost(records: Sequence[model.Record]) -> Figures:
+    document = deployment.load_documents(_CONFIGURATION)
+    quality = {
+        f"{entry['name']}@{version['name']}": version["quality"]
+        for entry in document["models"]
+        for version in entry["versions"]
+    }
+    for ratings in quality.values():
+        _rate_substitutions(ratings)
+    targets = {c["name"]: c["quality_target"] for c in _build_classes(document)}
+    done = [r for r in records if r.is_completed]
+    reached = [
+        r
+        for r in done
+        if quality[r.version].get(r.request_class, 0.0)
+        >= targets[r.request_class]
+    ]
+    return {
+        "cost per request": sum(r.cost for r in done) / max(1, len(done)),
+        "at quality target %": _percent(len(reached), len(done)),
+        "completed %": _percent(len(done), len(records)),
+    }
+
+
+def _measure_exposure(records: Sequence[model.Record]) -> Figures:
+    exposed = [r for r in records if r.version == "planner-small@v2"]
+    return {
+        "on the bad version %": _percent(len(exposed), len(records)),
+        "completed %": _percent(
+            sum(r.is_completed for r in records), len(records)
+        ),
+    }
+
+
+def _measure_faults(records: Sequence[model.Record]) -> Figures:
+    lost = [r for r in records if r.outcome == "no_response"]
+    unknown = [r for r in records if r.execution == "unknown"]
+    return {
+        "no response %": _percent(len(lost), len(records)),
+        "execution unknown %": _percent(len(unknown), len(records)),
+        **_measure_times(records),
+    }
+
+
+def _percent(part: int, whole: int) -> float:
+    return 100.0 * part / whole if whole else 0.0
+
+
+async def _slow_one_engine(running: deployment.Deployment) -> None:
+    await asyncio.sleep(3.0)
+    await running.control(
+        "engine-1", slow_factor=_STRAGGLER_FACTOR, slow_for_s=6.0
+    )
+
+
+async def _kill_router(running: deployment.Deployment) -> None:
+    await asyncio.sleep(4.0)
+    list(running.routers.values())[-1].process.kill()
+
+
+def _roll_out(steps: list[dict[str, float]], samples: int) -> dict[str, Any]:
+    stop = {"min_samples": samples, "min_rating": 0.8, "max_error_share": 0.1}
+    return {
+        "name": "to-v2",
+        "model": "planner-small",
+        "from_version": "v1",
+        "to_version": "v2",
+        "steps": steps,
+        "stop": stop,
+    }
+
+
+MEASURES = {
+    "overhead": Measure(
+        "line_questions", 20.0, 10.0, 2, _measure_times, (ROUTER,)
+    ),
+    "latency": Measure("short_among_long", 6.0, 12.0, 4, _measure_short),
+    "crest": Measure("shift_start", 10.0, 10.0, 4, _measure_short),
+    "blocking": Measure("short_among_long", 50.0, 8.0, 4, _measure_short),
+    "capacity": Measure("line_questions", 190.0, 8.0, 2, _measure_short),
+    "stragglers": Measure(
+        "line_questions",
+        60.0,
+        12.0,
+        10,
+        _measure_times,
+        slots=4,
+        fault=_slow_one_engine,
+        compare_fault=True,
+    ),
+    "cost": Measure("cascade_mix", 10.0, 8.0, 4, _measure_cost, (BEST, ROUTER)),
+    "roll_out": Measure(
+        "line_questions",
+        60.0,
+        15.0,
+        4,
+        _measure_exposure,
+        (
+            Policy("one step, no stop", "power_of_two"),
+            Policy("10 % at first", "power_of_two"),
+            ROUTER,
+        ),
+        roll_outs={
+            "one step, no stop": _roll_out(
+                [{"share": 1.0, "hold_s": 60.0}], 100_000
+            ),
+            "10 % at first": _roll_out(
+                [
+                    {"share": 0.1, "hold_s": 60.0},
+                    {"share": 1.0, "hold_s": 60.0},
+                ],
+                20,
+            ),
+            "router": _roll_out(
+                [
+                    {"share": 0.02, "hold_s": 60.0},
+                    {"share": 1.0, "hold_s": 60.0},
+                ],
+                3,
+            ),
+        },
+    ),
+    "router_kill": Measure(
+        "line_questions",
+        30.0,
+        10.0,
+        4,
+        _measure_faults,
+        (ROUTER,),
+        fault=_kill_router,
+    ),
+}
+
+
+def _build_classes(document: dict[str, Any]) -> list[dict[str, Any]]:
+    short = next(c for c in document["classes"] if c["name"] == "line_question")
+    return [
+        *document["classes"],
+        {**short, "name": "substitution_check"},
+    ]
+
+
+def _rate_substitutions(quality: dict[str, float]) -> None:
+    quality["substitution_check"] = quality["line_question"]
+
+
+def _build_document(
+    document: dict[str, Any], measure: Measure, policy: Policy
+) -> None:
+    """Changes the demo's document into that of an experiment."""
+    document["classes"] = _build_classes(document)
+    document["client_accounts"][0]["limits"] = {
+        "requests_per_s": 10_000.0,
+        "concurrent_requests": 10_000,
+        "tokens_per_minute": 1_000_000_000,
+    }
+    versions = []
+    for entry in document["models"]:
+        for version in entry["versions"]:
+            _rate_substitutions(version["quality"])
+            versions.append(f"{entry['name']}@{version['name']}")
+    document["backend_servers"] = [
+        {
+            "name": f"engine-{i + 1}",
+            "kind": "engine",
+            "url": "http://127.0.0.1:1",
+            "data_centre": "cartago-a",
+            "serves": versions,
+            "slots": measure.slots,
+        }
+        for i in range(measure.engines)
+    ]
+    document["services"] = []
+    document["client_accounts"][0]["services"] = []
+    if policy.name in measure.roll_outs:
+        document["roll_outs"] = [measure.roll_outs[policy.name]]
+    else:
+        # Without a roll-out, v2 would be chosen as the better of the two.
+        document["models"][0]["versions"][1]["state"] = "retiring"
+
+
+def _build_arrivals(
+    measure: Measure, policy: Policy, seed: int
+) -> list[model.Arrival]:
+    arrivals = workloads.build_schedule(
+        workloads.WORKLOADS[measure.workload],
+        rate=measure.rate,
+        duration_s=measure.duration_s,
+        seed=seed,
+    )
+    if policy.best_model:
+        arrivals = [dataclasses.replace(a, model=_BEST_MODEL) for a in arrivals]
+    return arrivals
+
+
+class _Run:
+    """One deployment of a policy, to which all seeds are played."""
+
+    def __init__(
+        self, measure: Measure, policy: Policy, running: deployment.Deployment
+    ) -> None:
+        self._measure = measure
+        self._policy = policy
+        self._running = running
+
+    async def prepare(self) -> None:
+        for name in self._running.backend_urls:
+            await self._running.control(
+                name,
+                completion_tokens=_MANY_TOKENS,
+                bad_versions=["planner-small@v2"],
+            )
+        await asyncio.sleep(_SETTLE_S)
+
+    async def play(self, seed: int) -> Figures:
+        arrivals = _build_arrivals(self._measure, self._policy, seed)
+        urls = [r.public_url for r in self._running.routers.values()]
+        if not self._measure.compare_fault:
+            records = await self._send(arrivals, urls, self._measure.fault)
+            return self._measure.figures(records)
+        clean = self._measure.figures(await self._send(arrivals, urls, None))
+        records = await self._send(arrivals, urls, self._measure.fault)
+        faulty = self._measure.figures(records)
+        ratio = faulty["total p99 ms"] / max(clean["total p99 ms"], 1.0)
+        return {
+            "total p99 ms, no fault": clean["total p99 ms"],
+            "p99 with fault / without": ratio,
+            **faulty,
+        }
+
+    async def play_direct(self, seed: int) -> Figures:
+        arrivals = [
+            dataclasses.replace(a, model="planner-small@v1")
+            for a in _build_arrivals(self._measure, self._policy, seed)
+        ]
+        urls = list(self._running.backend_urls.values())
+        records = await self._send(arrivals, urls, None)
+        return self._measure.figures(records)
+
+    async def _send(
+        self,
+        arrivals: Sequence[model.Arrival],
+        urls: Sequence[str],
+        fault: Fault | None,
+    ) -> list[model.Record]:
+        sender = player.Player(urls, [_KEY], _TIMEOUT_S)
+        script = asyncio.create_task(
+            fault(self._running) if fault else asyncio.sleep(0)
+        )
+        try:
+            records = await sender.play(arrivals)
+            await script
+        finally:
+            script.cancel()
+            sender.close()
+        return records
+
+
+async def _measure_policy(
+    name: str, measure: Measure, policy: Policy, seeds: Sequence[int]
+) -> dict[str, list[Figures]]:
+    found: dict[str, list[Figures]] = {policy.name: []}
+    # A router kill or a stopped roll-out lasts, so each seed starts anew.
+    fresh = bool(measure.roll_outs) or (
+        measure.fault is not None and not measure.compare_fault
+    )
+    groups = [[seed] for seed in seeds] if fresh else [list(seeds)]
+    for group in groups:
+        with tempfile.TemporaryDirectory() as directory:
+            options = deployment.DeploymentOptions(
+                _CONFIGURATION,
+                engine_flags=("--prefill-ms", "0.2", "--decode-ms", "10"),
+                router_flags=(
+                    "--drain-s",
+                    "0.2",
+                    f"--server-choice={policy.choice}",
+                ),
+            )
+            path = pathlib.Path(directory)
+            planned = deployment.Deployment(path, options)
+            _build_document(planned.document, measure, policy)
+            async with planned as running:
+                run = _Run(measure, policy, running)
+                await run.prepare()
+                for seed in group:
+                    found[policy.name].append(await run.play(seed))
+                    if name == "overhead":
+                        direct = await run.play_direct(seed)
+                        found.setdefault("direct", []).append(direct)
+    return found
+
+
+async def _run_measure(name: str, seeds: Sequence[int]) -> None:
+    measure = MEASURES[name]
+    load = os.getloadavg()[0]
+    print(
+        f"\n### {name}\n\n{measure.workload}, {measure.rate:g} requests/s at"
+        f" the start, {measure.duration_s:g} s, {measure.engines} engines with"
+        f" {measure.slots} slots, 3 routers, seeds"
+        f" {', '.join(map(str, seeds))}; load average before {load:.1f}\n"
+    )
+    found: dict[str, list[Figures]] = {}
+    for policy in measure.policies:
+        found |= await _measure_policy(name, measure, policy, seeds)
+    names = list(next(iter(found.values()))[0])
+    print(f"| policy | {' | '.join(names)} |")
+    print(f"| --- |{' --- |' * len(names)}")
+    for policy_name, plays in found.items():
+        cells = [_format([play[n] for play in plays]) for n in names]
+        print(f"| {policy_name} | {' | '.join(cells)} |", flush=True)
+
+
+def _format(values: Sequence[float]) -> str:
+    """Returns the median, and the range if there are several values."""
+    middle = f"{statistics.median(values):.2f}"
+    if len(values) == 1:
+        return middle
+    return f"{middle} ({min(values):.2f}..{max(values):.2f})"
+
+
+async def _run(names: Sequence[str], seeds: Sequence[int]) -> None:
+    for name in names:
+        await _run_measure(name, seeds)
+
+
+def main() -> int:
+    """Runs the experiments and returns the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "measures",
+        nargs="*",
+        metavar="MEASURE",
+        help=f"Any of {', '.join(MEASURES)}; all without an argument.",
+    )
+    parser.add_argument("--seeds", type=int, default=3, help="Number of seeds.")
+    arguments = parser.parse_args()
+    unknown = set(arguments.measures) - set(MEASURES)
+    if unknown:
+        parser.error(f"unknown measure {', '.join(sorted(unknown))}")
+    seeds = range(1, arguments.seeds + 1)
+    asyncio.run(_run(arguments.measures or list(MEASURES), seeds))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/dragonflydyke/routing/servers.py
+++ b/src/dragonflydyke/routing/servers.py
@@ -132,6 +132,8 @@
             candidates: Servers with the work in question.
             exclude: Names of servers that were tried before.
         """
+        if self._strategy.is_plain:
+            return self._pick_plain(candidates, exclude)
         usable = self._list_usable(candidates, exclude)
         tiers: dict[int, list[model.BackendServer]] = {}
         for server in usable:
@@ -141,6 +143,22 @@
             return self._choose(tiers[min(tiers)])
         return self._choose(usable) if usable else None
 
+    def _pick_plain(
+        self,
+        candidates: Sequence[model.BackendServer],
+        exclude: Collection[str],
+    ) -> model.BackendServer | None:
+        usable = [
+            server
+            for server in candidates
+            if not self._is_leaving(server) and server.name not in exclude
+        ]
+        if not usable:
+            return None
+        return self._strategy.choose(
+            usable, lambda s: self.in_progress(s.name) / max(s.slots, 1)
+        )
+
     def predict_wait_s(self, server: model.BackendServer) -> float:
         """Returns the seconds that new work would wait at a server."""
         load = self._loads.get(server.name)
@@ -162,7 +180,7 @@
             DragonflydykeError: `overloaded`, not run.
         """
         wait_s = self.predict_wait_s(server)
-        if wait_s <= 0.0:
+        if wait_s <= 0.0 or self._strategy.is_plain:
             return
         needed_s = wait_s + (self._loads[server.name].service_time_s or 0.0)
         if needed_s <= remaining_s:
--- a/src/dragonflydyke/routing/strategies.py
+++ b/src/dragonflydyke/routing/strategies.py
@@ -10,7 +10,14 @@
 
 
 class Strategy(Protocol):
-    """Chooses one of at least one server."""
+    """Chooses one of at least one server.
+
+    Attributes:
+        is_plain: Whether the choice is all there is: no distances, ejection,
+            admission by wait, reserved slots or hedging. Baselines are plain.
+    """
+
+    is_plain: bool
 
     def choose(
         self, servers: Sequence[model.BackendServer], load: Load
@@ -28,6 +35,8 @@
 
     __slots__ = ("_random",)
 
+    is_plain = False
+
     def __init__(self, source: random.Random) -> None:
         self._random = source
 
@@ -45,6 +54,8 @@
 
     __slots__ = ("_random",)
 
+    is_plain = True
+
     def __init__(self, source: random.Random) -> None:
         self._random = source
 
@@ -60,6 +71,8 @@
 
     __slots__ = ("_next",)
 
+    is_plain = True
+
     def __init__(self, source: random.Random) -> None:
         # Routers that start at the same server would move in step.
         self._next = source.randrange(1_000)
@@ -77,6 +90,8 @@
 
     __slots__ = ("_random",)
 
+    is_plain = True
+
     def __init__(self, source: random.Random) -> None:
         self._random = source
 
