Send events at once on kept connections

The library sets TCP_NODELAY only while it writes the end of a response, so the first event waited for the delayed acknowledgement of the headers. The router sends headers and first event together, so only later events waited there. Adds the tests of the load generator.

--- a/src/dragonflydyke/emulator/engine.py
+++ b/src/dragonflydyke/emulator/engine.py
@@ -138,6 +138,9 @@
             cut_at = behaviour.cut_after_events
         self.set_header("Content-Type", "text/event-stream; charset=utf-8")
         self.set_header(backends.STREAM_ID_HEADER, stream.id)
+        # Otherwise the first event waits for the acknowledgement of the
+        # headers, 40 ms on a kept connection.
+        self.request.connection.stream.set_nodelay(True)
         try:
             await self.flush()
             sent = 0
--- a/src/dragonflydyke/gateway/caller.py
+++ b/src/dragonflydyke/gateway/caller.py
@@ -68,6 +68,11 @@
         self._set_headers(headers)
         self._handler.set_header("Content-Type", replies.EVENT_STREAM_TYPE)
         self._handler.set_header("Cache-Control", "no-cache")
+        stream = getattr(self._handler.request.connection, "stream", None)
+        if stream is not None:
+            # Otherwise an event waits until the one before is acknowledged,
+            # 40 ms on a kept connection.
+            stream.set_nodelay(True)
 
     async def send(self, data: bytes) -> None:
         """Sends a part of a stream and waits until the caller takes it.
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,6 +6,7 @@
 import unittest.mock
 
 import tornado.httpclient
+import tornado.iostream
 import tornado.testing
 
 from dragonflydyke import errors
@@ -69,6 +70,23 @@
         self.assertIn(b'"dragonflydyke":', after)
         self.assertNotIn(b'"usage"', after)
 
+    async def test_events_are_not_delayed(self) -> None:
+        # Guards against an event that waits 40 ms for the acknowledgement of
+        # the one before.
+        gate = asyncio.Event()
+        parts = gateway.build_stream("a")
+        self.play([parts[0], gate, *parts[1:]])
+        with unittest.mock.patch.object(
+            tornado.iostream.IOStream, "set_nodelay"
+        ) as set_nodelay:
+            reader, writer = await self.open_stream()
+            async with asyncio.timeout(GUARD_S):
+                await reader.readuntil(b'"a"')
+                set_nodelay.assert_called_with(True)
+                gate.set()
+                await reader.readuntil(b"[DONE]")
+        writer.close()
+
     async def test_usage_only_if_asked_for(self) -> None:
         for include in (False, True):
             self.play(gateway.build_stream("a"))
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,105 @@
+"""Tests of the load generator."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+import tornado.httpserver
+import tornado.testing
+import tornado.web
+
+from dragonflydyke.load import model, player, results, workloads
+
+_STREAM = (
+    b'data: {"choices":[{"delta":{"content":"a"}}]}\n\n'
+    b'data: {"choices":[],"dragonflydyke":{"version":"m@v1","cost":7}}\n\n'
+    b"data: [DONE]\n\n"
+)
+_REFUSAL = {"error": {"code": "overloaded", "execution": "not run"}}
+
+
+class _Handler(tornado.web.RequestHandler):
+    def post(self) -> None:
+        name = json.loads(self.request.body)["model"]
+        if name == "full":
+            self.set_status(503)
+            self.write(_REFUSAL)
+        elif name == "cut":
+            self.write(_STREAM.removesuffix(b"data: [DONE]\n\n"))
+        else:
+            self.write(_STREAM)
+
+
+class ScheduleTest(unittest.TestCase):
+    """Guards that policies are compared on the same arrivals."""
+
+    def test_same_seed_same_arrivals(self) -> None:
+        workload = workloads.WORKLOADS["office_mix"]
+        first, same, other = (
+            workloads.build_schedule(
+                workload, rate=20.0, duration_s=10.0, seed=seed, accounts=3
+            )
+            for seed in (1, 1, 2)
+        )
+        self.assertEqual(first, same)
+        self.assertNotEqual(first, other)
+
+    def test_rate_rises_tenfold(self) -> None:
+        arrivals = workloads.build_schedule(
+            workloads.WORKLOADS["shift_start"],
+            rate=50.0,
+            duration_s=40.0,
+            seed=1,
+        )
+        before = sum(a.at_s < 10.0 for a in arrivals) / 10.0
+        after = sum(a.at_s >= 12.0 for a in arrivals) / 28.0
+        self.assertAlmostEqual(before, 50.0, delta=10.0)
+        self.assertAlmostEqual(after, 500.0, delta=30.0)
+
+
+class PlayerTest(tornado.testing.AsyncHTTPTestCase):
+    """Guards what is recorded of a response."""
+
+    def get_app(self) -> tornado.web.Application:
+        return tornado.web.Application([(r"/.*", _Handler)])
+
+    async def play(self, *arrivals: model.Arrival) -> list[model.Record]:
+        sender = player.Player([self.get_url("")], ["key"], 20.0)
+        try:
+            return await sender.play(arrivals)
+        finally:
+            sender.close()
+
+    @tornado.testing.gen_test
+    async def test_outcomes(self) -> None:
+        done, refused, cut = await self.play(
+            *(model.Arrival(0.0, "c", name) for name in ("m", "full", "cut"))
+        )
+        self.assertEqual(
+            (done.outcome, done.version, done.cost), ("completed", "m@v1", 7)
+        )
+        self.assertIsNotNone(done.first_token_s)
+        self.assertEqual(
+            (refused.outcome, refused.execution), ("overloaded", "not run")
+        )
+        self.assertIsNone(refused.first_token_s)
+        self.assertEqual(cut.outcome, "answer_incomplete")
+
+    @tornado.testing.gen_test
+    async def test_latency_from_intended_start(self) -> None:
+        # Guards against a busy sender that hides the wait it causes.
+        (record,) = await self.play(model.Arrival(-5.0, "c", "m"))
+        self.assertGreaterEqual(record.first_token_s, 5.0)
+        self.assertGreaterEqual(record.total_s, 5.0)
+        self.assertLess(record.answer_s, record.total_s)
+
+    @tornado.testing.gen_test
+    async def test_json_result(self) -> None:
+        records = await self.play(model.Arrival(0.0, "c", "m"))
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory) / "result.json"
+            results.write_json(path, {"seed": 1}, records)
+            content = json.loads(path.read_text())
+        self.assertEqual(content["classes"][-1]["completed"], 1)
+        self.assertEqual(content["records"][0]["outcome"], "completed")
