Hold work that may wait back, hedge, and admit by the wait of the class

Long work with may_wait_s now leaves reserved_share of the slots free and waits in the router, at most may_wait_s, then it is refused as not run. Client accounts take turns.

The predicted wait used service times that contained the time in the queue, and one time for short and long work.

--- a/src/dragonflydyke/configuration/model.py
+++ b/src/dragonflydyke/configuration/model.py
@@ -249,6 +249,8 @@
     max_attempts: int = 3
     retry_budget_share: float = 0.1
     hedge_budget_share: float = 0.02
+    reserved_share: float = 0.25
+    queue_share: float = 0.2
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/dragonflydyke/configuration/schema.py
+++ b/src/dragonflydyke/configuration/schema.py
@@ -128,6 +128,8 @@
     max_attempts=_COUNT,
     retry_budget_share=_SHARE,
     hedge_budget_share=_SHARE,
+    reserved_share=_SHARE,
+    queue_share=_SHARE,
 )
 
 SCHEMA: Mapping[str, Any] = {
--- a/src/dragonflydyke/gateway/accounting.py
+++ b/src/dragonflydyke/gateway/accounting.py
@@ -101,6 +101,10 @@
         """Removes an attempt that certainly did not run."""
         self.attempts.remove(attempt)
 
+    def move_last(self, attempt: Attempt) -> None:
+        """Makes an attempt the one that answered, which names the bill."""
+        self.attempts.sort(key=lambda entry: entry is attempt)
+
     def cost(self) -> int:
         """Returns the cost of all attempts in micro-units of currency."""
         return sum(attempt.cost for attempt in self.attempts)
--- a/src/dragonflydyke/gateway/attempts.py
+++ b/src/dragonflydyke/gateway/attempts.py
@@ -69,8 +69,10 @@
         "_bill",
         "_blame_after_s",
         "_deadline",
+        "_iterator",
         "_placement",
         "_price",
+        "_primed",
         "_roll_out",
         "_server",
         "_services",
@@ -91,6 +93,7 @@
         deadline: float,
         blame_after_s: float,
         kind: str,
+        long: bool = False,
         roll_out: model.RollOut | None = None,
     ) -> None:
         """Begins an attempt.
@@ -106,6 +109,7 @@
             blame_after_s: Seconds without an answer after which the server
                 and version are at fault, not the deadline of the caller.
             kind: Kind of work, whose times to the first byte are comparable.
+            long: Whether it counts against the slots for long work.
             roll_out: Roll-out of the model, if any.
         """
         self._services = gateway_services
@@ -117,8 +121,12 @@
         self._roll_out = roll_out
         self._answer: services.BackendAnswer | None = None
         self._usage: services.Usage | None = None
+        self._iterator: AsyncIterator[bytes] | None = None
+        self._primed: list[bytes] = []
         self.produced_events = 0
-        self._placement = gateway_services.pool.begin(server, candidates, kind)
+        self._placement = gateway_services.pool.begin(
+            server, candidates, kind, long=long
+        )
         self.record = bill.begin_attempt(names[0], names[1], server.name)
 
     async def __aenter__(self) -> "BackendAttempt":
@@ -151,21 +159,42 @@
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body of the answer until the deadline."""
-        assert self._answer is not None
-        iterator = aiter(self._answer.chunks())
+        while self._primed:
+            yield self._primed.pop(0)
         while True:
-            chunk = await wait_until(
-                anext(iterator, None),
-                self._deadline,
-                step=errors.Step.READ_ANSWER,
-                peer=self._server.name,
-                execution=errors.Execution.UNKNOWN,
-            )
+            chunk = await self._read_chunk()
             if chunk is None:
                 return
-            self._placement.record_first_byte()
             yield chunk
 
+    async def prime(self) -> None:
+        """Reads the first chunk, which `chunks` yields again."""
+        chunk = await self._read_chunk()
+        if chunk is not None:
+            self._primed.append(chunk)
+
+    def lose(self) -> None:
+        """Records that another attempt answered first.
+
+        The time until now shows how slow the server is at least.
+        """
+        self._placement.record_first_byte()
+
+    async def _read_chunk(self) -> bytes | None:
+        assert self._answer is not None
+        if self._iterator is None:
+            self._iterator = aiter(self._answer.chunks())
+        chunk = await wait_until(
+            anext(self._iterator, None),
+            self._deadline,
+            step=errors.Step.READ_ANSWER,
+            peer=self._server.name,
+            execution=errors.Execution.UNKNOWN,
+        )
+        if chunk is not None:
+            self._placement.record_first_byte()
+        return chunk
+
     async def read_body(self, limit_bytes: int = MAX_ANSWER_BYTES) -> bytes:
         """Returns the whole body of the answer."""
         parts: list[bytes] = []
--- a/src/dragonflydyke/gateway/chat.py
+++ b/src/dragonflydyke/gateway/chat.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from collections.abc import Sequence
 from typing import Any
 
 from dragonflydyke import backends, errors, routing
@@ -12,6 +13,7 @@
     attempts,
     events,
     execution,
+    hedging,
     relays,
     replies,
     requests,
@@ -22,6 +24,7 @@
 
 _PATH = "/v1/chat/completions"
 _MS_PER_S = 1_000
+_HELD_RETRY_S = 10.0
 _BACKEND_STEPS = frozenset(
     {
         errors.Step.CONNECT,
@@ -57,6 +60,7 @@
         self._stage_index = 0
         self._retries = 0
         self._tried: set[str] = set()
+        self._race = hedging.Race()
 
     @property
     def _stage(self) -> routing.Stage:
@@ -70,6 +74,12 @@
 
     async def _serve(self) -> None:
         self._admit()
+        try:
+            await self._try_stages()
+        finally:
+            await self._race.settle()
+
+    async def _try_stages(self) -> None:
         while True:
             try:
                 if await self._try_stage():
@@ -100,6 +110,8 @@
         )
         share = in_force.document.policy.retry_budget_share
         self._services.retry_budget.record_request(share)
+        hedge_share = in_force.document.policy.hedge_budget_share
+        self._services.hedge_budget.record_request(hedge_share)
 
     def _make_plan(
         self, in_force: services.InForce, account: model.ClientAccount
@@ -133,15 +145,33 @@
 
     async def _try_stage(self) -> bool:
         """Makes one attempt; returns False if its answer was rejected."""
+        held = await self._hold()
         in_force = execution.read_in_force(self._services)
-        if self._retries:
+        if self._retries or held:
             self._update_plan(in_force)
         stage = self._stage
         candidates = self._services.pool.candidates(in_force, stage.full_name)
-        server = self._pick(candidates, frozenset(self._tried), stage.full_name)
+        server = self._pick_for_class(candidates)
         self._check_dispatch(in_force)
+        first = self._begin_attempt(in_force, server, candidates)
+        attempt = await self._race.run(
+            first,
+            lambda: self._begin_hedge(in_force, candidates),
+            self._compute_hedge_delay(in_force),
+        )
+        if self._request.stream:
+            return await self._run_stream(attempt, in_force)
+        return await self._run_whole(attempt, in_force)
+
+    def _begin_attempt(
+        self,
+        in_force: services.InForce,
+        server: model.BackendServer,
+        candidates: Sequence[model.BackendServer],
+    ) -> hedging.Contender:
         self._tried.add(server.name)
         assert self._bill is not None
+        stage = self._stage
         attempt = attempts.BackendAttempt(
             self._services,
             self._bill,
@@ -152,11 +182,93 @@
             deadline=self._deadline,
             blame_after_s=self._request_class.deadline_s,
             kind=self._describe_work(),
+            long=self._request_class.long,
             roll_out=in_force.document.roll_out_for(stage.model),
         )
-        if self._request.stream:
-            return await self._run_stream(attempt, server, in_force)
-        return await self._run_whole(attempt, server, in_force)
+        return hedging.Contender(attempt, self._build_request(server))
+
+    def _compute_hedge_delay(self, in_force: services.InForce) -> float | None:
+        """Returns the seconds until a second attempt, None for never."""
+        share = in_force.document.policy.hedge_budget_share
+        if share <= 0.0 or self._request_class.long:
+            return None
+        return self._services.pool.compute_hedge_delay_s(self._describe_work())
+
+    def _begin_hedge(
+        self,
+        planned: services.InForce,
+        candidates: Sequence[model.BackendServer],
+    ) -> hedging.Contender | None:
+        """Begins a second attempt at an idle server, within the budget."""
+        in_force = execution.read_in_force(self._services)
+        if in_force.revision != planned.revision:
+            return None
+        server = self._services.pool.pick_with_room(
+            candidates, frozenset(self._tried), self._request_class
+        )
+        if server is None:
+            return None
+        try:
+            self._check_dispatch(in_force)
+        except errors.DragonflydykeError:
+            return None
+        if not self._services.hedge_budget.try_spend():
+            self._services.counters.increment("hedge_budget.exhausted")
+            return None
+        self._services.counters.increment("hedge.begun")
+        return self._begin_attempt(in_force, server, candidates)
+
+    async def _hold(self) -> bool:
+        """Holds work that may wait back while all servers are full.
+
+        Returns:
+            Whether the request may have waited.
+
+        Raises:
+            DragonflydykeError: `overloaded`, not run, if there was no room
+                within the time of the class.
+        """
+        request_class = self._request_class
+        if request_class.may_wait_s <= 0.0:
+            return False
+        in_force = execution.read_in_force(self._services)
+        until_s = self._received_s + request_class.may_wait_s
+        has_room = await self._services.pool.hold(
+            self._services.pool.candidates(in_force, self._stage.full_name),
+            frozenset(self._tried),
+            request_class,
+            self._account_name,
+            min(until_s, self._deadline),
+        )
+        if not has_room:
+            raise errors.DragonflydykeError(
+                "overloaded",
+                "The backend servers had no room for work that may wait; "
+                "retry later.",
+                step=errors.Step.ADMIT,
+                status=503,
+                retry_after_s=_HELD_RETRY_S,
+            )
+        return True
+
+    def _pick_for_class(
+        self, candidates: Sequence[model.BackendServer]
+    ) -> model.BackendServer:
+        tried = frozenset(self._tried)
+        if self._request_class.may_wait_s > 0.0:
+            server = self._services.pool.pick_with_room(
+                candidates, tried, self._request_class
+            )
+            if server is not None:
+                return server
+        policy = execution.read_in_force(self._services).document.policy
+        return self._pick(
+            candidates,
+            tried,
+            self._stage.full_name,
+            long=self._request_class.long,
+            queue_share=policy.queue_share,
+        )
 
     def _describe_work(self) -> str:
         # The first byte of a whole answer comes when it is complete.
@@ -196,7 +308,6 @@
     async def _run_stream(
         self,
         attempt: attempts.BackendAttempt,
-        server: model.BackendServer,
         in_force: services.InForce,
     ) -> bool:
         checked = self._is_checked()
@@ -206,8 +317,6 @@
             None if checked else self._make_sender(in_force),
         )
         async with attempt:
-            answer = await attempt.open(self._build_request(server))
-            await relays.check_status(attempt, answer)
             await relay.run()
             await attempt.complete(relay.usage)
             attempt.offer_sample(bytes(relay.sample))
@@ -220,26 +329,23 @@
             self._caller.start_stream(self._build_headers(in_force))
         if relay.answer:
             await self._caller.send(bytes(relay.answer))
-        await self._record()
+        await self._record(attempt)
         self._caller.finish_stream(relay.take_end(self._build_extra()))
         return True
 
     async def _run_whole(
         self,
         attempt: attempts.BackendAttempt,
-        server: model.BackendServer,
         in_force: services.InForce,
     ) -> bool:
         async with attempt:
-            answer = await attempt.open(self._build_request(server))
-            await relays.check_status(attempt, answer)
             body = await attempt.read_body()
             value = relays.parse_completion(attempt, body)
             await attempt.complete(events.parse_usage(value.get("usage")))
             attempt.offer_sample(body)
             if self._is_checked() and not await self._accept(attempt, body):
                 return False
-        await self._record()
+        await self._record(attempt)
         value[relays.EXTRA_FIELD] = self._build_extra()
         self._caller.finish(
             200,
@@ -293,8 +399,10 @@
             attempt.reject()
         return accepted
 
-    async def _record(self) -> None:
+    async def _record(self, attempt: attempts.BackendAttempt) -> None:
         assert self._bill is not None
+        await self._race.settle()
+        self._bill.move_last(attempt.record)
         self._bill.begin_record(accounting.Outcome.COMPLETED)
         await self._bill.wait_recorded()
 
--- a/src/dragonflydyke/gateway/execution.py
+++ b/src/dragonflydyke/gateway/execution.py
@@ -125,6 +125,9 @@
         candidates: Sequence[model.BackendServer],
         tried: frozenset[str],
         served: str,
+        *,
+        long: bool = False,
+        queue_share: float = 1.0,
     ) -> model.BackendServer:
         server = self._services.pool.pick(candidates, tried)
         if server is None:
@@ -136,7 +139,9 @@
                 retry_after_s=_NO_SERVER_RETRY_S,
             )
         remaining_s = self._deadline - asyncio.get_running_loop().time()
-        self._services.pool.check_admission(server, remaining_s)
+        self._services.pool.check_admission(
+            server, remaining_s, long=long, queue_share=queue_share
+        )
         return server
 
     async def _settle(self, outcome: accounting.Outcome) -> None:
--- a/src/dragonflydyke/gateway/services.py
+++ b/src/dragonflydyke/gateway/services.py
@@ -173,6 +173,7 @@
         sampler: Receives answers of roll-outs for rating; None rates none.
         version_counts: Counts for roll-outs.
         retry_budget: Bound on retries.
+        hedge_budget: Bound on hedged requests.
         tracker: Requests in progress, for a graceful shutdown.
     """
 
@@ -193,6 +194,7 @@
         default_factory=rollout_counts.VersionCounts
     )
     retry_budget: RetryBudget = dataclasses.field(default_factory=RetryBudget)
+    hedge_budget: RetryBudget = dataclasses.field(default_factory=RetryBudget)
     tracker: tracking.RequestTracker = dataclasses.field(
         default_factory=tracking.RequestTracker
     )
--- a/src/dragonflydyke/load/workloads.py
+++ b/src/dragonflydyke/load/workloads.py
@@ -46,26 +46,26 @@
     # the night shift left.
     "shift_start": Workload(
         (
-            Kind(0.9, "line_question", "planner-small", 20, 16),
+            Kind(0.9, "line_question", "planner-small", 60, 16),
             Kind(0.1, "catalogue_rebuild", "planner-large", 600, 200),
         ),
         has_crest=True,
     ),
     "line_questions": Workload(
-        (Kind(1.0, "line_question", "planner-small", 20, 16),)
+        (Kind(1.0, "line_question", "planner-small", 60, 16),)
     ),
     "short_among_long": Workload(
         (
-            Kind(0.5, "line_question", "planner-small", 20, 16),
-            Kind(0.3, "substitution_check", "planner-small", 60, 16),
+            Kind(0.5, "line_question", "planner-small", 60, 16),
+            Kind(0.3, "substitution_check", "planner-small", 80, 16),
             Kind(0.2, "catalogue_rebuild", "planner-large", 600, 200),
         )
     ),
     # The answers of a cascade are rated before the caller sees them.
     "cascade_mix": Workload(
         (
-            Kind(0.5, "line_question", "planning", 20, 16),
-            Kind(0.4, "substitution_check", "planning", 60, 16),
+            Kind(0.5, "line_question", "planning", 60, 16),
+            Kind(0.4, "substitution_check", "planning", 80, 16),
             Kind(0.1, "catalogue_rebuild", "planning", 600, 200),
         )
     ),
--- a/src/dragonflydyke/router/assembly.py
+++ b/src/dragonflydyke/router/assembly.py
@@ -314,6 +314,8 @@
         while True:
             fleet.update_limits(self._member, self._limiter)
             self._pool.set_leaving_vms(self._member.contacts.leaving_vms())
+            self._pool.set_vm_count(self._count_nodes())
+            self._counters.gauge("hold.count", self._pool.held())
             self._counters.gauge(
                 "request.in_progress", self._gateway.tracker.count
             )
--- a/src/dragonflydyke/routing/__init__.py
+++ b/src/dragonflydyke/routing/__init__.py
@@ -1,8 +1,9 @@
 """Model, version and backend server selection."""
 
+from dragonflydyke.routing.placements import AttemptEnd, Placement
 from dragonflydyke.routing.retries import RetryBudget
 from dragonflydyke.routing.selection import Plan, Stage, check_dispatch, plan
-from dragonflydyke.routing.servers import AttemptEnd, Placement, ServerPool
+from dragonflydyke.routing.servers import ServerPool
 
 __all__ = [
     "AttemptEnd",
--- a/src/dragonflydyke/routing/servers.py
+++ b/src/dragonflydyke/routing/servers.py
@@ -2,48 +2,37 @@
 
 import asyncio
 import dataclasses
-import enum
 import hashlib
-import math
 import random
 from collections.abc import Collection, Sequence
 
 from dragonflydyke import errors, logs, metrics
 from dragonflydyke.configuration import model
-from dragonflydyke.routing import outliers, selection, strategies
+from dragonflydyke.routing import (
+    holding,
+    loads,
+    outliers,
+    placements,
+    selection,
+    strategies,
+)
 
 MAX_SUBSET_SERVERS = 12
 # The rest of the subset is farther away, so that a data centre whose servers
 # are full or gone has others to turn to.
 _MAX_NEAREST_SERVERS = 8
-_REPORT_DECAY_S = 2.0
 _FAR = 1_000
-_SERVICE_TIME_SMOOTHING = 0.1
 _USUAL_LATENCY_SMOOTHING = 0.05
 # Differences between shorter times are noise of the network.
 _MIN_LATENCY_S = 0.05
+# Hedging earlier would spend the budget on ordinary variation.
+_HEDGE_FACTOR = 2.0
 _MIN_RETRY_AFTER_S = 0.5
 _MAX_RETRY_AFTER_S = 30.0
 
 _LOGGER = logs.get_logger("routing")
 
 
-class AttemptEnd(enum.Enum):
-    """How an attempt at a backend server ended, as far as it is at fault."""
-
-    COMPLETED = "completed"
-    FAILED = "failed"
-    CANCELLED = "cancelled"
-
-
-@dataclasses.dataclass(slots=True)
-class _Load:
-    in_progress: int = 0
-    foreign: float = 0.0
-    reported_at_s: float | None = None
-    service_time_s: float | None = None
-
-
 @dataclasses.dataclass(slots=True)
 class _Subset:
     revision: int
@@ -61,6 +50,7 @@
         "_data_centre",
         "_distances",
         "_leaving_vms",
+        "_held",
         "_loads",
         "_outliers",
         "_random",
@@ -93,17 +83,22 @@
         self._counters = counters
         self._random = source or random.Random()
         self._strategy = strategies.build_strategy(server_choice, self._random)
-        self._loads: dict[str, _Load] = {}
+        self._loads = loads.LoadBook()
         self._outliers = outliers.OutlierDetector()
         self._leaving_vms: frozenset[str] = frozenset()
         self._usual_latencies_s: dict[str, float] = {}
         self._subsets: dict[str, _Subset] = {}
         self._distances: dict[str, int] = {data_centre: 0}
+        self._held = holding.HoldQueue(counters)
 
     def set_leaving_vms(self, names: Collection[str]) -> None:
         """Sets the VMs whose backend servers receive no new work."""
         self._leaving_vms = frozenset(names)
 
+    def set_vm_count(self, count: int) -> None:
+        """Sets the number of nodes that share the servers."""
+        self._loads.set_vm_count(count)
+
     def candidates(
         self, in_force: selection.InForce, served: str
     ) -> tuple[model.BackendServer, ...]:
@@ -117,7 +112,12 @@
         if cached is not None and cached.revision == in_force.revision:
             return cached.servers
         self._set_distances(in_force.document)
-        servers = self._select_subset(_list_servers(in_force, served))
+        known = _list_servers(in_force, served)
+        servers = self._select_subset(known)
+        self._loads.reserved_share = in_force.document.policy.reserved_share
+        for server in servers:
+            share = len(servers) / len(known)
+            self._loads.set_subset_share(server.name, share)
         self._subsets[served] = _Subset(in_force.revision, servers)
         return servers
 
@@ -135,14 +135,89 @@
         if self._strategy.is_plain:
             return self._pick_plain(candidates, exclude)
         usable = self._list_usable(candidates, exclude)
-        tiers: dict[int, list[model.BackendServer]] = {}
-        for server in usable:
-            if self._load_share(server) < 1.0:
-                tiers.setdefault(self._distance(server), []).append(server)
-        if tiers:
-            return self._choose(tiers[min(tiers)])
+        free = [s for s in usable if self._loads.share(s) < 1.0]
+        if free:
+            return self._choose_nearest(free)
         return self._choose(usable) if usable else None
 
+    def pick_with_room(
+        self,
+        candidates: Sequence[model.BackendServer],
+        exclude: Collection[str],
+        request_class: model.RequestClass,
+    ) -> model.BackendServer | None:
+        """Returns a server with room for work that may wait, or None.
+
+        Args:
+            candidates: Servers with the work in question.
+            exclude: Names of servers that were tried before.
+            request_class: Class of the work.
+        """
+        if self._strategy.is_plain:
+            return self._pick_plain(candidates, exclude)
+        usable = self._list_usable(candidates, exclude)
+        room = [s for s in usable if self._loads.has_room(s, request_class)]
+        return self._choose_nearest(room) if room else None
+
+    async def hold(
+        self,
+        candidates: Sequence[model.BackendServer],
+        exclude: Collection[str],
+        request_class: model.RequestClass,
+        account: str,
+        until_s: float,
+    ) -> bool:
+        """Holds work that may wait until a server has room for it.
+
+        The caller must pick and begin without awaiting anything in between.
+
+        Args:
+            candidates: Servers with the work in question, at least one.
+            exclude: Names of servers that were tried before.
+            request_class: Class of the work.
+            account: Client account, which gets a fair share.
+            until_s: Loop time until which the work is held.
+
+        Returns:
+            False if there was no room in time.
+        """
+        names = ",".join(server.name for server in candidates)
+        return await self._held.wait(
+            f"{request_class.long} {names}",
+            account,
+            request_class.priority,
+            lambda: (
+                self._is_hopeless(candidates, exclude)
+                or self.pick_with_room(candidates, exclude, request_class)
+                is not None
+            ),
+            until_s,
+        )
+
+    def held(self) -> int:
+        """Returns the number of requests that are held back."""
+        return self._held.count()
+
+    def _is_hopeless(
+        self,
+        candidates: Sequence[model.BackendServer],
+        exclude: Collection[str],
+    ) -> bool:
+        # Waiting does not help when no server takes work; picking then
+        # reports why.
+        return not any(
+            not self._is_leaving(server) and server.name not in exclude
+            for server in candidates
+        )
+
+    def _choose_nearest(
+        self, servers: Sequence[model.BackendServer]
+    ) -> model.BackendServer:
+        nearest = min(self._distance(server) for server in servers)
+        return self._choose(
+            [s for s in servers if self._distance(s) == nearest]
+        )
+
     def _pick_plain(
         self,
         candidates: Sequence[model.BackendServer],
@@ -159,37 +234,56 @@
             usable, lambda s: self.in_progress(s.name) / max(s.slots, 1)
         )
 
-    def predict_wait_s(self, server: model.BackendServer) -> float:
+    def compute_hedge_delay_s(self, kind: str) -> float | None:
+        """Returns after which time without a byte a server is slow.
+
+        Args:
+            kind: Kind of work.
+
+        Returns:
+            Seconds, or None if the usual time of the kind is not known.
+        """
+        usual_s = self._usual_latencies_s.get(kind)
+        if usual_s is None or self._strategy.is_plain:
+            return None
+        return usual_s * _HEDGE_FACTOR
+
+    def predict_wait_s(
+        self, server: model.BackendServer, *, long: bool = False
+    ) -> float:
         """Returns the seconds that new work would wait at a server."""
-        load = self._loads.get(server.name)
-        if load is None or load.service_time_s is None:
-            return 0.0
-        ahead = self._estimate(server) + 1 - server.slots
-        return max(0.0, ahead) * load.service_time_s / server.slots
+        return self._loads.predict_wait_s(server, long=long)
 
     def check_admission(
-        self, server: model.BackendServer, remaining_s: float
+        self,
+        server: model.BackendServer,
+        remaining_s: float,
+        *,
+        long: bool = False,
+        queue_share: float = 1.0,
     ) -> None:
         """Refuses work that would miss its deadline in a queue.
 
         Args:
             server: The picked server, the best there is.
             remaining_s: Seconds until the deadline.
+            long: Whether it is long work.
+            queue_share: Longest wait as a share of the remaining time.
 
         Raises:
             DragonflydykeError: `overloaded`, not run.
         """
-        wait_s = self.predict_wait_s(server)
+        wait_s = self.predict_wait_s(server, long=long)
         if wait_s <= 0.0 or self._strategy.is_plain:
             return
-        needed_s = wait_s + (self._loads[server.name].service_time_s or 0.0)
-        if needed_s <= remaining_s:
+        needed_s = wait_s + self._loads.service_time_s(server, long=long)
+        if needed_s <= remaining_s and wait_s <= queue_share * remaining_s:
             return
         retry_after_s = min(max(wait_s, _MIN_RETRY_AFTER_S), _MAX_RETRY_AFTER_S)
         raise errors.DragonflydykeError(
             "overloaded",
-            "The backend servers are full and the deadline would pass in "
-            "their queue; retry later or with a longer deadline.",
+            "The backend servers are full and the request would wait too "
+            "long in their queue; retry later or with a longer deadline.",
             step=errors.Step.ADMIT,
             peer=server.name,
             status=503,
@@ -200,61 +294,63 @@
         self, server: str, running: int, waiting: int, age_s: float = 0.0
     ) -> None:
         """Records the load that a server reported `age_s` seconds ago."""
-        load = self._loads.setdefault(server, _Load())
-        load.foreign = max(0, running + waiting - load.in_progress)
-        load.reported_at_s = asyncio.get_running_loop().time() - age_s
+        self._loads.record_report(server, running + waiting, age_s)
+        self._held.wake()
 
     def begin(
         self,
         server: model.BackendServer,
         candidates: Sequence[model.BackendServer] = (),
         kind: str = "",
-    ) -> "Placement":
+        *,
+        long: bool = False,
+    ) -> placements.Placement:
         """Counts an attempt at a server until the placement is ended.
 
         Args:
             server: Where the attempt goes.
             candidates: Servers with the same work.
             kind: Kind of work, whose times to the first byte are comparable.
+            long: Whether it counts against the slots for long work.
         """
-        self._loads.setdefault(server.name, _Load()).in_progress += 1
-        return Placement(self, server, candidates, kind)
+        crowding = self._loads.begin(server, long=long)
+        return placements.Placement(
+            self, server, candidates, kind, long=long, crowding=crowding
+        )
 
     def in_progress(self, server: str) -> int:
         """Returns the number of own requests in progress at a server."""
-        load = self._loads.get(server)
-        return load.in_progress if load else 0
+        return self._loads.in_progress(server)
 
-    def _end(self, placement: "Placement", end: AttemptEnd) -> None:
+    def end_placement(
+        self, placement: placements.Placement, end: placements.AttemptEnd
+    ) -> None:
+        """Accounts for an attempt; called by the placement, once."""
         now_s = asyncio.get_running_loop().time()
         name = placement.server.name
-        load = self._loads[name]
-        load.in_progress -= 1
-        errors.check_invariant(
-            load.in_progress >= 0, f"requests in progress at {name} below 0"
-        )
-        if end is AttemptEnd.CANCELLED and placement.latency_s is None:
+        self._loads.end(name, long=placement.long)
+        self._held.wake()
+        if (
+            end is placements.AttemptEnd.CANCELLED
+            and placement.latency_s is None
+        ):
             return
-        if end is AttemptEnd.COMPLETED:
-            taken_s = now_s - placement.started_s
-            before = load.service_time_s
-            change = taken_s - (before or 0.0)
-            load.service_time_s = (
-                taken_s
-                if before is None
-                else before + _SERVICE_TIME_SMOOTHING * change
-            )
+        if end is placements.AttemptEnd.COMPLETED:
+            taken_s = (now_s - placement.started_s) / placement.crowding
+            self._loads.record_service_time(name, taken_s, long=placement.long)
         if self._outliers.record(
             name,
             now_s,
-            failed=end is AttemptEnd.FAILED,
+            failed=end is placements.AttemptEnd.FAILED,
             latency=self._normalize_latency(placement),
             peers=[server.name for server in placement.candidates],
         ):
             self._counters.increment("server.ejected")
             _LOGGER.notice("backend server ejected as outlier", server=name)
 
-    def _normalize_latency(self, placement: "Placement") -> float | None:
+    def _normalize_latency(
+        self, placement: placements.Placement
+    ) -> float | None:
         """Returns the latency as a multiple of the usual one of its kind.
 
         Otherwise a server that happens to get long work looks slow.
@@ -298,24 +394,7 @@
     def _choose(
         self, servers: Sequence[model.BackendServer]
     ) -> model.BackendServer:
-        return self._strategy.choose(servers, self._load_with_next)
-
-    def _load_with_next(self, server: model.BackendServer) -> float:
-        # Counting the next request prefers the larger of two idle servers.
-        return (self._estimate(server) + 1) / max(server.slots, 1)
-
-    def _load_share(self, server: model.BackendServer) -> float:
-        return self._estimate(server) / max(server.slots, 1)
-
-    def _estimate(self, server: model.BackendServer) -> float:
-        load = self._loads.get(server.name)
-        if load is None:
-            return 0.0
-        if load.reported_at_s is None:
-            return load.in_progress
-        age_s = asyncio.get_running_loop().time() - load.reported_at_s
-        fresh = math.exp(-max(0.0, age_s) / _REPORT_DECAY_S)
-        return load.in_progress + load.foreign * fresh
+        return self._strategy.choose(servers, self._loads.share_with_next)
 
     def _distance(self, server: model.BackendServer) -> int:
         return self._distances.get(server.data_centre, _FAR)
@@ -343,47 +422,6 @@
         return tuple(near[: MAX_SUBSET_SERVERS - len(far)] + far)
 
 
-class Placement:
-    """An attempt at a server, from dispatch to its end."""
-
-    __slots__ = (
-        "_ended",
-        "_pool",
-        "candidates",
-        "kind",
-        "latency_s",
-        "server",
-        "started_s",
-    )
-
-    def __init__(
-        self,
-        pool: ServerPool,
-        server: model.BackendServer,
-        candidates: Sequence[model.BackendServer],
-        kind: str,
-    ) -> None:
-        self._pool = pool
-        self.kind = kind
-        self._ended = False
-        self.server = server
-        self.candidates = candidates
-        self.latency_s: float | None = None
-        self.started_s = asyncio.get_running_loop().time()
-
-    def record_first_byte(self) -> None:
-        """Records the time to the first byte of the answer."""
-        if self.latency_s is None:
-            now_s = asyncio.get_running_loop().time()
-            self.latency_s = now_s - self.started_s
-
-    def end(self, end: AttemptEnd) -> None:
-        """Ends the attempt; further calls have no effect."""
-        if not self._ended:
-            self._ended = True
-            self._pool._end(self, end)
-
-
 def _list_servers(
     in_force: selection.InForce, served: str
 ) -> tuple[model.BackendServer, ...]:
