Start cascades below the target while their answers pass the check

Cause: a cascade skipped every stage whose configured quality is below the target, although the answers of all stages but the last are rated. Work that may wait now starts at a cheaper stage while that lowers the expected cost. Without a rating the configured quality decides, so an unrated answer below the target goes to the next stage.

--- a/src/dragonflydyke/gateway/chat.py
+++ b/src/dragonflydyke/gateway/chat.py
@@ -124,6 +124,7 @@
             self._session,
             self._caller.request_id,
             restraint=self._services.version_counts,
+            rates=self._services.acceptance if self._services.check else None,
         )
 
     def _update_plan(self, in_force: services.InForce) -> None:
@@ -387,6 +388,10 @@
             version=stage.version.name,
             request=json.dumps(self._request.body).encode(),
             answer=answer,
+            reaches_target=stage.version.quality.get(
+                self._request_class.name, 0.0
+            )
+            >= self._request_class.quality_target,
         )
         accepted = await attempts.wait_until(
             self._services.check.accept(candidate),
@@ -394,6 +399,9 @@
             step=errors.Step.READ_ANSWER,
             execution=errors.Execution.RAN,
         )
+        self._services.acceptance.record(
+            self._request_class.name, stage.full_name, accepted
+        )
         if not accepted:
             self._services.counters.increment("cascade.rejected")
             attempt.reject()
--- a/src/dragonflydyke/gateway/services.py
+++ b/src/dragonflydyke/gateway/services.py
@@ -10,7 +10,7 @@
 from dragonflydyke.gateway import tracking
 from dragonflydyke.rollouts import counts as rollout_counts
 from dragonflydyke.rollouts import model as rollouts
-from dragonflydyke.routing import RetryBudget, ServerPool
+from dragonflydyke.routing import AcceptanceRates, RetryBudget, ServerPool
 from dragonflydyke.sessions import model as sessions
 
 
@@ -129,7 +129,11 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class CandidateAnswer:
-    """A complete answer of a cascade stage before the caller sees it."""
+    """A complete answer of a cascade stage before the caller sees it.
+
+    `reaches_target` says whether the configured quality of the version reaches
+    the target of the class, which decides without a rating.
+    """
 
     client_account: str
     request_class: model.RequestClass
@@ -137,6 +141,7 @@
     version: str
     request: bytes
     answer: bytes
+    reaches_target: bool = True
 
 
 class AnswerCheck(Protocol):
@@ -173,6 +178,7 @@
         sampler: Receives answers of roll-outs for rating; None rates none.
         version_counts: Counts for roll-outs.
         retry_budget: Bound on retries.
+        acceptance: How often answers of cascade stages pass the check.
         hedge_budget: Bound on hedged requests.
         tracker: Requests in progress, for a graceful shutdown.
     """
@@ -194,6 +200,9 @@
         default_factory=rollout_counts.VersionCounts
     )
     retry_budget: RetryBudget = dataclasses.field(default_factory=RetryBudget)
+    acceptance: AcceptanceRates = dataclasses.field(
+        default_factory=AcceptanceRates
+    )
     hedge_budget: RetryBudget = dataclasses.field(default_factory=RetryBudget)
     tracker: tracking.RequestTracker = dataclasses.field(
         default_factory=tracking.RequestTracker
--- a/src/dragonflydyke/load/model.py
+++ b/src/dragonflydyke/load/model.py
@@ -45,6 +45,8 @@
         outcome: `completed` or the code of the error.
         execution: Execution that the error states, empty if completed.
         target: Index of the router that it was sent to.
+        answer: Text of the answer, if the player keeps answers.
+        rating: Rating of the answer, if it was rated.
     """
 
     request_class: str
@@ -58,6 +60,8 @@
     outcome: str = ""
     execution: str = ""
     target: int = 0
+    answer: str = ""
+    rating: float | None = None
 
     @property
     def is_completed(self) -> bool:
--- a/src/dragonflydyke/load/player.py
+++ b/src/dragonflydyke/load/player.py
@@ -8,6 +8,7 @@
 from tornado import httpclient, simple_httpclient
 
 from dragonflydyke.load import model
+from dragonflydyke.rollouts import answers
 
 _MAX_CLIENTS = 10_000
 _DATA = b"data: "
@@ -18,7 +19,12 @@
     """Sends arrivals at their times, whatever became of earlier ones."""
 
     def __init__(
-        self, urls: Sequence[str], keys: Sequence[str], timeout_s: float
+        self,
+        urls: Sequence[str],
+        keys: Sequence[str],
+        timeout_s: float,
+        *,
+        keep_answers: bool = False,
     ) -> None:
         """Creates a player.
 
@@ -26,7 +32,9 @@
             urls: Public base URLs of routers, used in turn.
             keys: Bearer keys of the client accounts.
             timeout_s: Time after which a response is given up.
+            keep_answers: Whether records hold the text of the answer.
         """
+        self._keep_answers = keep_answers
         self._urls = urls
         self._keys = keys
         self._timeout_s = timeout_s
@@ -75,7 +83,10 @@
         request = self._build_request(arrival, self._urls[target], receive)
         try:
             response = await self._client.fetch(request, raise_error=False)
-            _read_response(record, response.code, b"".join(parts))
+            body = b"".join(parts)
+            _read_response(record, response.code, body)
+            if self._keep_answers and not arrival.is_call:
+                record.answer = answers.extract_text(body)
         except (OSError, httpclient.HTTPError):
             record.outcome, record.execution = _NO_RESPONSE, "unknown"
         record.answer_s = loop.time() - sent_s
--- a/src/dragonflydyke/load/workloads.py
+++ b/src/dragonflydyke/load/workloads.py
@@ -46,8 +46,8 @@
     # the night shift left.
     "shift_start": Workload(
         (
-            Kind(0.9, "line_question", "planner-small", 60, 16),
-            Kind(0.1, "catalogue_rebuild", "planner-large", 600, 200),
+            Kind(0.96, "line_question", "planner-small", 60, 16),
+            Kind(0.04, "catalogue_rebuild", "planner-large", 600, 600),
         ),
         has_crest=True,
     ),
@@ -56,9 +56,9 @@
     ),
     "short_among_long": Workload(
         (
-            Kind(0.5, "line_question", "planner-small", 60, 16),
-            Kind(0.3, "substitution_check", "planner-small", 80, 16),
-            Kind(0.2, "catalogue_rebuild", "planner-large", 600, 200),
+            Kind(0.6, "line_question", "planner-small", 60, 16),
+            Kind(0.33, "substitution_check", "planner-small", 80, 16),
+            Kind(0.07, "catalogue_rebuild", "planner-large", 600, 600),
         )
     ),
     # The answers of a cascade are rated before the caller sees them.
--- a/src/dragonflydyke/router/checks.py
+++ b/src/dragonflydyke/router/checks.py
@@ -20,13 +20,12 @@
     async def accept(self, candidate: services.CandidateAnswer) -> bool:
         """Returns whether the answer is good enough.
 
-        Without a rating the answer is accepted: the version was selected for
-        a configured quality that reaches the target.
+        Without a rating the configured quality of the version decides.
         """
         version = model.version_id(candidate.model, candidate.version)
         text = answers.extract_text(candidate.answer)
         rating = await self._client.rate(version, text)
         if rating is None:
             self._counters.increment("cascade.unrated")
-            return True
+            return candidate.reaches_target
         return rating >= candidate.request_class.quality_target
--- a/src/dragonflydyke/routing/loads.py
+++ b/src/dragonflydyke/routing/loads.py
@@ -142,11 +142,14 @@
             return False
         if not request_class.long:
             return True
+        # The reserved slots stay free of all work, because short work may
+        # use more than the reserved share by itself.
+        if self.estimate(server) >= self._long_limit(server):
+            return False
         load = self._loads.get(server.name)
         if load is None or load.long_in_progress < self._long_share(server):
             return True
-        total = load.in_progress + load.foreign
-        return load.may_borrow and total < self._long_limit(server)
+        return load.may_borrow
 
     def _long_limit(self, server: model.BackendServer) -> int:
         return max(1, int(server.slots * (1.0 - self.reserved_share)))
--- a/src/dragonflydyke/routing/selection.py
+++ b/src/dragonflydyke/routing/selection.py
@@ -7,7 +7,7 @@
 from dragonflydyke import errors
 from dragonflydyke.configuration import model
 from dragonflydyke.rollouts import model as rollouts
-from dragonflydyke.routing import exposure
+from dragonflydyke.routing import acceptance, exposure
 from dragonflydyke.sessions import model as sessions
 
 # An account that weighs only quality starts half-way between the target of
@@ -62,6 +62,7 @@
     request_id: str,
     *,
     restraint: exposure.Restraint | None = None,
+    rates: acceptance.AcceptanceRates | None = None,
 ) -> Plan:
     """Returns the versions that may answer a request.
 
@@ -73,11 +74,15 @@
         session: Session that the request continues, or None.
         request_id: Request id whose hash decides on exposure.
         restraint: Own counts that may lower the exposure.
+        rates: How often answers of cascade stages pass the check; None if
+            answers are not checked.
 
     Raises:
         DragonflydykeError: If no version may answer; not run.
     """
-    planner = _Planner(in_force, account, request_class, request_id, restraint)
+    planner = _Planner(
+        in_force, account, request_class, request_id, restraint, rates
+    )
     if session is not None:
         return planner.plan_session(session, requested_model)
     return planner.plan_new(requested_model)
@@ -115,6 +120,7 @@
     request_class: model.RequestClass
     request_id: str
     restraint: exposure.Restraint | None
+    rates: acceptance.AcceptanceRates | None
 
     def plan_session(
         self, session: sessions.Session, requested_model: str
@@ -165,8 +171,26 @@
                 stages.append(stage)
         if not stages:
             _refuse_model("cascade_not_allowed", cascade.name)
-        first = self._find_first(stages)
-        return Plan(tuple(stages[stages.index(first) :]))
+        first = stages.index(self._find_first(stages))
+        while first > 0 and self._is_worth_trying(stages, first - 1):
+            first -= 1
+        return Plan(tuple(stages[first:]))
+
+    def _is_worth_trying(self, stages: list[Stage], index: int) -> bool:
+        """Returns whether a stage below the target is tried all the same.
+
+        Its answer is checked, so only time is lost when it is rejected; work
+        that may wait has that time.
+        """
+        if self.rates is None or self.request_class.may_wait_s <= 0.0:
+            return False
+        stage = stages[index]
+        return self.rates.saves_cost(
+            self.request_class.name,
+            stage.full_name,
+            stage.version.price,
+            stages[index + 1].version.price,
+        )
 
     def _select_named(self, found: model.Model, version_name: str) -> Stage:
         name = model.version_id(found.name, version_name)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -173,6 +173,31 @@
         costly = plan(in_force, "planning", request_class="survey_draft")
         self.assertEqual([s.model for s in costly.stages], ["planner-large"])
 
+    def test_cheaper_stage_while_its_answers_pass(self) -> None:
+        # Guards against paying for both stages when most are rejected, and
+        # against cheap answers that nobody checks.
+        in_force = build_in_force(None)
+        waiting = model.RequestClass(
+            "survey_draft", 0.95, 120.0, may_wait_s=60.0
+        )
+        account = in_force.document.client_accounts[0]
+
+        def first(rates: routing.AcceptanceRates | None) -> str:
+            planned = routing.plan(
+                in_force, account, "planning", waiting, None, "id", rates=rates
+            )
+            return planned.stages[0].model
+
+        rates = routing.AcceptanceRates()
+        self.assertEqual(first(None), "planner-large")
+        self.assertEqual(first(rates), "planner-small")
+        for _ in range(100):
+            rates.record("survey_draft", "planner-small@v2", False)
+            rates.record("survey_draft", "planner-small@v1", False)
+        self.assertEqual(first(rates), "planner-large")
+        tried = [first(rates) for _ in range(2_000)]
+        self.assertIn("planner-small", tried)
+
 
 class PoolTest(virtual_loop.VirtualTimeTestCase):
     """Guards the choice of backend servers and the bounds on retries."""
