Add the soak: a long randomised run with all faults

At the end it compares answers, ledger and executions, prints figures as JSON and exits with 1 on a violation.

A router is killed only when the losses that the design allows cannot occur (no bills held alone), so that every missing bill is a violation; the allowed losses are counted by test_live_billing.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 PYTHON ?= python3
 # Seed of the randomised tests; `make soak` runs others.
 SEED ?= 1
+# Duration of the soak.
+MINUTES ?= 2
 BIN := .venv/bin
 
 .PHONY: setup test demo check format soak experiment generate
@@ -30,3 +32,6 @@
 
 demo: setup
 	$(BIN)/python -m harness.demo $(DEMO_FLAGS)
+
+soak: setup
+	$(BIN)/python -m harness.soak --seed $(SEED) --minutes $(MINUTES)
--- /dev/null
+++ b/harness/soak_checks.py
@@ -0,0 +1,151 @@
+"""Checks of the invariants at the end of the soak."""
+
+import asyncio
+import collections
+from typing import Any
+
+from harness import deployment, invariants, soak_faults, soak_load
+
+# Bills are written at most 24 s after the last fault: 14 s of silence and
+# 10 s of back-off. A bill that is missing later is lost.
+_LOST_AFTER_S = 60.0
+_SHOWN_COUNTERS = (
+    "stream.resumed",
+    "stream.not_resumed",
+    "bill.held_alone",
+    "bill.journal.conflict",
+    "bill.journal.answer_lost",
+    "bill.holder.recovered",
+    "bill.copies.held",
+    "claim.replayed",
+    "request.internal_error",
+    "caller.disconnected",
+)
+
+
+async def read_counters(running: deployment.Deployment) -> dict[str, int]:
+    """Returns sums of counters over the routers that run at the end."""
+    totals: collections.Counter[str] = collections.Counter()
+    for router in running.routers.values():
+        counters = await running.read_counters(router)
+        totals.update({n: counters.get(n, 0) for n in _SHOWN_COUNTERS})
+    return dict(totals)
+
+
+async def read_engine_counts(running: deployment.Deployment) -> dict[str, int]:
+    """Returns sums of what the engines counted, for the whole run."""
+    totals: collections.Counter[str] = collections.Counter()
+    for name in running.backends:
+        state = await running.read_emulator(name)
+        totals.update(state.get("counts", {}))
+    return dict(totals)
+
+
+async def find_violations(
+    running: deployment.Deployment,
+    load: soak_load.Load,
+    faults: soak_faults.FaultInjector,
+) -> list[str]:
+    """Returns all violations of the invariants of requests."""
+    bills = await _wait_billed(running, load)
+    router = next(iter(running.routers.values()))
+    statement = await running.read_statement(router)
+    chats = [entry.answer for entry in load.chats]
+    violations = list(faults.errors)
+    violations += invariants.find_billing_faults(chats, bills, statement)
+    violations += _find_call_billing_faults(load, bills, statement)
+    violations += invariants.find_wrong_texts(load.chats)
+    violations += load.session_faults
+    violations += _find_cut_off(load, faults)
+    violations += await _find_execution_faults(running, load)
+    check = await running.check_ledger(router)
+    violations += [f"ledger: {entry}" for entry in check["duplicates"]]
+    counters = await read_counters(running)
+    if counters["request.internal_error"]:
+        violations.append(
+            f"{counters['request.internal_error']} internal errors"
+        )
+    return violations + _find_failed_checks(running)
+
+
+async def _wait_billed(
+    running: deployment.Deployment, load: soak_load.Load
+) -> list[dict[str, Any]]:
+    answers = [entry.answer for entry in load.chats]
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + _LOST_AFTER_S
+    while True:
+        bills = await running.read_ledger()
+        if not invariants.find_unbilled(answers, bills):
+            return bills
+        if loop.time() > end_s:
+            return bills
+        await asyncio.sleep(0.2)
+
+
+def _find_call_billing_faults(
+    load: soak_load.Load,
+    bills: list[dict[str, Any]],
+    statement: list[dict[str, Any]],
+) -> list[str]:
+    """Compares the answers of calls with the bills of the service.
+
+    A call whose answer was lost on the way to the caller is billed too.
+    """
+    request_ids = {bill["request_id"] for bill in bills}
+    faults = [
+        f"{answer.request_id}: lookup answered without a bill"
+        for answer in load.lookups
+        if answer.ended and answer.request_id not in request_ids
+    ]
+    answered = {entry.key for entry in load.calls if entry.answer.ended}
+    billed = sum(
+        bill["model"] == "labels"
+        and bill["version"] == "print"
+        and bill["outcome"] == "completed"
+        for bill in statement
+    )
+    if billed < len(answered):
+        faults.append(f"{len(answered)} prints answered, {billed} billed")
+    sent = {entry.key for entry in load.calls}
+    if billed > len(sent):
+        faults.append(f"{len(sent)} keys of prints, {billed} billed")
+    return faults
+
+
+def _find_cut_off(
+    load: soak_load.Load, faults: soak_faults.FaultInjector
+) -> list[str]:
+    return [
+        f"{answer.request_id}: cut off by a planned stop: {answer.lost}"
+        for answer in load.list_answers()
+        if answer.url in faults.stopped_urls
+        and answer.request_id
+        and answer.lost
+    ]
+
+
+async def _find_execution_faults(
+    running: deployment.Deployment, load: soak_load.Load
+) -> list[str]:
+    runs = await running.read_runs()
+    violations = invariants.find_untrue_refusals(load.list_answers(), runs)
+    state = await running.read_emulator("labels-1")
+    violations += invariants.find_repeated_executions(state["executions"])
+    executed = {entry["idempotency_key"] for entry in state["executions"]}
+    violations += [
+        f"key {entry.key}: answered without an execution"
+        for entry in load.calls
+        if entry.answer.ended and entry.key not in executed
+    ]
+    return violations
+
+
+def _find_failed_checks(running: deployment.Deployment) -> list[str]:
+    """Returns violations that the routers found themselves."""
+    return [
+        f"{name}: {line.strip()}"
+        for name, log in running.read_logs().items()
+        for line in log.splitlines()
+        if "InvariantError" in line
+    ]
--- /dev/null
+++ b/harness/soak_faults.py
@@ -0,0 +1,287 @@
+"""Random faults of the soak."""
+
+import asyncio
+import collections
+import copy
+import random
+from collections.abc import Awaitable, Callable
+
+from harness import deployment
+
+# The back-off of journal writes after an outage is at most 10 s. A router
+# that dies before may have the only copy of a bill, a loss that the design
+# allows and that would hide others.
+_BACK_OFF_S = 12.0
+# Silence after which holders write the bills of a router, and a margin.
+_RECOVERY_S = 16.0
+
+Fault = Callable[[], Awaitable[None]]
+
+
+class FaultInjector:
+    """Injects one fault of routers or the platform at a time, and one of links.
+
+    Attributes:
+        counts: Number of faults by name.
+        stopped_urls: Public URLs of routers that were stopped as planned.
+        errors: Faults of the product that the injector met itself.
+    """
+
+    def __init__(
+        self, running: deployment.Deployment, generator: random.Random
+    ) -> None:
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.stopped_urls: set[str] = set()
+        self.errors: list[str] = []
+        self._running = running
+        self._random = random.Random(generator.random())
+        self._outage_end_s = 0.0
+        self._next_vm = 100
+        self._tasks: list[asyncio.Task[None]] = []
+        self._is_over = False
+
+    def start(self) -> None:
+        """Starts to inject faults."""
+        routers: tuple[Fault, ...] = (
+            self.kill_router,
+            self.replace_vm,
+            self.freeze_router,
+            self.stop_router,
+            self.platform_outage,
+            self.platform_hang,
+            self.lose_answers,
+            self.kill_in_outage,
+            self.freeze_in_outage,
+        )
+        links: tuple[Fault, ...] = (
+            self.cut_links,
+            self.freeze_link,
+            self.refuse_link,
+            self.limit_link,
+            self.delay_link,
+            self.engine_faults,
+            self.service_faults,
+            self.change_configuration,
+        )
+        for faults, pause_s in ((routers, 2.0), (links, 1.0)):
+            self._tasks.append(
+                asyncio.create_task(self._inject(faults, pause_s))
+            )
+
+    async def stop(self) -> None:
+        """Ends all faults and waits until all routers are ready."""
+        self._is_over = True
+        await asyncio.gather(*self._tasks)
+        for entry in self._running.backend_proxies.values():
+            entry.heal()
+        for router in list(self._running.routers.values()):
+            await self._running.wait_ready(router)
+
+    async def _inject(
+        self, faults: tuple[Fault, ...], longest_pause_s: float
+    ) -> None:
+        # Each fault comes up once before one is repeated.
+        queue: list[Fault] = []
+        while not self._is_over:
+            if not queue:
+                queue = self._random.sample(faults, len(faults))
+            await self._pause(0.1, longest_pause_s)
+            fault = queue.pop()
+            self.counts[fault.__name__] += 1
+            await fault()
+
+    async def _pause(self, shortest_s: float, longest_s: float) -> None:
+        await asyncio.sleep(self._random.uniform(shortest_s, longest_s))
+
+    def _pick_router(self) -> deployment.RunningRouter:
+        return self._random.choice(list(self._running.routers.values()))
+
+    async def _wait_written(self) -> None:
+        """Waits until no router has a bill of the last outage in memory."""
+        now_s = asyncio.get_running_loop().time()
+        left_s = self._outage_end_s + _BACK_OFF_S - now_s
+        await asyncio.sleep(max(0.0, left_s))
+
+    async def _end_outage(self) -> None:
+        await self._running.control("platform", outage=False, hang=False)
+        self._outage_end_s = asyncio.get_running_loop().time()
+
+    async def _wait_all_ready(self) -> None:
+        for router in list(self._running.routers.values()):
+            await self._running.wait_ready(router)
+
+    async def _restart(self, router: deployment.RunningRouter) -> None:
+        await router.process.wait()
+        await self._running.start_router(router.vm, router.data_centre)
+        await self._running.publish_vms()
+        await self._wait_all_ready()
+
+    async def kill_router(self) -> None:
+        """Kills a router and starts it again on the same VM."""
+        await self._wait_written()
+        router = self._pick_router()
+        router.process.kill()
+        await self._pause(0.0, 2.0)
+        await self._restart(router)
+
+    async def replace_vm(self) -> None:
+        """Replaces a VM by one with another name."""
+        await self._wait_written()
+        router = self._pick_router()
+        router.process.kill()
+        await router.process.wait()
+        del self._running.routers[router.vm]
+        self._next_vm += 1
+        await self._running.start_router(
+            f"router-{self._next_vm}", router.data_centre
+        )
+        await self._running.publish_vms()
+        await self._wait_all_ready()
+
+    async def freeze_router(self) -> None:
+        """Freezes a router, at times for longer than its holders wait."""
+        router = self._pick_router()
+        router.process.pause()
+        await self._pause(0.5, 14.0)
+        router.process.resume()
+        await self._wait_all_ready()
+
+    async def stop_router(self) -> None:
+        """Stops a router as planned and starts it again."""
+        await self._wait_written()
+        router = self._pick_router()
+        self.stopped_urls.add(router.public_url)
+        router.process.terminate()
+        code = await router.process.wait()
+        if code:
+            self.errors.append(f"{router.vm} stopped with exit code {code}")
+        await self._restart(router)
+
+    async def platform_outage(self) -> None:
+        """Has the platform refuse all calls for seconds."""
+        await self._running.control("platform", outage=True)
+        await self._pause(1.0, 12.0)
+        await self._end_outage()
+        await self._wait_all_ready()
+
+    async def platform_hang(self) -> None:
+        """Has the platform answer nothing, and execute the calls later."""
+        await self._running.control("platform", hang=True)
+        await self._pause(0.5, 6.0)
+        await self._end_outage()
+        await self._wait_all_ready()
+
+    async def lose_answers(self) -> None:
+        """Loses the answers of writes that take effect."""
+        await self._running.control(
+            "platform", lose_answers=self._random.randint(1, 50)
+        )
+        await self._pause(0.5, 3.0)
+        await self._running.control("platform", lose_answers=0)
+
+    async def kill_in_outage(self) -> None:
+        """Kills a router while only its holders have its newest bills."""
+        await self._wait_written()
+        await self._running.control("platform", outage=True)
+        await self._pause(0.5, 6.0)
+        router = self._pick_router()
+        router.process.kill()
+        await self._pause(0.0, 4.0)
+        await self._end_outage()
+        await asyncio.sleep(_RECOVERY_S)
+        await self._restart(router)
+
+    async def freeze_in_outage(self) -> None:
+        """Freezes a router in an outage until its holders write its bills."""
+        await self._wait_written()
+        await self._running.control("platform", outage=True)
+        await self._pause(0.5, 3.0)
+        router = self._pick_router()
+        router.process.pause()
+        await self._pause(0.0, 4.0)
+        await self._end_outage()
+        await asyncio.sleep(_RECOVERY_S)
+        router.process.resume()
+        await self._wait_all_ready()
+
+    def _pick_proxy(self):
+        return self._random.choice(list(self._running.backend_proxies.values()))
+
+    async def cut_links(self) -> None:
+        """Cuts all links to one backend server."""
+        self._pick_proxy().cut()
+
+    async def freeze_link(self) -> None:
+        """Has a link carry nothing for a while."""
+        entry = self._pick_proxy()
+        entry.faults.frozen = True
+        await self._pause(0.2, 3.0)
+        entry.heal()
+
+    async def refuse_link(self) -> None:
+        """Resets new connections to a backend server."""
+        entry = self._pick_proxy()
+        entry.faults.refuse = True
+        await self._pause(0.2, 2.0)
+        entry.heal()
+
+    async def limit_link(self) -> None:
+        """Cuts each connection after a number of bytes, in one direction."""
+        entry = self._pick_proxy()
+        limit = self._random.randint(0, 6_000)
+        if self._random.random() < 0.5:
+            entry.faults.cut_to_client_after = limit
+        else:
+            entry.faults.cut_to_server_after = limit % 700
+        await self._pause(0.2, 2.0)
+        entry.heal()
+
+    async def delay_link(self) -> None:
+        """Slows a link down."""
+        entry = self._pick_proxy()
+        entry.faults.delay_s = self._random.uniform(0.001, 0.05)
+        await self._pause(0.2, 3.0)
+        entry.heal()
+
+    async def engine_faults(self) -> None:
+        """Has an engine fail, stall or cut a few requests."""
+        name = self._random.choice(("engine-1", "engine-2", "engine-3"))
+        count = self._random.randint(1, 10)
+        fields = self._random.choice(
+            (
+                {"cut_before_requests": count},
+                {"cut_after_requests": count},
+                {"cut_answers": count, "cut_after_events": count},
+                {"stall_requests": count, "stall_s": 0.5},
+                {"error_share": 0.3},
+            )
+        )
+        await self._running.control(name, **fields)
+        await self._pause(0.5, 2.0)
+        await self._running.control(name, error_share=0.0)
+
+    async def service_faults(self) -> None:
+        """Has the service cut a few requests or answer slowly."""
+        field = self._random.choice(("cut_before", "cut_after", "fail_before"))
+        await self._running.control(
+            "labels-1", **{field: self._random.randint(1, 5)}, delay_s=0.1
+        )
+        await self._pause(0.5, 2.0)
+        await self._running.control("labels-1", delay_s=0.0)
+
+    async def change_configuration(self) -> None:
+        """Changes prices and has one engine leave or come back.
+
+        A change is refused without a majority or the platform, which is no
+        fault.
+        """
+        document = copy.deepcopy(self._running.document)
+        leaving = self._random.choice(("engine-1", "engine-2", ""))
+        for entry in document["backend_servers"]:
+            is_leaving = entry["name"] == leaving
+            entry["state"] = "leaving" if is_leaving else "active"
+        for version in document["models"][0]["versions"]:
+            version["price"]["prompt"] = self._random.randint(1, 10) * 50_000
+        router = self._pick_router()
+        reply = await self._running.try_apply(document, router.admin_url)
+        self.counts[f"configuration change: {reply.status}"] += 1
