--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 PYTHON ?= python3
 # Seed of the randomised tests; `make soak` runs others.
 SEED ?= 1
+# Duration of the soak.
+MINUTES ?= 2
 BIN := .venv/bin
 
 .PHONY: setup test demo check format soak experiment generate capacity
@@ -33,3 +35,6 @@
 
 capacity: setup
 	$(BIN)/python -m harness.capacity $(CAPACITY_FLAGS)
+
+soak: setup
+	$(BIN)/python -m harness.soak --seed $(SEED) --minutes $(MINUTES)
