Reload the callers' certificate and prove TLS and the inner key

The router looks at its certificate files once a second and uses a changed pair for new connections. A pair that does not belong together is tried apart from the live context first, because load_cert_chain replaces the certificate before it refuses the key.

The test makes two authorities: routers hear each other over mutual TLS; calls with a wrong or no inner key, with a certificate of another authority, or without TLS get no state; callers need the right authority; a wrong key file leaves the old certificate in use, and the next pair is shown to new connections without a restart.

--- a/harness/http.py
+++ b/harness/http.py
@@ -42,6 +42,7 @@
         body: Any = None,
         headers: dict[str, str] | None = None,
         timeout_s: float = _TIMEOUT_S,
+        ca_certs: str | None = None,
     ) -> Reply:
         """Sends a request; a body that is not bytes is sent as JSON."""
         if body is not None and not isinstance(body, bytes):
@@ -54,6 +55,7 @@
             connect_timeout=timeout_s,
             request_timeout=timeout_s,
             allow_nonstandard_methods=True,
+            ca_certs=ca_certs,
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
--- a/src/dragonflydyke/router/assembly.py
+++ b/src/dragonflydyke/router/assembly.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import pathlib
-import ssl
 from collections.abc import Coroutine
 from typing import Any
 
@@ -28,6 +27,7 @@
 from dragonflydyke.protocol import server as inner_server
 from dragonflydyke.rollouts import counts, driver, lease, ratings
 from dragonflydyke.router import (
+    certificates,
     checks,
     engines,
     fleet,
@@ -72,6 +72,7 @@
     __slots__ = (
         "_backends",
         "_bills",
+        "_certificate",
         "_claims",
         "_counters",
         "_driver",
@@ -102,6 +103,7 @@
         self._counters = _create_counters(values)
         self._inner_key = values.inner_key_file.read_text().strip()
         self._tls = _read_inner_tls(values)
+        self._certificate = _load_certificate(values, self._counters)
         self._objects = objects.ObjectClient(
             values.platform_url, counters=self._counters
         )
@@ -147,7 +149,7 @@
         admin_address = _listen(admin_server, values.admin_address)
         self._public_server = gateway.build_server(
             gateway.build_application(self._gateway),
-            ssl_options=_create_public_tls(values),
+            ssl_options=self._certificate and self._certificate.context,
         )
         public_address = _listen(self._public_server, values.public_address)
         self._start_tasks()
@@ -311,6 +313,8 @@
         """Passes on what membership knows, and sends the counters."""
         while True:
             fleet.update_limits(self._member, self._limiter)
+            if self._certificate is not None:
+                self._certificate.reload_if_changed()
             self._pool.set_leaving_vms(self._member.contacts.leaving_vms())
             self._counters.gauge(
                 "request.in_progress", self._gateway.tracker.count
@@ -351,17 +355,14 @@
     return f"{address.host}:{sockets[0].getsockname()[1]}"
 
 
-def _create_public_tls(
-    values: options.RouterSettings,
-) -> ssl.SSLContext | None:
+def _load_certificate(
+    values: options.RouterSettings, counters: metrics.Counters
+) -> certificates.PublicCertificate | None:
     if values.public_tls_certificate is None:
         return None
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.minimum_version = ssl.TLSVersion.TLSv1_2
-    context.load_cert_chain(
-        values.public_tls_certificate, values.public_tls_key
+    return certificates.PublicCertificate(
+        values.public_tls_certificate, values.public_tls_key, counters
     )
-    return context
 
 
 def _read_inner_tls(
