Refuse unreadable load reports, ratings and sampled answers

Causes: - A load report with a number over the range of floats raised OverflowError, which ended the load observer of every router that polls the engine, or failed in the choice of a server. Counts are bounded by 2**53 now. - Deeply nested JSON from an engine raised RecursionError. - An answer with a list of other things as choices, and a rating that is null or too large, each ended a rating worker. After four of them a router rated nothing, and its roll-outs held their step.

--- a/src/dragonflydyke/backends/client.py
+++ b/src/dragonflydyke/backends/client.py
@@ -298,7 +298,7 @@
             )
         try:
             return json.loads(body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise failures.answer_invalid(
                 request.server.name,
                 errors.Step.READ_ANSWER,
--- a/src/dragonflydyke/backends/model.py
+++ b/src/dragonflydyke/backends/model.py
@@ -8,6 +8,8 @@
 from dragonflydyke.configuration import model
 
 REQUEST_ID_HEADER = "Dragonflydyke-Request-Id"
+# Larger numbers are not exact as floats.
+_MAX_COUNT = 2**53
 STREAM_ID_HEADER = "Dragonflydyke-Stream-Id"
 
 
@@ -88,12 +90,15 @@
         Raises:
             KeyError, TypeError, ValueError: If a field is missing or invalid.
         """
+        versions = mapping["versions"]
+        if not isinstance(versions, list):
+            raise TypeError("versions is not a list")
         return cls(
-            as_of_ms=int(mapping["as_of_ms"]),
-            running=int(mapping["running"]),
-            waiting=int(mapping["waiting"]),
-            slots=int(mapping["slots"]),
-            versions=tuple(str(name) for name in mapping["versions"]),
+            as_of_ms=_read_count(mapping["as_of_ms"]),
+            running=_read_count(mapping["running"]),
+            waiting=_read_count(mapping["waiting"]),
+            slots=_read_count(mapping["slots"]),
+            versions=tuple(str(name) for name in versions),
         )
 
 
@@ -117,3 +122,17 @@
     kind: OrderKind
     version: str
     fencing: int
+
+
+def _read_count(value: Any) -> int:
+    """Returns a number from an engine as a whole number.
+
+    Raises:
+        TypeError, ValueError: If it is no number of at least 0 that is exact
+            as a float; estimates of load are computed with floats.
+    """
+    if not isinstance(value, int | float):
+        raise TypeError(f"{type(value).__name__} is not a number")
+    if not 0 <= value <= _MAX_COUNT:
+        raise ValueError("number out of range")
+    return int(value)
--- a/src/dragonflydyke/gateway/events.py
+++ b/src/dragonflydyke/gateway/events.py
@@ -85,7 +85,7 @@
         return None
     try:
         value = json.loads(data)
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
     if not isinstance(value, dict):
         return None
--- a/src/dragonflydyke/rollouts/answers.py
+++ b/src/dragonflydyke/rollouts/answers.py
@@ -27,8 +27,10 @@
 
 def _read_texts(text: str, field: str) -> Iterator[str]:
     try:
-        choices = json.loads(text).get("choices", [])
-    except (ValueError, AttributeError):
+        choices = json.loads(text)["choices"]
+    except (ValueError, TypeError, KeyError, RecursionError):
         return
-    for choice in choices:
-        yield choice.get(field, {}).get("content") or ""
+    for choice in choices if isinstance(choices, list) else ():
+        part = choice.get(field) if isinstance(choice, dict) else None
+        content = part.get("content") if isinstance(part, dict) else None
+        yield content if isinstance(content, str) else ""
--- a/src/dragonflydyke/rollouts/ratings.py
+++ b/src/dragonflydyke/rollouts/ratings.py
@@ -16,6 +16,16 @@
 _MAX_CONNECTIONS = 64
 
 
+# What an answer that is not a rating raises; each would end a worker.
+_UNREADABLE = (
+    ValueError,
+    KeyError,
+    TypeError,
+    OverflowError,
+    RecursionError,
+)
+
+
 class RatingClient:
     """HTTP client of the rating service."""
 
@@ -46,7 +56,7 @@
         try:
             response = await self._http.fetch(request)
             rating = float(json.loads(response.body)["rating"])
-        except (OSError, httpclient.HTTPError, ValueError, KeyError):
+        except (OSError, httpclient.HTTPError, *_UNREADABLE):
             self._counters.increment("rating.unavailable")
             return None
         if not 0.0 <= rating <= 1.0:
