--- a/src/dragonflydyke/membership/exchange.py
+++ b/src/dragonflydyke/membership/exchange.py
@@ -227,15 +227,12 @@
         return answer.vm
 
     def _adopt(self, bundle: node_pb2.StateBundle, sent_s: float) -> None:
-        stored = tuple(
-            objects.StoredObject(
-                state.CONTROL_KIND,
-                entry.name,
-                entry.version,
-                json.loads(entry.value),
-            )
-            for entry in bundle.objects
-        )
+        try:
+            stored = _parse_objects(bundle)
+        except (ValueError, RecursionError) as error:
+            self._counters.increment("fetch.unreadable")
+            _logger.error("peer state unreadable", error=repr(error))
+            return
         deleted = set(self._state.stored).difference(bundle.object_names)
         try:
             self._state.adopt(stored, bundle.control_version, deleted)
@@ -290,6 +287,20 @@
     return bundle
 
 
+def _parse_objects(
+    bundle: node_pb2.StateBundle,
+) -> tuple[objects.StoredObject, ...]:
+    return tuple(
+        objects.StoredObject(
+            state.CONTROL_KIND,
+            entry.name,
+            entry.version,
+            json.loads(entry.value),
+        )
+        for entry in bundle.objects
+    )
+
+
 def _parse_vms(bundle: node_pb2.StateBundle) -> objects.VmList:
     # Time 0, so that any list read from the platform replaces it.
     return objects.VmList(
--- a/src/dragonflydyke/membership/reports.py
+++ b/src/dragonflydyke/membership/reports.py
@@ -16,6 +16,7 @@
 from dragonflydyke.protocol import node_pb2
 
 _MS_PER_S = 1_000
+_MAX_UINT32 = 2**32 - 1
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -143,7 +144,9 @@
             known = contact.report
             report.heard_vms.append(name)
             report.heard_revision = max(report.heard_revision, known.revision)
-            report.heard_pending += known.pending_announcements
+            report.heard_pending = min(
+                report.heard_pending + known.pending_announcements, _MAX_UINT32
+            )
             if known.uptime_ms < permit.STARTING_S * _MS_PER_S:
                 report.starting_vms.append(name)
 
@@ -161,4 +164,4 @@
 
 def to_age_ms(age_s: float) -> int:
     """Returns an age in milliseconds, rounded up, for a 32-bit field."""
-    return min(math.ceil(max(age_s, 0.0) * _MS_PER_S), 2**32 - 1)
+    return min(math.ceil(max(age_s, 0.0) * _MS_PER_S), _MAX_UINT32)
