--- a/tests/builders/certificates.py
+++ b/tests/builders/certificates.py
@@ -1,86 +1,42 @@
-"""Certificates for loopback addresses."""
+"""Builders of certificates for TLS between routers."""
 
-import dataclasses
 import datetime
 import ipaddress
-import pathlib
 
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
-from cryptography.x509.oid import NameOID
 
-_VALIDITY = datetime.timedelta(days=1)
+from dragonflydyke.protocol import server
 
+_VALID_DAYS = 1
 
-@dataclasses.dataclass(slots=True)
-class Pair:
-    """Paths of a PEM certificate and its private key, and its number."""
 
-    certificate: pathlib.Path
-    key: pathlib.Path
-    serial_number: int
-
-
-class Authority:
-    """Signs certificates; its own is in the file `certificate`."""
-
-    def __init__(self, directory: pathlib.Path, name: str) -> None:
-        self._directory = directory
-        self._name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
-        self._key = ec.generate_private_key(ec.SECP256R1())
-        constraints = x509.BasicConstraints(ca=True, path_length=0)
-        signed = (
-            _begin(self._name, self._key.public_key())
-            .issuer_name(self._name)
-            .add_extension(constraints, critical=True)
-            .sign(self._key, hashes.SHA256())
-        )
-        self.certificate = directory / f"{name}.pem"
-        self.certificate.write_bytes(_encode(signed))
-
-    def issue(self, name: str) -> Pair:
-        """Writes a certificate for 127.0.0.1; replaces one of the name."""
-        key = ec.generate_private_key(ec.SECP256R1())
-        subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
-        address = x509.IPAddress(ipaddress.IPv4Address("127.0.0.1"))
-        signed = (
-            _begin(subject, key.public_key())
-            .issuer_name(self._name)
-            .add_extension(
-                x509.SubjectAlternativeName([address]), critical=False
-            )
-            .sign(self._key, hashes.SHA256())
-        )
-        pair = Pair(
-            self._directory / f"{name}.pem",
-            self._directory / f"{name}.key",
-            signed.serial_number,
-        )
-        pair.key.write_bytes(
-            key.private_bytes(
-                serialization.Encoding.PEM,
-                serialization.PrivateFormat.PKCS8,
-                serialization.NoEncryption(),
-            )
-        )
-        pair.certificate.write_bytes(_encode(signed))
-        return pair
-
-
-def _begin(
-    subject: x509.Name, key: ec.EllipticCurvePublicKey
-) -> x509.CertificateBuilder:
+def build_tls() -> server.Tls:
+    """Returns a self-signed certificate for 127.0.0.1 and its authority."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name(
+        (x509.NameAttribute(x509.NameOID.COMMON_NAME, "127.0.0.1"),)
+    )
+    address = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
     now = datetime.datetime.now(datetime.UTC)
-    return (
+    margin = datetime.timedelta(days=_VALID_DAYS)
+    certificate = (
         x509.CertificateBuilder()
-        .subject_name(subject)
-        .public_key(key)
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
         .serial_number(x509.random_serial_number())
-        .not_valid_before(now - _VALIDITY)
-        .not_valid_after(now + _VALIDITY)
+        .not_valid_before(now - margin)
+        .not_valid_after(now + margin)
+        .add_extension(x509.SubjectAlternativeName((address,)), False)
+        .add_extension(x509.BasicConstraints(ca=True, path_length=None), True)
+        .sign(key, hashes.SHA256())
+        .public_bytes(serialization.Encoding.PEM)
     )
-
-
-def _encode(signed: x509.Certificate) -> bytes:
-    return signed.public_bytes(serialization.Encoding.PEM)
+    private_key = key.private_bytes(
+        serialization.Encoding.PEM,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
+    )
+    return server.Tls(certificate, private_key, certificate)
--- a/tests/test_proof_tls.py
+++ b/tests/test_proof_tls.py
@@ -11,7 +11,7 @@
 from dragonflydyke import errors, metrics
 from dragonflydyke.protocol import client, node_pb2, server
 from harness import deployment
-from tests.builders import certificates, integration
+from tests.builders import authorities, integration
 
 _TIMEOUT_S = 5.0
 
@@ -23,8 +23,8 @@
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
         path = pathlib.Path(directory.name)
-        self.authority = certificates.Authority(path, "authority")
-        self.stranger = certificates.Authority(path, "stranger")
+        self.authority = authorities.Authority(path, "authority")
+        self.stranger = authorities.Authority(path, "stranger")
         self.inner = self.authority.issue("inner")
         self.public = self.authority.issue("public")
         # Routers hear each other, so mutual TLS works between them.
@@ -82,7 +82,7 @@
         return len(bundle.objects) > 0
 
     def _read(
-        self, pair: certificates.Pair, authority: certificates.Authority
+        self, pair: authorities.Pair, authority: authorities.Authority
     ) -> server.Tls:
         return server.Tls(
             pair.certificate.read_bytes(),
