--- a/src/dragonflydyke/router/assembly.py
+++ b/src/dragonflydyke/router/assembly.py
@@ -112,7 +112,10 @@
         self._limiter = limits.AccountLimiter(self._counters)
         self._version_counts = counts.VersionCounts()
         self._pool = routing.ServerPool(
-            values.data_centre, values.vm_name, self._counters
+            values.data_centre,
+            values.vm_name,
+            self._counters,
+            server_choice=values.server_choice,
         )
         self._claims = idempotency.ClaimRegistry(
             self._objects, values.vm_name, self._counters
@@ -321,6 +324,8 @@
             if self._certificate is not None:
                 self._certificate.reload_if_changed()
             self._pool.set_leaving_vms(self._member.contacts.leaving_vms())
+            self._pool.set_vm_count(self._count_nodes())
+            self._counters.gauge("hold.count", self._pool.held())
             self._counters.gauge(
                 "request.in_progress", self._gateway.tracker.count
             )
