--- a/harness/deployment.py
+++ b/harness/deployment.py
@@ -1,6 +1,7 @@
 """A whole deployment of real processes on loopback."""
 
 import asyncio
+import collections
 import dataclasses
 import hashlib
 import json
@@ -12,6 +13,8 @@
 from harness import http, processes, proxy
 
 OPERATOR_KEY = "operator-key-for-tests"
+# Decides the texts of answers.
+ENGINE_SEED = 0
 INNER_KEY = "inner-key-for-tests"
 ROUTERS = (
     ("router-1", "cartago-a"),
@@ -48,6 +51,9 @@
         platform_proxies: Whether each router reaches the platform through a
             fault proxy of its own.
         backend_proxies: Whether backend servers are reached through proxies.
+        peer_proxies: Whether each router reaches each other one through a
+            fault proxy of the pair. A report carries the sender's own
+            address, so cut a link in both directions.
     """
 
     configuration: pathlib.Path
@@ -56,6 +62,7 @@
     router_flags: tuple[str, ...] = ("--drain-s", "0.2")
     platform_proxies: bool = False
     backend_proxies: bool = False
+    peer_proxies: bool = False
 
 
 class Deployment:
@@ -68,6 +75,7 @@
         backends: Backend server processes by configured name.
         backend_urls: Base URLs of the processes, not of their proxies.
         backend_proxies: Fault proxies by configured name.
+        peer_proxies: Fault proxies by viewing and viewed VM.
         routers: Routers by VM name.
         http: Caller for requests.
         document: Configuration mapping that was applied.
@@ -92,6 +100,8 @@
         self.backends: dict[str, processes.ManagedProcess] = {}
         self.backend_urls: dict[str, str] = {}
         self.backend_proxies: dict[str, proxy.FaultProxy] = {}
+        self.peer_proxies: dict[tuple[str, str], proxy.FaultProxy] = {}
+        self._proxied_addresses: dict[tuple[str, str], str] = {}
         self.routers: dict[str, RunningRouter] = {}
         self.document = load_documents(options.configuration)
 
@@ -133,11 +143,10 @@
         await asyncio.gather(*(p.stop() for p in routers))
         rest = [p for p in self._started if p not in routers]
         await asyncio.gather(*(p.stop() for p in rest))
-        proxies = [*self.backend_proxies.values()]
-        proxies += [
-            r.platform_proxy
-            for r in self.routers.values()
-            if r.platform_proxy is not None
+        proxies = [
+            *self.backend_proxies.values(),
+            *self.peer_proxies.values(),
+            *self._platform_proxies.values(),
         ]
         await asyncio.gather(*(entry.stop() for entry in proxies))
         self.http.close()
@@ -146,6 +155,10 @@
         """Returns all running processes."""
         return [p for p in self._started if p.is_running]
 
+    def read_logs(self) -> dict[str, str]:
+        """Returns the logs of all processes by their names."""
+        return {p.name: p.read_log() for p in self._started}
+
     async def start_router(self, vm: str, data_centre: str) -> RunningRouter:
         """Starts a router on a VM; replaces one of the same name."""
         process = processes.ManagedProcess(
@@ -166,9 +179,18 @@
         self.routers[vm] = router
         return router
 
-    async def publish_vms(self, leaving: frozenset[str] = frozenset()) -> None:
-        """Puts the present routers and backend servers on the VM list."""
-        vms = [
+    async def publish_vms(
+        self,
+        leaving: frozenset[str] = frozenset(),
+        keep: frozenset[str] = frozenset(),
+    ) -> None:
+        """Puts the present routers and backend servers on the VM list.
+
+        Args:
+            leaving: VMs with the state `leaving`.
+            keep: Routers that stay on the list although they ended.
+        """
+        vms: list[dict[str, Any]] = [
             {
                 "name": router.vm,
                 "data_centre": router.data_centre,
@@ -177,11 +199,41 @@
                 "state": "leaving" if router.vm in leaving else "live",
             }
             for router in self.routers.values()
-            if router.process.is_running
+            if router.process.is_running or router.vm in keep
         ]
-        await self.http.call(
-            "PUT", f"{self.platform_url}/v1/vms", body={"vms": vms}
-        )
+        vms += [
+            {
+                "name": entry["vm"],
+                "data_centre": entry["data_centre"],
+                "role": "backend",
+                "inner_address": "",
+                "state": "leaving" if entry["vm"] in leaving else "live",
+            }
+            for entry in self.document["backend_servers"]
+            if entry.get("vm")
+        ]
+        body = {"vms": vms}
+        if self._options.peer_proxies:
+            body["views"] = await self._build_views()
+        await self.http.call("PUT", f"{self.platform_url}/v1/vms", body=body)
+
+    def cut_from_platform(self, vm: str) -> None:
+        """Cuts a router off from the platform."""
+        self._platform_proxies[vm].isolate()
+
+    def cut_from_peers(self, vm: str, *others: str) -> None:
+        """Cuts a router off from some others, or from all."""
+        for pair, link in self.peer_proxies.items():
+            if vm in pair and (not others or set(pair) & set(others)):
+                link.isolate()
+
+    def heal_links(self) -> None:
+        """Ends all faults of the links to the platform and to peers."""
+        for link in (
+            *self._platform_proxies.values(),
+            *self.peer_proxies.values(),
+        ):
+            link.heal()
 
     async def apply(
         self, document: dict[str, Any], router: RunningRouter | None = None
@@ -243,11 +295,53 @@
         )
         entries = reply.json()["objects"]
         return [
-            bill | {"journal": entry["name"]}
+            {"request_id": bill["bill_id"], **bill, "journal": entry["name"]}
             for entry in entries
             for bill in entry["value"]["bills"]
         ]
 
+    async def read_statement(
+        self, router: RunningRouter
+    ) -> list[dict[str, Any]]:
+        """Returns the bills that statements count, each bill_id once."""
+        reply = await self.http.call(
+            "GET", f"{router.admin_url}/v1/bills", headers=operator_headers()
+        )
+        return reply.json()["bills"]
+
+    async def check_ledger(self, router: RunningRouter) -> dict[str, Any]:
+        """Returns what `bills --check` says: gaps and duplicates."""
+        reply = await self.http.call(
+            "GET",
+            f"{router.admin_url}/v1/bills?check=true",
+            headers=operator_headers(),
+        )
+        return reply.json()
+
+    async def read_counters(self, router: RunningRouter) -> dict[str, int]:
+        """Returns the counters of a router."""
+        reply = await self.http.call(
+            "GET",
+            f"{router.admin_url}/v1/counters",
+            headers=operator_headers(),
+        )
+        return reply.json()["counters"]
+
+    async def read_emulator(self, name: str) -> Any:
+        """Returns behaviour and counts of a backend server."""
+        url = f"{self.backend_urls[name]}/control"
+        return (await self.http.call("GET", url)).json()
+
+    async def read_runs(self) -> dict[str, int]:
+        """Returns executions by request id, over all backend servers."""
+        runs: collections.Counter[str] = collections.Counter()
+        for name in self.backends:
+            state = await self.read_emulator(name)
+            runs.update(state.get("runs", {}))
+            executions = state.get("executions", ())
+            runs.update(entry["request_id"] for entry in executions)
+        return dict(runs)
+
     async def wait_for_bills(self, count: int) -> list[dict[str, Any]]:
         """Waits until the ledger has a number of bills; returns them."""
         async with asyncio.timeout(_READY_TIMEOUT_S):
@@ -255,6 +349,27 @@
                 await asyncio.sleep(_POLL_S)
         return bills
 
+    async def _build_views(self) -> dict[str, dict[str, str]]:
+        """Returns the addresses of the proxies of all pairs of routers."""
+        views: dict[str, dict[str, str]] = {}
+        for viewer in self.routers:
+            for vm, router in self.routers.items():
+                if vm == viewer:
+                    continue
+                link = await self._proxy_pair((viewer, vm), router)
+                views.setdefault(viewer, {})[vm] = link.address
+        return views
+
+    async def _proxy_pair(
+        self, pair: tuple[str, str], router: RunningRouter
+    ) -> proxy.FaultProxy:
+        if self._proxied_addresses.get(pair) != router.inner_address:
+            if pair in self.peer_proxies:
+                await self.peer_proxies[pair].stop()
+            self.peer_proxies[pair] = await _start_proxy(router.inner_address)
+            self._proxied_addresses[pair] = router.inner_address
+        return self.peer_proxies[pair]
+
     async def _start(
         self, name: str, module: str, *flags: str
     ) -> processes.ManagedProcess:
@@ -291,6 +406,9 @@
                 "true" if entry.get("checks_fencing") else "false",
                 "--slots",
                 str(entry.get("slots", 8)),
+                # Otherwise the seed of the tests in the environment decides.
+                "--seed",
+                str(ENGINE_SEED),
                 *self._options.engine_flags,
             )
             module = "dragonflydyke.emulator.engine_main"
@@ -315,6 +433,8 @@
                 address = self.platform.ready_line
                 self._platform_proxies[vm] = await _start_proxy(address)
             platform_url = f"http://{self._platform_proxies[vm].address}"
+        if self._options.peer_proxies:
+            platform_url += f"/as/{vm}"
         seeds = [r.inner_address for r in self.routers.values() if r.vm != vm]
         return (
             f"--vm-name={vm}",
--- a/src/dragonflydyke/router/assembly.py
+++ b/src/dragonflydyke/router/assembly.py
@@ -178,6 +178,9 @@
             safety=result.safety.value,
             unwritten=result.unwritten,
         )
+        left = await self._holder.recover_all(_FLUSH_TIMEOUT_S)
+        if left:
+            _log.error("copies of bills dropped", count=left)
         await self._claims.close(_CLAIM_TIMEOUT_S)
 
     async def stop(self) -> None:
@@ -285,6 +288,7 @@
             bills=operations.LedgerAccess(
                 billing.LedgerReader(self._objects), self._member
             ),
+            session_keys=self._member.keys,
             counters=self._counters,
             operator_key_hashes=self._settings.operator_key_hashes,
         )
