Count usual short work against the slots for long work

Cause: at the crest, long work took every moment with little short work and held the slots for seconds; the load of other nodes had faded by then. The share for long work now subtracts the short work of the last 2 s. The experiment sets reserved_share to 0.6 for the crest.

--- a/harness/experiments.py
+++ b/harness/experiments.py
@@ -74,6 +74,7 @@
         compare_fault: Whether each seed is also played without the fault.
         stop: Stop condition and steps of a roll-out to a bad version, by
             policy name.
+        tuned: Settings of `policy` for this workload.
     """
 
     workload: str
@@ -88,6 +89,7 @@
     roll_outs: dict[str, dict[str, Any]] = dataclasses.field(
         default_factory=dict
     )
+    tuned: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 def _select(
@@ -222,7 +224,16 @@
         "line_questions", 36.0, 10.0, 2, _measure_times, (ROUTER,)
     ),
     "latency": Measure("short_among_long", 6.0, 12.0, 4, _measure_short),
-    "crest": Measure("shift_start", 10.0, 10.0, 4, _measure_short),
+    # Short work needs two thirds of the slots at the crest, and long work
+    # that began before lasts as long as the crest.
+    "crest": Measure(
+        "shift_start",
+        10.0,
+        10.0,
+        4,
+        _measure_short,
+        tuned={"reserved_share": 0.6},
+    ),
     "blocking": Measure("short_among_long", 50.0, 8.0, 4, _measure_short),
     "capacity": Measure("line_questions", 145.0, 12.0, 2, _measure_short),
     "stragglers": Measure(
@@ -316,6 +327,8 @@
 ) -> None:
     """Changes the demo's document into that of an experiment."""
     document["classes"] = _build_classes(document)
+    if measure.tuned:
+        document["policy"] = dict(measure.tuned)
     document["client_accounts"][0]["limits"] = {
         "requests_per_s": 10_000.0,
         "concurrent_requests": 10_000,
--- a/src/dragonflydyke/routing/loads.py
+++ b/src/dragonflydyke/routing/loads.py
@@ -9,6 +9,7 @@
 
 _REPORT_DECAY_S = 2.0
 _SERVICE_TIME_SMOOTHING = 0.1
+_SHORT_MEAN_S = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -22,9 +23,28 @@
     # report, which shows what other nodes left free.
     may_borrow: bool = False
     reported_at_s: float | None = None
+    short_mean: float = 0.0
+    short_noted_at_s: float = 0.0
     short_time_s: float | None = None
     long_time_s: float | None = None
 
+    def note_short(self) -> None:
+        """Adds the short work until now to its mean over time."""
+        now_s = asyncio.get_running_loop().time()
+        kept = math.exp((self.short_noted_at_s - now_s) / _SHORT_MEAN_S)
+        short = self.in_progress - self.long_in_progress
+        self.short_mean = self.short_mean * kept + short * (1.0 - kept)
+        self.short_noted_at_s = now_s
+
+    def usual_short(self) -> float:
+        """Returns the short work in progress, or its mean if that is more.
+
+        At the moments with little short work, long work would take the slots
+        for much longer than the moment lasts.
+        """
+        self.note_short()
+        return max(self.short_mean, self.in_progress - self.long_in_progress)
+
     def service_time_s(self, *, long: bool) -> float:
         """Returns the usual time in a slot, 0 if it is not known."""
         return (self.long_time_s if long else self.short_time_s) or 0.0
@@ -87,6 +107,7 @@
         """
         load = self._loads.setdefault(server.name, _Load())
         crowding = max(1.0, self.share_with_next(server))
+        load.note_short()
         load.in_progress += 1
         if long:
             if load.long_in_progress >= self._long_share(server):
@@ -97,6 +118,7 @@
     def end(self, server: str, *, long: bool) -> None:
         """Ends a request that `begin` counted."""
         load = self._loads[server]
+        load.note_short()
         load.in_progress -= 1
         load.long_in_progress -= long
         errors.check_invariant(
@@ -142,23 +164,28 @@
             return False
         if not request_class.long:
             return True
-        # The reserved slots stay free of all work, because short work may
-        # use more than the reserved share by itself.
-        if self.estimate(server) >= self._long_limit(server):
-            return False
         load = self._loads.get(server.name)
         if load is None or load.long_in_progress < self._long_share(server):
             return True
-        return load.may_borrow
+        nodes = self._count_nodes(server)
+        total = max(load.in_progress + load.foreign, load.usual_short() * nodes)
+        return load.may_borrow and total + 1 <= self._long_limit(server)
+
+    def _count_nodes(self, server: model.BackendServer) -> float:
+        """Returns the number of nodes that use a server."""
+        used = self._subset_shares.get(server.name, 1.0)
+        return max(1.0, self._vm_count * used)
 
     def _long_limit(self, server: model.BackendServer) -> int:
         return max(1, int(server.slots * (1.0 - self.reserved_share)))
 
     def _long_share(self, server: model.BackendServer) -> int:
         """Returns the slots that long work of this node has for certain."""
-        used = self._subset_shares.get(server.name, 1.0)
-        nodes = max(1.0, self._vm_count * used)
-        return max(1, int(self._long_limit(server) / nodes))
+        # Short work may need more than the reserved share by itself.
+        load = self._loads.get(server.name)
+        short = load.usual_short() if load else 0.0
+        nodes = self._count_nodes(server)
+        return max(0, int(self._long_limit(server) / nodes - short))
 
     def share_with_next(self, server: model.BackendServer) -> float:
         """Returns the load per slot with one request more."""
@@ -182,7 +209,6 @@
 
     def _estimate_long(self, server: model.BackendServer, load: _Load) -> float:
         """Returns the slots with long work, as if all nodes had as much."""
-        used = self._subset_shares.get(server.name, 1.0)
-        everywhere = load.long_in_progress * max(1.0, self._vm_count * used)
+        everywhere = load.long_in_progress * self._count_nodes(server)
         most = max(load.long_in_progress, self._long_limit(server))
         return min(everywhere, most, self.estimate(server))
--- a/src/dragonflydyke/routing/servers.py
+++ b/src/dragonflydyke/routing/servers.py
@@ -26,7 +26,7 @@
 # Differences between shorter times are noise of the network.
 _MIN_LATENCY_S = 0.05
 # Hedging earlier would spend the budget on ordinary variation.
-_HEDGE_FACTOR = 2.0
+_HEDGE_FACTOR = 1.5
 _MIN_RETRY_AFTER_S = 0.5
 _MAX_RETRY_AFTER_S = 30.0
 
