--- a/src/dragonflydyke/gateway/attempts.py
+++ b/src/dragonflydyke/gateway/attempts.py
@@ -13,9 +13,13 @@
 
 MAX_ANSWER_BYTES = 16_000_000
 MAX_ERROR_BYTES = 64_000
+_OK = 200
 # The cancel request to an engine gets its own time, because the deadline of
 # the request may be over.
 _CLOSE_TIMEOUT_S = 2.0
+# Lets an engine whose link broke accept connections again.
+_RESUME_PAUSE_S = 0.1
+_CONNECTION_LOST = "backend_connection_lost"
 _CALLER_FAULTS = frozenset({"backend_rejected", "answer_too_long"})
 
 _T = TypeVar("_T")
@@ -69,10 +73,12 @@
         "_bill",
         "_blame_after_s",
         "_deadline",
+        "_deferred",
         "_iterator",
         "_placement",
         "_price",
         "_primed",
+        "_resumes_left",
         "_roll_out",
         "_server",
         "_services",
@@ -95,6 +101,7 @@
         kind: str,
         long: bool = False,
         roll_out: model.RollOut | None = None,
+        max_resumes: int = 0,
     ) -> None:
         """Begins an attempt.
 
@@ -111,6 +118,7 @@
             kind: Kind of work, whose times to the first byte are comparable.
             long: Whether it counts against the slots for long work.
             roll_out: Roll-out of the model, if any.
+            max_resumes: Connections that may continue a broken stream.
         """
         self._services = gateway_services
         self._bill = bill
@@ -119,10 +127,12 @@
         self._deadline = deadline
         self._blame_after_s = blame_after_s
         self._roll_out = roll_out
+        self._resumes_left = max_resumes
         self._answer: services.BackendAnswer | None = None
         self._usage: services.Usage | None = None
         self._iterator: AsyncIterator[bytes] | None = None
         self._primed: list[bytes] = []
+        self._deferred: errors.DragonflydykeError | None = None
         self.produced_events = 0
         self._placement = gateway_services.pool.begin(
             server, candidates, kind, long=long
@@ -157,10 +167,61 @@
         )
         return self._answer
 
+    async def resume(
+        self, event_index: int, cause: errors.DragonflydykeError
+    ) -> None:
+        """Continues a stream whose connection broke at an event.
+
+        Raises:
+            DragonflydykeError: `cause` if it is no lost connection, or the
+                engine does not continue the stream.
+        """
+        if cause.code != _CONNECTION_LOST:
+            raise cause
+        while self._resumes_left > 0:
+            self._resumes_left -= 1
+            answer = await self._try_resume(event_index)
+            if answer is None:
+                await self._pause()
+                continue
+            self._answer = answer
+            self._iterator = None
+            if answer.status != _OK:
+                break
+            self._services.counters.increment("stream.resumed")
+            return
+        self._services.counters.increment("stream.not_resumed")
+        raise cause
+
+    async def _try_resume(
+        self, event_index: int
+    ) -> services.BackendAnswer | None:
+        assert self._answer is not None
+        try:
+            return await wait_until(
+                self._services.backends.resume(
+                    self._answer, event_index, deadline=self._deadline
+                ),
+                self._deadline,
+                step=errors.Step.AWAIT_ANSWER,
+                peer=self._server.name,
+                execution=errors.Execution.UNKNOWN,
+            )
+        except errors.DragonflydykeError as error:
+            self._services.counters.increment(f"resume.{error.code}")
+            return None
+
+    async def _pause(self) -> None:
+        left_s = self._deadline - asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0.0, min(_RESUME_PAUSE_S, left_s)))
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body of the answer until the deadline."""
         while self._primed:
             yield self._primed.pop(0)
+        if self._deferred is not None:
+            error, self._deferred = self._deferred, None
+            raise error
         while True:
             chunk = await self._read_chunk()
             if chunk is None:
@@ -168,8 +229,17 @@
             yield chunk
 
     async def prime(self) -> None:
-        """Reads the first chunk, which `chunks` yields again."""
-        chunk = await self._read_chunk()
+        """Reads the first chunk, which `chunks` yields again.
+
+        A lost connection is left to the reader of `chunks`, who may resume.
+        """
+        try:
+            chunk = await self._read_chunk()
+        except errors.DragonflydykeError as error:
+            if error.code != _CONNECTION_LOST or not self._resumes_left:
+                raise
+            self._deferred = error
+            return
         if chunk is not None:
             self._primed.append(chunk)
 
--- a/src/dragonflydyke/gateway/chat.py
+++ b/src/dragonflydyke/gateway/chat.py
@@ -185,6 +185,9 @@
             kind=self._describe_work(),
             long=self._request_class.long,
             roll_out=in_force.document.roll_out_for(stage.model),
+            max_resumes=in_force.document.policy.max_attempts
+            - self._retries
+            - 1,
         )
         return hedging.Contender(attempt, self._build_request(server))
 
--- a/src/dragonflydyke/membership/node.py
+++ b/src/dragonflydyke/membership/node.py
@@ -3,8 +3,11 @@
 import asyncio
 import dataclasses
 import secrets
+from collections.abc import Mapping
+from typing import Any
 
 from dragonflydyke import logs, metrics, objects
+from dragonflydyke.configuration import model
 from dragonflydyke.membership import (
     announcements,
     confirmations,
@@ -87,6 +90,7 @@
         check_transition: writer.CheckTransition,
         counters: metrics.Counters,
         sources: reports.ReportSources | None = None,
+        parse_proposed: writer.ParseProposed | None = None,
     ) -> None:
         """Assembles a membership; call it on the running loop.
 
@@ -94,19 +98,16 @@
             settings: Who this node is.
             object_store: The platform.
             connect: Returns the client of an inner address.
-            parse: Validates the mapping of a document.
+            parse: Turns the mapping of an accepted document into the document.
             check_transition: Refuses forbidden changes between documents.
             counters: Receives the counters of all parts.
             sources: Demands and counts for the reports.
+            parse_proposed: Validates the mapping of a proposed document; None
+                uses `parse`.
         """
         self._settings = settings
         self._counters = counters
-        self.identity = reports.NodeIdentity(
-            settings.vm,
-            settings.data_centre,
-            settings.inner_address,
-            secrets.randbits(_INCARNATION_BITS) or 1,
-        )
+        self.identity = _identify(settings)
         self.state = state.StateStore(counters, parse)
         self.contacts = contacts.Contacts(settings.vm, counters)
         self.keys = keys.KeyRingKeeper(object_store, self.state, counters)
@@ -129,28 +130,14 @@
             self.permit,
             sources or reports.ReportSources(),
         )
-        self.peers = exchange.PeerExchange(
-            connect,
-            self.state,
-            self._confirmations,
-            self.contacts,
-            self._reports,
-            counters,
-        )
-        self._poller = poller.ControlPoller(
-            object_store,
-            self.state,
-            self._confirmations,
-            self.contacts,
-            self.keys,
-            counters,
-        )
+        self._poller, self.peers = self._build_learners(object_store, connect)
         self.writer = writer.ConfigurationWriter(
             settings.vm,
             object_store,
             self.contacts,
             self._announcements,
             parse=parse,
+            parse_proposed=parse_proposed or _defer(parse),
             check_transition=check_transition,
             announce=self._announce,
             adopt=self._adopt_written,
@@ -159,6 +146,27 @@
         self._heard: frozenset[str] = frozenset({settings.vm})
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _build_learners(
+        self, object_store: objects.ObjectStore, connect: exchange.Connect
+    ) -> tuple[poller.ControlPoller, exchange.PeerExchange]:
+        control_poller = poller.ControlPoller(
+            object_store,
+            self.state,
+            self._confirmations,
+            self.contacts,
+            self.keys,
+            self._counters,
+        )
+        peers = exchange.PeerExchange(
+            connect,
+            self.state,
+            self._confirmations,
+            self.contacts,
+            self._reports,
+            self._counters,
+        )
+        return control_poller, peers
+
     @property
     def leaving(self) -> bool:
         """Whether this node is about to stop."""
@@ -222,7 +230,7 @@
         now_s = asyncio.get_running_loop().time()
         made_s = self._reports.bound_request(report, now_s)
         if report.vm != self._settings.vm:
-            self.peers.learn(report, made_s, report.inner_address)
+            self.peers.learn_request(report, made_s, report.inner_address)
         return self._reports.build(report.vm)
 
     async def announce_change(
@@ -271,7 +279,8 @@
 
     async def _exchange_once(self) -> None:
         for address, name in self._targets().items():
-            self.peers.start_exchange(address, name)
+            if not self.peers.has_called(address):
+                self.peers.start_exchange(address, name)
         if self.state.current is None:
             self.peers.spawn(self._fetch_from_seeds())
         await self.peers.retain(self._known_addresses())
@@ -341,6 +350,22 @@
         self._heard = heard
 
 
+def _identify(settings: MembershipSettings) -> reports.NodeIdentity:
+    return reports.NodeIdentity(
+        settings.vm,
+        settings.data_centre,
+        settings.inner_address,
+        secrets.randbits(_INCARNATION_BITS) or 1,
+    )
+
+
+def _defer(parse: state.Parse) -> writer.ParseProposed:
+    async def parse_proposed(mapping: Mapping[str, Any]) -> model.Document:
+        return parse(mapping)
+
+    return parse_proposed
+
+
 def _report_end(task: asyncio.Task[None]) -> None:
     if not task.cancelled() and task.exception() is not None:
         _logger.critical("membership loop ended", error=repr(task.exception()))
--- a/src/dragonflydyke/routing/servers.py
+++ b/src/dragonflydyke/routing/servers.py
@@ -132,6 +132,7 @@
             candidates: Servers with the work in question.
             exclude: Names of servers that were tried before.
         """
+        self._loads.note_wanted(candidates)
         if self._strategy.is_plain:
             return self._pick_plain(candidates, exclude)
         usable = self._list_usable(candidates, exclude)
@@ -153,6 +154,7 @@
             exclude: Names of servers that were tried before.
             request_class: Class of the work.
         """
+        self._loads.note_wanted(candidates)
         if self._strategy.is_plain:
             return self._pick_plain(candidates, exclude)
         usable = self._list_usable(candidates, exclude)
@@ -290,6 +292,17 @@
             retry_after_s=retry_after_s,
         )
 
+    def take_due_reports(
+        self, servers: Sequence[model.BackendServer], idle_limit: int
+    ) -> list[model.BackendServer]:
+        """Returns the servers to ask for a load report now.
+
+        Servers in use come first, then those with the oldest report. Without
+        requests there are at most `idle_limit`; each request since the last
+        call adds one, so that the cost stays in proportion to the traffic.
+        """
+        return self._loads.take_due_reports(servers, idle_limit)
+
     def record_load(
         self, server: str, running: int, waiting: int, age_s: float = 0.0
     ) -> None:
