--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,6 @@
 
 capacity: setup
 	$(BIN)/python -m harness.capacity $(CAPACITY_FLAGS)
+
+experiment: setup
+	$(BIN)/python -m harness.experiments $(EXPERIMENT_FLAGS)
--- a/tests/test_holding.py
+++ b/tests/test_holding.py
@@ -110,6 +110,18 @@
         room = self.pool.pick_with_room(self.candidates, (), LONG)
         self.assertIsNone(room)
 
+    async def test_short_work_lowers_the_share_of_long_work(self) -> None:
+        # Guards against long work that takes a moment with little short work.
+        shorts = [self.pool.begin(self.candidates[0]) for _ in range(3)]
+        await self.loop.advance(8.0, step_s=0.5)
+        for placement in shorts:
+            placement.end(routing.AttemptEnd.COMPLETED)
+        room = self.pool.pick_with_room(self.candidates, (), LONG)
+        self.assertIsNone(room)
+        await self.loop.advance(8.0, step_s=0.5)
+        room = self.pool.pick_with_room(self.candidates, (), LONG)
+        self.assertIsNotNone(room)
+
 
 class HeldRequestTest(GatewayTestCase):
     """Guards what the caller of held work is told."""
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -234,6 +234,36 @@
             self.pool.begin(candidates[0])
         self.assertEqual(self.pick_names(candidates), {"engine-1"})
 
+    async def test_baselines_are_plain(self) -> None:
+        # Guards against baselines that profit from what they are compared to.
+        for name in ("random", "round_robin", "least_outstanding"):
+            self.pool = routing.ServerPool(
+                "cartago-a",
+                "entry-1",
+                self.counters,
+                source=random.Random(1),
+                server_choice=name,
+            )
+            candidates = self.build("cartago-a", "cartago-b", "heredia-a")
+            self.assertEqual(len(self.pick_names(candidates)), 3)
+            for _ in range(outliers._MIN_SAMPLES):
+                placement = self.pool.begin(candidates[0], candidates)
+                placement.end(routing.AttemptEnd.FAILED)
+            self.assertEqual(len(self.pick_names(candidates)), 3)
+
+    async def test_least_outstanding(self) -> None:
+        self.pool = routing.ServerPool(
+            "cartago-a",
+            "entry-1",
+            self.counters,
+            source=random.Random(1),
+            server_choice="least_outstanding",
+        )
+        candidates = self.build(*["cartago-a"] * 3)
+        for server in candidates[:2]:
+            self.pool.begin(server)
+        self.assertEqual(self.pick_names(candidates), {candidates[2].name})
+
     async def test_excluded_and_leaving(self) -> None:
         candidates = self.build(*["cartago-a"] * 3)
         self.pool.set_leaving_vms(["vm-0"])
