--- a/src/dragonflydyke/load/main.py
+++ b/src/dragonflydyke/load/main.py
@@ -3,10 +3,12 @@
 import asyncio
 import pathlib
 import sys
+from collections.abc import Sequence
 
 from cleo import application
 from cleo.commands import command
 from cleo.helpers import option
+from cleo.io.inputs import argv_input
 
 import dragonflydyke
 from dragonflydyke.load import model, player, plot, results, workloads
@@ -117,14 +119,20 @@
         sender.close()
 
 
-def main() -> int:
-    """Runs the program and returns its exit code."""
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Runs the program and returns its exit code.
+
+    Args:
+        arguments: Command line without the program name; None for sys.argv.
+    """
     frame = application.Application(
         "dragonflydyke-load", dragonflydyke.__version__
     )
     frame.auto_exits(False)
     frame.add(_RunCommand())
-    return frame.run()
+    if arguments is None:
+        return frame.run()
+    return frame.run(argv_input.ArgvInput(["dragonflydyke-load", *arguments]))
 
 
 if __name__ == "__main__":
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,5 +1,6 @@
 """Tests of the load generator."""
 
+import asyncio
 import json
 import pathlib
 import tempfile
@@ -9,7 +10,7 @@
 import tornado.testing
 import tornado.web
 
-from dragonflydyke.load import model, player, results, workloads
+from dragonflydyke.load import main, model, player, results, workloads
 
 _STREAM = (
     b'data: {"choices":[{"delta":{"content":"a"}}]}\n\n'
@@ -94,6 +95,26 @@
         self.assertGreaterEqual(record.total_s, 5.0)
         self.assertLess(record.answer_s, record.total_s)
 
+    @tornado.testing.gen_test
+    async def test_program(self) -> None:
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory)
+            (path / "key").write_text("key\n")
+            code = await asyncio.to_thread(
+                main.main,
+                [
+                    *("run", "--url", self.get_url("/"), "--duration", "0.5"),
+                    *("--key-file", str(path / "key"), "--quiet"),
+                    *("--json", str(path / "result.json")),
+                    *("--plot", str(path / "plot.png")),
+                ],
+            )
+            self.assertEqual(code, 0)
+            content = json.loads((path / "result.json").read_text())
+            self.assertTrue(content["records"])
+            self.assertEqual(content["settings"]["workload"], "line_questions")
+            self.assertGreater((path / "plot.png").stat().st_size, 0)
+
     @tornado.testing.gen_test
     async def test_json_result(self) -> None:
         records = await self.play(model.Arrival(0.0, "c", "m"))
