--- a/harness/experiments.py
+++ b/harness/experiments.py
@@ -385,7 +385,10 @@
         seed=seed,
     )
     if policy.best_model:
-        arrivals = [dataclasses.replace(a, model=_BEST_MODEL) for a in arrivals]
+        arrivals = [
+            a if a.is_call else dataclasses.replace(a, model=_BEST_MODEL)
+            for a in arrivals
+        ]
     return arrivals
 
 
