--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,6 @@
 
 soak: setup
 	$(BIN)/python -m harness.soak --seed $(SEED) --minutes $(MINUTES)
+
+experiment: setup
+	$(BIN)/python -m harness.experiments $(EXPERIMENT_FLAGS)
