--- a/harness/measures/control_node.py
+++ b/harness/measures/control_node.py
@@ -11,11 +11,8 @@
 import signal
 import sys
 import time
-from collections.abc import Mapping
-from typing import Any
 
 from dragonflydyke import configuration, errors, metrics, objects, settings
-from dragonflydyke.configuration import model
 from dragonflydyke.membership import node, state
 from dragonflydyke.protocol import client, server
 from harness.measures import probe
@@ -75,7 +72,7 @@
                 peer, inner_key=self._arguments.key, counters=self._counters
             ),
             parse=configuration.parse_accepted,
-            parse_proposed=_parse_proposed,
+            parse_proposed=configuration.parse,
             check_transition=configuration.check_transition,
             counters=self._counters,
         )
@@ -115,10 +112,6 @@
         )
 
 
-async def _parse_proposed(mapping: Mapping[str, Any]) -> model.Document:
-    return await asyncio.to_thread(configuration.parse, mapping)
-
-
 def main() -> int:
     """Runs the node and returns its exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/src/dragonflydyke/admin/handlers.py
+++ b/src/dragonflydyke/admin/handlers.py
@@ -1,6 +1,5 @@
 """Handlers of the admin API and of the health checks."""
 
-import asyncio
 import hmac
 import json
 import secrets
@@ -235,9 +234,7 @@
 
     async def post(self) -> None:
         """Checks a document, also as a successor of the current one."""
-        document = await asyncio.to_thread(
-            configuration.parse, self.read_document()
-        )
+        document = configuration.parse(self.read_document())
         revision = 0
         try:
             stored = await self.services.configuration.read()
--- a/src/dragonflydyke/membership/node.py
+++ b/src/dragonflydyke/membership/node.py
@@ -3,11 +3,8 @@
 import asyncio
 import dataclasses
 import secrets
-from collections.abc import Mapping
-from typing import Any
 
 from dragonflydyke import logs, metrics, objects
-from dragonflydyke.configuration import model
 from dragonflydyke.membership import (
     announcements,
     confirmations,
@@ -90,7 +87,7 @@
         check_transition: writer.CheckTransition,
         counters: metrics.Counters,
         sources: reports.ReportSources | None = None,
-        parse_proposed: writer.ParseProposed | None = None,
+        parse_proposed: state.Parse | None = None,
     ) -> None:
         """Assembles a membership; call it on the running loop.
 
@@ -137,7 +134,7 @@
             self.contacts,
             self._announcements,
             parse=parse,
-            parse_proposed=parse_proposed or _defer(parse),
+            parse_proposed=parse_proposed or parse,
             check_transition=check_transition,
             announce=self._announce,
             adopt=self._adopt_written,
@@ -359,13 +356,6 @@
     )
 
 
-def _defer(parse: state.Parse) -> writer.ParseProposed:
-    async def parse_proposed(mapping: Mapping[str, Any]) -> model.Document:
-        return parse(mapping)
-
-    return parse_proposed
-
-
 def _report_end(task: asyncio.Task[None]) -> None:
     if not task.cancelled() and task.exception() is not None:
         _logger.critical("membership loop ended", error=repr(task.exception()))
--- a/src/dragonflydyke/membership/writer.py
+++ b/src/dragonflydyke/membership/writer.py
@@ -25,7 +25,6 @@
 _logger = logs.get_logger("membership.writer")
 
 # Validates a proposed document; may take long without blocking the loop.
-ParseProposed = Callable[[Mapping[str, Any]], Awaitable[model.Document]]
 CheckTransition = Callable[[model.Document, model.Document], None]
 # Sends an announcement to other VMs and returns the names that acknowledged;
 # None as second argument means all listed VMs.
@@ -60,7 +59,7 @@
         announced: announcements.Announcements,
         *,
         parse: state.Parse,
-        parse_proposed: ParseProposed,
+        parse_proposed: state.Parse,
         check_transition: CheckTransition,
         announce: Announce,
         adopt: Callable[[objects.StoredObject | None], Awaitable[None]],
@@ -113,7 +112,7 @@
                 `platform_outcome_unknown` if that is not known; and whatever
                 the validation raises.
         """
-        document = await self._parse_proposed(mapping)
+        document = self._parse_proposed(mapping)
         # Once announced, a change must be resolved even if the operator's
         # connection, and with it this call, ends.
         task = self._spawn(
--- a/src/dragonflydyke/router/assembly.py
+++ b/src/dragonflydyke/router/assembly.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import pathlib
-from collections.abc import Coroutine, Mapping
+from collections.abc import Coroutine
 from typing import Any
 
 from tornado import httpserver, netutil
@@ -21,7 +21,6 @@
     routing,
     settings,
 )
-from dragonflydyke.configuration import model
 from dragonflydyke.membership import node, reports
 from dragonflydyke.protocol import client as inner_client
 from dragonflydyke.protocol import node_pb2
@@ -217,7 +216,7 @@
             self._objects,
             self._connect,
             parse=configuration.parse_accepted,
-            parse_proposed=_parse_proposed,
+            parse_proposed=configuration.parse,
             check_transition=configuration.check_transition,
             counters=self._counters,
             sources=reports.ReportSources(
@@ -350,12 +349,6 @@
         _log.critical("control loop ended", error=repr(task.exception()))
 
 
-async def _parse_proposed(mapping: Mapping[str, Any]) -> model.Document:
-    # The checks take 0.1 s and more with 700 backend servers, for which the
-    # event loop would neither serve requests nor answer other routers.
-    return await asyncio.to_thread(configuration.parse, mapping)
-
-
 def _create_counters(values: options.RouterSettings) -> metrics.Counters:
     address = values.statsd_address
     if address is None:
