--- a/src/dragonflydyke/gateway/attempts.py
+++ b/src/dragonflydyke/gateway/attempts.py
@@ -73,6 +73,7 @@
         "_bill",
         "_blame_after_s",
         "_deadline",
+        "_deferred",
         "_iterator",
         "_placement",
         "_price",
@@ -131,6 +132,7 @@
         self._usage: services.Usage | None = None
         self._iterator: AsyncIterator[bytes] | None = None
         self._primed: list[bytes] = []
+        self._deferred: errors.DragonflydykeError | None = None
         self.produced_events = 0
         self._placement = gateway_services.pool.begin(
             server, candidates, kind, long=long
@@ -217,6 +219,9 @@
         """Yields the body of the answer until the deadline."""
         while self._primed:
             yield self._primed.pop(0)
+        if self._deferred is not None:
+            error, self._deferred = self._deferred, None
+            raise error
         while True:
             chunk = await self._read_chunk()
             if chunk is None:
@@ -224,8 +229,17 @@
             yield chunk
 
     async def prime(self) -> None:
-        """Reads the first chunk, which `chunks` yields again."""
-        chunk = await self._read_chunk()
+        """Reads the first chunk, which `chunks` yields again.
+
+        A lost connection is left to the reader of `chunks`, who may resume.
+        """
+        try:
+            chunk = await self._read_chunk()
+        except errors.DragonflydykeError as error:
+            if error.code != _CONNECTION_LOST or not self._resumes_left:
+                raise
+            self._deferred = error
+            return
         if chunk is not None:
             self._primed.append(chunk)
 
