Write the first bill after a quiet interval at once; drain kept connections

Cause: the end of a response waited for the flush timer, 25 ms on average and up to 50 ms, even when nothing else was to be written. Ruled out: a shorter interval, which multiplies platform writes.

Cause: a planned stop waited for executions only. A request whose body was still arriving, a response still being sent to a slow caller, and new requests on kept connections were cut off when all connections closed. Requests now count from their headers to the last byte; responses while draining ask the caller to close its connection, and after the last request new ones get router_leaving (503, not run).

--- a/src/dragonflydyke/billing/writer.py
+++ b/src/dragonflydyke/billing/writer.py
@@ -71,6 +71,7 @@
         "_incarnation",
         "_journal",
         "_next_sequence",
+        "_next_write_s",
         "_node_count",
         "_pending",
         "_uncopied",
@@ -112,6 +113,7 @@
         self._node_count = node_count
         self._generator = generator or random.Random()
         self._next_sequence = 0
+        self._next_write_s = 0.0
         self._failures = 0
         self._flushing_all = False
         self._hurry = asyncio.Event()
@@ -209,18 +211,24 @@
             _log.warning("journal not marked as ended", cause=str(error))
 
     async def _flush(self) -> None:
-        """Writes one entry per interval while bills are pending."""
-        interval_s = pacing.flush_interval_s(self._node_count())
-        await self._pause(interval_s)
+        """Writes one entry per interval while bills are pending.
+
+        The first bill after a quiet interval is written at once: the caller
+        waits for it, and the pace is kept by waiting after the write.
+        """
+        loop = asyncio.get_running_loop()
+        await self._pause(max(0.0, self._next_write_s - loop.time()))
         while self._pending:
             delay_s = pacing.flush_interval_s(self._node_count())
+            self._next_write_s = loop.time() + delay_s
             if not await self._write_once():
                 delay_s = pacing.back_off_s(
                     self._failures, self._node_count(), self._generator
                 )
                 self._requeue_lost_copies()
+                self._next_write_s = loop.time() + delay_s
             if self._pending:
-                await self._pause(delay_s)
+                await self._pause(max(0.0, self._next_write_s - loop.time()))
 
     async def _pause(self, delay_s: float) -> None:
         """Waits, but not longer than until `flush_all` asks for a write."""
--- a/src/dragonflydyke/gateway/application.py
+++ b/src/dragonflydyke/gateway/application.py
@@ -108,8 +108,12 @@
     def initialize(self, gateway_services: services.GatewayServices) -> None:
         self._services = gateway_services
         self._caller = Caller(
-            self, execution.create_request_id(), gateway_services.counters
+            self,
+            execution.create_request_id(),
+            gateway_services.counters,
+            gateway_services.tracker,
         )
+        self._release = gateway_services.tracker.hold()
         self._received_s = asyncio.get_running_loop().time()
         self._chunks: list[bytes] = []
         self._size = 0
@@ -119,6 +123,7 @@
         self._account = ""
 
     def prepare(self) -> None:
+        self._services.tracker.check_open()
         requests.check_headers(self.request.headers.get_all())
         document = execution.read_in_force(self._services).document
         authorization = self.request.headers.get("Authorization", "")
@@ -146,10 +151,12 @@
         if self._task is not None and not self._task.done():
             self._services.counters.increment("caller.disconnected")
             self._task.cancel()
+        self._release()
         super().on_connection_close()
 
     def on_finish(self) -> None:
         self._stop_timer()
+        self._release()
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         exception = kwargs.get("exc_info", (None, None, None))[1]
--- a/src/dragonflydyke/gateway/caller.py
+++ b/src/dragonflydyke/gateway/caller.py
@@ -8,7 +8,7 @@
 import tornado.web
 
 from dragonflydyke import errors, metrics
-from dragonflydyke.gateway import events, replies
+from dragonflydyke.gateway import events, replies, tracking
 
 # A caller that takes no byte for this long is cut, because its answer holds
 # memory and a slot at the engine.
@@ -37,6 +37,7 @@
         "_ended",
         "_handler",
         "_started",
+        "_tracker",
         "deadline",
         "request_id",
     )
@@ -46,7 +47,9 @@
         handler: tornado.web.RequestHandler,
         request_id: str,
         counters: metrics.Counters,
+        tracker: tracking.RequestTracker,
     ) -> None:
+        self._tracker = tracker
         self._handler = handler
         self._counters = counters
         self._started = False
@@ -134,6 +137,9 @@
 
     def _set_headers(self, headers: Mapping[str, str]) -> None:
         self._handler.set_header(replies.REQUEST_ID_HEADER, self.request_id)
+        if self._tracker.state is not tracking.AcceptanceState.ACCEPTING:
+            # A kept connection would bring new requests until the exit.
+            self._handler.set_header("Connection", "close")
         for name, value in headers.items():
             self._handler.set_header(name, value)
 
@@ -149,8 +155,11 @@
         )
 
     def _finish(self, data: bytes) -> None:
+        # A stop must not close the connection before the last byte is sent.
+        release = self._tracker.hold()
         # The caller may have gone; nothing is left to do for it then.
         future = self._handler.finish(data)
+        future.add_done_callback(lambda _: release())
         future.add_done_callback(_ignore_closed)
         timer = asyncio.get_running_loop().call_later(
             FINISH_TIMEOUT_S, self._cut_slow
--- a/src/dragonflydyke/gateway/tracking.py
+++ b/src/dragonflydyke/gateway/tracking.py
@@ -1,17 +1,37 @@
 """Requests in progress, so that a stop can wait for them."""
 
 import asyncio
+import enum
+from collections.abc import Callable
+
+from dragonflydyke import errors
+
+_RETRY_AFTER_S = 0.0
+
+
+class AcceptanceState(enum.Enum):
+    """What happens to new requests."""
+
+    ACCEPTING = "accepting"
+    DRAINING = "draining"
+    CLOSED = "closed"
 
 
 class RequestTracker:
-    """Counts requests in progress."""
+    """Counts requests from their headers to the last byte of the response.
+
+    Attributes:
+        state: While draining, responses ask callers to close their kept
+            connections; when closed, new requests are refused.
+    """
 
-    __slots__ = ("_count", "_idle")
+    __slots__ = ("_count", "_idle", "state")
 
     def __init__(self) -> None:
         self._count = 0
         self._idle = asyncio.Event()
         self._idle.set()
+        self.state = AcceptanceState.ACCEPTING
 
     @property
     def count(self) -> int:
@@ -27,6 +47,39 @@
         if self._count == 0:
             self._idle.set()
 
+    def hold(self) -> Callable[[], None]:
+        """Counts something in progress.
+
+        Returns:
+            Ends it; further calls have no effect.
+        """
+        self.__enter__()
+        is_held = True
+
+        def release() -> None:
+            nonlocal is_held
+            if is_held:
+                is_held = False
+                self.__exit__()
+
+        return release
+
+    def check_open(self) -> None:
+        """Refuses new requests once the router is about to exit.
+
+        Raises:
+            DragonflydykeError: `router_leaving`, not run.
+        """
+        if self.state is AcceptanceState.CLOSED:
+            raise errors.DragonflydykeError(
+                "router_leaving",
+                "This router is stopping; send the request again on a new "
+                "connection.",
+                step=errors.Step.ADMIT,
+                status=503,
+                retry_after_s=_RETRY_AFTER_S,
+            )
+
     async def wait_idle(self) -> None:
         """Returns when no request is in progress."""
         await self._idle.wait()
--- a/src/dragonflydyke/router/assembly.py
+++ b/src/dragonflydyke/router/assembly.py
@@ -21,6 +21,7 @@
     routing,
     settings,
 )
+from dragonflydyke.gateway import tracking
 from dragonflydyke.membership import node, reports
 from dragonflydyke.protocol import client as inner_client
 from dragonflydyke.protocol import node_pb2
@@ -165,17 +166,21 @@
         before the public address closes.
         """
         _log.notice("draining", requests=self._gateway.tracker.count)
+        tracker = self._gateway.tracker
         self._member.set_leaving()
+        tracker.state = tracking.AcceptanceState.DRAINING
         await asyncio.sleep(self._settings.drain_s)
         self._public_server.stop()
         try:
             async with asyncio.timeout(self._settings.shutdown_s):
-                await self._gateway.tracker.wait_idle()
+                await tracker.wait_idle()
         except TimeoutError:
             _log.error(
                 "shutdown time over with requests in progress",
-                requests=self._gateway.tracker.count,
+                requests=tracker.count,
             )
+        # Without a wait in between, no request can have begun since.
+        tracker.state = tracking.AcceptanceState.CLOSED
         result = await self._bills.flush_all(_FLUSH_TIMEOUT_S)
         _log.notice(
             "bills flushed",
