--- /dev/null
+++ b/tests/test_draining.py
@@ -0,0 +1,70 @@
+"""Tests of a planned stop with kept connections and slow callers."""
+
+import asyncio
+
+from dragonflydyke.gateway import tracking
+from tests.builders import gateway
+from tests.builders.gateway_case import GUARD_S, GatewayTestCase
+
+_CHAT_BODY = b'{"model": "planner-small", "messages": [{}]}'
+_LARGE_BYTES = 8_000_000
+
+
+class DrainingTest(GatewayTestCase):
+    """Guards against requests that a planned stop cuts off."""
+
+    async def _read_head(self, reader: asyncio.StreamReader) -> str:
+        async with asyncio.timeout(GUARD_S):
+            return (await reader.readuntil(b"\r\n\r\n")).decode()
+
+    async def test_responses_close_kept_connections(self) -> None:
+        self.play([gateway.build_completion()], [gateway.build_completion()])
+        reader, writer = await self.send_raw(_CHAT_BODY)
+        self.assertNotIn("Connection: close", await self._read_head(reader))
+        writer.close()
+        self.services.tracker.state = tracking.AcceptanceState.DRAINING
+        reader, writer = await self.send_raw(_CHAT_BODY)
+        head = await self._read_head(reader)
+        self.assertIn(" 200 ", head)
+        self.assertIn("Connection: close", head)
+        writer.close()
+
+    async def test_closed_router_refuses_as_not_run(self) -> None:
+        self.services.tracker.state = tracking.AcceptanceState.CLOSED
+        response = await self.fetch()
+        self.check_error(response, 503, "router_leaving")
+        self.assertEqual(self.services.backends.requests, [])
+
+    async def test_request_counts_while_its_body_arrives(self) -> None:
+        self.play([gateway.build_completion()])
+        extra = "Expect: 100-continue\r\n"
+        reader, writer = await self.send_raw(
+            b"", length=len(_CHAT_BODY), extra=extra
+        )
+        self.assertIn("100", await self._read_head(reader))
+        self.assertEqual(self.services.tracker.count, 1)
+        writer.write(_CHAT_BODY)
+        self.assertIn(" 200 ", await self._read_head(reader))
+        writer.close()
+
+    async def test_request_counts_until_the_last_byte_is_sent(self) -> None:
+        self.play([gateway.build_completion("x" * _LARGE_BYTES)])
+        reader, writer = await self.send_raw(_CHAT_BODY)
+        async with asyncio.timeout(GUARD_S):
+            await self.services.bills.entered.wait()
+        for _ in range(100):
+            await asyncio.sleep(0)
+        self.assertGreater(self.services.tracker.count, 0)
+        await self._read_head(reader)
+        async with asyncio.timeout(GUARD_S):
+            await reader.readexactly(_LARGE_BYTES)
+            await self.services.tracker.wait_idle()
+        writer.close()
+
+    async def test_caller_that_leaves_is_not_waited_for(self) -> None:
+        extra = "Expect: 100-continue\r\n"
+        reader, writer = await self.send_raw(b"", length=100, extra=extra)
+        await self._read_head(reader)
+        writer.close()
+        async with asyncio.timeout(GUARD_S):
+            await self.services.tracker.wait_idle()
