Split engine events in one class

Cause: backends and gateway each had an event splitter with the same rest and count, one with the fast split and the length bound, one without. The gateway's now extends that of backends and only extracts the data.

--- a/src/dragonflydyke/backends/events.py
+++ b/src/dragonflydyke/backends/events.py
@@ -2,6 +2,9 @@
 
 import re
 
+from dragonflydyke import errors
+
+MAX_EVENT_BYTES = 1_000_000
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 
 
@@ -23,9 +26,26 @@
         self.count = 0
 
     def feed(self, chunk: bytes) -> list[bytes]:
-        """Returns the events that a chunk completes, without blank lines."""
-        *events, self._rest = _EVENT_END.split(self._rest + chunk)
+        """Returns the events that a chunk completes, without blank lines.
+
+        Raises:
+            DragonflydykeError: `answer_invalid` if an event is too long.
+        """
+        data = self._rest + chunk
+        # The plain split is much faster than the pattern.
+        plain = b"\r" not in data
+        events = data.split(b"\n\n") if plain else _EVENT_END.split(data)
+        self._rest = events.pop()
         self.count += len(events)
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise errors.DragonflydykeError(
+                "answer_invalid",
+                f"The engine sent an event of over {MAX_EVENT_BYTES} bytes; "
+                "check the engine.",
+                step=errors.Step.READ_ANSWER,
+                execution=errors.Execution.UNKNOWN,
+                status=502,
+            )
         return events
 
     def drop_rest(self) -> None:
--- a/src/dragonflydyke/gateway/events.py
+++ b/src/dragonflydyke/gateway/events.py
@@ -5,12 +5,10 @@
 import re
 from typing import Any
 
-from dragonflydyke import errors
+from dragonflydyke import backends
 
 DONE_EVENT = b"data: [DONE]\n\n"
-MAX_EVENT_BYTES = 1_000_000
 
-_EVENT_END = re.compile(rb"\r?\n\r?\n")
 _DATA_PREFIX = re.compile(rb"^data: ?", re.MULTILINE)
 # Inside JSON strings quotes are escaped, so that neither pattern matches the
 # text of an answer.
@@ -19,19 +17,10 @@
 _FINISH = re.compile(rb'"finish_reason"\s*:\s*"')
 
 
-class EventSplitter:
-    """Splits a byte stream into events, whatever its chunks are.
+class DataSplitter(backends.EventSplitter):
+    """Splits a byte stream into the data of its events."""
 
-    Attributes:
-        count: Whole events so far, over all connections; the index from which
-            a broken stream is resumed.
-    """
-
-    __slots__ = ("_rest", "count")
-
-    def __init__(self) -> None:
-        self._rest = b""
-        self.count = 0
+    __slots__ = ()
 
     def feed(self, chunk: bytes) -> list[bytes]:
         """Returns the data of the events that the chunk completes.
@@ -39,26 +28,8 @@
         Raises:
             DragonflydykeError: `answer_invalid` if an event is too long.
         """
-        data = self._rest + chunk
-        # The plain split is much faster than the pattern.
-        plain = b"\r" not in data
-        parts = data.split(b"\n\n") if plain else _EVENT_END.split(data)
-        self._rest = parts.pop()
-        self.count += len(parts)
-        if len(self._rest) > MAX_EVENT_BYTES:
-            raise errors.DragonflydykeError(
-                "answer_invalid",
-                f"The engine sent an event of over {MAX_EVENT_BYTES} bytes; "
-                "check the engine.",
-                step=errors.Step.READ_ANSWER,
-                execution=errors.Execution.UNKNOWN,
-                status=502,
-            )
-        return [data for data in map(_extract_data, parts) if data]
-
-    def drop_rest(self) -> None:
-        """Forgets a part of an event, which a resumed stream repeats."""
-        self._rest = b""
+        events = super().feed(chunk)
+        return [data for data in map(_extract_data, events) if data]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/dragonflydyke/gateway/relays.py
+++ b/src/dragonflydyke/gateway/relays.py
@@ -70,7 +70,7 @@
             DragonflydykeError: If the stream breaks or ends without marker.
             CallerGoneError: If the caller has gone.
         """
-        splitter = events.EventSplitter()
+        splitter = events.DataSplitter()
         while True:
             try:
                 done = await self._relay_connection(splitter)
@@ -100,7 +100,7 @@
         end = b"".join(events.encode_value(value) for value in values)
         return end + events.DONE_EVENT
 
-    async def _relay_connection(self, splitter: events.EventSplitter) -> bool:
+    async def _relay_connection(self, splitter: events.DataSplitter) -> bool:
         """Relays one connection; returns whether the end marker came."""
         chunks = self._attempt.chunks()
         async for chunk in chunks:
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -231,9 +231,9 @@
     )
     def test_stream(self, chunks: list[bytes]) -> None:
         """Splits alike whatever the chunks are, and raises nothing else."""
-        splitter = events.EventSplitter()
+        splitter = events.DataSplitter()
         found = [data for chunk in chunks for data in splitter.feed(chunk)]
-        whole = events.EventSplitter().feed(b"".join(chunks))
+        whole = events.DataSplitter().feed(b"".join(chunks))
         self.assertEqual(found, whole)
         for data in found:
             last = events.parse_last(data)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -96,7 +96,7 @@
     )
     def test_any_chunks(self, texts: list[str], size: int) -> None:
         whole = b"".join(gateway.build_event(text) for text in texts)
-        splitter = events.EventSplitter()
+        splitter = events.DataSplitter()
         found: list[bytes] = []
         for start in range(0, len(whole), size):
             found += splitter.feed(whole[start : start + size])
