--- a/harness/deployment.py
+++ b/harness/deployment.py
@@ -159,6 +159,10 @@
         """Returns the logs of all processes by their names."""
         return {p.name: p.read_log() for p in self._started}
 
+    def add_router_flags(self, *flags: str) -> None:
+        """Adds flags for the routers that are started from now on."""
+        self._options.router_flags = (*self._options.router_flags, *flags)
+
     async def start_router(self, vm: str, data_centre: str) -> RunningRouter:
         """Starts a router on a VM; replaces one of the same name."""
         process = processes.ManagedProcess(
--- a/src/dragonflydyke/cli/base.py
+++ b/src/dragonflydyke/cli/base.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import ssl
 from collections.abc import Awaitable, Callable
 from typing import Any, ClassVar
 
@@ -18,6 +19,7 @@
 
 KEY_VARIABLE = "DRAGONFLYDYKE_OPERATOR_KEY"
 SERVER_VARIABLE = "DRAGONFLYDYKE_SERVER"
+AUTHORITY_VARIABLE = "DRAGONFLYDYKE_AUTHORITY_FILE"
 
 OUTPUT_OPTION = option(
     "output",
@@ -40,6 +42,12 @@
         " itself]",
         flag=False,
     ),
+    option(
+        "authority-file",
+        description="PEM file of the authority that signed the routers'"
+        f" certificates, for https URLs. [{AUTHORITY_VARIABLE}]",
+        flag=False,
+    ),
 ]
 
 
@@ -101,9 +109,12 @@
         """Runs a coroutine function with a client and returns its result."""
         servers = self._read_servers()
         operator_key = self._read_operator_key()
+        authority_file = self._read_authority_file()
 
         async def run() -> Any:
-            client = admin_client.AdminClient(servers, operator_key)
+            client = admin_client.AdminClient(
+                servers, operator_key, authority_file
+            )
             try:
                 return await work(client)
             finally:
@@ -141,6 +152,19 @@
                 ) from error
         return check_key(key)
 
+    def _read_authority_file(self) -> str | None:
+        file = self.option("authority-file")
+        file = file or os.environ.get(AUTHORITY_VARIABLE)
+        if not file:
+            return None
+        try:
+            ssl.create_default_context(cafile=file)
+        except OSError as error:
+            raise exit_codes.UsageError(
+                f"--authority-file: {file!r} holds no PEM certificate ({error})"
+            ) from error
+        return file
+
 
 def check_key(text: str) -> str:
     """Returns a bearer key without the end of its line."""
--- a/src/dragonflydyke/cli/client.py
+++ b/src/dragonflydyke/cli/client.py
@@ -19,15 +19,23 @@
 class AdminClient:
     """Calls the first admin address that accepts a connection."""
 
-    __slots__ = ("_http", "_operator_key", "_servers")
+    __slots__ = ("_authority_file", "_http", "_operator_key", "_servers")
 
-    def __init__(self, servers: Sequence[str], operator_key: str) -> None:
+    def __init__(
+        self,
+        servers: Sequence[str],
+        operator_key: str,
+        authority_file: str | None = None,
+    ) -> None:
         """Creates a client.
 
         Args:
             servers: Base URLs, tried in this order.
             operator_key: Bearer key of the operator.
+            authority_file: PEM file of the authority that signed the
+                certificates of the servers; None trusts the system's.
         """
+        self._authority_file = authority_file
         self._servers = tuple(servers)
         self._operator_key = operator_key
         self._http = simple_httpclient.SimpleAsyncHTTPClient(
@@ -82,6 +90,7 @@
             "connect_timeout": CONNECT_TIMEOUT_S,
             "request_timeout": timeout_s,
             "follow_redirects": False,
+            "ca_certs": self._authority_file,
         }
 
     async def _call(self, request: dict[str, Any], *, is_write: bool) -> Any:
--- a/src/dragonflydyke/router/assembly.py
+++ b/src/dragonflydyke/router/assembly.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import ssl
 from collections.abc import Coroutine
 from typing import Any
 
@@ -73,7 +74,7 @@
     __slots__ = (
         "_backends",
         "_bills",
-        "_certificate",
+        "_admin_certificate",
         "_claims",
         "_counters",
         "_driver",
@@ -85,6 +86,7 @@
         "_member",
         "_objects",
         "_pool",
+        "_public_certificate",
         "_public_server",
         "_rating_client",
         "_sampler",
@@ -104,7 +106,14 @@
         self._counters = _create_counters(values)
         self._inner_key = values.inner_key_file.read_text().strip()
         self._tls = _read_inner_tls(values)
-        self._certificate = _load_certificate(values, self._counters)
+        self._public_certificate = _load_certificate(
+            values.public_tls_certificate,
+            values.public_tls_key,
+            self._counters,
+        )
+        self._admin_certificate = _load_certificate(
+            values.admin_tls_certificate, values.admin_tls_key, self._counters
+        )
         self._objects = objects.ObjectClient(
             values.platform_url, counters=self._counters
         )
@@ -148,12 +157,13 @@
         handlers.attach(self._member, self._holder)
         await self._member.start()
         admin_server = httpserver.HTTPServer(
-            admin.build_application(self._create_admin_services())
+            admin.build_application(self._create_admin_services()),
+            ssl_options=_read_context(self._admin_certificate),
         )
         admin_address = _listen(admin_server, values.admin_address)
         self._public_server = gateway.build_server(
             gateway.build_application(self._gateway),
-            ssl_options=self._certificate and self._certificate.context,
+            ssl_options=_read_context(self._public_certificate),
         )
         public_address = _listen(self._public_server, values.public_address)
         self._start_tasks()
@@ -325,8 +335,12 @@
         """Passes on what membership knows, and sends the counters."""
         while True:
             fleet.update_limits(self._member, self._limiter)
-            if self._certificate is not None:
-                self._certificate.reload_if_changed()
+            for certificate in (
+                self._public_certificate,
+                self._admin_certificate,
+            ):
+                if certificate is not None:
+                    certificate.reload_if_changed()
             self._pool.set_leaving_vms(self._member.contacts.leaving_vms())
             self._pool.set_vm_count(self._count_nodes())
             self._counters.gauge("hold.count", self._pool.held())
@@ -370,13 +384,19 @@
 
 
 def _load_certificate(
-    values: options.RouterSettings, counters: metrics.Counters
-) -> certificates.PublicCertificate | None:
-    if values.public_tls_certificate is None:
+    certificate: pathlib.Path | None,
+    key: pathlib.Path | None,
+    counters: metrics.Counters,
+) -> certificates.ServerCertificate | None:
+    if certificate is None:
         return None
-    return certificates.PublicCertificate(
-        values.public_tls_certificate, values.public_tls_key, counters
-    )
+    return certificates.ServerCertificate(certificate, key, counters)
+
+
+def _read_context(
+    certificate: certificates.ServerCertificate | None,
+) -> ssl.SSLContext | None:
+    return None if certificate is None else certificate.context
 
 
 def _read_inner_tls(
--- a/src/dragonflydyke/router/certificates.py
+++ b/src/dragonflydyke/router/certificates.py
@@ -1,4 +1,4 @@
-"""Certificate for callers, replaced without a restart."""
+"""Certificates of the HTTP addresses, replaced without a restart."""
 
 import os
 import pathlib
@@ -9,8 +9,8 @@
 _log = logs.get_logger("router.certificates")
 
 
-class PublicCertificate:
-    """TLS context of the public address, which follows its files.
+class ServerCertificate:
+    """TLS context of an HTTP address, which follows its files.
 
     Attributes:
         context: For the server; new connections use the newest certificate.
--- a/src/dragonflydyke/router/options.py
+++ b/src/dragonflydyke/router/options.py
@@ -77,6 +77,16 @@
         settings.parse_file,
         optional=True,
     )
+    admin_tls_certificate: pathlib.Path | None = settings.setting(
+        "PEM certificate chain for operators; plain HTTP without it.",
+        settings.parse_file,
+        optional=True,
+    )
+    admin_tls_key: pathlib.Path | None = settings.setting(
+        "PEM private key of the certificate for operators.",
+        settings.parse_file,
+        optional=True,
+    )
     inner_tls_certificate: pathlib.Path | None = settings.setting(
         "PEM certificate of this router for other routers.",
         settings.parse_file,
--- a/tests/test_proof_tls.py
+++ b/tests/test_proof_tls.py
@@ -9,6 +9,8 @@
 from cryptography import x509
 
 from dragonflydyke import errors, metrics
+from dragonflydyke.cli import exit_codes
+from dragonflydyke.cli import main as cli_main
 from dragonflydyke.protocol import client, node_pb2, server
 from harness import deployment
 from tests.builders import authorities, integration
@@ -45,6 +47,8 @@
             await self._check_public()
         with self.subTest("the certificate for callers is replaced"):
             await self._check_reload()
+        with self.subTest("an operator's key goes over TLS only"):
+            await self._check_admin(path)
 
     async def _check_inner(self) -> None:
         pair = self.inner
@@ -104,6 +108,35 @@
                 )
                 self.assertEqual(reply.status, status, reply.error)
 
+    async def _check_admin(self, path: pathlib.Path) -> None:
+        pair = self.authority.issue("admin")
+        self.running.add_router_flags(
+            f"--admin-tls-certificate={pair.certificate}",
+            f"--admin-tls-key={pair.key}",
+        )
+        router = await self.running.start_router("router-9", "cartago-b")
+        url = router.admin_url.replace("http:", "https:")
+        key_file = path / "operator.key"
+        key_file.write_text(deployment.OPERATOR_KEY)
+        for authority, expected in (
+            (self.authority, exit_codes.ExitCode.OK),
+            (self.stranger, exit_codes.ExitCode.UNAVAILABLE),
+        ):
+            code = await asyncio.to_thread(
+                cli_main.main,
+                [
+                    "status",
+                    f"--server={url}",
+                    f"--operator-key-file={key_file}",
+                    f"--authority-file={authority.certificate}",
+                ],
+            )
+            self.assertEqual(code, expected)
+        reply = await self.running.http.call(
+            "GET", f"{router.admin_url}/v1/status"
+        )
+        self.assertEqual(reply.status, 599)
+
     async def _check_reload(self) -> None:
         router = self.router(1)
         number = await self._read_serial_number(router)
