Let ordinary nodes hear the VMs of other data centres through relays

Cause: a relay listed only the VMs that it heard directly. Relays now also pass on towards ordinary nodes what other relays heard. Ages add up on the way and are bounded by 4 s, so a report cannot look fresher than it is; before, a VM counted for up to 5 s without its age. Ruled out: more relays per node, which multiplies exchanges; and passing on between relays, which only repeats what they hear. The new test with 66 nodes in six data centres failed before (no_majority) and passes; all 32 membership tests pass.

--- a/src/dragonflydyke/membership/contacts.py
+++ b/src/dragonflydyke/membership/contacts.py
@@ -7,6 +7,11 @@
 from dragonflydyke.protocol import node_pb2
 
 HEARD_S = 2.5
+# Two relays and three exchanges of a second each lie between two ordinary nodes
+# of different data centres. A node may act on a report of this age, which is
+# within the 6 s in which a change must be in force.
+PASSED_ON_S = 4.0
+_MS_PER_S = 1_000
 # Counts of a restarted router still belong to a running roll-out.
 _RETAIN_S = 600.0
 _ENTRY_ROLE = "entry"
@@ -121,10 +126,25 @@
     def heard(self, now_s: float) -> frozenset[str]:
         """Returns the names of all heard VMs and of this one."""
         direct = self.heard_contacts(now_s)
-        names = {self._own_name, *direct}
-        for contact in direct.values():
-            names.update(contact.report.heard_vms)
-        return frozenset(names)
+        passed_on = self.passed_on_ages_s(now_s)
+        return frozenset({self._own_name, *direct, *passed_on})
+
+    def passed_on_ages_s(self, now_s: float) -> dict[str, float]:
+        """Returns the VMs that heard relays pass on, with the report's age.
+
+        The age is that of the relay's report and of the VM's report at the
+        relay together, so it does not shrink on the way.
+        """
+        ages_s: dict[str, float] = {}
+        for contact in self.heard_contacts(now_s).values():
+            report = contact.report
+            for name, age_ms in zip(
+                report.heard_vms, report.heard_age_ms, strict=False
+            ):
+                age_s = now_s - contact.made_s + age_ms / _MS_PER_S
+                if age_s <= min(PASSED_ON_S, ages_s.get(name, PASSED_ON_S)):
+                    ages_s[name] = age_s
+        return ages_s
 
     def is_majority(self, names: Iterable[str]) -> bool:
         """Returns whether some VMs are more than half of the entry VMs.
--- a/src/dragonflydyke/membership/reports.py
+++ b/src/dragonflydyke/membership/reports.py
@@ -107,7 +107,7 @@
         if self.leaving:
             report.state = node_pb2.NODE_STATE_LEAVING
         self._add_confirmations(report, now_s)
-        self._add_heard(report, now_s)
+        self._add_heard(report, receiver, now_s)
         self._add_echo(report, receiver, now_s)
         return report
 
@@ -136,19 +136,29 @@
             report.has_platform = True
             report.platform_age_ms = to_age_ms(own_age_s)
 
-    def _add_heard(self, report: node_pb2.NodeReport, now_s: float) -> None:
-        listed = self._contacts.entry_vms()
-        if self._identity.vm not in relays.select_relays(listed):
+    def _add_heard(
+        self, report: node_pb2.NodeReport, receiver: str, now_s: float
+    ) -> None:
+        chosen = relays.select_relays(self._contacts.entry_vms())
+        if self._identity.vm not in chosen:
             return
-        for name, contact in self._contacts.heard_contacts(now_s).items():
+        direct = self._contacts.heard_contacts(now_s)
+        ages_s = {name: now_s - c.made_s for name, c in direct.items()}
+        for name, contact in direct.items():
             known = contact.report
-            report.heard_vms.append(name)
-            report.heard_revision = max(report.heard_revision, known.revision)
-            report.heard_pending = min(
-                report.heard_pending + known.pending_announcements, _MAX_UINT32
-            )
+            _add_summary(report, known.revision, known.pending_announcements)
             if known.uptime_ms < permit.STARTING_S * _MS_PER_S:
                 report.starting_vms.append(name)
+        if receiver not in chosen:
+            # Relays hear each other, so between them this would only repeat.
+            for name, age_s in self._contacts.passed_on_ages_s(now_s).items():
+                ages_s.setdefault(name, age_s)
+            for contact in direct.values():
+                known = contact.report
+                _add_summary(report, known.heard_revision, known.heard_pending)
+                report.starting_vms.extend(known.starting_vms)
+        report.heard_vms.extend(ages_s)
+        report.heard_age_ms.extend(to_age_ms(a) for a in ages_s.values())
 
     def _add_echo(
         self, report: node_pb2.NodeReport, receiver: str, now_s: float
@@ -162,6 +172,13 @@
         report.echo_held_ms = math.floor(held_s * _MS_PER_S)
 
 
+def _add_summary(
+    report: node_pb2.NodeReport, revision: int, pending: int
+) -> None:
+    report.heard_revision = max(report.heard_revision, revision)
+    report.heard_pending = min(report.heard_pending + pending, _MAX_UINT32)
+
+
 def to_age_ms(age_s: float) -> int:
     """Returns an age in milliseconds, rounded up, for a 32-bit field."""
     return min(math.ceil(max(age_s, 0.0) * _MS_PER_S), _MAX_UINT32)
--- a/tests/builders/fleet.py
+++ b/tests/builders/fleet.py
@@ -79,13 +79,19 @@
         delays_s: Round trip by (caller, called), in seconds.
     """
 
-    def __init__(self, size: int) -> None:
+    def __init__(self, size: int, data_centres: int = 1) -> None:
         self.names = tuple(f"vm-{index}" for index in range(size))
+        self._data_centres = {
+            name: f"dc-{index % data_centres}"
+            for index, name in enumerate(self.names)
+        }
         self.platform = memory.MemoryObjects()
         self.platform.vms = objects.VmList(
             1,
             tuple(
-                objects.ListedVm(name, "cartago-a", "entry", name, "live")
+                objects.ListedVm(
+                    name, self._data_centres[name], "entry", name, "live"
+                )
                 for name in self.names
             ),
         )
@@ -100,7 +106,9 @@
         """Starts a node, or a new incarnation of it."""
         self.counters[name] = metrics.Counters()
         member = node.Membership(
-            node.MembershipSettings(name, "cartago-a", name, self.names),
+            node.MembershipSettings(
+                name, self._data_centres[name], name, self.names
+            ),
             self.views[name],
             lambda address: _Link(self, name, address),
             parse=parse,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -411,13 +411,21 @@
 
     async def test_large_fleet_serves_through_outage(self) -> None:
         """Ordinary nodes hear the majority through their relays."""
-        big = fleet.Fleet(18)
+        await self._check_outage(fleet.Fleet(18))
+
+    async def test_fleet_of_six_data_centres_hears_its_majority(self) -> None:
+        """Regression: relays passed on only what they heard directly."""
+        await self._check_outage(fleet.Fleet(66, data_centres=6))
+
+    async def _check_outage(self, big: fleet.Fleet) -> None:
         self.addAsyncCleanup(big.stop)
         for name in big.names:
             await big.start(name)
         await self.loop.advance(4)
+        chosen = relays.select_relays(big.platform.vms.vms)
+        acceptor = next(name for name in big.names if name not in chosen)
         task = asyncio.ensure_future(
-            big.nodes["vm-0"].writer.apply({}, "operator")
+            big.nodes[acceptor].writer.apply({}, "operator")
         )
         await self.loop.advance(_SETTLED_S)
         self.assertEqual(1, (await task).revision)
