--- a/harness/demo.py
+++ b/harness/demo.py
@@ -21,6 +21,7 @@
 _CONFIGURATION = _ROOT / "examples" / "demo"
 _ACCOUNT_KEY = "demo-key"
 _MS_PER_S = 1_000
+_BYTES_PER_MEBIBYTE = 1_048_576
 _LINE_QUESTION = "Which hamper takes the small gouda today?"
 _DRAFT = "Rebuild the packing plan of line four from the catalogue. " * 40
 
@@ -162,53 +163,55 @@
     return [*faults, "bills do not match requests"] if errors else faults
 
 
+async def _send_requests(running: deployment.Deployment) -> list[Row]:
+    """Sends all requests; kills the router that begins the session."""
+    first, second, third = running.routers.values()
+    question, _ = await _ask(
+        "line question",
+        _client(first.public_url),
+        _LINE_QUESTION,
+        "planning",
+        {"Dragonflydyke-Class": "line_question"},
+    )
+    headers = {"Dragonflydyke-Class": "catalogue_rebuild"}
+    draft, session = await _ask(
+        "long draft, first turn of a session",
+        _client(second.public_url),
+        _DRAFT,
+        "planner-large",
+        headers | {"Dragonflydyke-Session": "new"},
+    )
+    # Any router can continue a session that another one began.
+    second.process.kill()
+    continued, _ = await _ask(
+        "session continued at another router after a kill",
+        _client(third.public_url),
+        "Go on.",
+        "planner-large",
+        headers | {"Dragonflydyke-Session": session},
+    )
+    label = await _print_label(running, first.public_url)
+    return [question, draft, continued, label]
+
+
+def _print_memory(running: deployment.Deployment) -> None:
+    print("\nresident memory")
+    for process in running.list_processes():
+        mebibytes = process.resident_bytes() / _BYTES_PER_MEBIBYTE
+        print(f"  {process.name}: {mebibytes:.1f} MiB")
+
+
 async def _run(short: bool, directory: pathlib.Path) -> int:
     options = deployment.DeploymentOptions(_CONFIGURATION)
     async with deployment.Deployment(directory, options) as running:
-        first, second, third = running.routers.values()
-        rows = []
-        row, _ = await _ask(
-            "line question",
-            _client(first.public_url),
-            _LINE_QUESTION,
-            "planning",
-            {"Dragonflydyke-Class": "line_question"},
-        )
-        rows.append(row)
-        row, session = await _ask(
-            "long draft, first turn of a session",
-            _client(second.public_url),
-            _DRAFT,
-            "planner-large",
-            {
-                "Dragonflydyke-Class": "catalogue_rebuild",
-                "Dragonflydyke-Session": "new",
-            },
-        )
-        rows.append(row)
-        # Any router can continue a session that another one began.
-        second.process.kill()
-        row, _ = await _ask(
-            "session continued at another router after a kill",
-            _client(third.public_url),
-            "Go on.",
-            "planner-large",
-            {
-                "Dragonflydyke-Class": "catalogue_rebuild",
-                "Dragonflydyke-Session": session,
-            },
-        )
-        rows.append(row)
-        rows.append(await _print_label(running, first.public_url))
+        rows = await _send_requests(running)
         faults = await _check_bills(running, rows)
         if rows[1].version != rows[2].version:
             faults.append("the session changed its version")
-        print("\nresident memory")
-        for process in running.list_processes():
-            mebibytes = process.resident_bytes() / 1_048_576
-            print(f"  {process.name}: {mebibytes:.1f} MiB")
+        _print_memory(running)
         if not short:
             print("\nthrough a router and direct to the engine, one run")
+            first = next(iter(running.routers.values()))
             await _compare_direct(running, _client(first.public_url))
     for fault in faults:
         print(f"FAULT {fault}")
--- a/src/dragonflydyke/gateway/chat.py
+++ b/src/dragonflydyke/gateway/chat.py
@@ -11,6 +11,7 @@
 from dragonflydyke.gateway import (
     accounting,
     attempts,
+    dispatch,
     events,
     execution,
     hedging,
@@ -281,7 +282,6 @@
 
     def _check_dispatch(self, in_force: services.InForce) -> None:
         """Checks right before each dispatch, as the process may have paused."""
-        stage = self._stage
         loop = asyncio.get_running_loop()
         if loop.time() >= self._deadline:
             raise attempts.build_deadline_error(
@@ -289,25 +289,8 @@
             )
         self._services.permit.check()
         document = in_force.document
-        in_session = self._session is not None
-        routing.check_dispatch(
-            document, self._account_name, stage, in_session=in_session
-        )
         account = self._get_account(document)
-        version = document.version(stage.model, stage.version.name)
-        errors.check_invariant(
-            version is not None
-            and version.state is not model.VersionState.WITHDRAWN
-            and account.allows(stage.model, stage.version.name),
-            f"{stage.full_name} is not usable by {account.name}",
-        )
-        session = self._session
-        errors.check_invariant(
-            session is None
-            or (session.model, session.version)
-            == (stage.model, stage.version.name),
-            f"{stage.full_name} is not the version of the session",
-        )
+        dispatch.check_version(document, account, self._stage, self._session)
 
     async def _run_stream(
         self,
