--- a/src/dragonflydyke/cli/commands.py
+++ b/src/dragonflydyke/cli/commands.py
@@ -233,6 +233,43 @@
         return ExitCode.OK
 
 
+class CountersCommand(base.ServerCommand):
+    """Shows counters of one router."""
+
+    name = "counters"
+    description = "Shows the counters and gauges of one router."
+    options = [
+        option(
+            "prefix",
+            description="Beginning of the names to show, e.g. refusal.",
+            flag=False,
+            default="",
+        ),
+        *base.ServerCommand.options,
+    ]
+
+    def run_command(self) -> ExitCode:
+        """Shows one line per counter, then one per gauge."""
+        answer = self.read("/v1/counters")
+        prefix = self.option("prefix")
+        shown = {
+            kind: {
+                name: value
+                for name, value in sorted(answer[kind].items())
+                if name.startswith(prefix)
+            }
+            for kind in ("counters", "gauges")
+        }
+        rows = [
+            {"kind": kind, "name": name, "value": value}
+            for kind, values in shown.items()
+            for name, value in values.items()
+        ]
+        columns = ("kind", "name", "value")
+        self.show(output.format_table(columns, rows), shown)
+        return ExitCode.OK
+
+
 class BillsCommand(base.ServerCommand):
     """Shows bills."""
 
@@ -313,6 +350,7 @@
         StatusCommand(),
         WaitCommand(),
         RollOutsCommand(),
+        CountersCommand(),
         BillsCommand(),
         RotateSessionKeysCommand(),
         HashKeyCommand(),
--- a/tests/builders/admin.py
+++ b/tests/builders/admin.py
@@ -163,6 +163,7 @@
         self.fleet = MemoryFleet()
         self.bills = MemoryBills([MemoryBill("a", 7), MemoryBill("b", 1)])
         self.session_keys = MemorySessionKeys()
+        self.counters = metrics.Counters()
         state = rollouts_model.RollOutState(
             "next", rollouts_model.RollOutPhase.RUNNING, 1, 0, "vm-0", 3
         )
@@ -172,7 +173,7 @@
             roll_outs=lambda: (state,),
             bills=self.bills,
             session_keys=self.session_keys,
-            counters=metrics.Counters(),
+            counters=self.counters,
             operator_key_hashes=(
                 documents.hash_key("another"),
                 documents.hash_key(OPERATOR_KEY),
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -221,11 +221,21 @@
             ("roll-outs", "running"),
             ("bills", "completed"),
             ("history", "REVISION"),
+            ("counters", "VALUE"),
         ):
             code, out, err = await self._run(command)
             self.assertEqual(code, ExitCode.OK, err)
             self.assertIn(expected, out)
 
+    async def test_counters_with_a_prefix(self) -> None:
+        # Guards against an alarm that an operator cannot look up.
+        self.server.counters.increment("refusal.overloaded", 3)
+        self.server.counters.increment("retry.backend_failed")
+        shown = await self._run_json("counters", "--prefix", "refusal.")
+        self.assertEqual(
+            shown, {"counters": {"refusal.overloaded": 3}, "gauges": {}}
+        )
+
     def test_hash_key_ignores_the_end_of_the_line(self) -> None:
         for text in ("demo-key", "demo-key\n", "demo-key\r\n"):
             out = buffered_output.BufferedOutput()
