Prove that a roll-out goes on after its driver dies; assert that leaving servers get nothing

Cause: the proof of roll-outs froze the lease holder but never killed it, and the requirement on leaving backend servers had no assertion in the program.

--- a/src/dragonflydyke/routing/servers.py
+++ b/src/dragonflydyke/routing/servers.py
@@ -337,6 +337,10 @@
             kind: Kind of work, whose times to the first byte are comparable.
             long: Whether it counts against the slots for long work.
         """
+        # Nothing is awaited between the choice of a server and this.
+        errors.check_invariant(
+            not self._is_leaving(server), f"{server.name} is leaving"
+        )
         crowding = self._loads.begin(server, long=long)
         return placements.Placement(
             self, server, candidates, kind, long=long, crowding=crowding
--- a/tests/test_proof_roll_outs.py
+++ b/tests/test_proof_roll_outs.py
@@ -10,13 +10,13 @@
 _MIN_SAMPLES = 5
 
 
-def _build_mapping() -> dict[str, Any]:
+def _build_mapping(
+    steps: tuple[tuple[float, float], ...] = ((0.5, 3_600),),
+) -> dict[str, Any]:
     """Returns a roll-out whose new version has engines of its own."""
     mapping = integration.build_mapping(
         engines=3,
-        roll_outs=[
-            integration.build_roll_out(((0.5, 3_600),), _MIN_SAMPLES),
-        ],
+        roll_outs=[integration.build_roll_out(steps, _MIN_SAMPLES)],
     )
     # engine-1 checks fencing tokens, engine-2 ignores them.
     for number, version in ((0, "v1"), (1, "v1"), (2, "v2")):
@@ -131,3 +131,39 @@
     async def _read_loaded(self, name: str, version: str) -> Any:
         state = await self.running.control(name)
         return state if f"{_MODEL}@{version}" in state["versions"] else None
+
+
+class HalfFinishedTest(integration.IntegrationTestCase):
+    """Guards against roll-outs that stop halfway when their driver dies."""
+
+    async def test_killed_holder(self) -> None:
+        await self.deploy(_build_mapping(((0.5, 1.0), (1.0, 1.0))))
+        await self.poll("the roll-out runs", self._read_decision)
+        lease = await self.read_object("leases", "rollout")
+        holder = self.running.routers[await self.read_lease_holder()]
+        holder.process.kill()
+        self.live = [
+            r for r in self.running.routers.values() if r is not holder
+        ]
+        decision = await self.poll("the roll-out is finished", self._advance)
+        self.assertIn(decision["decided_by"], [r.vm for r in self.live])
+        self.assertGreater(decision["fencing"], lease["fencing"])
+        for router in self.live:
+            await self.poll(
+                "new requests get the new version",
+                lambda r=router: self._gets_new_version(r),
+            )
+        self.assertEqual(await self._read_decision(), decision)
+
+    async def _read_decision(self) -> Any:
+        return await self.read_object("control", "rollout.next")
+
+    async def _advance(self) -> Any:
+        """Sends the requests from which the next holder decides."""
+        await asyncio.gather(*(self.ask(router) for router in self.live))
+        decision = await self._read_decision()
+        return decision if decision["state"] == "finished" else None
+
+    async def _gets_new_version(self, router: deployment.RunningRouter) -> bool:
+        reply = await self.ask(router)
+        return integration.read_version(reply) == "v2"
