Give operators a typed error when a router stops during an apply

Cause: a planned stop cancels the writer's tasks, and the operator's call ended with CancelledError, which the admin API answers as 500. Now it is router_leaving, 503, execution unknown. The new test failed before.

--- a/src/dragonflydyke/membership/writer.py
+++ b/src/dragonflydyke/membership/writer.py
@@ -123,6 +123,20 @@
         except errors.DragonflydykeError as error:
             self._counters.increment(f"apply.{error.code}")
             raise
+        except asyncio.CancelledError:
+            if not task.cancelled():
+                raise
+            # This router stops; the call itself was not cancelled.
+            self._counters.increment("apply.router_leaving")
+            raise errors.DragonflydykeError(
+                "router_leaving",
+                "this router stopped before the outcome was known; read the "
+                "configuration through another router",
+                step=errors.Step.APPLY_CONFIGURATION,
+                execution=errors.Execution.UNKNOWN,
+                retry_after_s=_RETRY_AFTER_S,
+                status=503,
+            ) from None
         self._counters.increment("apply.accepted")
         return change
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -313,6 +313,20 @@
             rule = member.permit.rule()
             self.assertIsNot(permit.PermitRule.CONFIRMED, rule)
 
+    async def test_stop_during_an_apply_gives_a_typed_error(self) -> None:
+        """A planned stop must not end the operator's call without a reason."""
+        for name in ("vm-1", "vm-2"):
+            self.fleet.delays_s["vm-0", name] = 1.0
+        applying = asyncio.ensure_future(
+            self.fleet.nodes["vm-0"].writer.apply({}, "operator")
+        )
+        await self.loop.advance(0.1)
+        await self.fleet.nodes["vm-0"].writer.stop()
+        with self.assertRaises(errors.DragonflydykeError) as raised:
+            await applying
+        self.assertEqual(raised.exception.code, "router_leaving")
+        self.assertIs(raised.exception.execution, errors.Execution.UNKNOWN)
+
     async def test_foreign_value_gives_a_typed_error(self) -> None:
         """An object that no router wrote is named, not a KeyError."""
         store = self.fleet.platform.store
