Remove duplicates and dead code found in a read of the whole change

Cause: the error body was built twice (callers and operators), the use-up of emulated faults twice, the relays and entry VMs were worked out again for each report although they change only with the VM list (one hash per listed VM and report), and each relayed event asked again whether its answer is sampled. Removed as unused: account_for_key_hash with its index, create_session_id, is_released, written_revision, LIMITS_INTERVAL_S. The time saved was not measured.

--- a/src/dragonflydyke/admin/answers.py
+++ b/src/dragonflydyke/admin/answers.py
@@ -6,36 +6,15 @@
 from collections.abc import Mapping
 from typing import Any
 
-from dragonflydyke import configuration, errors
+from dragonflydyke import configuration, error_bodies, errors
 from dragonflydyke.admin import services as admin_services
 
-_ERROR_TYPES = {
-    401: "authentication_error",
-    403: "permission_error",
-    429: "rate_limit_error",
-}
-_FIRST_SERVER_STATUS = 500
-
 
 def build_error(
     error: errors.DragonflydykeError, request_id: str
 ) -> dict[str, Any]:
     """Returns the body of an error answer."""
-    kind = "invalid_request_error"
-    if error.status >= _FIRST_SERVER_STATUS:
-        kind = "server_error"
-    content: dict[str, Any] = {
-        "message": error.message,
-        "type": _ERROR_TYPES.get(error.status, kind),
-        "code": error.code,
-        "param": error.field or None,
-        "step": str(error.step),
-        "peer": error.peer,
-        "execution": error.execution.value,
-        "retry": error.retry_after_s is not None,
-        "retry_after_s": error.retry_after_s,
-        "request_id": request_id,
-    }
+    content = error_bodies.build_content(error, request_id)
     if isinstance(error, configuration.ConfigurationError):
         content["problems"] = [to_json(problem) for problem in error.problems]
     return {"error": content}
--- a/src/dragonflydyke/configuration/model.py
+++ b/src/dragonflydyke/configuration/model.py
@@ -259,7 +259,6 @@
 
     models: Mapping[str, Model]
     accounts: Mapping[str, ClientAccount]
-    accounts_by_key_hash: Mapping[str, ClientAccount]
     classes: Mapping[str, RequestClass]
     cascades: Mapping[str, Cascade]
     services: Mapping[str, Service]
@@ -309,10 +308,6 @@
         """Returns a client account by name, or None."""
         return self._index.accounts.get(name)
 
-    def account_for_key_hash(self, key_hash: str) -> ClientAccount | None:
-        """Returns the client account of a hashed bearer key, or None."""
-        return self._index.accounts_by_key_hash.get(key_hash)
-
     def request_class(self, name: str) -> RequestClass | None:
         """Returns a request class by name, or None."""
         return self._index.classes.get(name)
@@ -362,11 +357,6 @@
     return _Index(
         models=_by_name(document.models),
         accounts=_by_name(document.client_accounts),
-        accounts_by_key_hash={
-            key_hash: account
-            for account in reversed(document.client_accounts)
-            for key_hash in account.key_hashes
-        },
         classes=_by_name(document.classes),
         cascades=_by_name(document.cascades),
         services=_by_name(document.services),
--- a/src/dragonflydyke/emulator/engine_model.py
+++ b/src/dragonflydyke/emulator/engine_model.py
@@ -5,7 +5,7 @@
 import random
 from typing import Any
 
-from dragonflydyke.emulator import quality
+from dragonflydyke.emulator import faults, quality
 
 CHARACTERS_PER_TOKEN = 4
 _WORDS = (
@@ -29,7 +29,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class EngineBehaviour:
+class EngineBehaviour(faults.LimitedFaults):
     """Speed, limits and faults, changed at run time.
 
     A number of requests of -1 means all requests.
@@ -88,13 +88,6 @@
     cut_answers: int = 0
     cut_after_events: int = 1
 
-    def take(self, field: str) -> bool:
-        """Uses up one of a limited number of faults."""
-        left = getattr(self, field)
-        if left > 0:
-            setattr(self, field, left - 1)
-        return left != 0
-
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Prompt:
--- a/src/dragonflydyke/emulator/service.py
+++ b/src/dragonflydyke/emulator/service.py
@@ -8,7 +8,7 @@
 from tornado import web
 
 from dragonflydyke import backends
-from dragonflydyke.emulator import quality, serving
+from dragonflydyke.emulator import faults, quality, serving
 
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 _BAD_RATING = 0.1
@@ -19,7 +19,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class ServiceBehaviour:
+class ServiceBehaviour(faults.LimitedFaults):
     """Delays and faults, changed at run time; -1 means all requests.
 
     Attributes:
@@ -44,13 +44,6 @@
     weight_bytes: int = 100_000
     weight_requests_per_s: float = 2.0
 
-    def take(self, field: str) -> bool:
-        """Uses up one of a limited number of faults."""
-        left = getattr(self, field)
-        if left > 0:
-            setattr(self, field, left - 1)
-        return left != 0
-
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Execution:
--- /dev/null
+++ b/src/dragonflydyke/error_bodies.py
@@ -0,0 +1,38 @@
+"""JSON form of errors, the same for callers and operators."""
+
+from typing import Any
+
+from dragonflydyke import errors
+
+_TYPES_BY_STATUS = {
+    401: "authentication_error",
+    403: "permission_error",
+    429: "rate_limit_error",
+}
+_FIRST_SERVER_STATUS = 500
+
+
+def build_content(
+    error: errors.DragonflydykeError, request_id: str
+) -> dict[str, Any]:
+    """Returns the fields of the `error` object of a response."""
+    return {
+        "message": error.message,
+        "type": _choose_type(error.status),
+        "code": error.code,
+        "param": error.field or None,
+        "step": str(error.step),
+        "peer": error.peer,
+        "execution": error.execution.value,
+        "retry": error.retry_after_s is not None,
+        "retry_after_s": error.retry_after_s,
+        "request_id": request_id,
+    }
+
+
+def _choose_type(status: int) -> str:
+    if status in _TYPES_BY_STATUS:
+        return _TYPES_BY_STATUS[status]
+    if status >= _FIRST_SERVER_STATUS:
+        return "server_error"
+    return "invalid_request_error"
--- a/src/dragonflydyke/gateway/relays.py
+++ b/src/dragonflydyke/gateway/relays.py
@@ -34,6 +34,7 @@
         "_attempt",
         "_held",
         "_include_usage",
+        "_is_sampled",
         "_send",
         "_usage_event",
         "answer",
@@ -56,6 +57,7 @@
         """
         self._attempt = attempt
         self._include_usage = include_usage
+        self._is_sampled = attempt.is_sampled
         self._send = send
         self._held: events.LastEvent | None = None
         self._usage_event: events.LastEvent | None = None
@@ -160,7 +162,7 @@
     def _emit(self, event: bytes) -> None:
         self._attempt.produced_events += 1
         self.answer += event
-        if self._attempt.is_sampled and len(self.sample) < _MAX_SAMPLE_BYTES:
+        if self._is_sampled and len(self.sample) < _MAX_SAMPLE_BYTES:
             self.sample += event
 
     async def _send_pending(self) -> None:
--- a/src/dragonflydyke/limits/accounts.py
+++ b/src/dragonflydyke/limits/accounts.py
@@ -63,11 +63,6 @@
         self._estimated_tokens = estimated_tokens
         self._is_released = False
 
-    @property
-    def is_released(self) -> bool:
-        """Whether the request has ended."""
-        return self._is_released
-
     def release(self, actual_tokens: int) -> None:
         """Ends the request and replaces the estimate by the actual tokens.
 
--- a/src/dragonflydyke/membership/announcements.py
+++ b/src/dragonflydyke/membership/announcements.py
@@ -37,11 +37,6 @@
         )
         self._written_revision = 0
 
-    @property
-    def written_revision(self) -> int:
-        """Highest revision that an acceptor reported as written."""
-        return self._written_revision
-
     def record(
         self, announcement: node_pb2.ChangeAnnouncement, now_s: float
     ) -> None:
--- a/src/dragonflydyke/membership/contacts.py
+++ b/src/dragonflydyke/membership/contacts.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Mapping
 
 from dragonflydyke import metrics, objects
+from dragonflydyke.membership import relays
 from dragonflydyke.protocol import node_pb2
 
 HEARD_S = 2.5
@@ -40,7 +41,14 @@
     process that was paused does not trust what it heard before.
     """
 
-    __slots__ = ("_contacts", "_counters", "_own_name", "_vms")
+    __slots__ = (
+        "_contacts",
+        "_counters",
+        "_entry_vms",
+        "_own_name",
+        "_relays",
+        "_vms",
+    )
 
     def __init__(self, own_name: str, counters: metrics.Counters) -> None:
         """Creates contacts without reports.
@@ -54,6 +62,8 @@
         self._counters = counters
         self._contacts: dict[tuple[str, int], Contact] = {}
         self._vms: objects.VmList | None = None
+        self._entry_vms: tuple[objects.ListedVm, ...] = ()
+        self._relays: frozenset[str] = frozenset()
 
     @property
     def vms(self) -> objects.VmList | None:
@@ -74,12 +84,17 @@
                 self._counters.increment("contacts.empty_vm_list")
                 return
         self._vms = vms
+        # Each report needs both, and choosing relays hashes every name.
+        self._entry_vms = tuple(v for v in vms.vms if v.role == _ENTRY_ROLE)
+        self._relays = relays.select_relays(self._entry_vms)
 
     def entry_vms(self) -> tuple[objects.ListedVm, ...]:
         """Returns the listed entry VMs."""
-        if self._vms is None:
-            return ()
-        return tuple(vm for vm in self._vms.vms if vm.role == _ENTRY_ROLE)
+        return self._entry_vms
+
+    def relays(self) -> frozenset[str]:
+        """Returns the names of the relays among the listed entry VMs."""
+        return self._relays
 
     def record(
         self, report: node_pb2.NodeReport, made_s: float, now_s: float
--- a/src/dragonflydyke/membership/node.py
+++ b/src/dragonflydyke/membership/node.py
@@ -255,8 +255,7 @@
         )
 
     def _is_poll_due(self) -> bool:
-        listed = self.contacts.entry_vms()
-        if self._settings.vm in relays.select_relays(listed):
+        if self._settings.vm in self.contacts.relays():
             return True
         now_s = asyncio.get_running_loop().time()
         age_s = self._confirmations.newest_age(now_s)
--- a/src/dragonflydyke/membership/reports.py
+++ b/src/dragonflydyke/membership/reports.py
@@ -10,7 +10,6 @@
     confirmations,
     contacts,
     permit,
-    relays,
     state,
 )
 from dragonflydyke.protocol import node_pb2
@@ -139,7 +138,7 @@
     def _add_heard(
         self, report: node_pb2.NodeReport, receiver: str, now_s: float
     ) -> None:
-        chosen = relays.select_relays(self._contacts.entry_vms())
+        chosen = self._contacts.relays()
         if self._identity.vm not in chosen:
             return
         direct = self._contacts.heard_contacts(now_s)
--- a/src/dragonflydyke/router/fleet.py
+++ b/src/dragonflydyke/router/fleet.py
@@ -10,7 +10,6 @@
 from dragonflydyke.rollouts import counts, decisions
 from dragonflydyke.rollouts import model as rollouts_model
 
-LIMITS_INTERVAL_S = 1.0
 _MS_PER_S = 1_000
 _MILLI = 1_000
 
--- a/src/dragonflydyke/sessions/tokens.py
+++ b/src/dragonflydyke/sessions/tokens.py
@@ -16,7 +16,6 @@
 MAX_KEYS = 4
 _SECRET_BYTES = 32
 _KEY_ID_BYTES = 8
-_SESSION_ID_BYTES = 16
 # Separates these signatures from other uses of the same keys.
 _SALT = "dragonflydyke.session.1"
 
@@ -76,11 +75,6 @@
     return session
 
 
-def create_session_id() -> str:
-    """Returns the identifier of a new session."""
-    return secrets.token_hex(_SESSION_ID_BYTES)
-
-
 def create_key() -> model.SessionKey:
     """Returns a new random key."""
     return model.SessionKey(
