Serve the users' platform: first thin path

Cause: the product had no way to run on the users' platform. The router now forwards whole HTTP requests under routes (package forwarding), follows configuration and servers in the store (objects.watching), and meets the platform's names in platform/ only. Each attempt uses a connection of its own, so a lost answer is never confused with a failed connection. The HTTP call of the store clients is shared (objects.calls).

--- a/src/dragonflydyke/backends/connection.py
+++ b/src/dragonflydyke/backends/connection.py
@@ -44,8 +44,10 @@
         loop = asyncio.get_running_loop()
         self._stream = stream
         self._method = request.method
+        self._accepts_unframed = request.accepts_unframed
         self._peer = request.server.name
         self._closed = False
+        self._framed = True
         self.complete = False
         self.start: asyncio.Future[
             tuple[httputil.ResponseStartLine, httputil.HTTPHeaders]
@@ -72,7 +74,8 @@
         assert isinstance(start_line, httputil.ResponseStartLine)
         if start_line.code < _FIRST_FINAL_STATUS or self.start.done():
             return
-        if not self._has_length(start_line.code, headers):
+        framed = self._has_length(start_line.code, headers)
+        if not framed and not self._accepts_unframed:
             # The end of such a body cannot be told from a lost connection.
             self._fail(
                 failures.answer_invalid(
@@ -83,6 +86,7 @@
             )
             self._stream.close()
             return
+        self._framed = framed
         self.start.set_result((start_line, headers))
 
     def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
@@ -96,7 +100,8 @@
 
     def finish(self) -> None:
         """Records that the answer arrived in full."""
-        self.complete = True
+        # The library also finishes an answer without a length that was reset.
+        self.complete = self._framed or self._stream.error is None
 
     async def run(self, connection: http1connection.HTTP1Connection) -> None:
         """Reads the answer until its end, a loss or `close`."""
@@ -147,6 +152,7 @@
     """
 
     __slots__ = (
+        "_connect_timeout_s",
         "_connection",
         "_deadline",
         "_peer",
@@ -159,9 +165,24 @@
         "status",
     )
 
-    def __init__(self, request: model.BackendRequest, deadline: float) -> None:
+    def __init__(
+        self,
+        request: model.BackendRequest,
+        deadline: float,
+        *,
+        connect_timeout_s: float | None = None,
+    ) -> None:
+        """Creates an exchange.
+
+        Args:
+            request: What to send.
+            deadline: Loop time at which the exchange must be over.
+            connect_timeout_s: Bound on opening the connection; None leaves it
+                to the deadline.
+        """
         self._request = request
         self._deadline = deadline
+        self._connect_timeout_s = connect_timeout_s
         self._peer = request.server.name
         self._stream: iostream.IOStream | None = None
         self._connection: http1connection.HTTP1Connection | None = None
@@ -188,6 +209,8 @@
         remaining_s = self._deadline - asyncio.get_running_loop().time()
         if remaining_s <= 0:
             raise self._late(errors.Step.CONNECT, errors.Execution.NOT_RUN)
+        if self._connect_timeout_s is not None:
+            remaining_s = min(remaining_s, self._connect_timeout_s)
         try:
             self._stream = await client.connect(
                 url.hostname or "",
@@ -256,8 +279,8 @@
             )
         headers = httputil.HTTPHeaders(
             {
-                **request.headers,
                 "Host": url.netloc,
+                **request.headers,
                 "Connection": "close",
             }
         )
@@ -321,12 +344,16 @@
                 "the answer ended before its end",
             )
 
-    async def close(self) -> None:
-        """Closes the connection and waits for its reader."""
+    def abandon(self) -> None:
+        """Closes the connection without waiting for its reader."""
         if self._reader is not None:
             self._reader.close()
         if self._stream is not None:
             self._stream.close()
+
+    async def close(self) -> None:
+        """Closes the connection and waits for its reader."""
+        self.abandon()
         if self._task is not None:
             await asyncio.wait((self._task,))
 
--- a/src/dragonflydyke/backends/events.py
+++ b/src/dragonflydyke/backends/events.py
@@ -48,6 +48,11 @@
             )
         return events
 
+    @property
+    def has_rest(self) -> bool:
+        """Whether an event has begun and not ended."""
+        return bool(self._rest)
+
     def drop_rest(self) -> None:
         """Forgets an incomplete event before the stream is resumed."""
         self._rest = b""
--- a/src/dragonflydyke/backends/model.py
+++ b/src/dragonflydyke/backends/model.py
@@ -21,10 +21,13 @@
         server: Where it is sent.
         method: HTTP method.
         path: Path and query, already percent-encoded.
-        headers: Headers without Host, Connection and Content-Length, which
-            the client sets. With STREAM_ID_HEADER the request can be
-            cancelled and resumed at an engine.
+        headers: Headers without Connection and Content-Length, which the
+            client sets; it also sets Host unless it is given. With
+            STREAM_ID_HEADER the request can be cancelled and resumed at an
+            engine.
         body: Whole body, or None for a request without one.
+        accepts_unframed: Whether an answer without a length may end with its
+            connection. It is complete unless the connection was reset.
     """
 
     server: model.BackendServer
@@ -32,6 +35,7 @@
     path: str
     headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
     body: bytes | None = None
+    accepts_unframed: bool = False
 
     @property
     def stream_id(self) -> str:
--- /dev/null
+++ b/src/dragonflydyke/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of whole HTTP requests to backend servers under routes."""
--- /dev/null
+++ b/src/dragonflydyke/forwarding/node.py
@@ -0,0 +1,212 @@
+"""A router node that forwards requests: its parts, start and planned stop."""
+
+import asyncio
+import dataclasses
+import random
+import signal
+from collections.abc import Callable, Iterable
+
+from tornado import httpserver, httputil
+
+from dragonflydyke import logs, metrics, settings
+from dragonflydyke.forwarding import (
+    directory,
+    execution,
+    messages,
+    model,
+    placement,
+    server,
+)
+from dragonflydyke.objects import model as objects
+from dragonflydyke.objects import watching
+
+# The load balancer needs two failed checks, a second apart, to see that a
+# node is leaving, and clients then still use open connections for a moment.
+_LEAVE_S = 2.6
+_STOP_MARGIN_S = 0.5
+_OK = 200
+_UNAVAILABLE = 503
+
+_LOGGER = logs.get_logger("node")
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NodeSettings:
+    """What a node is told at its start.
+
+    Attributes:
+        vm: Name of the VM.
+        data_centre: Where it runs.
+        front: Address for clients.
+        ready: Address for readiness checks.
+        metrics: Address for metrics.
+        store_url: URL of the store without a path.
+        grace_s: Seconds between the order to stop and the kill.
+    """
+
+    vm: str
+    data_centre: str
+    front: settings.Address
+    ready: settings.Address
+    metrics: settings.Address
+    store_url: str
+    grace_s: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Kinds:
+    """Names of the kinds of objects that a node follows."""
+
+    policies: str
+    servers: str
+
+
+class Decoder:
+    """Turns objects of the store into the types of this package."""
+
+    def read_policy(
+        self, entries: Iterable[objects.StoredObject]
+    ) -> model.ForwardingPolicy | None:
+        """Returns the newest configuration, or None if there is none."""
+        raise NotImplementedError
+
+    def read_members(
+        self, entries: Iterable[objects.StoredObject]
+    ) -> list[directory.Member]:
+        """Returns the servers; entries that cannot be read are left out."""
+        raise NotImplementedError
+
+
+class Node:
+    """One router process."""
+
+    __slots__ = (
+        "_counters",
+        "_decoder",
+        "_directory",
+        "_forwarder",
+        "_is_leaving",
+        "_server",
+        "_settings",
+        "_stopped",
+        "_watchers",
+    )
+
+    def __init__(
+        self,
+        values: NodeSettings,
+        store: watching.WatchableStore,
+        kinds: Kinds,
+        codec: messages.Codec,
+        decoder: Decoder,
+        counters: metrics.Counters,
+    ) -> None:
+        source = random.Random()
+        self._settings = values
+        self._decoder = decoder
+        self._counters = counters
+        self._directory = directory.Directory()
+        self._forwarder = execution.Forwarder(
+            codec,
+            self._directory,
+            placement.Placer(values.data_centre, source),
+            counters,
+        )
+        self._server = server.ForwardingServer(self._forwarder, codec)
+        self._is_leaving = False
+        self._stopped = asyncio.Event()
+        self._watchers = [
+            watching.KindWatcher(store, kind, listener, counters, source)
+            for kind, listener in (
+                (kinds.policies, self._adopt_policy),
+                (kinds.servers, self._adopt_servers),
+            )
+        ]
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the load balancer may send clients here."""
+        return (
+            not self._is_leaving
+            and self._forwarder.policy is not None
+            and self._directory.updated_s is not None
+        )
+
+    async def run(self) -> None:
+        """Serves until SIGTERM."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._begin_stop)
+        loop.add_signal_handler(
+            signal.SIGHUP, lambda: _LOGGER.notice("reload requested")
+        )
+        watchers = [loop.create_task(w.run()) for w in self._watchers]
+        self._server.listen(
+            self._settings.front.host, self._settings.front.port
+        )
+        _serve_text(self._settings.ready, self._answer_ready)
+        _serve_text(self._settings.metrics, self._answer_metrics)
+        _LOGGER.notice(
+            "started", vm=self._settings.vm, front=str(self._settings.front)
+        )
+        await self._stopped.wait()
+        for watcher in watchers:
+            watcher.cancel()
+        await self._server.stop()
+        _LOGGER.notice("stopped")
+
+    def _begin_stop(self) -> None:
+        if self._is_leaving:
+            return
+        self._is_leaving = True
+        self._server.is_leaving = True
+        _LOGGER.notice("stopping", active=self._server.active)
+        asyncio.create_task(self._drain())
+
+    async def _drain(self) -> None:
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + self._settings.grace_s - _STOP_MARGIN_S
+        await asyncio.sleep(_LEAVE_S)
+        await self._server.wait_idle(until_s)
+        self._stopped.set()
+
+    def _adopt_policy(self, view: watching.KindView, after_gap: bool) -> None:
+        del after_gap
+        policy = self._decoder.read_policy(view.objects.values())
+        current = self._forwarder.policy
+        if policy is None:
+            return
+        if current is not None and policy.version <= current.version:
+            return
+        self._forwarder.policy = policy
+        _LOGGER.notice("configuration in force", version=policy.version)
+
+    def _adopt_servers(self, view: watching.KindView, after_gap: bool) -> None:
+        members = self._decoder.read_members(view.objects.values())
+        self._directory.update(members, view.confirmed_s, after_gap=after_gap)
+
+    def _answer_ready(self) -> tuple[int, str]:
+        return (_OK, "ready\n") if self.is_ready else (_UNAVAILABLE, "no\n")
+
+    def _answer_metrics(self) -> tuple[int, str]:
+        totals = self._counters.totals()
+        lines = [f"{name} {totals[name]}\n" for name in sorted(totals)]
+        return _OK, "".join(lines)
+
+
+def _serve_text(
+    address: settings.Address, answer: Callable[[], tuple[int, str]]
+) -> None:
+    """Answers every request to an address with a short text."""
+
+    def handle(request: httputil.HTTPServerRequest) -> None:
+        status, text = answer()
+        body = text.encode()
+        start_line = httputil.ResponseStartLine("HTTP/1.1", status, "-")
+        headers = httputil.HTTPHeaders(
+            {"Content-Length": str(len(body)), "Content-Type": "text/plain"}
+        )
+        assert request.connection is not None
+        request.connection.write_headers(start_line, headers, body)
+        request.connection.finish()
+
+    httpserver.HTTPServer(handle).listen(address.port, address.host)
--- /dev/null
+++ b/src/dragonflydyke/forwarding/server.py
@@ -0,0 +1,229 @@
+"""HTTP server for the clients of forwarded requests."""
+
+import asyncio
+import http
+from collections.abc import Callable
+
+from tornado import httpserver, httputil, iostream
+
+from dragonflydyke import logs
+from dragonflydyke.forwarding import execution, messages
+
+_HEADER_LENGTH = "Content-Length"
+_HEADER_CONNECTION = "Connection"
+# Larger bodies are refused by the configuration's own limit before.
+_MAX_BODY_BYTES = 64_000_000
+_MAX_HEADER_BYTES = 65_536
+# Clients use connections that were idle for less than the limit of the
+# configuration; a longer time here never closes one that is about to be used.
+_IDLE_TIMEOUT_S = 60.0
+_BAD_REQUEST = 400
+
+_LOGGER = logs.get_logger("server")
+
+
+class ConnectionReply:
+    """Answers one request on its connection."""
+
+    __slots__ = ("_callback", "_connection", "_leaving", "is_closed")
+
+    def __init__(
+        self, connection: httputil.HTTPConnection, leaving: Callable[[], bool]
+    ) -> None:
+        self._connection = connection
+        self._leaving = leaving
+        self._callback: Callable[[], object] | None = None
+        self.is_closed = False
+        connection.set_close_callback(self._on_close)
+
+    def on_close(self, callback: Callable[[], object] | None) -> None:
+        """Sets what is called when the client closes its connection."""
+        self._callback = callback
+        if callback is not None and self.is_closed:
+            callback()
+
+    def send_whole(
+        self, status: int, headers: httputil.HTTPHeaders, body: bytes
+    ) -> None:
+        """Sends an answer whose body is known."""
+        if self.is_closed:
+            return
+        headers[_HEADER_LENGTH] = str(len(body))
+        self._write_start(status, headers, body)
+        self._connection.finish()
+
+    def start(self, status: int, headers: httputil.HTTPHeaders) -> None:
+        """Sends status and headers of an answer of unknown length."""
+        headers.pop(_HEADER_LENGTH, None)
+        self._write_start(status, headers, None)
+
+    async def write(self, chunk: bytes) -> None:
+        """Sends a part of the body and waits until the client takes it.
+
+        Raises:
+            ClientGoneError: If the client closed its connection.
+        """
+        try:
+            await self._connection.write(chunk)
+        except iostream.StreamClosedError:
+            raise execution.ClientGoneError from None
+
+    def finish(self) -> None:
+        """Ends the answer."""
+        if not self.is_closed:
+            self._connection.finish()
+
+    def abort(self) -> None:
+        """Closes the connection, so that the answer looks incomplete."""
+        self._connection.close()
+
+    def _write_start(
+        self, status: int, headers: httputil.HTTPHeaders, body: bytes | None
+    ) -> None:
+        if self._leaving():
+            headers[_HEADER_CONNECTION] = "close"
+        reason = http.HTTPStatus(status).phrase if status in _PHRASES else "-"
+        start_line = httputil.ResponseStartLine("HTTP/1.1", status, reason)
+        future = self._connection.write_headers(start_line, headers, body)
+        # A closed connection is reported by the close callback.
+        future.add_done_callback(lambda done: done.exception())
+
+    def _on_close(self) -> None:
+        self.is_closed = True
+        if self._callback is not None:
+            self._callback()
+
+
+_PHRASES = frozenset(status.value for status in http.HTTPStatus)
+
+
+class _RequestReader(httputil.HTTPMessageDelegate):
+    """Collects one request and hands it on."""
+
+    __slots__ = (
+        "_body",
+        "_connection",
+        "_headers",
+        "_server",
+        "_start",
+    )
+
+    def __init__(
+        self, server: "ForwardingServer", connection: httputil.HTTPConnection
+    ) -> None:
+        self._server = server
+        self._connection = connection
+        self._body: list[bytes] = []
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        """Stores start line and headers."""
+        self._start = start_line
+        self._headers = headers
+
+    def data_received(self, chunk: bytes) -> None:
+        """Stores a part of the body."""
+        self._body.append(chunk)
+
+    def finish(self) -> None:
+        """Starts the work on the whole request."""
+        self._server.accept(
+            self._connection, self._start, self._headers, b"".join(self._body)
+        )
+
+    def on_connection_close(self) -> None:
+        """Drops a request that never arrived in full."""
+
+
+class ForwardingServer(httputil.HTTPServerConnectionDelegate):
+    """Reads requests and has them forwarded.
+
+    Attributes:
+        is_leaving: Whether clients are asked to close their connections.
+    """
+
+    __slots__ = ("_codec", "_forwarder", "_server", "_tasks", "is_leaving")
+
+    def __init__(
+        self, forwarder: execution.Forwarder, codec: messages.Codec
+    ) -> None:
+        self._forwarder = forwarder
+        self._codec = codec
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.is_leaving = False
+        self._server = httpserver.HTTPServer(
+            self,
+            idle_connection_timeout=_IDLE_TIMEOUT_S,
+            max_header_size=_MAX_HEADER_BYTES,
+            max_body_size=_MAX_BODY_BYTES,
+        )
+
+    @property
+    def active(self) -> int:
+        """Requests that are being answered."""
+        return len(self._tasks)
+
+    def listen(self, host: str, port: int) -> None:
+        """Begins to accept connections."""
+        self._server.listen(port, host)
+
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        """Returns the reader of the next request of a connection."""
+        del server_conn
+        return _RequestReader(self, request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        """Is called by the library when a connection is closed."""
+
+    def accept(
+        self,
+        connection: httputil.HTTPConnection,
+        start_line: httputil.RequestStartLine,
+        headers: httputil.HTTPHeaders,
+        body: bytes,
+    ) -> None:
+        """Starts the work on a whole request."""
+        reply = ConnectionReply(connection, lambda: self.is_leaving)
+        try:
+            details = self._codec.read_request(headers)
+        except ValueError as error:
+            _LOGGER.info("request not readable", error=str(error))
+            refused = self._codec.write_refusal("", None)
+            reply.send_whole(_BAD_REQUEST, refused, f"{error}\n".encode())
+            return
+        request = messages.IncomingRequest(
+            method=start_line.method,
+            target=start_line.path,
+            host=headers.get("Host", ""),
+            headers=headers,
+            body=body,
+            received_s=asyncio.get_running_loop().time(),
+            details=details,
+        )
+        task = asyncio.create_task(self._forwarder.forward(request, reply))
+        self._tasks.add(task)
+        task.add_done_callback(self._end)
+
+    async def wait_idle(self, until_s: float) -> None:
+        """Waits until no request is being answered, or until a loop time."""
+        loop = asyncio.get_running_loop()
+        while self._tasks and loop.time() < until_s:
+            timeout_s = until_s - loop.time()
+            await asyncio.wait(self._tasks, timeout=timeout_s)
+
+    async def stop(self) -> None:
+        """Accepts no more connections and closes those that are open."""
+        self._server.stop()
+        await self._server.close_all_connections()
+
+    def _end(self, task: "asyncio.Task[None]") -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _LOGGER.error(
+                "request failed by a fault", error=repr(task.exception())
+            )
--- a/src/dragonflydyke/logs.py
+++ b/src/dragonflydyke/logs.py
@@ -3,6 +3,7 @@
 import datetime
 import json
 import sys
+from typing import TextIO
 
 import logbook
 
@@ -34,18 +35,21 @@
     return f"{line} {fields}".rstrip()
 
 
-def configure(level: str, output_format: str) -> logbook.Handler:
-    """Sends the log of this process to standard error.
+def configure(
+    level: str, output_format: str, stream: TextIO | None = None
+) -> logbook.Handler:
+    """Sends the log of this process to a stream.
 
     Args:
         level: One of LEVELS; less severe lines are dropped.
         output_format: One of FORMATS.
+        stream: Destination, standard error by default.
 
     Returns:
         The installed handler, so that tests can remove it.
     """
     handler = logbook.StreamHandler(
-        sys.stderr, level=logbook.lookup_level(level.upper())
+        stream or sys.stderr, level=logbook.lookup_level(level.upper())
     )
     handler.formatter = (
         _format_json if output_format == "json" else _format_text
--- /dev/null
+++ b/src/dragonflydyke/objects/calls.py
@@ -0,0 +1,131 @@
+"""One HTTP call to a store, with the errors of its transport told apart."""
+
+import enum
+
+from tornado import httpclient, simple_httpclient
+
+from dragonflydyke import errors, metrics, transport
+from dragonflydyke.objects import model
+
+# The library queues requests above this number silently.
+_MAX_CONNECTIONS = 1_000
+_MAX_BODY_BYTES = 8_000_000
+_UNAVAILABLE = 503
+
+
+class StoreMethod(enum.StrEnum):
+    """HTTP methods of stores."""
+
+    GET = "GET"
+    POST = "POST"
+    PUT = "PUT"
+    DELETE = "DELETE"
+
+
+class StoreCaller:
+    """Sends calls to a store and tells lost answers from refused calls.
+
+    Each call uses a connection of its own, so a silent connection costs one
+    timeout and no later call.
+    """
+
+    __slots__ = ("_base_url", "_counters", "_http", "_timeout_s", "peer")
+
+    def __init__(
+        self,
+        base_url: str,
+        peer: str,
+        counters: metrics.Counters,
+        *,
+        timeout_s: float,
+    ) -> None:
+        """Creates a caller.
+
+        Args:
+            base_url: URL of the store without a path.
+            peer: Name of the store in errors.
+            counters: Receives `platform.<method>.<outcome>`.
+            timeout_s: Bound on connecting, and on a call that does not wait.
+        """
+        self.peer = peer
+        self._base_url = base_url
+        self._counters = counters
+        self._timeout_s = timeout_s
+        self._http = simple_httpclient.SimpleAsyncHTTPClient(
+            force_instance=True,
+            resolver=transport.AddressResolver(),
+            max_clients=_MAX_CONNECTIONS,
+            max_body_size=_MAX_BODY_BYTES,
+        )
+
+    async def call(
+        self,
+        method: StoreMethod,
+        path: str,
+        *,
+        expected: tuple[int, ...],
+        refused: tuple[int, ...] = (_UNAVAILABLE,),
+        headers: dict[str, str] | None = None,
+        body: str | None = None,
+        wait_s: float = 0.0,
+    ) -> httpclient.HTTPResponse:
+        """Sends one call.
+
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            expected: Statuses that are returned to the caller.
+            refused: Statuses by which the store says that it did nothing.
+            headers: Headers of the call.
+            body: Body of the call.
+            wait_s: Seconds for which the store may hold the answer back.
+
+        Raises:
+            PlatformUnavailableError: If the call had no effect.
+            OutcomeUnknownError: If a write may have taken effect.
+        """
+        request = httpclient.HTTPRequest(
+            self._base_url + path,
+            method=method,
+            headers=headers,
+            body=body,
+            connect_timeout=self._timeout_s,
+            request_timeout=self._timeout_s + wait_s,
+        )
+        try:
+            response = await self._http.fetch(request, raise_error=False)
+        except (OSError, httpclient.HTTPError) as error:
+            if transport.was_not_sent(error):
+                raise self._unavailable(method, error) from error
+            raise self._lost(method, error) from error
+        if response.code in refused:
+            raise self._unavailable(method, f"status {response.code}")
+        if response.code not in expected:
+            raise self._lost(method, f"unexpected status {response.code}")
+        self._counters.increment(f"platform.{method}.answered")
+        return response
+
+    def close(self) -> None:
+        """Closes the HTTP client."""
+        self._http.close()
+
+    def _unavailable(
+        self, method: StoreMethod, cause: object
+    ) -> model.PlatformUnavailableError:
+        self._counters.increment(f"platform.{method}.unavailable")
+        step = errors.Step.WRITE_PLATFORM
+        if method is StoreMethod.GET:
+            step = errors.Step.READ_PLATFORM
+        return model.PlatformUnavailableError(
+            f"{method} not executed: {cause}", step=step, peer=self.peer
+        )
+
+    def _lost(
+        self, method: StoreMethod, cause: object
+    ) -> errors.DragonflydykeError:
+        if method is StoreMethod.GET:
+            return self._unavailable(method, cause)
+        self._counters.increment(f"platform.{method}.outcome_unknown")
+        return model.OutcomeUnknownError(
+            f"{method} sent, answer lost: {cause}", peer=self.peer
+        )
--- a/src/dragonflydyke/objects/client.py
+++ b/src/dragonflydyke/objects/client.py
@@ -4,20 +4,16 @@
 from typing import Any, Protocol
 from urllib import parse
 
-from tornado import httpclient, simple_httpclient
+from tornado import httpclient
 
-from dragonflydyke import errors, metrics, transport
-from dragonflydyke.objects import model
+from dragonflydyke import metrics
+from dragonflydyke.objects import calls, model
 
 DEFAULT_TIMEOUT_S = 1.0
-# The library queues requests above this number silently.
-_MAX_CONNECTIONS = 1_000
-_MAX_BODY_BYTES = 8_000_000
+_OK = 200
 _CONFLICT = 409
 _NOT_FOUND = 404
 _TOO_LARGE = 413
-_UNAVAILABLE = 503
-_READ_METHODS = ("GET",)
 
 
 class ObjectStore(Protocol):
@@ -56,7 +52,7 @@
     OutcomeUnknownError when they were sent and the answer was lost.
     """
 
-    __slots__ = ("_base_url", "_counters", "_http", "_peer", "_timeout_s")
+    __slots__ = ("_caller",)
 
     def __init__(
         self,
@@ -72,20 +68,16 @@
             counters: Receives `platform.<method>.<outcome>`.
             timeout_s: Bound on one call, in seconds.
         """
-        self._base_url = base_url
-        self._peer = parse.urlsplit(base_url).netloc
-        self._timeout_s = timeout_s
-        self._counters = counters
-        self._http = simple_httpclient.SimpleAsyncHTTPClient(
-            force_instance=True,
-            resolver=transport.AddressResolver(),
-            max_clients=_MAX_CONNECTIONS,
-            max_body_size=_MAX_BODY_BYTES,
+        self._caller = calls.StoreCaller(
+            base_url,
+            parse.urlsplit(base_url).netloc,
+            counters,
+            timeout_s=timeout_s,
         )
 
     async def get(self, kind: str, name: str) -> model.StoredObject | None:
         """Returns an object, or None if it does not exist."""
-        response = await self._call("GET", _path(kind, name))
+        response = await self._call(calls.StoreMethod.GET, _path(kind, name))
         if response.code == _NOT_FOUND:
             return None
         return _parse_object(json.loads(response.body))
@@ -117,7 +109,9 @@
             ConflictError: If the object does not have the given version.
         """
         response = await self._call(
-            "DELETE", _path(kind, name), {"If-Match": str(version)}
+            calls.StoreMethod.DELETE,
+            _path(kind, name),
+            {"If-Match": str(version)},
         )
         if response.code == _CONFLICT:
             raise self._conflict(kind, name, response)
@@ -137,7 +131,7 @@
             {"since": since, "prefix": prefix, "limit": limit}
         )
         path = f"/v1/objects/{parse.quote(kind, safe='')}?{query}"
-        body = json.loads((await self._call("GET", path)).body)
+        body = json.loads((await self._call(calls.StoreMethod.GET, path)).body)
         return model.ObjectList(
             version=body["version"],
             objects=tuple(_parse_object(entry) for entry in body["objects"]),
@@ -147,7 +141,9 @@
 
     async def list_vms(self) -> model.VmList:
         """Returns the platform's list of VMs."""
-        body = json.loads((await self._call("GET", "/v1/vms")).body)
+        body = json.loads(
+            (await self._call(calls.StoreMethod.GET, "/v1/vms")).body
+        )
         vms = tuple(
             model.ListedVm(
                 name=entry["name"],
@@ -162,64 +158,34 @@
 
     def close(self) -> None:
         """Closes the HTTP client."""
-        self._http.close()
+        self._caller.close()
 
     async def _put(
         self, kind: str, name: str, value: Any, headers: dict[str, str]
     ) -> model.StoredObject:
         body = json.dumps(value, separators=(",", ":"))
-        response = await self._call("PUT", _path(kind, name), headers, body)
+        response = await self._call(
+            calls.StoreMethod.PUT, _path(kind, name), headers, body
+        )
         if response.code == _CONFLICT:
             raise self._conflict(kind, name, response)
         if response.code == _TOO_LARGE:
-            raise model.ObjectTooLargeError(kind, name, peer=self._peer)
+            raise model.ObjectTooLargeError(kind, name, peer=self._caller.peer)
         return _parse_object(json.loads(response.body))
 
     async def _call(
         self,
-        method: str,
+        method: calls.StoreMethod,
         path: str,
         headers: dict[str, str] | None = None,
         body: str | None = None,
     ) -> httpclient.HTTPResponse:
-        request = httpclient.HTTPRequest(
-            self._base_url + path,
-            method=method,
+        return await self._caller.call(
+            method,
+            path,
+            expected=(_OK, _NOT_FOUND, _CONFLICT, _TOO_LARGE),
             headers=headers,
             body=body,
-            connect_timeout=self._timeout_s,
-            request_timeout=self._timeout_s,
-        )
-        try:
-            response = await self._http.fetch(request, raise_error=False)
-        except (OSError, httpclient.HTTPError) as error:
-            if transport.was_not_sent(error):
-                raise self._unavailable(method, error) from error
-            raise self._lost(method, error) from error
-        if response.code == _UNAVAILABLE:
-            raise self._unavailable(method, "the platform answered 503")
-        if response.code not in (200, _NOT_FOUND, _CONFLICT, _TOO_LARGE):
-            raise self._lost(method, f"unexpected status {response.code}")
-        self._counters.increment(f"platform.{method}.answered")
-        return response
-
-    def _unavailable(
-        self, method: str, cause: object
-    ) -> model.PlatformUnavailableError:
-        self._counters.increment(f"platform.{method}.unavailable")
-        step = errors.Step.WRITE_PLATFORM
-        if method in _READ_METHODS:
-            step = errors.Step.READ_PLATFORM
-        return model.PlatformUnavailableError(
-            f"{method} not executed: {cause}", step=step, peer=self._peer
-        )
-
-    def _lost(self, method: str, cause: object) -> errors.DragonflydykeError:
-        if method in _READ_METHODS:
-            return self._unavailable(method, cause)
-        self._counters.increment(f"platform.{method}.outcome_unknown")
-        return model.OutcomeUnknownError(
-            f"{method} sent, answer lost: {cause}", peer=self._peer
         )
 
     def _conflict(
@@ -227,7 +193,7 @@
     ) -> model.ConflictError:
         entry = json.loads(response.body)
         present = _parse_object(entry) if entry else None
-        return model.ConflictError(kind, name, present, peer=self._peer)
+        return model.ConflictError(kind, name, present, peer=self._caller.peer)
 
 
 def _path(kind: str, name: str) -> str:
--- a/src/dragonflydyke/objects/model.py
+++ b/src/dragonflydyke/objects/model.py
@@ -15,12 +15,15 @@
         name: Unique within the kind.
         version: Grows with every write in the whole store.
         value: Any JSON value, at most 1 MB as text.
+        status: What the system reported of the object, where the store keeps
+            that apart from the value.
     """
 
     kind: str
     name: str
     version: int
     value: Any
+    status: Any = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -74,6 +77,34 @@
     vms: tuple[ListedVm, ...]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ObjectChanges:
+    """What changed in a kind after a version of the store.
+
+    Attributes:
+        version: Version of the store up to which the changes reach.
+        written: Objects that were created or replaced, oldest first.
+        removed: Names of objects that were removed and not created again.
+    """
+
+    version: int
+    written: tuple[StoredObject, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
+class HistoryLostError(errors.DragonflydykeError):
+    """The store no longer has the changes after the requested version."""
+
+    def __init__(self, kind: str, version: int, *, peer: str) -> None:
+        super().__init__(
+            "platform_history_lost",
+            f"changes of {kind} after {version} are gone; list the kind again",
+            step=errors.Step.READ_PLATFORM,
+            peer=peer,
+            status=410,
+        )
+
+
 class PlatformUnavailableError(errors.DragonflydykeError):
     """The platform was not reached; a write certainly had no effect."""
 
--- /dev/null
+++ b/src/dragonflydyke/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: names, formats and calls only."""
--- /dev/null
+++ b/src/dragonflydyke/platform/main.py
@@ -0,0 +1,35 @@
+"""Program of an entry VM on the users' platform."""
+
+import asyncio
+import sys
+
+from dragonflydyke import logs, metrics, settings
+from dragonflydyke.forwarding import node
+from dragonflydyke.platform import headers, process, records, store
+
+_EXIT_USAGE = 2
+
+
+async def _serve(values: node.NodeSettings) -> None:
+    counters = metrics.Counters()
+    router = node.Node(
+        values,
+        store.PlatformStore(values.store_url, counters),
+        records.KINDS,
+        headers.HeaderCodec(),
+        records.RecordDecoder(),
+        counters,
+    )
+    await router.run()
+
+
+def main() -> int:
+    """Runs the program until SIGTERM; returns its exit code."""
+    logs.configure("info", "json", sys.stdout)
+    try:
+        values = process.read_settings()
+    except settings.SettingsError as error:
+        print(f"settings not usable: {error}", file=sys.stderr)
+        return _EXIT_USAGE
+    asyncio.run(_serve(values))
+    return 0
--- /dev/null
+++ b/src/dragonflydyke/platform/process.py
@@ -0,0 +1,53 @@
+"""Settings file of the platform, read into the product's settings."""
+
+import json
+import os
+import pathlib
+from typing import Any
+
+from dragonflydyke import settings
+from dragonflydyke.forwarding import node
+
+SETTINGS_VARIABLE = "DRAGONFLYDYKE_CONFIG"
+_METRICS_PORT_INDEX = 0
+
+
+def read_settings() -> node.NodeSettings:
+    """Returns the settings of this process.
+
+    Raises:
+        SettingsError: If the file or one of its fields cannot be used.
+    """
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        fields = json.loads(pathlib.Path(path).read_text())
+    except (OSError, ValueError) as error:
+        raise settings.SettingsError(SETTINGS_VARIABLE, str(error)) from error
+    host = _field(fields, "ip", str)
+    ports = _field(fields, "internalPorts", list)
+    return node.NodeSettings(
+        vm=_field(fields, "nodeName", str),
+        data_centre=_field(fields, "zone", str),
+        front=_address(fields, "front"),
+        ready=_address(fields, "ready"),
+        metrics=settings.Address(host, int(ports[_METRICS_PORT_INDEX])),
+        store_url="http://" + _field(fields, "platform.address", str),
+        grace_s=float(_field(fields, "bounds.graceS", int | float)),
+    )
+
+
+def _address(fields: Any, name: str) -> settings.Address:
+    text = _field(fields, f"listen.{name}", str)
+    try:
+        return settings.parse_address(text)
+    except ValueError as error:
+        raise settings.SettingsError(f"listen.{name}", str(error)) from error
+
+
+def _field(fields: Any, path: str, kind: Any) -> Any:
+    value = fields
+    for name in path.split("."):
+        value = value.get(name) if isinstance(value, dict) else None
+    if not isinstance(value, kind):
+        raise settings.SettingsError(path, f"{value!r} cannot be used")
+    return value
--- /dev/null
+++ b/src/dragonflydyke/platform/store.py
@@ -0,0 +1,109 @@
+"""Calls of the platform's metadata store."""
+
+import json
+from typing import Any
+from urllib import parse
+
+from dragonflydyke import metrics
+from dragonflydyke.objects import calls, model
+
+_PATH = "/api/objects/"
+_TIMEOUT_S = 1.0
+_MS_PER_S = 1_000
+_OK = 200
+_CREATED = 201
+_NOT_FOUND = 404
+_CONFLICT = 409
+_GONE = 410
+_TOO_MANY_CALLS = 429
+_UNAVAILABLE = 503
+# By these the store says that it did nothing.
+_REFUSED = (_UNAVAILABLE, _TOO_MANY_CALLS)
+_JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+class PlatformStore:
+    """Client of the store; raises the errors of `objects.model`."""
+
+    __slots__ = ("_caller",)
+
+    def __init__(self, base_url: str, counters: metrics.Counters) -> None:
+        """Creates a client.
+
+        Args:
+            base_url: URL of the store without a path.
+            counters: Receives `platform.<method>.<outcome>`.
+        """
+        self._caller = calls.StoreCaller(
+            base_url,
+            parse.urlsplit(base_url).netloc,
+            counters,
+            timeout_s=_TIMEOUT_S,
+        )
+
+    async def list_all(self, kind: str) -> model.ObjectList:
+        """Returns all objects of a kind, page by page.
+
+        The version is that of the first page, so that a watch from there
+        repeats what changed between the pages.
+        """
+        found: list[model.StoredObject] = []
+        version: int | None = None
+        after = ""
+        while True:
+            query = f"?{parse.urlencode({'after': after})}" if after else ""
+            page = await self._read(_PATH + kind + query)
+            items = page["items"]
+            found.extend(_decode(kind, item) for item in items)
+            if version is None:
+                version = page["storeRevision"]
+            if not page.get("more") or not items:
+                return model.ObjectList(version, tuple(found))
+            after = items[-1]["metadata"]["name"]
+
+    async def watch(
+        self, kind: str, since: int, wait_s: float
+    ) -> model.ObjectChanges:
+        """Returns what changed after a version, waiting for a change.
+
+        Raises:
+            HistoryLostError: If the store forgot these changes.
+        """
+        wait_ms = int(wait_s * _MS_PER_S)
+        query = parse.urlencode({"watch": since, "waitMs": wait_ms})
+        response = await self._caller.call(
+            calls.StoreMethod.GET,
+            f"{_PATH}{kind}?{query}",
+            expected=(_OK, _GONE),
+            refused=_REFUSED,
+            wait_s=wait_s,
+        )
+        if response.code == _GONE:
+            raise model.HistoryLostError(kind, since, peer=self._caller.peer)
+        page = json.loads(response.body)
+        newest: dict[str, model.StoredObject | None] = {}
+        for event in page["events"]:
+            entry = _decode(kind, event["object"])
+            newest[entry.name] = None if event["removed"] else entry
+        return model.ObjectChanges(
+            page["storeRevision"],
+            tuple(entry for entry in newest.values() if entry is not None),
+            tuple(name for name, entry in newest.items() if entry is None),
+        )
+
+    async def _read(self, path: str) -> Any:
+        response = await self._caller.call(
+            calls.StoreMethod.GET, path, expected=(_OK,), refused=_REFUSED
+        )
+        return json.loads(response.body)
+
+
+def _decode(kind: str, item: Any) -> model.StoredObject:
+    metadata = item["metadata"]
+    return model.StoredObject(
+        kind=kind,
+        name=metadata["name"],
+        version=metadata.get("rev", 0),
+        value=item.get("spec"),
+        status=item.get("status"),
+    )
--- a/src/dragonflydyke/routing/retries.py
+++ b/src/dragonflydyke/routing/retries.py
@@ -7,14 +7,20 @@
 class RetryBudget:
     """Allows retries up to a share of the requests, plus a small reserve."""
 
-    __slots__ = ("_balance",)
+    __slots__ = ("_balance", "_reserve")
 
-    def __init__(self) -> None:
-        self._balance = _RESERVE_RETRIES
+    def __init__(self, reserve: float = _RESERVE_RETRIES) -> None:
+        """Creates a full budget.
+
+        Args:
+            reserve: Retries that may be made at once.
+        """
+        self._reserve = reserve
+        self._balance = reserve
 
     def record_request(self, share: float) -> None:
         """Adds the share of a retry that a request entitles to."""
-        self._balance = min(self._balance + share, _RESERVE_RETRIES)
+        self._balance = min(self._balance + share, self._reserve)
 
     def try_spend(self) -> bool:
         """Takes one retry from the budget and returns whether it was left."""
