--- a/src/dragonflydyke/forwarding/execution.py
+++ b/src/dragonflydyke/forwarding/execution.py
@@ -11,6 +11,7 @@
 from dragonflydyke.backends import connection, events
 from dragonflydyke.backends import model as backends
 from dragonflydyke.forwarding import (
+    conductor,
     decisions,
     directory,
     messages,
@@ -116,6 +117,7 @@
     __slots__ = (
         "_budgets",
         "_codec",
+        "_conductor",
         "_counters",
         "_directory",
         "_placer",
@@ -127,6 +129,7 @@
         self,
         codec: messages.Codec,
         members: directory.Directory,
+        versions: conductor.Conductor,
         placer: placement.Placer,
         counters: metrics.Counters,
     ) -> None:
@@ -134,6 +137,7 @@
         self.policy: model.ForwardingPolicy | None = None
         self._codec = codec
         self._directory = members
+        self._conductor = versions
         self._placer = placer
         self._counters = counters
         self._budgets: dict[str, retries.RetryBudget] = {}
@@ -206,7 +210,7 @@
     ) -> tuple[decisions.AttemptEnd, str]:
         loop = asyncio.get_running_loop()
         self._directory.expire(loop.time())
-        members = self._directory.list_usable(admitted.pool.name)
+        members = self._list_members(request, admitted)
         choice = self._placer.choose(
             job, members, loop.time(), state.failed_servers
         )
@@ -237,6 +241,7 @@
                 latency=None,
                 peers=members,
             )
+            self._record_version(member, end)
             if ejected:
                 self._counters.increment("server.ejected")
                 _LOGGER.notice("server ejected", server=member.name)
@@ -245,6 +250,31 @@
             state.failed_servers.append(member.name)
         return end, reason
 
+    def _list_members(
+        self, request: messages.IncomingRequest, admitted: decisions.Admitted
+    ) -> tuple[directory.Member, ...]:
+        pool = admitted.pool.name
+        members = self._directory.list_usable(pool)
+        session = request.details.session or request.details.request_id
+        rule = self._conductor.select(pool, session)
+        wanted = tuple(m for m in members if rule.allows(m.version))
+        if wanted:
+            return wanted
+        # The other version serves rather than nobody, unless it is bad.
+        return tuple(
+            m
+            for m in members
+            if not (rule.is_forbidden and m.version == rule.avoided)
+        )
+
+    def _record_version(
+        self, member: directory.Member, end: decisions.AttemptEnd
+    ) -> None:
+        failed = _judge(end)
+        if failed is None or end is decisions.AttemptEnd.NOT_RUN:
+            return
+        self._conductor.record(member.pool, member.version, failed=failed)
+
     def _refuse(
         self,
         request: messages.IncomingRequest,
--- a/src/dragonflydyke/forwarding/messages.py
+++ b/src/dragonflydyke/forwarding/messages.py
@@ -29,6 +29,7 @@
         max_output_tokens: Most tokens of the answer.
         length_hint: Output tokens that the client expects, 0 if unknown.
         last_event_id: Last event that the client has, None at the start.
+        session: Session that the request belongs to, empty without one.
     """
 
     request_id: str
@@ -41,6 +42,7 @@
     max_output_tokens: int = 0
     length_hint: int = 0
     last_event_id: int | None = None
+    session: str = ""
 
     @property
     def shared_part(self) -> PromptPart | None:
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -5,11 +5,13 @@
 import random
 import signal
 from collections.abc import Callable, Iterable
+from typing import Protocol
 
 from tornado import httpserver, httputil
 
 from dragonflydyke import logs, metrics, settings
 from dragonflydyke.forwarding import (
+    conductor,
     directory,
     execution,
     messages,
@@ -59,6 +61,7 @@
 
     policies: str
     servers: str
+    rollouts: str
 
 
 class Decoder:
@@ -76,15 +79,27 @@
         """Returns the servers; entries that cannot be read are left out."""
         raise NotImplementedError
 
+    def read_rollouts(
+        self, entries: Iterable[objects.StoredObject]
+    ) -> list[conductor.StoredRollout]:
+        """Returns the roll-outs; entries that cannot be read are left out."""
+        raise NotImplementedError
+
+
+class NodeStore(watching.WatchableStore, conductor.RolloutStore, Protocol):
+    """What a node needs of the store."""
+
 
 class Node:
     """One router process."""
 
     __slots__ = (
+        "_conductor",
         "_counters",
         "_decoder",
         "_directory",
         "_forwarder",
+        "_has_rollouts",
         "_is_leaving",
         "_server",
         "_settings",
@@ -95,7 +110,7 @@
     def __init__(
         self,
         values: NodeSettings,
-        store: watching.WatchableStore,
+        store: NodeStore,
         kinds: Kinds,
         codec: messages.Codec,
         decoder: Decoder,
@@ -106,9 +121,14 @@
         self._decoder = decoder
         self._counters = counters
         self._directory = directory.Directory()
+        self._conductor = conductor.Conductor(
+            values.vm, store, counters, source
+        )
+        self._has_rollouts = False
         self._forwarder = execution.Forwarder(
             codec,
             self._directory,
+            self._conductor,
             placement.Placer(values.data_centre, source),
             counters,
         )
@@ -120,6 +140,7 @@
             for kind, listener in (
                 (kinds.policies, self._adopt_policy),
                 (kinds.servers, self._adopt_servers),
+                (kinds.rollouts, self._adopt_rollouts),
             )
         ]
 
@@ -130,6 +151,7 @@
             not self._is_leaving
             and self._forwarder.policy is not None
             and self._directory.updated_s is not None
+            and self._has_rollouts
         )
 
     async def run(self) -> None:
@@ -139,7 +161,8 @@
         loop.add_signal_handler(
             signal.SIGHUP, lambda: _LOGGER.notice("reload requested")
         )
-        watchers = [loop.create_task(w.run()) for w in self._watchers]
+        tasks = [loop.create_task(w.run()) for w in self._watchers]
+        tasks.append(loop.create_task(self._conductor.run()))
         self._server.listen(
             self._settings.front.host, self._settings.front.port
         )
@@ -149,8 +172,8 @@
             "started", vm=self._settings.vm, front=str(self._settings.front)
         )
         await self._stopped.wait()
-        for watcher in watchers:
-            watcher.cancel()
+        for task in tasks:
+            task.cancel()
         await self._server.stop()
         _LOGGER.notice("stopped")
 
@@ -184,6 +207,12 @@
         members = self._decoder.read_members(view.objects.values())
         self._directory.update(members, view.confirmed_s, after_gap=after_gap)
 
+    def _adopt_rollouts(self, view: watching.KindView, after_gap: bool) -> None:
+        del after_gap
+        found = self._decoder.read_rollouts(view.objects.values())
+        self._conductor.update(found, view.confirmed_s)
+        self._has_rollouts = True
+
     def _answer_ready(self) -> tuple[int, str]:
         return (_OK, "ready\n") if self.is_ready else (_UNAVAILABLE, "no\n")
 
--- a/src/dragonflydyke/platform/headers.py
+++ b/src/dragonflydyke/platform/headers.py
@@ -20,6 +20,7 @@
 SIGNATURE = "Runner-Seal"
 NOT_RUN = "Not-Executed"
 CONFIDENCE = "Confidence"
+SESSION = "Session"
 _KEY_SCHEME = "token"
 _ANY_MODEL = "*"
 _EVENT_STREAM = "text/event-stream"
@@ -82,6 +83,7 @@
             max_output_tokens=output_tokens,
             length_hint=_read_count(headers.get(LENGTH_HINT, "")),
             last_event_id=int(last) if last.isdigit() else None,
+            session=headers.get(SESSION, ""),
         )
 
     def write_request(
--- a/src/dragonflydyke/platform/records.py
+++ b/src/dragonflydyke/platform/records.py
@@ -5,11 +5,25 @@
 
 from dragonflydyke import logs
 from dragonflydyke.configuration import model as configuration
-from dragonflydyke.forwarding import directory, model, node
+from dragonflydyke.forwarding import (
+    conductor,
+    directory,
+    model,
+    node,
+    rollouts,
+)
 from dragonflydyke.objects import model as objects
+from dragonflydyke.rollouts import decisions
 
-KINDS = node.Kinds(policies="config", servers="servers")
+KINDS = node.Kinds(policies="config", servers="servers", rollouts="rollouts")
 _NEWEST = "main"
+_RUNNING = "running"
+_FINAL_STATES = {
+    "completed": rollouts.Stage.COMPLETED,
+    "rolled_back": rollouts.Stage.ROLLED_BACK,
+}
+# Part of a status that only the routers read.
+_OWN_FIELD = "router"
 _MS_PER_S = 1_000
 _STATES = {
     "ready": configuration.ServerState.ACTIVE,
@@ -48,6 +62,13 @@
         found = (self._read(entry, _read_member) for entry in entries)
         return [member for member in found if member is not None]
 
+    def read_rollouts(
+        self, entries: Iterable[objects.StoredObject]
+    ) -> list[conductor.StoredRollout]:
+        """Returns the roll-outs; entries that cannot be read are left out."""
+        found = (self._read(entry, _read_rollout) for entry in entries)
+        return [stored for stored in found if stored is not None]
+
     def _read(self, entry: objects.StoredObject, read: Any) -> Any:
         try:
             return read(entry)
@@ -96,6 +117,60 @@
     )
 
 
+def _read_rollout(entry: objects.StoredObject) -> conductor.StoredRollout:
+    spec = entry.value
+    order = rollouts.Order(
+        pool=_text(spec["service"]),
+        version=_text(spec["target"]),
+        duration_s=float(_number(spec["rampS"])),
+    )
+    status = entry.status
+    progress = _read_progress(status) if status else None
+    return conductor.StoredRollout(entry, order, progress)
+
+
+def _read_progress(status: Any) -> rollouts.Progress:
+    state = status["state"]
+    own = status.get(_OWN_FIELD) or {}
+    stage = _FINAL_STATES.get(state)
+    if stage is None:
+        stage = rollouts.Stage(own.get("stage", rollouts.Stage.WAITING))
+    return rollouts.Progress(
+        version=status["target"],
+        stage=stage,
+        evidence={
+            vm: rollouts.NodeEvidence(
+                _read_sample(counts["new"]), _read_sample(counts["old"])
+            )
+            for vm, counts in (own.get("evidence") or {}).items()
+        },
+    )
+
+
+def write_progress(progress: rollouts.Progress) -> dict[str, Any]:
+    """Returns the status of a roll-out, with own fields in one place."""
+    states = {stage: state for state, stage in _FINAL_STATES.items()}
+    return {
+        "state": states.get(progress.stage, _RUNNING),
+        "target": progress.version,
+        _OWN_FIELD: {
+            "stage": progress.stage.value,
+            "evidence": {
+                vm: {
+                    "new": [counts.new.requests, counts.new.failures],
+                    "old": [counts.old.requests, counts.old.failures],
+                }
+                for vm, counts in progress.evidence.items()
+            },
+        },
+    }
+
+
+def _read_sample(counts: Any) -> decisions.VersionSample:
+    requests, failures = counts
+    return decisions.VersionSample(requests=requests, failures=failures)
+
+
 def _read_policy(entry: objects.StoredObject) -> model.ForwardingPolicy:
     spec = entry.value
     limits = spec["limits"]
--- a/src/dragonflydyke/platform/store.py
+++ b/src/dragonflydyke/platform/store.py
@@ -5,13 +5,14 @@
 from urllib import parse
 
 from dragonflydyke import metrics
+from dragonflydyke.forwarding import conductor, rollouts
 from dragonflydyke.objects import calls, model
+from dragonflydyke.platform import records
 
 _PATH = "/api/objects/"
 _TIMEOUT_S = 1.0
 _MS_PER_S = 1_000
 _OK = 200
-_CREATED = 201
 _NOT_FOUND = 404
 _CONFLICT = 409
 _GONE = 410
@@ -91,6 +92,34 @@
             tuple(name for name, entry in newest.items() if entry is None),
         )
 
+    async def write_progress(
+        self, stored: conductor.StoredRollout, progress: rollouts.Progress
+    ) -> conductor.StoredRollout:
+        """Replaces the status of an unchanged roll-out.
+
+        Raises:
+            ConflictError: If the object was changed.
+        """
+        entry = stored.entry
+        body = {
+            "metadata": {"name": entry.name, "rev": entry.version},
+            "status": records.write_progress(progress),
+        }
+        response = await self._caller.call(
+            calls.StoreMethod.PUT,
+            f"{_PATH}{entry.kind}/{parse.quote(entry.name, safe='')}/status",
+            expected=(_OK, _CONFLICT, _NOT_FOUND),
+            refused=_REFUSED,
+            headers=_JSON_HEADERS,
+            body=json.dumps(body),
+        )
+        if response.code != _OK:
+            raise model.ConflictError(
+                entry.kind, entry.name, None, peer=self._caller.peer
+            )
+        written = _decode(entry.kind, json.loads(response.body))
+        return conductor.StoredRollout(written, stored.order, progress)
+
     async def _read(self, path: str) -> Any:
         response = await self._caller.call(
             calls.StoreMethod.GET, path, expected=(_OK,), refused=_REFUSED
