Ask the smallest model first and the largest on low confidence

Cause: with the largest model alone its nine servers are overloaded (119 of 253 plan rebuilds not on time and lost); with one smaller model about half of the answers are poor. Confidence of the smallest spreads over 0..1, that of the largest stays above 0.4. Now an answer below 0.5 is dropped before the client has any of it and asked of the largest model, with a fallback to the smallest when that is too slow.

--- a/src/dragonflydyke/forwarding/decisions.py
+++ b/src/dragonflydyke/forwarding/decisions.py
@@ -108,13 +108,19 @@
 
 
 class AttemptEnd(enum.StrEnum):
-    """How an attempt at a server ended."""
+    """How an attempt at a server ended.
+
+    INSUFFICIENT is an answer of low confidence that was dropped, SLOW one that
+    did not begin while there was time to ask a faster model.
+    """
 
     DELIVERED = "delivered"
     NOT_RUN = "not_run"
     FAILED = "failed"
     LOST = "lost"
     LATE = "late"
+    INSUFFICIENT = "insufficient"
+    SLOW = "slow"
     CLIENT_GONE = "client_gone"
 
 
--- a/src/dragonflydyke/forwarding/execution.py
+++ b/src/dragonflydyke/forwarding/execution.py
@@ -11,6 +11,7 @@
 from dragonflydyke.backends import connection, events
 from dragonflydyke.backends import model as backends
 from dragonflydyke.forwarding import (
+    cascade,
     conductor,
     decisions,
     directory,
@@ -33,7 +34,7 @@
 _MIN_GAP_S = 0.5
 # Retries of this node per request, and those it may make at once; the fleet
 # shares a budget that no node can see.
-_RETRY_SHARE = 0.6
+_RETRY_SHARE = 0.8
 _RETRY_RESERVE = 4.0
 
 _LOGGER = logs.get_logger("forwarding")
@@ -92,6 +93,8 @@
         failed_servers: Servers that failed the request.
         failure: Signed failure of a server, delivered when nothing better
             comes.
+        escalated: Whether the largest model was asked.
+        fell_back: Whether the largest model was too slow.
         trail: One word an attempt, for the log.
     """
 
@@ -101,8 +104,18 @@
     begun: bool = False
     failed_servers: list[str] = dataclasses.field(default_factory=list)
     failure: "_BufferedAnswer | None" = None
+    escalated: bool = False
+    fell_back: bool = False
     trail: list[str] = dataclasses.field(default_factory=list)
 
+    def describe(self) -> cascade.CascadeState:
+        """Returns the state for the choice of models, this attempt included."""
+        return cascade.CascadeState(
+            attempts=self.attempts + 1,
+            fell_back=self.fell_back,
+            escalated=self.escalated,
+        )
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class _BufferedAnswer:
@@ -116,6 +129,7 @@
 
     __slots__ = (
         "_budgets",
+        "_cascades",
         "_codec",
         "_conductor",
         "_counters",
@@ -141,6 +155,7 @@
         self._placer = placer
         self._counters = counters
         self._budgets: dict[str, retries.RetryBudget] = {}
+        self._cascades: dict[str, cascade.Cascade] = {}
         self._tcp = tcpclient.TCPClient(transport.AddressResolver())
 
     async def forward(
@@ -180,7 +195,7 @@
         loop = asyncio.get_running_loop()
         while True:
             end, reason = await self._attempt(
-                request, reply, admitted, job, state
+                request, reply, admitted, job, state, budget
             )
             progress = decisions.RequestProgress(
                 attempts=state.attempts,
@@ -194,6 +209,7 @@
                 return
             if step is decisions.NextStep.RETRY and budget.try_spend():
                 self._counters.increment(f"retry.{end}")
+                _note_models(state, end)
                 continue
             if state.failure is not None and not state.begun:
                 _deliver(reply, state.failure)
@@ -207,6 +223,7 @@
         admitted: decisions.Admitted,
         job: placement.Job,
         state: _RunState,
+        budget: retries.RetryBudget,
     ) -> tuple[decisions.AttemptEnd, str]:
         loop = asyncio.get_running_loop()
         self._directory.expire(loop.time())
@@ -219,7 +236,12 @@
         member = choice.member
         state.dispatches += 1
         self._placer.begin(job, member)
-        attempt = _Attempt(self._codec, self._tcp, request, admitted, member)
+        models = self._cascades.setdefault(
+            admitted.pool.name, cascade.Cascade()
+        )
+        attempt = _Attempt(
+            self._codec, self._tcp, request, admitted, member, models, budget
+        )
         end = decisions.AttemptEnd.DELIVERED
         reason = ""
         try:
@@ -246,7 +268,7 @@
                 self._counters.increment("server.ejected")
                 _LOGGER.notice("server ejected", server=member.name)
             state.trail.append(f"{member.name}:{end}:{reason}")
-        if end is not decisions.AttemptEnd.DELIVERED:
+        if end not in _BLAMELESS:
             state.failed_servers.append(member.name)
         return end, reason
 
@@ -330,9 +352,11 @@
 
     __slots__ = (
         "_admitted",
+        "_budget",
         "_codec",
         "_exchange",
         "_member",
+        "_models",
         "_request",
         "_tcp",
         "may_have_run",
@@ -345,7 +369,11 @@
         request: messages.IncomingRequest,
         admitted: decisions.Admitted,
         member: directory.Member,
+        models: cascade.Cascade,
+        budget: retries.RetryBudget,
     ) -> None:
+        self._models = models
+        self._budget = budget
         self._codec = codec
         self._tcp = tcp
         self._request = request
@@ -390,7 +418,7 @@
             server=self._member.name,
             remaining_s=admitted.deadline_s - loop.time(),
             account=admitted.account.name if admitted.account else "",
-            model=_select_model(self._request, admitted.route),
+            model=self._select_model(state),
             urgency=_select_urgency(admitted),
             last_event_id=last_event_id,
         )
@@ -411,7 +439,51 @@
         await self._exchange.connect(self._tcp)
         self.may_have_run = True
         await self._exchange.send()
-        await self._exchange.await_answer()
+        await self._await_start(state)
+
+    async def _await_start(self, state: _RunState) -> None:
+        assert self._exchange is not None
+        patience_s = None
+        if not state.begun:
+            patience_s = self._models.find_patience_s(
+                self._admitted.route, state.describe(), self._elapsed_s()
+            )
+        try:
+            async with asyncio.timeout(patience_s):
+                await self._exchange.await_answer()
+        except TimeoutError as error:
+            self._models.record_escalation(late=True)
+            raise _AttemptError(
+                decisions.AttemptEnd.SLOW, "no event yet"
+            ) from error
+        if patience_s is not None:
+            self._models.record_escalation(late=False)
+
+    def _elapsed_s(self) -> float:
+        now_s = asyncio.get_running_loop().time()
+        return now_s - self._request.received_s
+
+    def _select_model(self, state: _RunState) -> str:
+        if not self._request.details.wants_any_model:
+            return ""
+        return self._models.select_model(self._admitted.route, state.describe())
+
+    def _check_confidence(
+        self, details: messages.AnswerDetails, state: _RunState
+    ) -> None:
+        if state.begun or not self._request.details.wants_any_model:
+            return
+        good = self._models.is_good_enough(
+            self._admitted.route,
+            state.describe(),
+            details.confidence,
+            self._elapsed_s(),
+        )
+        if not good and self._budget.has_room:
+            raise _AttemptError(
+                decisions.AttemptEnd.INSUFFICIENT,
+                f"confidence {details.confidence:.2f}",
+            )
 
     async def _deliver_answer(self, reply: Reply, state: _RunState) -> None:
         exchange = self._exchange
@@ -430,6 +502,7 @@
         succeeded = _OK <= exchange.status < _FIRST_REDIRECT
         is_stream = self._admitted.route.kind is model.RequestKind.STREAM
         if is_stream and succeeded and details.is_stream:
+            self._check_confidence(details, state)
             await self._relay_events(reply, state)
             return
         answer = await self._read_whole()
@@ -530,19 +603,25 @@
         reply.on_close(None)
 
 
+_BLAMELESS = frozenset(
+    (decisions.AttemptEnd.DELIVERED, decisions.AttemptEnd.INSUFFICIENT)
+)
+
+
 def _judge(end: decisions.AttemptEnd) -> bool | None:
     """Returns whether a server was at fault, None if that is not known."""
-    if end is decisions.AttemptEnd.DELIVERED:
+    if end in _BLAMELESS:
         return False
-    if end is decisions.AttemptEnd.CLIENT_GONE:
+    if end in (decisions.AttemptEnd.CLIENT_GONE, decisions.AttemptEnd.SLOW):
         return None
     return True
 
 
-def _select_model(request: messages.IncomingRequest, route: model.Route) -> str:
-    if request.details.wants_any_model and route.models:
-        return route.models[-1]
-    return ""
+def _note_models(state: _RunState, end: decisions.AttemptEnd) -> None:
+    if end is decisions.AttemptEnd.INSUFFICIENT:
+        state.escalated = True
+    elif end is decisions.AttemptEnd.SLOW:
+        state.fell_back = True
 
 
 def _select_urgency(admitted: decisions.Admitted) -> int | None:
--- a/src/dragonflydyke/routing/retries.py
+++ b/src/dragonflydyke/routing/retries.py
@@ -18,6 +18,11 @@
         self._reserve = reserve
         self._balance = reserve
 
+    @property
+    def has_room(self) -> bool:
+        """Whether a retry is left."""
+        return self._balance >= 1.0
+
     def record_request(self, share: float) -> None:
         """Adds the share of a retry that a request entitles to."""
         self._balance = min(self._balance + share, self._reserve)
