Cut a silent stream only where it can go on elsewhere

Now a stream moves after twice the longest pause, and only with attempts and budget left. Ruled out: servers that were really gone; the traces show the same server still running the request when it was cut.

--- a/src/dragonflydyke/forwarding/execution.py
+++ b/src/dragonflydyke/forwarding/execution.py
@@ -29,9 +29,9 @@
 _FIRST_REDIRECT = 300
 _SERVER_ERROR = 500
 _GATEWAY_TIMEOUT = 504
-# A stream that pauses for most of its longest pause would be late anyway.
-_GAP_SHARE = 0.8
-_MIN_GAP_S = 0.5
+# At the worst load pauses come near the longest that is on time, and another
+# server has no room either; only a server that is gone is silent for longer.
+_SILENT_GAPS = 2.0
 # Retries of this node per request, and those it may make at once; the fleet
 # shares a budget that no node can see.
 _RETRY_SHARE = 0.8
@@ -536,7 +536,7 @@
         chunks = exchange.read_chunks()
         while True:
             try:
-                async with asyncio.timeout(self._gap_timeout_s(state)):
+                async with asyncio.timeout(self._find_silence_s(state)):
                     chunk = await anext(chunks, None)
             except TimeoutError as error:
                 raise _AttemptError(
@@ -551,11 +551,18 @@
         self._begin(reply, state)
         reply.finish()
 
-    def _gap_timeout_s(self, state: _RunState) -> float | None:
-        gap_s = self._admitted.route.max_event_gap_s
-        if not state.begun or not gap_s or not self._admitted.route.resumable:
+    def _find_silence_s(self, state: _RunState) -> float | None:
+        """Returns after which silence a stream goes on elsewhere, if it can."""
+        route = self._admitted.route
+        may_resume = (
+            state.begun
+            and route.resumable
+            and state.attempts + 1 < route.max_attempts
+            and self._budget.has_room
+        )
+        if not may_resume or not route.max_event_gap_s:
             return None
-        return max(_MIN_GAP_S, gap_s * _GAP_SHARE)
+        return route.max_event_gap_s * _SILENT_GAPS
 
     async def _relay_event(
         self, reply: Reply, state: _RunState, event: bytes
