Refuse what a stopping node could not end, and close its idle connections

After the time in which the load balancer notices, the node refuses new requests as not run and closes connections without a request.

--- a/src/dragonflydyke/forwarding/decisions.py
+++ b/src/dragonflydyke/forwarding/decisions.py
@@ -16,6 +16,8 @@
 _SERVER_ERROR = 500
 # The configuration arrives within a second of a start.
 _START_RETRY_S = 0.3
+# Another node answers at once.
+_OTHER_NODE_RETRY_S = 0.05
 # Servers that are full get room as soon as one request ends.
 _FULL_RETRY_S = 0.25
 # An attempt that starts later could not end in time.
@@ -49,13 +51,28 @@
 
 
 def admit(
-    policy: model.ForwardingPolicy | None, request: messages.IncomingRequest
+    policy: model.ForwardingPolicy | None,
+    request: messages.IncomingRequest,
+    *,
+    is_closing: bool = False,
 ) -> Admitted:
     """Finds what allows a request.
 
+    Args:
+        policy: Configuration in force, None before the first.
+        request: The request.
+        is_closing: Whether the node will stop before a long answer could end.
+
     Raises:
         DragonflydykeError: If nothing does; the request has not run.
     """
+    if is_closing:
+        raise refuse(
+            "node_closing",
+            "this node is stopping; other nodes serve",
+            _UNAVAILABLE,
+            retry_after_s=_OTHER_NODE_RETRY_S,
+        )
     if policy is None:
         raise refuse(
             "not_configured",
--- a/src/dragonflydyke/forwarding/execution.py
+++ b/src/dragonflydyke/forwarding/execution.py
@@ -125,7 +125,13 @@
 
 
 class Forwarder:
-    """Forwards requests; one for all connections of a node."""
+    """Forwards requests; one for all connections of a node.
+
+    Attributes:
+        policy: Configuration in force, None before the first.
+        is_closing: Whether new requests are refused, because the node stops
+            before a long answer could end.
+    """
 
     __slots__ = (
         "_budgets",
@@ -136,6 +142,7 @@
         "_directory",
         "_placer",
         "_tcp",
+        "is_closing",
         "policy",
     )
 
@@ -149,6 +156,7 @@
     ) -> None:
         """Creates a forwarder without a policy, which refuses everything."""
         self.policy: model.ForwardingPolicy | None = None
+        self.is_closing = False
         self._codec = codec
         self._directory = members
         self._conductor = versions
@@ -165,7 +173,9 @@
         state = _RunState()
         outcome = "delivered"
         try:
-            admitted = decisions.admit(self.policy, request)
+            admitted = decisions.admit(
+                self.policy, request, is_closing=self.is_closing
+            )
         except errors.DragonflydykeError as error:
             self._refuse(request, reply, error)
             self._log(request, None, state, error.code)
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -189,6 +189,8 @@
         loop = asyncio.get_running_loop()
         until_s = loop.time() + self._settings.grace_s - _STOP_MARGIN_S
         await asyncio.sleep(_LEAVE_S)
+        self._forwarder.is_closing = True
+        self._server.close_idle()
         await self._server.wait_idle(until_s)
         self._stopped.set()
 
--- a/src/dragonflydyke/forwarding/server.py
+++ b/src/dragonflydyke/forwarding/server.py
@@ -104,14 +104,19 @@
         "_body",
         "_connection",
         "_headers",
+        "_owner",
         "_server",
         "_start",
     )
 
     def __init__(
-        self, server: "ForwardingServer", connection: httputil.HTTPConnection
+        self,
+        server: "ForwardingServer",
+        owner: object,
+        connection: httputil.HTTPConnection,
     ) -> None:
         self._server = server
+        self._owner = owner
         self._connection = connection
         self._body: list[bytes] = []
 
@@ -121,6 +126,7 @@
         headers: httputil.HTTPHeaders,
     ) -> None:
         """Stores start line and headers."""
+        self._server.begin_request(self._owner)
         self._start = start_line
         self._headers = headers
 
@@ -145,7 +151,14 @@
         is_leaving: Whether clients are asked to close their connections.
     """
 
-    __slots__ = ("_codec", "_forwarder", "_server", "_tasks", "is_leaving")
+    __slots__ = (
+        "_codec",
+        "_forwarder",
+        "_idle",
+        "_server",
+        "_tasks",
+        "is_leaving",
+    )
 
     def __init__(
         self, forwarder: execution.Forwarder, codec: messages.Codec
@@ -153,6 +166,7 @@
         self._forwarder = forwarder
         self._codec = codec
         self._tasks: set[asyncio.Task[None]] = set()
+        self._idle: dict[object, httputil.HTTPConnection] = {}
         self.is_leaving = False
         self._server = httpserver.HTTPServer(
             self,
@@ -174,11 +188,16 @@
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> httputil.HTTPMessageDelegate:
         """Returns the reader of the next request of a connection."""
-        del server_conn
-        return _RequestReader(self, request_conn)
+        self._idle[server_conn] = request_conn
+        return _RequestReader(self, server_conn, request_conn)
+
+    def begin_request(self, server_conn: object) -> None:
+        """Notes that a request has begun on a connection."""
+        self._idle.pop(server_conn, None)
 
     def on_close(self, server_conn: object) -> None:
         """Is called by the library when a connection is closed."""
+        self._idle.pop(server_conn, None)
 
     def accept(
         self,
@@ -209,6 +228,12 @@
         self._tasks.add(task)
         task.add_done_callback(self._end)
 
+    def close_idle(self) -> None:
+        """Closes the connections on which no request has begun."""
+        for connection in list(self._idle.values()):
+            connection.close()
+        self._idle.clear()
+
     async def wait_idle(self, until_s: float) -> None:
         """Waits until no request is being answered, or until a loop time."""
         loop = asyncio.get_running_loop()
