--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -163,9 +163,7 @@
         )
         tasks = [loop.create_task(w.run()) for w in self._watchers]
         tasks.append(loop.create_task(self._conductor.run()))
-        self._server.listen(
-            self._settings.front.host, self._settings.front.port
-        )
+        self._server.listen(self._settings.front)
         _serve_text(self._settings.ready, self._answer_ready)
         _serve_text(self._settings.metrics, self._answer_metrics)
         _LOGGER.notice(
--- a/src/dragonflydyke/forwarding/server.py
+++ b/src/dragonflydyke/forwarding/server.py
@@ -4,9 +4,9 @@
 import http
 from collections.abc import Callable
 
-from tornado import httpserver, httputil, iostream
+from tornado import httpserver, httputil, iostream, netutil
 
-from dragonflydyke import logs
+from dragonflydyke import logs, settings
 from dragonflydyke.forwarding import execution, messages
 
 _HEADER_LENGTH = "Content-Length"
@@ -180,9 +180,11 @@
         """Requests that are being answered."""
         return len(self._tasks)
 
-    def listen(self, host: str, port: int) -> None:
-        """Begins to accept connections."""
-        self._server.listen(port, host)
+    def listen(self, address: settings.Address) -> int:
+        """Begins to accept connections and returns the bound port."""
+        sockets = netutil.bind_sockets(address.port, address.host)
+        self._server.add_sockets(sockets)
+        return sockets[0].getsockname()[1]
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
--- /dev/null
+++ b/tests/builders/forwarding.py
@@ -0,0 +1,361 @@
+"""Scripted backend servers, a forwarding node and its clients."""
+
+import asyncio
+import dataclasses
+import random
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+from dragonflydyke import metrics, settings
+from dragonflydyke.configuration import model as configuration
+from dragonflydyke.forwarding import (
+    conductor,
+    directory,
+    execution,
+    messages,
+    model,
+    placement,
+    rollouts,
+    server,
+)
+from dragonflydyke.objects import model as objects
+from dragonflydyke.platform import headers
+from tests.builders import skipping_loop
+
+DATA_CENTRE = "north"
+HOST = "api.example"
+KEY = "secret-key"
+MODELS = ("small", "middle", "large")
+_LOCAL = settings.Address("127.0.0.1", 0)
+
+
+@dataclasses.dataclass(slots=True)
+class ReceivedRequest:
+    """What a scripted server was sent."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class ClientAnswer:
+    """What a client received; `whole` says whether it ended properly."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+Script = Callable[[ReceivedRequest, asyncio.StreamWriter], Awaitable[None]]
+
+
+async def read_message(
+    reader: asyncio.StreamReader,
+) -> tuple[str, dict[str, str]]:
+    """Reads a start line and headers."""
+    text = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
+    first, *lines = text.rstrip("\r\n").split("\r\n")
+    pairs = (line.split(":", 1) for line in lines)
+    return first, {name.title(): value.strip() for name, value in pairs}
+
+
+class ScriptedServer:
+    """A backend server that plays a script for each request."""
+
+    def __init__(self, name: str, script: Script) -> None:
+        self.name = name
+        self.script = script
+        self.received: list[ReceivedRequest] = []
+        self.cancelled = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> int:
+        """Begins to serve and returns the port."""
+        self._server = await asyncio.start_server(
+            self._serve, _LOCAL.host, _LOCAL.port
+        )
+        return self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stops accepting connections."""
+        assert self._server is not None
+        self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            line, found = await read_message(reader)
+            size = int(found.get("Content-Length", "0"))
+            request = ReceivedRequest(
+                line, found, await reader.readexactly(size)
+            )
+            self.received.append(request)
+            script = asyncio.ensure_future(self.script(request, writer))
+            closed = asyncio.ensure_future(reader.read())
+            await asyncio.wait(
+                (script, closed), return_when=asyncio.FIRST_COMPLETED
+            )
+            self.cancelled += not script.done()
+            script.cancel()
+            closed.cancel()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+
+def write_answer(
+    request: ReceivedRequest,
+    writer: asyncio.StreamWriter,
+    body: bytes,
+    *,
+    status: str = "200 OK",
+    **extra: str,
+) -> None:
+    """Writes a whole signed answer."""
+    write_start(
+        request, writer, status=status, Content_Length=str(len(body)), **extra
+    )
+    writer.write(body)
+
+
+def write_start(
+    request: ReceivedRequest,
+    writer: asyncio.StreamWriter,
+    *,
+    status: str = "200 OK",
+    **extra: str,
+) -> None:
+    """Writes the start of a signed answer; underscores become dashes."""
+    fields = {
+        "Attempt-Id": request.headers["Attempt-Id"],
+        "Runner-Seal": "seal",
+    }
+    fields.update((k.replace("_", "-"), v) for k, v in extra.items())
+    lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    writer.write(f"HTTP/1.1 {status}\r\n{lines}\r\n".encode())
+
+
+def write_stream_start(
+    request: ReceivedRequest, writer: asyncio.StreamWriter, **extra: str
+) -> None:
+    """Writes the start of a signed stream of events."""
+    write_start(
+        request,
+        writer,
+        Content_Type="text/event-stream",
+        Transfer_Encoding="chunked",
+        **extra,
+    )
+
+
+def write_event(writer: asyncio.StreamWriter, event_id: int) -> None:
+    """Writes one event as a chunk."""
+    write_chunk(writer, f"id: {event_id}\ndata: piece\n\n".encode())
+
+
+def write_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Writes one chunk; an empty one ends the body."""
+    writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Resets a connection instead of closing it."""
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    writer.transport.abort()
+
+
+def build_route(**fields: object) -> model.Route:
+    """Returns a route of streams that may go on elsewhere."""
+    values: dict[str, object] = {
+        "name": "streams",
+        "host": HOST,
+        "path_prefix": "/streams/",
+        "kind": model.RequestKind.STREAM,
+        "timeout_s": 12.0,
+        "target_latency_s": 2.0,
+        "priority": 1,
+        "pools": (model.PoolShare("engines", 1.0),),
+        "max_attempts": 3,
+        "resumable": True,
+        "max_event_gap_s": 1.5,
+    }
+    return model.Route(**(values | fields))
+
+
+def build_policy(
+    *routes: model.Route, version: int = 1
+) -> model.ForwardingPolicy:
+    """Returns a configuration with one account and pool `engines`."""
+    profile = model.EngineProfile(64, 500_000, {})
+    return model.ForwardingPolicy(
+        version,
+        routes or (build_route(),),
+        (model.Pool("engines", 370, profile), model.Pool("plain", 110)),
+        (model.Account("acme", (KEY,)),),
+        model.ClientLimits(),
+    )
+
+
+def build_member(
+    name: str,
+    *,
+    port: int = 1,
+    pool: str = "engines",
+    version: str = "v1",
+    data_centre: str = DATA_CENTRE,
+    state: configuration.ServerState = configuration.ServerState.ACTIVE,
+) -> directory.Member:
+    """Returns a backend server on this machine."""
+    return directory.Member(
+        configuration.BackendServer(
+            name=name,
+            kind=configuration.ServerKind.ENGINE,
+            url=f"http://127.0.0.1:{port}",
+            data_centre=data_centre,
+            serves=(f"{pool}@{version}",),
+            slots=64,
+            state=state,
+        ),
+        pool,
+        version,
+    )
+
+
+def build_request(
+    *,
+    path: str = "/streams/1",
+    key: str = KEY,
+    received_s: float = 0.0,
+    **details: object,
+) -> messages.IncomingRequest:
+    """Returns a request as the decisions see it."""
+    values: dict[str, object] = {
+        "request_id": "r1",
+        "deadline_s": 10.0,
+        "api_key": key,
+    }
+    return messages.IncomingRequest(
+        method="POST",
+        target=path,
+        host=HOST,
+        headers={},
+        body=b"",
+        received_s=received_s,
+        details=messages.RequestDetails(**(values | details)),
+    )
+
+
+class NoRolloutStore:
+    """A store in which nothing can be written."""
+
+    async def write_progress(
+        self, stored: conductor.StoredRollout, progress: rollouts.Progress
+    ) -> conductor.StoredRollout:
+        """Refuses the write."""
+        raise objects.ConflictError("rollouts", "x", None, peer="store")
+
+
+class ForwardingTestCase(skipping_loop.SkippingTestCase):
+    """Test case with a forwarding server and scripted backend servers."""
+
+    async def asyncSetUp(self) -> None:
+        """Starts the forwarding server without backend servers."""
+        await super().asyncSetUp()
+        source = random.Random(7)
+        self.counters = metrics.Counters()
+        self.directory = directory.Directory()
+        self.conductor = conductor.Conductor(
+            "vm1", NoRolloutStore(), self.counters, source
+        )
+        codec = headers.HeaderCodec()
+        self.forwarder = execution.Forwarder(
+            codec,
+            self.directory,
+            self.conductor,
+            placement.Placer(DATA_CENTRE, source),
+            self.counters,
+        )
+        self.forwarder.policy = build_policy()
+        self.server = server.ForwardingServer(self.forwarder, codec)
+        self.port = self.server.listen(_LOCAL)
+        self.addAsyncCleanup(self.server.stop)
+        self.servers: dict[str, ScriptedServer] = {}
+        self._members: list[directory.Member] = []
+
+    async def start_server(
+        self, name: str, script: Script, **fields: str
+    ) -> ScriptedServer:
+        """Starts a scripted server and lists it."""
+        scripted = ScriptedServer(name, script)
+        port = await scripted.start()
+        self.addAsyncCleanup(scripted.stop)
+        self.servers[name] = scripted
+        self._members.append(build_member(name, port=port, **fields))
+        self.directory.update(self._members, self.loop.time(), after_gap=False)
+        return scripted
+
+    def count_received(self) -> int:
+        """Returns how many requests reached any server."""
+        return sum(len(s.received) for s in self.servers.values())
+
+    async def connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Opens a client's connection."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def send(
+        self,
+        path: str = "/streams/1",
+        *,
+        body: bytes = b"question",
+        key: str = KEY,
+        **extra: str,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Sends a request on a new connection."""
+        reader, writer = await self.connect()
+        fields = {
+            "Host": HOST,
+            "Attempt-Id": "r1",
+            "Deadline-Ms": "10000",
+            "Authorization": f"Token {key}",
+            "Content-Length": str(len(body)),
+        }
+        fields.update((k.replace("_", "-"), v) for k, v in extra.items())
+        lines = "".join(f"{k}: {v}\r\n" for k, v in fields.items())
+        writer.write(f"POST {path} HTTP/1.1\r\n{lines}\r\n".encode() + body)
+        return reader, writer
+
+    async def fetch(self, *arguments: str, **fields: object) -> ClientAnswer:
+        """Sends a request and returns its answer."""
+        reader, _ = await self.send(*arguments, **fields)
+        return await read_answer(reader)
+
+
+async def read_answer(reader: asyncio.StreamReader) -> ClientAnswer:
+    """Reads one answer to its end or to a loss."""
+    line, found = await read_message(reader)
+    status = int(line.split(" ")[1])
+    if "Content-Length" in found:
+        body = await reader.readexactly(int(found["Content-Length"]))
+        return ClientAnswer(status, found, body, whole=True)
+    parts = []
+    try:
+        while True:
+            size = int((await reader.readuntil(b"\r\n")).strip(), 16)
+            data = await reader.readexactly(size + 2)
+            if size == 0:
+                return ClientAnswer(status, found, b"".join(parts), whole=True)
+            parts.append(data[:-2])
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return ClientAnswer(status, found, b"".join(parts), whole=False)
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,321 @@
+"""Tests of forwarded requests against scripted backend servers."""
+
+import asyncio
+
+from dragonflydyke.forwarding import model
+from tests.builders import forwarding, skipping_loop
+
+_EVENTS = [b"id: %d\ndata: piece" % number for number in range(1, 5)]
+
+
+async def _stream_all(request, writer) -> None:
+    first = int(request.headers.get("Last-Event-Id", "0")) + 1
+    forwarding.write_stream_start(request, writer)
+    for event_id in range(first, 5):
+        forwarding.write_event(writer, event_id)
+    forwarding.write_chunk(writer, b"")
+    await writer.drain()
+
+
+def _stream_then(count: int, ending):
+    """Returns a script that ends in its own way after some events."""
+
+    async def run(request, writer) -> None:
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        forwarding.write_stream_start(request, writer)
+        for event_id in range(first, first + count):
+            forwarding.write_event(writer, event_id)
+        await writer.drain()
+        await ending(request, writer)
+
+    return run
+
+
+async def _hang(request, writer) -> None:
+    await asyncio.Event().wait()
+
+
+async def _break_in_event(request, writer) -> None:
+    forwarding.write_chunk(writer, b"id: 3\ndata: pi")
+    await writer.drain()
+
+
+async def _refuse(request, writer) -> None:
+    forwarding.write_answer(
+        request, writer, b"full", status="503 Full", Not_Executed="1"
+    )
+
+
+async def _lose(request, writer) -> None:
+    writer.transport.abort()
+
+
+async def _answer(request, writer) -> None:
+    forwarding.write_answer(request, writer, b"answer")
+
+
+def _other(scripts):
+    """Returns a script that plays the next of some scripts each time."""
+    left = list(scripts)
+
+    async def run(request, writer) -> None:
+        await (left.pop(0) if len(left) > 1 else left[0])(request, writer)
+
+    return run
+
+
+class StreamTest(forwarding.ForwardingTestCase):
+    """Guards against streams that lose, repeat or invent events."""
+
+    async def test_stream_is_passed_on(self) -> None:
+        await self.start_server("a", _stream_all)
+        answer = await self.fetch()
+        self.assertEqual((answer.status, answer.whole), (200, True))
+        self.assertEqual(answer.body.split(b"\n\n")[:-1], _EVENTS)
+        self.assertEqual(answer.headers["Runner-Seal"], "seal")
+
+    async def test_broken_stream_goes_on_elsewhere(self) -> None:
+        script = _other((_stream_then(2, _break_in_event), _stream_all))
+        await self.start_server("a", script)
+        await self.start_server("b", script)
+        answer = await self.fetch()
+        self.assertTrue(answer.whole)
+        self.assertEqual(answer.body.split(b"\n\n")[:-1], _EVENTS)
+        self.assertEqual(self.count_received(), 2)
+
+    async def test_stream_that_cannot_resume_looks_incomplete(self) -> None:
+        self.forwarder.policy = forwarding.build_policy(
+            forwarding.build_route(resumable=False)
+        )
+        await self.start_server("a", _stream_then(2, _break_in_event))
+        answer = await self.fetch()
+        self.assertFalse(answer.whole)
+        self.assertEqual(self.count_received(), 1)
+
+    async def test_wrong_event_is_not_delivered(self) -> None:
+        async def skip_event(request, writer) -> None:
+            forwarding.write_event(writer, 4)
+            await writer.drain()
+
+        script = _other((_stream_then(2, skip_event), _stream_all))
+        await self.start_server("a", script)
+        answer = await self.fetch()
+        self.assertEqual(answer.body.split(b"\n\n")[:-1], _EVENTS)
+
+    async def test_silent_stream_goes_on_elsewhere(self) -> None:
+        script = _other((_stream_then(2, _hang), _stream_all))
+        await self.start_server("a", script)
+        reader, _ = await self.send()
+        await skipping_loop.wait_until(self.count_received)
+        await asyncio.sleep(0.05)
+        self.loop.skip(3.1)
+        answer = await forwarding.read_answer(reader)
+        self.assertEqual(answer.body.split(b"\n\n")[:-1], _EVENTS)
+
+    async def test_silent_stream_without_attempts_left_is_kept(self) -> None:
+        """A pause at the crest once ended streams that were still running."""
+        resumed = asyncio.Event()
+
+        async def pause(request, writer) -> None:
+            await resumed.wait()
+            for event_id in (3, 4):
+                forwarding.write_event(writer, event_id)
+            forwarding.write_chunk(writer, b"")
+            await writer.drain()
+
+        self.forwarder.policy = forwarding.build_policy(
+            forwarding.build_route(max_attempts=1)
+        )
+        await self.start_server("a", _stream_then(2, pause))
+        reader, _ = await self.send()
+        await skipping_loop.wait_until(self.count_received)
+        await asyncio.sleep(0.05)
+        self.loop.skip(5.0)
+        await asyncio.sleep(0.05)
+        resumed.set()
+        answer = await forwarding.read_answer(reader)
+        self.assertEqual(answer.body.split(b"\n\n")[:-1], _EVENTS)
+
+    async def test_client_that_leaves_cancels_the_work(self) -> None:
+        scripted = await self.start_server("a", _stream_then(1, _hang))
+        reader, writer = await self.send()
+        await reader.readuntil(b"piece")
+        writer.close()
+        await skipping_loop.wait_until(lambda: scripted.cancelled)
+
+
+class PlainTest(forwarding.ForwardingTestCase):
+    """Guards against repeated work and false answers of plain requests."""
+
+    def allow(self, kind: model.RequestKind, max_attempts: int) -> None:
+        """Puts a plain route in force."""
+        self.forwarder.policy = forwarding.build_policy(
+            forwarding.build_route(
+                kind=kind, max_attempts=max_attempts, resumable=False
+            )
+        )
+
+    async def test_refused_work_goes_to_another_server(self) -> None:
+        self.allow(model.RequestKind.NON_IDEMPOTENT, 1)
+        script = _other((_refuse, _answer))
+        await self.start_server("a", script)
+        await self.start_server("b", script)
+        answer = await self.fetch()
+        self.assertEqual((answer.status, answer.body), (200, b"answer"))
+
+    async def test_lost_work_is_not_repeated(self) -> None:
+        self.allow(model.RequestKind.NON_IDEMPOTENT, 3)
+        script = _other((_lose, _answer))
+        await self.start_server("a", script)
+        answer = await self.fetch()
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(self.count_received(), 1)
+
+    async def test_lost_idempotent_work_is_repeated(self) -> None:
+        self.allow(model.RequestKind.IDEMPOTENT, 2)
+        script = _other((_lose, _answer))
+        await self.start_server("a", script)
+        answer = await self.fetch()
+        self.assertEqual((answer.status, answer.body), (200, b"answer"))
+
+    async def test_answer_to_another_request_is_not_delivered(self) -> None:
+        async def answer_other(request, writer) -> None:
+            request.headers["Attempt-Id"] = "other"
+            await _answer(request, writer)
+
+        self.allow(model.RequestKind.NON_IDEMPOTENT, 1)
+        await self.start_server("a", answer_other)
+        answer = await self.fetch()
+        self.assertEqual(answer.status, 502)
+
+    async def test_unsigned_success_is_not_delivered(self) -> None:
+        async def forge(request, writer) -> None:
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\n"
+                b"Content-Length: 2\r\n\r\nok"
+            )
+
+        self.allow(model.RequestKind.NON_IDEMPOTENT, 1)
+        await self.start_server("a", forge)
+        answer = await self.fetch()
+        self.assertEqual(answer.status, 502)
+
+    async def test_answer_without_length_ends_with_its_connection(
+        self,
+    ) -> None:
+        async def answer_unframed(request, writer) -> None:
+            forwarding.write_start(request, writer)
+            writer.write(b"answer")
+            await writer.drain()
+
+        self.allow(model.RequestKind.NON_IDEMPOTENT, 1)
+        await self.start_server("a", answer_unframed)
+        answer = await self.fetch()
+        self.assertEqual((answer.status, answer.body), (200, b"answer"))
+
+    async def test_reset_answer_without_length_is_not_whole(self) -> None:
+        async def break_off(request, writer) -> None:
+            forwarding.write_start(request, writer)
+            writer.write(b"ans")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            forwarding.reset(writer)
+
+        self.allow(model.RequestKind.NON_IDEMPOTENT, 1)
+        await self.start_server("a", break_off)
+        answer = await self.fetch()
+        self.assertEqual(answer.status, 502)
+
+    async def test_signed_failure_is_delivered_unchanged(self) -> None:
+        async def fail(request, writer) -> None:
+            forwarding.write_answer(
+                request, writer, b"broken", status="500 Error"
+            )
+
+        self.allow(model.RequestKind.NON_IDEMPOTENT, 1)
+        await self.start_server("a", fail)
+        answer = await self.fetch()
+        self.assertEqual((answer.status, answer.body), (500, b"broken"))
+        self.assertEqual(answer.headers["Runner-Seal"], "seal")
+
+    async def test_refusal_everywhere_says_when_to_return(self) -> None:
+        self.allow(model.RequestKind.NON_IDEMPOTENT, 1)
+        await self.start_server("a", _refuse)
+        answer = await self.fetch()
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers["Retry-After"]), 0.0)
+
+    async def test_client_cannot_set_the_routers_headers(self) -> None:
+        self.allow(model.RequestKind.NON_IDEMPOTENT, 1)
+        scripted = await self.start_server("a", _answer)
+        await self.fetch(Tenant="evil", Expect_Runner="z", Hold="1")
+        received = scripted.received[0].headers
+        self.assertEqual(received["Tenant"], "acme")
+        self.assertEqual(received["Expect-Runner"], "a")
+        self.assertNotIn("Hold", received)
+        self.assertNotIn("Authorization", received)
+        self.assertLessEqual(int(received["Deadline-Ms"]), 10_000)
+
+    async def test_closing_node_refuses_and_closes_idle_connections(
+        self,
+    ) -> None:
+        """A stopping node once took work that it had to cut at its end."""
+        self.allow(model.RequestKind.NON_IDEMPOTENT, 1)
+        await self.start_server("a", _answer)
+        idle_reader, _ = await self.connect()
+        await asyncio.sleep(0.05)
+        self.forwarder.is_closing = True
+        self.server.close_idle()
+        self.assertEqual(await idle_reader.read(), b"")
+        answer = await self.fetch()
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(self.count_received(), 0)
+
+
+class CascadeTest(forwarding.ForwardingTestCase):
+    """Guards against poor answers and against waiting for the best one."""
+
+    async def asyncSetUp(self) -> None:
+        """Puts a route with three models in force."""
+        await super().asyncSetUp()
+        self.forwarder.policy = forwarding.build_policy(
+            forwarding.build_route(models=forwarding.MODELS)
+        )
+        self.models: list[str] = []
+
+    async def start_engine(self, confidence: str, *, large_hangs: bool) -> None:
+        """Starts an engine whose smallest model has a confidence."""
+
+        async def run(request, writer) -> None:
+            name = request.headers["Model"]
+            self.models.append(name)
+            if name == "large" and large_hangs:
+                await _hang(request, writer)
+            sure = "100" if name == "large" else confidence
+            forwarding.write_stream_start(request, writer, Confidence=sure)
+            forwarding.write_event(writer, 1)
+            forwarding.write_chunk(writer, b"")
+            await writer.drain()
+
+        await self.start_server("a", run)
+
+    async def test_confident_answer_is_delivered(self) -> None:
+        await self.start_engine("80", large_hangs=False)
+        answer = await self.fetch(Model="*")
+        self.assertEqual(answer.headers["Confidence"], "80")
+        self.assertEqual(self.models, ["small"])
+
+    async def test_doubtful_answer_is_asked_of_the_largest(self) -> None:
+        await self.start_engine("20", large_hangs=False)
+        answer = await self.fetch(Model="*")
+        self.assertEqual(answer.headers["Confidence"], "100")
+        self.assertEqual(self.models, ["small", "large"])
+
+    async def test_slow_largest_falls_back_to_the_smallest(self) -> None:
+        await self.start_engine("20", large_hangs=True)
+        reader, _ = await self.send(Model="*")
+        await skipping_loop.wait_until(lambda: len(self.models) == 2)
+        self.loop.skip(1.9)
+        answer = await forwarding.read_answer(reader)
+        self.assertTrue(answer.whole)
+        self.assertEqual(self.models, ["small", "large", "small"])
--- /dev/null
+++ b/tests/test_forwarding_decisions.py
@@ -0,0 +1,306 @@
+"""Tests of the decisions on forwarded requests, without input or output."""
+
+import random
+import unittest
+
+from dragonflydyke import errors
+from dragonflydyke.configuration import model as configuration
+from dragonflydyke.forwarding import (
+    cascade,
+    decisions,
+    directory,
+    model,
+    placement,
+    rollouts,
+)
+from dragonflydyke.rollouts import decisions as samples
+from tests.builders import forwarding
+
+_NOW_S = 100.0
+
+
+class AdmissionTest(unittest.TestCase):
+    """Guards against requests that run without being allowed."""
+
+    def refusal(self, policy, request, **flags) -> errors.DragonflydykeError:
+        """Returns the error of a refused request."""
+        with self.assertRaises(errors.DragonflydykeError) as caught:
+            decisions.admit(policy, request, **flags)
+        self.assertIs(caught.exception.execution, errors.Execution.NOT_RUN)
+        return caught.exception
+
+    def test_longest_prefix_wins(self) -> None:
+        policy = forwarding.build_policy(
+            forwarding.build_route(),
+            forwarding.build_route(name="long", path_prefix="/streams/a/"),
+        )
+        request = forwarding.build_request(path="/streams/a/1?x=/streams/")
+        self.assertEqual(decisions.admit(policy, request).route.name, "long")
+
+    def test_refusals(self) -> None:
+        policy = forwarding.build_policy()
+        request = forwarding.build_request()
+        for given, expected in (
+            ((None, request), 503),
+            ((policy, forwarding.build_request(path="/other/")), 404),
+            ((policy, forwarding.build_request(key="wrong")), 401),
+            ((policy, forwarding.build_request(request_id="")), 400),
+        ):
+            with self.subTest(status=expected):
+                self.assertEqual(self.refusal(*given).status, expected)
+
+    def test_closing_node_sends_clients_elsewhere(self) -> None:
+        error = self.refusal(
+            forwarding.build_policy(),
+            forwarding.build_request(),
+            is_closing=True,
+        )
+        self.assertEqual(error.status, 503)
+        self.assertIsNotNone(error.retry_after_s)
+
+    def test_deadline_is_the_earlier_of_client_and_route(self) -> None:
+        policy = forwarding.build_policy(forwarding.build_route(timeout_s=3.0))
+        request = forwarding.build_request(received_s=_NOW_S)
+        admitted = decisions.admit(policy, request)
+        self.assertEqual(admitted.deadline_s, _NOW_S + 3.0)
+
+
+class NextStepTest(unittest.TestCase):
+    """Guards against work that runs twice, and against giving up early."""
+
+    def decide(
+        self, end: decisions.AttemptEnd, *, attempts: int = 1, **route
+    ) -> decisions.NextStep:
+        """Returns the step after an attempt with time left."""
+        progress = decisions.RequestProgress(
+            attempts, attempts, attempts > 0, False, 5.0
+        )
+        return decisions.decide_next(
+            forwarding.build_route(**route), end, progress
+        )
+
+    def test_lost_work_is_repeated_only_if_that_is_allowed(self) -> None:
+        lost = decisions.AttemptEnd.LOST
+        unsafe = model.RequestKind.NON_IDEMPOTENT
+        self.assertIs(self.decide(lost), decisions.NextStep.RETRY)
+        self.assertIs(
+            self.decide(lost, resumable=False), decisions.NextStep.GIVE_UP
+        )
+        self.assertIs(
+            self.decide(lost, kind=unsafe), decisions.NextStep.GIVE_UP
+        )
+
+    def test_work_that_did_not_run_is_always_repeated(self) -> None:
+        step = self.decide(
+            decisions.AttemptEnd.NOT_RUN,
+            attempts=0,
+            kind=model.RequestKind.NON_IDEMPOTENT,
+            max_attempts=1,
+        )
+        self.assertIs(step, decisions.NextStep.RETRY)
+
+    def test_attempts_are_bounded(self) -> None:
+        step = self.decide(decisions.AttemptEnd.LOST, attempts=3)
+        self.assertIs(step, decisions.NextStep.GIVE_UP)
+
+    def test_only_work_that_did_not_run_is_called_so(self) -> None:
+        lost = decisions.AttemptEnd.LOST
+        for may_have_run, status in ((False, 503), (True, 502)):
+            progress = decisions.RequestProgress(1, 1, may_have_run, False, 5.0)
+            error = decisions.conclude(lost, progress)
+            self.assertEqual(error.status, status)
+
+
+class PlacementTest(unittest.TestCase):
+    """Guards against herds, and against reading prompts again everywhere."""
+
+    def setUp(self) -> None:
+        self.placer = placement.Placer(forwarding.DATA_CENTRE, random.Random(5))
+        self.members = [
+            forwarding.build_member(f"s{number}") for number in range(6)
+        ]
+        self.pool = forwarding.build_policy().pools["engines"]
+
+    def job(self, affinity: str) -> placement.Job:
+        """Returns a job with a long shared beginning."""
+        return placement.Job(self.pool, affinity, 13_300, 3_700, 120, 17_000)
+
+    def choose(self, affinity: str, members=None) -> str:
+        """Returns the name of the chosen server."""
+        choice = self.placer.choose(
+            self.job(affinity), members or self.members, _NOW_S
+        )
+        assert choice is not None
+        return choice.member.name
+
+    def test_nodes_agree_on_the_server_of_a_beginning(self) -> None:
+        first = self.choose("part")
+        other = placement.Placer(forwarding.DATA_CENTRE, random.Random(9))
+        choice = other.choose(self.job("part"), self.members, _NOW_S)
+        assert choice is not None
+        self.assertEqual(choice.member.name, first)
+        self.assertTrue(choice.is_preferred)
+
+    def test_beginnings_spread_over_servers(self) -> None:
+        chosen = {self.choose(f"part {number}") for number in range(60)}
+        self.assertEqual(len(chosen), len(self.members))
+
+    def test_hot_beginning_spills_over(self) -> None:
+        """One key got much of the traffic while others had room."""
+        chosen = []
+        for _ in range(12):
+            name = self.choose("hot")
+            member = next(m for m in self.members if m.name == name)
+            self.placer.begin(self.job("hot"), member)
+            chosen.append(name)
+        self.assertGreater(len(set(chosen)), 2)
+
+    def test_own_data_centre_goes_first(self) -> None:
+        far = [
+            forwarding.build_member(f"f{number}", data_centre="south")
+            for number in range(6)
+        ]
+        for number in range(20):
+            name = self.choose(f"part {number}", far + self.members)
+            self.assertTrue(name.startswith("s"))
+
+
+class DirectoryTest(unittest.TestCase):
+    """Guards against work for servers that left, and a lost store's lapses."""
+
+    def setUp(self) -> None:
+        self.directory = directory.Directory()
+        self.member = forwarding.build_member("a")
+        self.directory.update([self.member], _NOW_S, after_gap=False)
+
+    def names(self) -> list[str]:
+        """Returns the servers that take work."""
+        return [m.name for m in self.directory.list_usable("engines")]
+
+    def test_leaving_server_gets_nothing(self) -> None:
+        leaving = forwarding.build_member(
+            "a", state=configuration.ServerState.LEAVING
+        )
+        self.directory.update([leaving], _NOW_S, after_gap=False)
+        self.assertEqual(self.names(), [])
+
+    def test_removed_server_gets_nothing(self) -> None:
+        self.directory.update([], _NOW_S, after_gap=False)
+        self.assertEqual(self.names(), [])
+
+    def test_lapsed_server_is_kept_until_it_had_time_to_return(self) -> None:
+        self.directory.update([], _NOW_S, after_gap=True)
+        self.assertEqual(self.names(), ["a"])
+        self.directory.update([], _NOW_S + 1.0, after_gap=False)
+        self.directory.expire(_NOW_S + 1.9)
+        self.assertEqual(self.names(), ["a"])
+        self.directory.expire(_NOW_S + 2.0)
+        self.assertEqual(self.names(), [])
+
+
+class RolloutTest(unittest.TestCase):
+    """Guards against sessions that change versions, and bad versions."""
+
+    def setUp(self) -> None:
+        self.order = rollouts.Order("engines", "v2", 24.0)
+
+    def new_sessions(self, stage: rollouts.Stage | None) -> set[int]:
+        """Returns which of 2,000 sessions get the new version."""
+        progress = rollouts.Progress("v2", stage) if stage else None
+        return {
+            number
+            for number in range(2_000)
+            if rollouts.select_version(
+                self.order, progress, f"s{number}", is_restrained=False
+            ).allows("v2")
+        }
+
+    def test_sessions_only_move_to_the_new_version(self) -> None:
+        """Nodes that chose by themselves moved sessions back and forth."""
+        before: set[int] = set()
+        sizes = []
+        for stage in (
+            None,
+            rollouts.Stage.WAITING,
+            rollouts.Stage.CANARY,
+            rollouts.Stage.WIDE,
+            rollouts.Stage.FULL,
+            rollouts.Stage.COMPLETED,
+        ):
+            now = self.new_sessions(stage)
+            self.assertLessEqual(before, now)
+            sizes.append(len(now))
+            before = now
+        self.assertEqual((sizes[1], sizes[-1]), (0, 2_000))
+        self.assertLess(sizes[2], 0.15 * 2_000)
+
+    def test_rolled_back_version_gets_nothing(self) -> None:
+        self.assertEqual(self.new_sessions(rollouts.Stage.ROLLED_BACK), set())
+
+    def test_progress_of_an_earlier_order_does_not_count(self) -> None:
+        done = rollouts.Progress("v1", rollouts.Stage.COMPLETED)
+        rule = rollouts.select_version(
+            self.order, done, "s", is_restrained=False
+        )
+        self.assertFalse(rule.allows("v2"))
+        self.assertIs(
+            rollouts.find_due_stage(self.order, done, 0.0),
+            rollouts.Stage.WAITING,
+        )
+
+    def test_stages_follow_the_time_of_the_order(self) -> None:
+        stage = rollouts.Stage.WAITING
+        seen = []
+        for tenth_s in range(240):
+            progress = rollouts.Progress("v2", stage)
+            due = rollouts.find_due_stage(self.order, progress, tenth_s / 10)
+            if due is not None:
+                seen.append((due, tenth_s / 10))
+                stage = due
+        self.assertEqual(seen[0][0], rollouts.Stage.CANARY)
+        self.assertGreater(seen[0][1], 12.0)
+        self.assertIs(stage, rollouts.Stage.COMPLETED)
+        self.assertLess(seen[-1][1], 23.0)
+
+    def test_failures_of_the_new_version_alone_roll_it_back(self) -> None:
+        def evidence(new: tuple[int, int], old: tuple[int, int]):
+            return {
+                "vm1": rollouts.NodeEvidence(
+                    samples.VersionSample(*new), samples.VersionSample(*old)
+                )
+            }
+
+        for new, old, expected in (
+            ((8, 5), (80, 2), True),
+            ((8, 5), (80, 50), False),
+            ((8, 1), (80, 0), False),
+            ((60, 6), (80, 2), False),
+        ):
+            with self.subTest(new=new, old=old):
+                self.assertIs(rollouts.is_failing(evidence(new, old)), expected)
+
+
+class CascadeTest(unittest.TestCase):
+    """Guards against overload of the largest model at the crest."""
+
+    def setUp(self) -> None:
+        self.route = forwarding.build_route(models=forwarding.MODELS)
+        self.cascade = cascade.Cascade()
+
+    def accepts(self, confidence: float, *, attempts: int = 1) -> bool:
+        """Returns whether the smallest model's answer is delivered."""
+        state = cascade.CascadeState(attempts)
+        return self.cascade.is_good_enough(self.route, state, confidence, 0.1)
+
+    def test_doubtful_answers_are_dropped_while_there_is_room(self) -> None:
+        self.assertFalse(self.accepts(0.4))
+        self.assertTrue(self.accepts(0.6))
+
+    def test_crest_delivers_more_of_the_smallest(self) -> None:
+        """Every escalation waited until its fallback at the worst load."""
+        for _ in range(20):
+            self.cascade.record_escalation(late=True)
+        self.assertTrue(self.accepts(0.4))
+
+    def test_last_attempt_is_delivered(self) -> None:
+        self.assertTrue(self.accepts(0.1, attempts=3))
