Read status 421 as not run; test the adapter

Cause: a server that has the address of one that is gone answers 421 without the header that says so in words, and the request was taken for lost, so work that may run once ended with 502. The new test failed before (502).

--- a/src/dragonflydyke/platform/headers.py
+++ b/src/dragonflydyke/platform/headers.py
@@ -26,6 +26,8 @@
 _EVENT_STREAM = "text/event-stream"
 _EVENT_ID_FIELD = b"id:"
 _MS_PER_S = 1_000
+# Another server has the address, and did not run the request.
+_MISDIRECTED = 421
 
 # Headers that concern one connection or describe the framing of a body.
 _HOP_BY_HOP = (
@@ -116,7 +118,7 @@
         return messages.AnswerDetails(
             request_id=headers.get(REQUEST_ID, ""),
             signed=SIGNATURE in headers,
-            not_run=NOT_RUN in headers,
+            not_run=NOT_RUN in headers or status == _MISDIRECTED,
             is_stream=content_type.startswith(_EVENT_STREAM),
             encoded="Content-Encoding" in headers,
             confidence=_read_count(confidence) / 100 if confidence else None,
--- /dev/null
+++ b/tests/builders/store.py
@@ -0,0 +1,228 @@
+"""A stand-in of the platform's metadata store, in the test's process."""
+
+import asyncio
+import json
+import re
+from typing import Any
+
+from tornado import web
+
+from dragonflydyke import metrics, settings
+from dragonflydyke.emulator import serving
+from dragonflydyke.platform import store
+from tests.builders import skipping_loop
+
+_LOCAL = settings.Address("127.0.0.1", 0)
+_PATH = re.compile(r"/api/objects/([^/]+)(?:/([^/]+))?(/status)?")
+
+
+class StoreState:
+    """Objects of the stand-in and the faults that it plays.
+
+    Attributes:
+        objects: Objects by kind and name.
+        revision: Revision of the store.
+        oldest: Oldest revision from which a watch can continue.
+        refusal: Status with which all calls are refused, 0 for none.
+        calls: Calls as method and path.
+    """
+
+    def __init__(self) -> None:
+        self.objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self.revision = 1
+        self.oldest = 1
+        self.refusal = 0
+        self.page_size = 100
+        self.calls: list[str] = []
+        self._events: list[tuple[int, str, bool, dict[str, Any]]] = []
+        self._changed = asyncio.Condition()
+
+    async def put(self, kind: str, name: str, spec: Any) -> None:
+        """Creates or replaces an object."""
+        entries = self.objects.setdefault(kind, {})
+        status = entries.get(name, {}).get("status")
+        await self.store(kind, name, spec, status)
+
+    async def store(
+        self, kind: str, name: str, spec: Any, status: Any
+    ) -> dict[str, Any]:
+        """Stores spec and status of an object."""
+        self.revision += 1
+        entry = {
+            "metadata": {"name": name, "rev": self.revision},
+            "spec": spec,
+            "status": status,
+        }
+        self.objects.setdefault(kind, {})[name] = entry
+        await self._notify(kind, entry, removed=False)
+        return entry
+
+    async def remove(self, kind: str, name: str) -> None:
+        """Removes an object."""
+        self.revision += 1
+        entry = self.objects[kind].pop(name)
+        await self._notify(kind, entry, removed=True)
+
+    def forget(self) -> None:
+        """Drops the history."""
+        self.oldest = self.revision + 1
+
+    async def _notify(
+        self, kind: str, entry: dict[str, Any], *, removed: bool
+    ) -> None:
+        self._events.append((self.revision, kind, removed, entry))
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def wait_events(
+        self, kind: str, since: int, wait_s: float
+    ) -> list[dict[str, Any]] | None:
+        """Returns events after a revision, None if they are forgotten."""
+        try:
+            async with asyncio.timeout(wait_s), self._changed:
+                await self._changed.wait_for(
+                    lambda: self._find_events(kind, since)
+                )
+        except TimeoutError:
+            pass
+        if since < self.oldest - 1:
+            return None
+        return self._find_events(kind, since)
+
+    def _find_events(self, kind: str, since: int) -> list[dict[str, Any]]:
+        return [
+            {"removed": removed, "object": entry}
+            for revision, found, removed, entry in self._events
+            if found == kind and revision > since
+        ]
+
+
+class _Handler(web.RequestHandler):
+    def initialize(self, state: StoreState) -> None:
+        self._state = state
+
+    def prepare(self) -> None:
+        self._state.calls.append(f"{self.request.method} {self.request.uri}")
+        if self._state.refusal:
+            self.send_error(self._state.refusal)
+
+    async def get(self, kind: str, *rest: str) -> None:
+        state = self._state
+        watch = self.get_query_argument("watch", "")
+        if watch:
+            wait_s = int(self.get_query_argument("waitMs")) / 1_000
+            events = await state.wait_events(kind, int(watch), wait_s)
+            if events is None:
+                self.send_error(410)
+                return
+            self._reply({"events": events, "storeRevision": state.revision})
+            return
+        after = self.get_query_argument("after", "")
+        found = sorted(state.objects.get(kind, {}).items())
+        items = [entry for name, entry in found if name > after]
+        page = items[: state.page_size]
+        self._reply(
+            {
+                "items": page,
+                "more": len(items) > len(page),
+                "storeRevision": state.revision,
+            }
+        )
+
+    async def put(self, kind: str, name: str, status: str) -> None:
+        state = self._state
+        body = json.loads(self.request.body)
+        present = state.objects[kind][name]
+        if body["metadata"]["rev"] != present["metadata"]["rev"]:
+            self.set_status(409)
+            self._reply(present)
+            return
+        assert status
+        self._reply(
+            await state.store(kind, name, present["spec"], body["status"])
+        )
+
+    def _reply(self, body: Any) -> None:
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(body))
+
+
+class StoreTestCase(skipping_loop.SkippingTestCase):
+    """Test case with a stand-in as `state` and its client as `store`."""
+
+    async def asyncSetUp(self) -> None:
+        """Starts the stand-in."""
+        await super().asyncSetUp()
+        self.state = StoreState()
+        application = web.Application(
+            [(_PATH.pattern, _Handler, {"state": self.state})]
+        )
+        server, port = serving.start_server(application, _LOCAL)
+        self.addAsyncCleanup(serving.stop_server, server)
+        self.counters = metrics.Counters()
+        self.store = store.PlatformStore(
+            f"http://127.0.0.1:{port}", self.counters
+        )
+
+
+def build_server_spec(**fields: object) -> dict[str, Any]:
+    """Returns the entry of a backend server."""
+    spec: dict[str, Any] = {
+        "service": "engines",
+        "address": "10.0.0.9:8080",
+        "zone": "north",
+        "version": "v1",
+        "slots": 64,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "sequence": 4,
+    }
+    return spec | fields
+
+
+def build_policy_spec(**fields: object) -> dict[str, Any]:
+    """Returns a configuration with one route."""
+    spec: dict[str, Any] = {
+        "version": 7,
+        "routes": [
+            {
+                "name": "r1",
+                "host": "api.example",
+                "pathPrefix": "/streams/",
+                "kind": "streaming",
+                "timeoutMs": 6_000,
+                "targetLatencyMs": 3_000,
+                "priority": 0,
+                "sizes": ["small", "large"],
+                "trafficSplit": [
+                    {"service": "engines", "weight": 90},
+                    {"service": "others", "weight": 10},
+                ],
+                "maxAttempts": 3,
+                "anonymous": False,
+                "sessionAffinity": True,
+                "streamResume": True,
+                "gapAimMs": 1_500,
+            }
+        ],
+        "services": [
+            {
+                "name": "engines",
+                "healthPath": "/healthz",
+                "maxConnections": 370,
+                "engine": {
+                    "slots": 64,
+                    "kvCapacity": 500_000,
+                    "models": [{"name": "small", "cost": 0.01}],
+                },
+            }
+        ],
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 4_194_304,
+            "headerTimeoutMs": 3_000,
+            "idleTimeoutMs": 15_000,
+        },
+        "tenants": [{"name": "acme", "apiKeys": ["k1", "k2"], "priority": 1}],
+    }
+    return spec | fields
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -163,6 +163,20 @@
         answer = await self.fetch()
         self.assertEqual((answer.status, answer.body), (200, b"answer"))
 
+    async def test_reused_address_is_left_for_another_server(self) -> None:
+        """The other server does not say in words that nothing ran."""
+
+        async def misdirect(request, writer) -> None:
+            writer.write(
+                b"HTTP/1.1 421 Misdirected Request\r\n"
+                b"Runner-Id: other\r\nContent-Length: 0\r\n\r\n"
+            )
+
+        self.allow(model.RequestKind.NON_IDEMPOTENT, 1)
+        await self.start_server("a", _other((misdirect, _answer)))
+        answer = await self.fetch()
+        self.assertEqual((answer.status, answer.body), (200, b"answer"))
+
     async def test_lost_work_is_not_repeated(self) -> None:
         self.allow(model.RequestKind.NON_IDEMPOTENT, 3)
         script = _other((_lose, _answer))
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,199 @@
+"""Tests of the adapter to the users' platform, against stand-ins."""
+
+import asyncio
+import json
+import os
+import pathlib
+import random
+import tempfile
+import unittest
+from unittest import mock
+
+from dragonflydyke import settings
+from dragonflydyke.forwarding import conductor, model, rollouts
+from dragonflydyke.objects import model as objects
+from dragonflydyke.objects import watching
+from dragonflydyke.platform import process, records
+from tests.builders import skipping_loop, store
+
+
+def _entry(name: str, value: object, version: int = 1) -> objects.StoredObject:
+    return objects.StoredObject("kind", name, version, value)
+
+
+class RecordTest(unittest.TestCase):
+    """Guards against entries of other writers that are half understood."""
+
+    def setUp(self) -> None:
+        self.decoder = records.RecordDecoder()
+
+    def test_configuration(self) -> None:
+        entries = [_entry("main", store.build_policy_spec())]
+        policy = self.decoder.read_policy(entries)
+        assert policy is not None
+        self.assertEqual(policy.version, 7)
+        route = policy.find_route("API.example", "/streams/1")
+        assert route is not None
+        self.assertIs(route.kind, model.RequestKind.STREAM)
+        self.assertEqual((route.timeout_s, route.max_event_gap_s), (6.0, 1.5))
+        self.assertEqual(route.models, ("small", "large"))
+        self.assertEqual(len(route.pools), 2)
+        account = policy.find_account("k2")
+        assert account is not None
+        self.assertEqual((account.name, account.priority), ("acme", 1))
+
+    def test_unreadable_configuration_is_left_out(self) -> None:
+        entries = [_entry("main", {"version": "seven"})]
+        self.assertIsNone(self.decoder.read_policy(entries))
+
+    def test_unreadable_servers_are_left_out(self) -> None:
+        spoiled = (
+            None,
+            "text",
+            store.build_server_spec(state="resting"),
+            store.build_server_spec(slots="64"),
+            store.build_server_spec(slots=True),
+            store.build_server_spec(address="10.0.0.9"),
+            store.build_server_spec(zone=None),
+            store.build_server_spec(models={}),
+            {k: v for k, v in store.build_server_spec().items() if k != "zone"},
+        )
+        entries = [_entry(f"bad{n}", spec) for n, spec in enumerate(spoiled)]
+        entries.append(_entry("good", store.build_server_spec()))
+        members = self.decoder.read_members(entries)
+        self.assertEqual([member.name for member in members], ["good"])
+        self.assertEqual(members[0].server.url, "http://10.0.0.9:8080")
+
+    def test_progress_survives_the_store(self) -> None:
+        progress = rollouts.Progress(
+            "v2",
+            rollouts.Stage.CANARY,
+            {"vm1": rollouts.NodeEvidence()},
+        )
+        status = json.loads(json.dumps(records.write_progress(progress)))
+        entry = objects.StoredObject(
+            "rollouts",
+            "engines",
+            3,
+            {"service": "engines", "target": "v2", "rampS": 24},
+            status,
+        )
+        (stored,) = self.decoder.read_rollouts([entry])
+        self.assertEqual(stored.progress, progress)
+        self.assertEqual(stored.order.duration_s, 24.0)
+
+
+class SettingsTest(unittest.TestCase):
+    """Guards against a start with settings that cannot be used."""
+
+    def read(self, **changes: object) -> object:
+        """Reads a settings file with some fields changed."""
+        fields = {
+            "nodeName": "edge-1",
+            "zone": "north",
+            "ip": "10.0.0.4",
+            "listen": {"front": "10.0.0.4:8227", "ready": "10.0.0.4:8220"},
+            "internalPorts": [7340, 7355],
+            "platform": {"address": "10.0.0.7:8223"},
+            "bounds": {"graceS": 8},
+            "unknown": 1,
+        }
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "settings.json")
+            path.write_text(json.dumps(fields | changes))
+            variables = {process.SETTINGS_VARIABLE: str(path)}
+            with mock.patch.dict(os.environ, variables):
+                return process.read_settings()
+
+    def test_settings_are_read(self) -> None:
+        values = self.read()
+        self.assertEqual(values.front, settings.Address("10.0.0.4", 8227))
+        self.assertEqual(values.store_url, "http://10.0.0.7:8223")
+
+    def test_unusable_settings_name_their_field(self) -> None:
+        for changes, field in (
+            ({"nodeName": None}, "nodeName"),
+            ({"listen": {"front": "nowhere"}}, "listen.front"),
+            ({"platform": None}, "platform.address"),
+            ({"bounds": {"graceS": "8"}}, "bounds.graceS"),
+        ):
+            with (
+                self.subTest(field=field),
+                self.assertRaises(settings.SettingsError) as caught,
+            ):
+                self.read(**changes)
+            self.assertEqual(caught.exception.field, field)
+
+
+class StoreTest(store.StoreTestCase):
+    """Guards against missed changes and writes over newer ones."""
+
+    async def test_lists_are_read_page_by_page(self) -> None:
+        self.state.page_size = 2
+        for number in range(5):
+            await self.state.put("servers", f"s{number}", {})
+        listed = await self.store.list_all("servers")
+        self.assertEqual(
+            [entry.name for entry in listed.objects],
+            [f"s{number}" for number in range(5)],
+        )
+
+    async def test_progress_is_written_under_a_condition(self) -> None:
+        spec = {"service": "engines", "target": "v2", "rampS": 24}
+        await self.state.put("rollouts", "engines", spec)
+        (entry,) = (await self.store.list_all("rollouts")).objects
+        order = rollouts.Order("engines", "v2", 24.0)
+        stored = conductor.StoredRollout(entry, order, None)
+        progress = rollouts.Progress("v2", rollouts.Stage.ROLLED_BACK)
+        written = await self.store.write_progress(stored, progress)
+        self.assertGreater(written.entry.version, entry.version)
+        status = self.state.objects["rollouts"]["engines"]["status"]
+        self.assertEqual(status["state"], "rolled_back")
+        with self.assertRaises(objects.ConflictError):
+            await self.store.write_progress(stored, progress)
+
+
+class WatchTest(store.StoreTestCase):
+    """Guards against nodes that follow a store that they lost."""
+
+    async def asyncSetUp(self) -> None:
+        """Starts a watcher of servers."""
+        await super().asyncSetUp()
+        self.views: list[tuple[set[str], bool]] = []
+        watcher = watching.KindWatcher(
+            self.store,
+            "servers",
+            lambda view, gap: self.views.append((set(view.objects), gap)),
+            self.counters,
+            random.Random(3),
+        )
+        await self.state.put("servers", "a", {})
+        task = asyncio.create_task(watcher.run())
+        self.addCleanup(task.cancel)
+        await self.wait_for({"a"})
+
+    async def wait_for(self, names: set[str], *, gap: bool = False) -> None:
+        """Waits until the newest view has these names."""
+        await skipping_loop.wait_until(
+            lambda: self.views and self.views[-1] == (names, gap)
+        )
+
+    async def test_changes_arrive(self) -> None:
+        await self.state.put("servers", "b", {})
+        await self.wait_for({"a", "b"})
+        await self.state.remove("servers", "a")
+        await self.wait_for({"b"})
+
+    async def test_forgotten_history_is_listed_again(self) -> None:
+        self.state.forget()
+        await self.state.put("servers", "b", {})
+        self.state.forget()
+        await self.state.remove("servers", "a")
+        await self.wait_for({"b"}, gap=True)
+
+    async def test_lost_store_is_listed_after_its_return(self) -> None:
+        self.state.refusal = 503
+        await self.state.remove("servers", "a")
+        await asyncio.sleep(0.05)
+        self.state.refusal = 0
+        await self.wait_for(set(), gap=True)
