Count slow attempts against a new version, route by route

Now attempts over three times the usual time count, evidence is kept by route, the canary lasts from the middle to the end on a matching part of the servers, and all nodes report once there are three failures.

--- a/src/dragonflydyke/forwarding/conductor.py
+++ b/src/dragonflydyke/forwarding/conductor.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from dragonflydyke import errors, logs, metrics
-from dragonflydyke.forwarding import rollouts
+from dragonflydyke.forwarding import pace, rollouts
 from dragonflydyke.objects import model as objects
 from dragonflydyke.rollouts import decisions
 
@@ -54,28 +54,45 @@
         stored: Newest state from the store.
         first_seen_s: Loop time at which the order was seen.
         delay_s: How much later than due this node acts.
-        new: Own counts of the new version.
-        old: Own counts of the other versions.
+        evidence: Own counts by route.
         reported: Failures that the store knows of.
     """
 
     stored: StoredRollout
     first_seen_s: float
     delay_s: float
-    new: decisions.VersionSample = decisions.VersionSample()
-    old: decisions.VersionSample = decisions.VersionSample()
+    evidence: dict[str, rollouts.RouteEvidence] = dataclasses.field(
+        default_factory=dict
+    )
     reported: int = 0
 
     @property
-    def evidence(self) -> rollouts.NodeEvidence:
-        """Own counts."""
-        return rollouts.NodeEvidence(self.new, self.old)
+    def is_over(self) -> bool:
+        """Whether the roll-out is completed or rolled back."""
+        progress = self.stored.progress
+        return (
+            progress is not None
+            and progress.version == self.stored.order.version
+            and progress.is_final
+        )
+
+    @property
+    def failures(self) -> int:
+        """Own failures of the new version."""
+        return sum(entry.new.failures for entry in self.evidence.values())
 
 
 class Conductor:
     """Follows the roll-outs of all pools and moves them on."""
 
-    __slots__ = ("_counters", "_random", "_rollouts", "_store", "_vm")
+    __slots__ = (
+        "_counters",
+        "_paces",
+        "_random",
+        "_rollouts",
+        "_store",
+        "_vm",
+    )
 
     def __init__(
         self,
@@ -89,6 +106,7 @@
         self._counters = counters
         self._random = source
         self._rollouts: dict[str, _Local] = {}
+        self._paces: dict[str, pace.PaceBook] = {}
 
     def update(self, stored: list[StoredRollout], now_s: float) -> None:
         """Takes over what the store has; `now_s` is a loop time."""
@@ -128,18 +146,39 @@
             is_restrained=rollouts.is_failing({self._vm: local.evidence}),
         )
 
-    def record(self, pool: str, version: str, *, failed: bool) -> None:
-        """Counts the end of an attempt at a version."""
+    def record(
+        self,
+        pool: str,
+        route: str,
+        version: str,
+        kind: str,
+        *,
+        failed: bool,
+        latency_s: float,
+    ) -> None:
+        """Counts the end of an attempt at a version.
+
+        Args:
+            pool: Pool of the server.
+            route: Route of the request.
+            version: Version of the server.
+            kind: Kind of work, whose times are comparable.
+            failed: Whether the server was at fault for a failure.
+            latency_s: Time to the first byte, or until the attempt ended
+                without one.
+        """
+        paces = self._paces.setdefault(pool, pace.PaceBook())
+        is_bad = failed or paces.is_slow(kind, latency_s)
         local = self._rollouts.get(pool)
-        if local is None:
+        is_new = local is not None and version == local.stored.order.version
+        if not failed and not is_new:
+            paces.record(kind, latency_s)
+        if local is None or local.is_over:
             return
-        progress = local.stored.progress
-        if progress is not None and progress.is_final:
-            return
-        if version == local.stored.order.version:
-            local.new = _count(local.new, failed=failed)
-        else:
-            local.old = _count(local.old, failed=failed)
+        entry = local.evidence.get(route, rollouts.RouteEvidence())
+        name = "new" if is_new else "old"
+        counted = _count(getattr(entry, name), failed=is_bad)
+        local.evidence[route] = dataclasses.replace(entry, **{name: counted})
 
     async def run(self) -> None:
         """Moves roll-outs on until cancelled."""
@@ -165,9 +204,11 @@
         if progress.is_final:
             return None
         evidence = dict(progress.evidence)
-        has_news = local.new.failures > local.reported
+        has_news = local.failures > local.reported or (
+            rollouts.is_suspicious(evidence) and self._vm not in evidence
+        )
         if has_news:
-            evidence[self._vm] = local.evidence
+            evidence[self._vm] = dict(local.evidence)
         if rollouts.is_failing(evidence):
             due = rollouts.Stage.ROLLED_BACK
         if due is None and not has_news:
@@ -175,7 +216,7 @@
         return rollouts.Progress(order.version, due or progress.stage, evidence)
 
     async def _write(self, local: _Local, progress: rollouts.Progress) -> None:
-        failures = local.new.failures
+        failures = local.failures
         try:
             stored = await self._store.write_progress(local.stored, progress)
         except errors.DragonflydykeError as error:
@@ -218,7 +259,9 @@
     if progress is None:
         return {}
     return {
-        vm: f"new {entry.new.failures}/{entry.new.requests}"
+        f"{vm} {route}": f"new {entry.new.failures}/{entry.new.requests}"
         f" old {entry.old.failures}/{entry.old.requests}"
-        for vm, entry in progress.evidence.items()
+        for vm, routes in progress.evidence.items()
+        for route, entry in routes.items()
+        if entry.new.requests
     }
--- a/src/dragonflydyke/forwarding/decisions.py
+++ b/src/dragonflydyke/forwarding/decisions.py
@@ -146,7 +146,7 @@
     """What has happened to a request so far.
 
     Attributes:
-        attempts: Attempts that may have run at a server.
+        attempts: Attempts that may have run at a server that still exists.
         dispatches: Attempts that were sent at all.
         may_have_run: Whether any of them may have run.
         answer_begun: Whether the client has a part of the answer.
--- a/src/dragonflydyke/forwarding/execution.py
+++ b/src/dragonflydyke/forwarding/execution.py
@@ -86,7 +86,9 @@
     """What has happened to a request.
 
     Attributes:
-        attempts: Attempts that may have run.
+        attempts: Attempts that may have run, without those at servers that
+            have ended since.
+        may_have_run: Whether any attempt may have run.
         dispatches: All attempts that were sent.
         last_event_id: Last event that the client has.
         begun: Whether the client has the start of the answer.
@@ -99,6 +101,7 @@
     """
 
     attempts: int = 0
+    may_have_run: bool = False
     dispatches: int = 0
     last_event_id: int | None = None
     begun: bool = False
@@ -210,7 +213,7 @@
             progress = decisions.RequestProgress(
                 attempts=state.attempts,
                 dispatches=state.dispatches,
-                may_have_run=state.attempts > 0,
+                may_have_run=state.may_have_run,
                 answer_begun=state.begun,
                 remaining_s=admitted.deadline_s - loop.time(),
             )
@@ -263,8 +266,9 @@
             raise
         finally:
             attempt.close()
-            if attempt.may_have_run:
+            if attempt.may_have_run and not self._has_ended(member, end):
                 state.attempts += 1
+            state.may_have_run |= attempt.may_have_run
             ejected = self._placer.end(
                 job,
                 member,
@@ -273,7 +277,7 @@
                 latency=None,
                 peers=members,
             )
-            self._record_version(member, end)
+            self._record_version(attempt, end)
             if ejected:
                 self._counters.increment("server.ejected")
                 _LOGGER.notice("server ejected", server=member.name)
@@ -285,27 +289,42 @@
     def _list_members(
         self, request: messages.IncomingRequest, admitted: decisions.Admitted
     ) -> tuple[directory.Member, ...]:
-        pool = admitted.pool.name
-        members = self._directory.list_usable(pool)
+        members = self._directory.list_usable(admitted.pool.name)
         session = request.details.session or request.details.request_id
-        rule = self._conductor.select(pool, session)
-        wanted = tuple(m for m in members if rule.allows(m.version))
-        if wanted:
-            return wanted
-        # The other version serves rather than nobody, unless it is bad.
-        return tuple(
-            m
-            for m in members
-            if not (rule.is_forbidden and m.version == rule.avoided)
+        rule = self._conductor.select(admitted.pool.name, session)
+        return placement.filter_versions(rule, members)
+
+    def _has_ended(
+        self, member: directory.Member, end: decisions.AttemptEnd
+    ) -> bool:
+        """Returns whether an attempt was lost because its server ended.
+
+        The old servers stop at once when a roll-out completes.
+        """
+        if end is not decisions.AttemptEnd.LOST:
+            return False
+        rule = self._conductor.select(member.pool, "")
+        has_other_version = bool(rule.wanted) and not rule.allows(
+            member.version
         )
+        return has_other_version or not self._directory.is_usable(member)
 
     def _record_version(
-        self, member: directory.Member, end: decisions.AttemptEnd
+        self,
+        attempt: "_Attempt",
+        end: decisions.AttemptEnd,
     ) -> None:
-        failed = _judge(end)
-        if failed is None or end is decisions.AttemptEnd.NOT_RUN:
+        if not attempt.may_have_run:
             return
-        self._conductor.record(member.pool, member.version, failed=failed)
+        member = attempt.member
+        self._conductor.record(
+            member.pool,
+            attempt.route,
+            member.version,
+            f"{attempt.route} {attempt.model}",
+            failed=end in _FAILURES,
+            latency_s=attempt.latency_s,
+        )
 
     def _refuse(
         self,
@@ -358,18 +377,27 @@
 
 
 class _Attempt:
-    """One dispatch of a request to a server."""
+    """One dispatch of a request to a server.
+
+    Attributes:
+        member: The server.
+        model: Model that was asked for, empty for the client's own.
+        may_have_run: Whether the server may have run the request.
+    """
 
     __slots__ = (
         "_admitted",
+        "_begun_s",
         "_budget",
         "_codec",
         "_exchange",
-        "_member",
         "_models",
         "_request",
+        "_started_s",
         "_tcp",
         "may_have_run",
+        "member",
+        "model",
     )
 
     def __init__(
@@ -388,10 +416,26 @@
         self._tcp = tcp
         self._request = request
         self._admitted = admitted
-        self._member = member
         self._exchange: connection.Exchange | None = None
+        self._begun_s = asyncio.get_running_loop().time()
+        self._started_s: float | None = None
+        self.member = member
+        self.model = ""
         self.may_have_run = False
 
+    @property
+    def route(self) -> str:
+        """Name of the route of the request."""
+        return self._admitted.route.name
+
+    @property
+    def latency_s(self) -> float:
+        """Time to the start of the answer, or until now without one."""
+        until_s = self._started_s
+        if until_s is None:
+            until_s = asyncio.get_running_loop().time()
+        return until_s - self._begun_s
+
     async def run(self, reply: Reply, state: _RunState) -> None:
         """Sends the request and delivers the answer.
 
@@ -424,17 +468,18 @@
         last_event_id = state.last_event_id
         if last_event_id is None:
             last_event_id = self._request.details.last_event_id
+        self.model = self._select_model(state)
         dispatch = messages.Dispatch(
-            server=self._member.name,
+            server=self.member.name,
             remaining_s=admitted.deadline_s - loop.time(),
             account=admitted.account.name if admitted.account else "",
-            model=self._select_model(state),
+            model=self.model,
             urgency=_select_urgency(admitted),
             last_event_id=last_event_id,
         )
         body = self._request.body
         request = backends.BackendRequest(
-            self._member.server,
+            self.member.server,
             self._request.method,
             self._request.target,
             self._codec.write_request(self._request, dispatch),
@@ -466,6 +511,7 @@
             raise _AttemptError(
                 decisions.AttemptEnd.SLOW, "no event yet"
             ) from error
+        self._started_s = asyncio.get_running_loop().time()
         if patience_s is not None:
             self._models.record_escalation(late=False)
 
@@ -620,6 +666,8 @@
         reply.on_close(None)
 
 
+# Slow attempts are judged by their time.
+_FAILURES = frozenset((decisions.AttemptEnd.FAILED, decisions.AttemptEnd.LOST))
 _BLAMELESS = frozenset(
     (decisions.AttemptEnd.DELIVERED, decisions.AttemptEnd.INSUFFICIENT)
 )
--- a/src/dragonflydyke/forwarding/placement.py
+++ b/src/dragonflydyke/forwarding/placement.py
@@ -8,10 +8,11 @@
 """
 
 import dataclasses
+import math
 import random
 from collections.abc import Collection, Sequence
 
-from dragonflydyke.forwarding import directory, model
+from dragonflydyke.forwarding import directory, model, rollouts
 from dragonflydyke.routing import outliers
 
 # Prompt tokens that a server reads in a second when it is not shared; only
@@ -62,6 +63,23 @@
         return self.shared_tokens / _READ_TOKENS_PER_S
 
 
+def filter_versions(
+    rule: rollouts.VersionRule, members: Sequence[directory.Member]
+) -> tuple[directory.Member, ...]:
+    """Returns the servers that a request may use during a roll-out."""
+    wanted = [m for m in members if rule.allows(m.version)]
+    if wanted:
+        # All nodes take the same part of the servers.
+        wanted.sort(key=lambda m: model.hash_fraction(f"canary {m.name}"))
+        return tuple(wanted[: math.ceil(len(wanted) * rule.server_share)])
+    # The other version serves rather than nobody, unless it is bad.
+    return tuple(
+        m
+        for m in members
+        if not (rule.is_forbidden and m.version == rule.avoided)
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class _Load:
     requests: int = 0
--- a/src/dragonflydyke/forwarding/rollouts.py
+++ b/src/dragonflydyke/forwarding/rollouts.py
@@ -9,7 +9,7 @@
 
 import dataclasses
 import enum
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from dragonflydyke.configuration import model as configuration
 from dragonflydyke.forwarding import model
@@ -23,6 +23,18 @@
 _MIN_FAILURES = 4
 # A new version is not worse because all versions fail.
 _FAILURE_FACTOR = 2.0
+# So many failures make nodes without any report what they saw, too; else the
+# share of failures would look larger than it is.
+_SUSPICION_FAILURES = 3
+# The first half is kept free, with a margin for the delays of nodes.
+_FIRST_EXPOSURE_SHARE = 0.52
+# Servers and sessions of the canary, a part that keeps exposure within its
+# bound also when the traffic of the second half is larger.
+_CANARY_SHARE = 0.14
+# The old servers stop when the roll-out completes; until then they end what
+# they work on, while new requests go to the new ones.
+_FULL_BEFORE_END_S = 1.4
+_COMPLETE_BEFORE_END_S = 0.7
 
 
 class Stage(enum.StrEnum):
@@ -30,7 +42,6 @@
 
     WAITING = "waiting"
     CANARY = "canary"
-    WIDE = "wide"
     FULL = "full"
     COMPLETED = "completed"
     ROLLED_BACK = "rolled_back"
@@ -39,27 +50,10 @@
 _FINAL_STAGES = frozenset((Stage.COMPLETED, Stage.ROLLED_BACK))
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class _Plan:
-    """What holds in a stage.
-
-    Attributes:
-        share: Part of the sessions that the new version gets.
-        until: Part of the time of the order at which the stage ends.
-        following: The next stage.
-    """
-
-    share: float
-    until: float
-    following: Stage
-
-
-# The time at full share lets the old servers end what they work on.
-_PLANS: Mapping[Stage, _Plan] = {
-    Stage.WAITING: _Plan(0.0, 0.54, Stage.CANARY),
-    Stage.CANARY: _Plan(0.12, 0.72, Stage.WIDE),
-    Stage.WIDE: _Plan(0.35, 0.78, Stage.FULL),
-    Stage.FULL: _Plan(1.0, 0.9, Stage.COMPLETED),
+_SHARES: Mapping[Stage, float] = {
+    Stage.WAITING: 0.0,
+    Stage.CANARY: _CANARY_SHARE,
+    Stage.FULL: 1.0,
 }
 
 
@@ -71,10 +65,20 @@
     version: str
     duration_s: float
 
+    def find_end(self, stage: Stage) -> tuple[float, Stage]:
+        """Returns the age in seconds at which a stage ends, and the next."""
+        if stage is Stage.WAITING:
+            return self.duration_s * _FIRST_EXPOSURE_SHARE, Stage.CANARY
+        if stage is Stage.CANARY:
+            return self.duration_s - _FULL_BEFORE_END_S, Stage.FULL
+        return self.duration_s - _COMPLETE_BEFORE_END_S, Stage.COMPLETED
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class NodeEvidence:
-    """What one node saw of the new and of the old versions.
+class RouteEvidence:
+    """What a node saw of the new and of the old versions on one route.
+
+    Failures are failed and slow attempts.
 
     Attributes:
         new: Attempts at the new version.
@@ -85,6 +89,9 @@
     old: decisions.VersionSample = decisions.VersionSample()
 
 
+NodeEvidence = Mapping[str, RouteEvidence]
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Progress:
     """State of a roll-out that all nodes share.
@@ -92,7 +99,7 @@
     Attributes:
         version: Version of the order that it belongs to.
         stage: Stage in force.
-        evidence: What nodes reported, by VM.
+        evidence: What nodes reported, by VM and route.
     """
 
     version: str
@@ -115,11 +122,13 @@
         wanted: The only version to use while servers have it; empty for any.
         avoided: Version that is used only if `wanted` is not given.
         is_forbidden: Whether the avoided version may not be used at all.
+        server_share: Part of the servers of the wanted version to use.
     """
 
     wanted: str = ""
     avoided: str = ""
     is_forbidden: bool = False
+    server_share: float = 1.0
 
     def allows(self, version: str) -> bool:
         """Returns whether the rule asks for a version."""
@@ -152,9 +161,11 @@
         return VersionRule(wanted=order.version)
     if stage is Stage.ROLLED_BACK or is_restrained:
         return VersionRule(avoided=order.version, is_forbidden=True)
-    share = _PLANS[stage].share
+    share = _SHARES[stage]
     if model.hash_fraction(f"session {session}") < share:
-        return VersionRule(wanted=order.version)
+        # A canary on idle servers would not show a version that is bad only
+        # under load, nor compare its times with those of busy servers.
+        return VersionRule(wanted=order.version, server_share=share)
     return VersionRule(avoided=order.version, is_forbidden=share == 0.0)
 
 
@@ -172,16 +183,43 @@
         return Stage.WAITING
     if progress.is_final:
         return None
-    plan = _PLANS[progress.stage]
-    if age_s < plan.until * order.duration_s:
-        return None
-    return plan.following
+    end_s, following = order.find_end(progress.stage)
+    return following if age_s >= end_s else None
 
 
 def is_failing(evidence: Mapping[str, NodeEvidence]) -> bool:
-    """Returns whether the evidence of all nodes calls for a roll-back."""
-    new = _sum_samples([entry.new for entry in evidence.values()])
-    old = _sum_samples([entry.old for entry in evidence.values()])
+    """Returns whether the evidence of all nodes calls for a roll-back.
+
+    A version may be bad on one route only, so each counts by itself.
+    """
+    by_route = _collect_routes(evidence)
+    everything = [entry for found in by_route.values() for entry in found]
+    return any(_is_worse(found) for found in (everything, *by_route.values()))
+
+
+def is_suspicious(evidence: Mapping[str, NodeEvidence]) -> bool:
+    """Returns whether all nodes should report what they saw."""
+    failures = sum(
+        entry.new.failures
+        for routes in evidence.values()
+        for entry in routes.values()
+    )
+    return failures >= _SUSPICION_FAILURES
+
+
+def _collect_routes(
+    evidence: Mapping[str, NodeEvidence],
+) -> dict[str, list[RouteEvidence]]:
+    found: dict[str, list[RouteEvidence]] = {}
+    for routes in evidence.values():
+        for route, entry in routes.items():
+            found.setdefault(route, []).append(entry)
+    return found
+
+
+def _is_worse(evidence: Sequence[RouteEvidence]) -> bool:
+    new = _sum_samples([entry.new for entry in evidence])
+    old = _sum_samples([entry.old for entry in evidence])
     if new.failures < _MIN_FAILURES:
         return False
     if decisions.find_stop_reason(_STOP, new) is None:
--- a/src/dragonflydyke/platform/records.py
+++ b/src/dragonflydyke/platform/records.py
@@ -139,10 +139,13 @@
         version=status["target"],
         stage=stage,
         evidence={
-            vm: rollouts.NodeEvidence(
-                _read_sample(counts["new"]), _read_sample(counts["old"])
-            )
-            for vm, counts in (own.get("evidence") or {}).items()
+            vm: {
+                route: rollouts.RouteEvidence(
+                    _read_sample(counts["new"]), _read_sample(counts["old"])
+                )
+                for route, counts in routes.items()
+            }
+            for vm, routes in (own.get("evidence") or {}).items()
         },
     )
 
@@ -157,10 +160,13 @@
             "stage": progress.stage.value,
             "evidence": {
                 vm: {
-                    "new": [counts.new.requests, counts.new.failures],
-                    "old": [counts.old.requests, counts.old.failures],
+                    route: {
+                        "new": [counts.new.requests, counts.new.failures],
+                        "old": [counts.old.requests, counts.old.failures],
+                    }
+                    for route, counts in routes.items()
                 }
-                for vm, counts in progress.evidence.items()
+                for vm, routes in progress.evidence.items()
             },
         },
     }
