Judge a new version by its failures, and its times by fast servers

Now only failures that the server itself answers count fully; slow and lost attempts need a larger share, are compared with the fast fifth of attempts at the old servers, count when they become slow, and the worst server alone proves nothing.

--- a/src/dragonflydyke/forwarding/conductor.py
+++ b/src/dragonflydyke/forwarding/conductor.py
@@ -1,19 +1,22 @@
 """Carries roll-outs forward through conditional writes to the store."""
 
 import asyncio
+import collections
 import dataclasses
 import random
+from collections.abc import Mapping
 from typing import Protocol
 
 from dragonflydyke import errors, logs, metrics
-from dragonflydyke.forwarding import pace, rollouts
+from dragonflydyke.forwarding import directory, pace, rollouts
 from dragonflydyke.objects import model as objects
-from dragonflydyke.rollouts import decisions
 
 _POLL_S = 0.25
 # Spreads the writes of nodes that all see the same stage as due; the first
 # one that succeeds spares the others theirs.
 _MAX_DELAY_S = 0.5
+# Attempts without fault are reported less often than bad ones.
+_REPORT_S = 1.0
 
 _LOGGER = logs.get_logger("rollout")
 
@@ -55,7 +58,8 @@
         first_seen_s: Loop time at which the order was seen.
         delay_s: How much later than due this node acts.
         evidence: Own counts by route.
-        reported: Failures that the store knows of.
+        reported: Own evidence that the store has.
+        reported_s: Loop time of the last report.
     """
 
     stored: StoredRollout
@@ -64,7 +68,10 @@
     evidence: dict[str, rollouts.RouteEvidence] = dataclasses.field(
         default_factory=dict
     )
-    reported: int = 0
+    reported: dict[str, rollouts.RouteEvidence] = dataclasses.field(
+        default_factory=dict
+    )
+    reported_s: float = 0.0
 
     @property
     def is_over(self) -> bool:
@@ -76,10 +83,18 @@
             and progress.is_final
         )
 
-    @property
-    def failures(self) -> int:
-        """Own failures of the new version."""
-        return sum(entry.new.failures for entry in self.evidence.values())
+    def has_news(self, now_s: float, *, is_suspicious: bool) -> bool:
+        """Returns whether own evidence should be reported.
+
+        Args:
+            now_s: Loop time.
+            is_suspicious: Whether attempts without fault matter, too.
+        """
+        if _count_bad(self.evidence) > _count_bad(self.reported):
+            return True
+        has_changed = self.evidence != self.reported
+        is_due = now_s - self.reported_s >= _REPORT_S
+        return is_suspicious and has_changed and is_due
 
 
 class Conductor:
@@ -146,39 +161,49 @@
             is_restrained=rollouts.is_failing({self._vm: local.evidence}),
         )
 
-    def record(
-        self,
-        pool: str,
-        route: str,
-        version: str,
-        kind: str,
-        *,
-        failed: bool,
-        latency_s: float,
-    ) -> None:
-        """Counts the end of an attempt at a version.
+    def begin(
+        self, member: directory.Member, route: str, kind: str
+    ) -> "AttemptObserver":
+        """Returns the observer of an attempt that begins now.
 
         Args:
-            pool: Pool of the server.
+            member: Where it goes.
             route: Route of the request.
-            version: Version of the server.
             kind: Kind of work, whose times are comparable.
-            failed: Whether the server was at fault for a failure.
-            latency_s: Time to the first byte, or until the attempt ended
-                without one.
         """
-        paces = self._paces.setdefault(pool, pace.PaceBook())
-        is_bad = failed or paces.is_slow(kind, latency_s)
-        local = self._rollouts.get(pool)
-        is_new = local is not None and version == local.stored.order.version
-        if not failed and not is_new:
-            paces.record(kind, latency_s)
+        paces = self._paces.setdefault(member.pool, pace.PaceBook())
+        return AttemptObserver(self, paces, member, route, kind)
+
+    def count(
+        self,
+        member: directory.Member,
+        route: str,
+        counts: rollouts.AttemptCounts,
+    ) -> None:
+        """Adds to the evidence on the version of a server."""
+        local = self._rollouts.get(member.pool)
         if local is None or local.is_over:
             return
         entry = local.evidence.get(route, rollouts.RouteEvidence())
-        name = "new" if is_new else "old"
-        counted = _count(getattr(entry, name), failed=is_bad)
-        local.evidence[route] = dataclasses.replace(entry, **{name: counted})
+        if member.version != local.stored.order.version:
+            entry = dataclasses.replace(entry, old=entry.old.add(counts))
+        else:
+            bad_servers = collections.Counter(entry.bad_servers)
+            bad_servers[member.name] += counts.bad
+            entry = dataclasses.replace(
+                entry,
+                new=entry.new.add(counts),
+                # Without servers that have no bad attempt.
+                bad_servers=dict(+bad_servers),
+            )
+        local.evidence[route] = entry
+
+    def is_new(self, member: directory.Member) -> bool:
+        """Returns whether a server has the version that is rolled out."""
+        local = self._rollouts.get(member.pool)
+        if local is None or local.is_over:
+            return False
+        return member.version == local.stored.order.version
 
     async def run(self) -> None:
         """Moves roll-outs on until cancelled."""
@@ -204,8 +229,8 @@
         if progress.is_final:
             return None
         evidence = dict(progress.evidence)
-        has_news = local.failures > local.reported or (
-            rollouts.is_suspicious(evidence) and self._vm not in evidence
+        has_news = local.has_news(
+            now_s, is_suspicious=rollouts.is_suspicious(evidence)
         )
         if has_news:
             evidence[self._vm] = dict(local.evidence)
@@ -216,7 +241,7 @@
         return rollouts.Progress(order.version, due or progress.stage, evidence)
 
     async def _write(self, local: _Local, progress: rollouts.Progress) -> None:
-        failures = local.failures
+        reported = dict(local.evidence)
         try:
             stored = await self._store.write_progress(local.stored, progress)
         except errors.DragonflydykeError as error:
@@ -229,8 +254,10 @@
                 code=error.code,
             )
             return
-        local.reported = failures
-        self._adopt(stored, asyncio.get_running_loop().time())
+        now_s = asyncio.get_running_loop().time()
+        local.reported = reported
+        local.reported_s = now_s
+        self._adopt(stored, now_s)
 
     def _log(self, message: str, stored: StoredRollout) -> None:
         progress = stored.progress
@@ -245,23 +272,92 @@
         )
 
 
-def _count(
-    sample: decisions.VersionSample, *, failed: bool
-) -> decisions.VersionSample:
-    return dataclasses.replace(
-        sample,
-        requests=sample.requests + 1,
-        failures=sample.failures + failed,
+class AttemptObserver:
+    """Judges one attempt at a server for the evidence on its version.
+
+    A slow attempt counts when it becomes slow; waiting for its end would take
+    longer than a bad version may be exposed.
+    """
+
+    __slots__ = (
+        "_begun_s",
+        "_conductor",
+        "_is_counted",
+        "_kind",
+        "_member",
+        "_paces",
+        "_route",
+        "_timer",
     )
 
+    def __init__(
+        self,
+        owner: Conductor,
+        paces: pace.PaceBook,
+        member: directory.Member,
+        route: str,
+        kind: str,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        self._conductor = owner
+        self._paces = paces
+        self._member = member
+        self._route = route
+        self._kind = kind
+        self._begun_s = loop.time()
+        self._is_counted = False
+        self._timer: asyncio.TimerHandle | None = None
+        bound_s = paces.find_slow_bound_s(kind)
+        if bound_s is not None:
+            impaired = rollouts.AttemptCounts(impaired=1)
+            self._timer = loop.call_later(bound_s, self._count, impaired)
+
+    def note_answer(self) -> None:
+        """Notes that the answer began."""
+        latency_s = asyncio.get_running_loop().time() - self._begun_s
+        if not self._conductor.is_new(self._member):
+            self._paces.record(self._kind, latency_s)
+        if not self._is_counted:
+            self._count(rollouts.AttemptCounts())
+
+    def end(self, *, failed: bool, lost: bool) -> None:
+        """Notes the end of the attempt.
+
+        Args:
+            failed: Whether the server itself answered with a failure.
+            lost: Whether the answer was lost or not valid.
+        """
+        if failed:
+            self._count(rollouts.AttemptCounts(failed=1))
+        elif lost:
+            self._count(rollouts.AttemptCounts(impaired=1))
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _count(self, counts: rollouts.AttemptCounts) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        if not self._is_counted:
+            counts = counts.add(rollouts.AttemptCounts(attempts=1))
+        self._is_counted = True
+        self._conductor.count(self._member, self._route, counts)
+
+
+def _count_bad(evidence: Mapping[str, rollouts.RouteEvidence]) -> int:
+    return sum(entry.new.bad for entry in evidence.values())
+
 
 def _describe(progress: rollouts.Progress | None) -> dict[str, str]:
     if progress is None:
         return {}
     return {
-        f"{vm} {route}": f"new {entry.new.failures}/{entry.new.requests}"
-        f" old {entry.old.failures}/{entry.old.requests}"
+        f"{vm} {route}": f"new {_describe_counts(entry.new)}"
+        f" old {_describe_counts(entry.old)}"
         for vm, routes in progress.evidence.items()
         for route, entry in routes.items()
-        if entry.new.requests
+        if entry.new.attempts
     }
+
+
+def _describe_counts(counts: rollouts.AttemptCounts) -> str:
+    return f"{counts.failed}+{counts.impaired}/{counts.attempts}"
--- a/src/dragonflydyke/forwarding/execution.py
+++ b/src/dragonflydyke/forwarding/execution.py
@@ -253,7 +253,14 @@
             admitted.pool.name, cascade.Cascade()
         )
         attempt = _Attempt(
-            self._codec, self._tcp, request, admitted, member, models, budget
+            self._codec,
+            self._tcp,
+            self._conductor,
+            request,
+            admitted,
+            member,
+            models,
+            budget,
         )
         end = decisions.AttemptEnd.DELIVERED
         reason = ""
@@ -277,7 +284,7 @@
                 latency=None,
                 peers=members,
             )
-            self._record_version(attempt, end)
+            attempt.end(end)
             if ejected:
                 self._counters.increment("server.ejected")
                 _LOGGER.notice("server ejected", server=member.name)
@@ -309,23 +316,6 @@
         )
         return has_other_version or not self._directory.is_usable(member)
 
-    def _record_version(
-        self,
-        attempt: "_Attempt",
-        end: decisions.AttemptEnd,
-    ) -> None:
-        if not attempt.may_have_run:
-            return
-        member = attempt.member
-        self._conductor.record(
-            member.pool,
-            attempt.route,
-            member.version,
-            f"{attempt.route} {attempt.model}",
-            failed=end in _FAILURES,
-            latency_s=attempt.latency_s,
-        )
-
     def _refuse(
         self,
         request: messages.IncomingRequest,
@@ -381,35 +371,35 @@
 
     Attributes:
         member: The server.
-        model: Model that was asked for, empty for the client's own.
         may_have_run: Whether the server may have run the request.
     """
 
     __slots__ = (
         "_admitted",
-        "_begun_s",
         "_budget",
         "_codec",
+        "_conductor",
         "_exchange",
         "_models",
+        "_observer",
         "_request",
-        "_started_s",
         "_tcp",
         "may_have_run",
         "member",
-        "model",
     )
 
     def __init__(
         self,
         codec: messages.Codec,
         tcp: tcpclient.TCPClient,
+        versions: conductor.Conductor,
         request: messages.IncomingRequest,
         admitted: decisions.Admitted,
         member: directory.Member,
         models: cascade.Cascade,
         budget: retries.RetryBudget,
     ) -> None:
+        self._conductor = versions
         self._models = models
         self._budget = budget
         self._codec = codec
@@ -417,25 +407,10 @@
         self._request = request
         self._admitted = admitted
         self._exchange: connection.Exchange | None = None
-        self._begun_s = asyncio.get_running_loop().time()
-        self._started_s: float | None = None
+        self._observer: conductor.AttemptObserver | None = None
         self.member = member
-        self.model = ""
         self.may_have_run = False
 
-    @property
-    def route(self) -> str:
-        """Name of the route of the request."""
-        return self._admitted.route.name
-
-    @property
-    def latency_s(self) -> float:
-        """Time to the start of the answer, or until now without one."""
-        until_s = self._started_s
-        if until_s is None:
-            until_s = asyncio.get_running_loop().time()
-        return until_s - self._begun_s
-
     async def run(self, reply: Reply, state: _RunState) -> None:
         """Sends the request and delivers the answer.
 
@@ -453,6 +428,14 @@
         if self._exchange is not None:
             self._exchange.abandon()
 
+    def end(self, end: decisions.AttemptEnd) -> None:
+        """Closes the account of the server's version."""
+        if self._observer is not None:
+            self._observer.end(
+                failed=end is decisions.AttemptEnd.FAILED,
+                lost=end is decisions.AttemptEnd.LOST,
+            )
+
     def _classify(
         self, error: errors.DragonflydykeError
     ) -> decisions.AttemptEnd:
@@ -468,12 +451,12 @@
         last_event_id = state.last_event_id
         if last_event_id is None:
             last_event_id = self._request.details.last_event_id
-        self.model = self._select_model(state)
+        model_name = self._select_model(state)
         dispatch = messages.Dispatch(
             server=self.member.name,
             remaining_s=admitted.deadline_s - loop.time(),
             account=admitted.account.name if admitted.account else "",
-            model=self.model,
+            model=model_name,
             urgency=_select_urgency(admitted),
             last_event_id=last_event_id,
         )
@@ -493,6 +476,10 @@
         )
         await self._exchange.connect(self._tcp)
         self.may_have_run = True
+        route = admitted.route.name
+        self._observer = self._conductor.begin(
+            self.member, route, f"{route} {model_name}"
+        )
         await self._exchange.send()
         await self._await_start(state)
 
@@ -511,7 +498,6 @@
             raise _AttemptError(
                 decisions.AttemptEnd.SLOW, "no event yet"
             ) from error
-        self._started_s = asyncio.get_running_loop().time()
         if patience_s is not None:
             self._models.record_escalation(late=False)
 
@@ -545,6 +531,8 @@
         exchange = self._exchange
         assert exchange is not None
         details = self._codec.read_answer(exchange.status, exchange.headers)
+        if not details.not_run and self._observer is not None:
+            self._observer.note_answer()
         if details.not_run:
             self.may_have_run = False
             raise _AttemptError(
@@ -666,8 +654,6 @@
         reply.on_close(None)
 
 
-# Slow attempts are judged by their time.
-_FAILURES = frozenset((decisions.AttemptEnd.FAILED, decisions.AttemptEnd.LOST))
 _BLAMELESS = frozenset(
     (decisions.AttemptEnd.DELIVERED, decisions.AttemptEnd.INSUFFICIENT)
 )
--- a/src/dragonflydyke/forwarding/pace.py
+++ b/src/dragonflydyke/forwarding/pace.py
@@ -1,13 +1,13 @@
 """Usual times of servers, against which a new version is compared."""
 
 import collections
-import statistics
 
 _MAX_SAMPLES = 64
 _MIN_SAMPLES = 8
-# A slow version takes several times as long; ordinary variation of loaded
-# servers stays below this factor for most attempts.
-_SLOW_FACTOR = 3.0
+# New servers have little load, so they are compared with the fast attempts at
+# the others; a prompt without a cached beginning takes three times as long.
+_FAST_SHARE = 0.2
+_SLOW_FACTOR = 4.0
 # Differences between shorter times are noise of the network.
 _MIN_SLOW_S = 0.1
 
@@ -27,16 +27,10 @@
         )
         found.append(latency_s)
 
-    def is_slow(self, kind: str, latency_s: float) -> bool:
-        """Returns whether an attempt took much longer than usual.
-
-        Args:
-            kind: Kind of work, whose times are comparable.
-            latency_s: Time to the first byte, or until the attempt ended
-                without one.
-        """
+    def find_slow_bound_s(self, kind: str) -> float | None:
+        """Returns the time after which an attempt is slow, None if unknown."""
         found = self._samples.get(kind, ())
         if len(found) < _MIN_SAMPLES:
-            return False
-        bound_s = statistics.median(found) * _SLOW_FACTOR
-        return latency_s > max(bound_s, _MIN_SLOW_S)
+            return None
+        fast_s = sorted(found)[int(len(found) * _FAST_SHARE)]
+        return max(fast_s * _SLOW_FACTOR, _MIN_SLOW_S)
--- a/src/dragonflydyke/forwarding/placement.py
+++ b/src/dragonflydyke/forwarding/placement.py
@@ -8,7 +8,6 @@
 """
 
 import dataclasses
-import math
 import random
 from collections.abc import Collection, Sequence
 
@@ -67,11 +66,9 @@
     rule: rollouts.VersionRule, members: Sequence[directory.Member]
 ) -> tuple[directory.Member, ...]:
     """Returns the servers that a request may use during a roll-out."""
-    wanted = [m for m in members if rule.allows(m.version)]
+    wanted = tuple(m for m in members if rule.allows(m.version))
     if wanted:
-        # All nodes take the same part of the servers.
-        wanted.sort(key=lambda m: model.hash_fraction(f"canary {m.name}"))
-        return tuple(wanted[: math.ceil(len(wanted) * rule.server_share)])
+        return wanted
     # The other version serves rather than nobody, unless it is bad.
     return tuple(
         m
--- a/src/dragonflydyke/forwarding/rollouts.py
+++ b/src/dragonflydyke/forwarding/rollouts.py
@@ -7,9 +7,11 @@
 of them shortly before the old servers are stopped.
 """
 
+import collections
 import dataclasses
 import enum
-from collections.abc import Mapping, Sequence
+import functools
+from collections.abc import Iterable, Mapping, Sequence
 
 from dragonflydyke.configuration import model as configuration
 from dragonflydyke.forwarding import model
@@ -17,24 +19,34 @@
 
 # More failures than a few crashed or grey servers cause, and fewer than reach
 # the bound on bad answers when each node sees a part of them.
-_STOP = configuration.StopCondition(
+_FAILURE_STOP = configuration.StopCondition(
     min_samples=6, min_rating=0.0, max_error_share=0.25
 )
 _MIN_FAILURES = 4
-# A new version is not worse because all versions fail.
-_FAILURE_FACTOR = 2.0
-# So many failures make nodes without any report what they saw, too; else the
-# share of failures would look larger than it is.
-_SUSPICION_FAILURES = 3
+# Queues and crashes impair attempts on any version, so it takes more of them.
+_IMPAIRED_STOP = configuration.StopCondition(
+    min_samples=8, min_rating=0.0, max_error_share=0.4
+)
+_MIN_IMPAIRED = 5
+# A new version is not worse because all versions fail, or are slow. The servers
+# of the old version have more load, so that the new one should be faster.
+_OLD_FAILURES_FACTOR = 2.0
+_OLD_IMPAIRED_FACTOR = 1.2
+# So many bad attempts make all nodes report what they saw; else the share of
+# bad attempts would look larger than it is.
+_SUSPICION_ATTEMPTS = 3
 # The first half is kept free, with a margin for the delays of nodes.
 _FIRST_EXPOSURE_SHARE = 0.52
-# Servers and sessions of the canary, a part that keeps exposure within its
+# Sessions of the canary, a part that keeps exposure within its
 # bound also when the traffic of the second half is larger.
-_CANARY_SHARE = 0.14
+_CANARY_SHARE = 0.12
+# One server that crashed must not look like a bad version, so some of the bad
+# attempts must be at others than the worst server.
+_MIN_BAD_ELSEWHERE = 2
 # The old servers stop when the roll-out completes; until then they end what
 # they work on, while new requests go to the new ones.
-_FULL_BEFORE_END_S = 1.4
-_COMPLETE_BEFORE_END_S = 0.7
+_FULL_BEFORE_END_S = 1.5
+_COMPLETE_BEFORE_END_S = 1.0
 
 
 class Stage(enum.StrEnum):
@@ -75,18 +87,46 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class RouteEvidence:
-    """What a node saw of the new and of the old versions on one route.
+class AttemptCounts:
+    """Attempts at a version.
+
+    Attributes:
+        attempts: All attempts.
+        failed: Attempts that the server itself answered with a failure.
+        impaired: Slow and lost attempts, which queues and crashes cause, too.
+    """
+
+    attempts: int = 0
+    failed: int = 0
+    impaired: int = 0
 
-    Failures are failed and slow attempts.
+    @property
+    def bad(self) -> int:
+        """Failed and impaired attempts."""
+        return self.failed + self.impaired
+
+    def add(self, other: "AttemptCounts") -> "AttemptCounts":
+        """Returns the sum of both."""
+        return AttemptCounts(
+            self.attempts + other.attempts,
+            self.failed + other.failed,
+            self.impaired + other.impaired,
+        )
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RouteEvidence:
+    """What a node saw on one route.
 
     Attributes:
         new: Attempts at the new version.
         old: Attempts at other versions.
+        bad_servers: Bad attempts at the new version by server.
     """
 
-    new: decisions.VersionSample = decisions.VersionSample()
-    old: decisions.VersionSample = decisions.VersionSample()
+    new: AttemptCounts = AttemptCounts()
+    old: AttemptCounts = AttemptCounts()
+    bad_servers: Mapping[str, int] = dataclasses.field(default_factory=dict)
 
 
 NodeEvidence = Mapping[str, RouteEvidence]
@@ -122,13 +162,11 @@
         wanted: The only version to use while servers have it; empty for any.
         avoided: Version that is used only if `wanted` is not given.
         is_forbidden: Whether the avoided version may not be used at all.
-        server_share: Part of the servers of the wanted version to use.
     """
 
     wanted: str = ""
     avoided: str = ""
     is_forbidden: bool = False
-    server_share: float = 1.0
 
     def allows(self, version: str) -> bool:
         """Returns whether the rule asks for a version."""
@@ -163,9 +201,7 @@
         return VersionRule(avoided=order.version, is_forbidden=True)
     share = _SHARES[stage]
     if model.hash_fraction(f"session {session}") < share:
-        # A canary on idle servers would not show a version that is bad only
-        # under load, nor compare its times with those of busy servers.
-        return VersionRule(wanted=order.version, server_share=share)
+        return VersionRule(wanted=order.version)
     return VersionRule(avoided=order.version, is_forbidden=share == 0.0)
 
 
@@ -194,17 +230,25 @@
     """
     by_route = _collect_routes(evidence)
     everything = [entry for found in by_route.values() for entry in found]
-    return any(_is_worse(found) for found in (everything, *by_route.values()))
+    by_server: collections.Counter[str] = collections.Counter()
+    for entry in everything:
+        by_server.update(entry.bad_servers)
+    worst = max(by_server.values(), default=0)
+    if by_server.total() - worst < _MIN_BAD_ELSEWHERE:
+        return False
+    if _is_impaired(everything):
+        return True
+    return any(_fails_more(found) for found in (everything, *by_route.values()))
 
 
 def is_suspicious(evidence: Mapping[str, NodeEvidence]) -> bool:
     """Returns whether all nodes should report what they saw."""
-    failures = sum(
-        entry.new.failures
+    bad = sum(
+        entry.new.bad
         for routes in evidence.values()
         for entry in routes.values()
     )
-    return failures >= _SUSPICION_FAILURES
+    return bad >= _SUSPICION_ATTEMPTS
 
 
 def _collect_routes(
@@ -217,20 +261,38 @@
     return found
 
 
-def _is_worse(evidence: Sequence[RouteEvidence]) -> bool:
-    new = _sum_samples([entry.new for entry in evidence])
-    old = _sum_samples([entry.old for entry in evidence])
-    if new.failures < _MIN_FAILURES:
-        return False
-    if decisions.find_stop_reason(_STOP, new) is None:
-        return False
-    return new.error_share > old.error_share * _FAILURE_FACTOR
+def _fails_more(evidence: Sequence[RouteEvidence]) -> bool:
+    new = _sum_counts(entry.new for entry in evidence)
+    old = _sum_counts(entry.old for entry in evidence)
+    return new.failed >= _MIN_FAILURES and _is_worse(
+        decisions.VersionSample(new.attempts, new.failed),
+        decisions.VersionSample(old.attempts, old.failed),
+        _FAILURE_STOP,
+        _OLD_FAILURES_FACTOR,
+    )
 
 
-def _sum_samples(
-    samples: list[decisions.VersionSample],
-) -> decisions.VersionSample:
-    return decisions.VersionSample(
-        requests=sum(sample.requests for sample in samples),
-        failures=sum(sample.failures for sample in samples),
+def _is_impaired(evidence: Sequence[RouteEvidence]) -> bool:
+    new = _sum_counts(entry.new for entry in evidence)
+    old = _sum_counts(entry.old for entry in evidence)
+    return new.impaired >= _MIN_IMPAIRED and _is_worse(
+        decisions.VersionSample(new.attempts, new.impaired),
+        decisions.VersionSample(old.attempts, old.impaired),
+        _IMPAIRED_STOP,
+        _OLD_IMPAIRED_FACTOR,
     )
+
+
+def _is_worse(
+    new: decisions.VersionSample,
+    old: decisions.VersionSample,
+    stop: configuration.StopCondition,
+    old_factor: float,
+) -> bool:
+    if decisions.find_stop_reason(stop, new) is None:
+        return False
+    return new.error_share > old.error_share * old_factor
+
+
+def _sum_counts(counts: Iterable[AttemptCounts]) -> AttemptCounts:
+    return functools.reduce(AttemptCounts.add, counts, AttemptCounts())
--- a/src/dragonflydyke/platform/records.py
+++ b/src/dragonflydyke/platform/records.py
@@ -13,7 +13,6 @@
     rollouts,
 )
 from dragonflydyke.objects import model as objects
-from dragonflydyke.rollouts import decisions
 
 KINDS = node.Kinds(policies="config", servers="servers", rollouts="rollouts")
 _NEWEST = "main"
@@ -141,7 +140,9 @@
         evidence={
             vm: {
                 route: rollouts.RouteEvidence(
-                    _read_sample(counts["new"]), _read_sample(counts["old"])
+                    _read_counts(counts["new"]),
+                    _read_counts(counts["old"]),
+                    dict(counts["bad"]),
                 )
                 for route, counts in routes.items()
             }
@@ -161,8 +162,9 @@
             "evidence": {
                 vm: {
                     route: {
-                        "new": [counts.new.requests, counts.new.failures],
-                        "old": [counts.old.requests, counts.old.failures],
+                        "new": _write_counts(counts.new),
+                        "old": _write_counts(counts.old),
+                        "bad": dict(counts.bad_servers),
                     }
                     for route, counts in routes.items()
                 }
@@ -172,9 +174,13 @@
     }
 
 
-def _read_sample(counts: Any) -> decisions.VersionSample:
-    requests, failures = counts
-    return decisions.VersionSample(requests=requests, failures=failures)
+def _read_counts(counts: Any) -> rollouts.AttemptCounts:
+    attempts, failed, impaired = counts
+    return rollouts.AttemptCounts(attempts, failed, impaired)
+
+
+def _write_counts(counts: rollouts.AttemptCounts) -> list[int]:
+    return [counts.attempts, counts.failed, counts.impaired]
 
 
 def _read_policy(entry: objects.StoredObject) -> model.ForwardingPolicy:
