Report attempts without fault only to confirm a roll-back

Impaired attempts are reported at most every 1.5 s, those without fault only when the reports call for a roll-back, which then waits 1 s for them.

--- a/src/dragonflydyke/forwarding/conductor.py
+++ b/src/dragonflydyke/forwarding/conductor.py
@@ -4,7 +4,6 @@
 import collections
 import dataclasses
 import random
-from collections.abc import Mapping
 from typing import Protocol
 
 from dragonflydyke import errors, logs, metrics
@@ -15,9 +14,11 @@
 # Spreads the writes of nodes that all see the same stage as due; the first
 # one that succeeds spares the others theirs.
 _MAX_DELAY_S = 0.5
-# Attempts without fault are reported less often than bad ones, as each report
-# wakes all nodes.
-_REPORT_S = 2.0
+# Impaired attempts are common, and each report wakes all nodes.
+_IMPAIRED_REPORT_S = 1.5
+# Nodes report attempts without fault only when the others' reports call for a
+# roll-back, and have this time to do so.
+_CONFIRM_S = 1.0
 
 _LOGGER = logs.get_logger("rollout")
 
@@ -61,6 +62,8 @@
         evidence: Own counts by route.
         reported: Own evidence that the store has.
         reported_s: Loop time of the last report.
+        suspected_s: Loop time since which the reports of all nodes call for a
+            roll-back, None while they do not.
     """
 
     stored: StoredRollout
@@ -73,6 +76,7 @@
         default_factory=dict
     )
     reported_s: float = 0.0
+    suspected_s: float | None = None
 
     @property
     def is_over(self) -> bool:
@@ -84,18 +88,18 @@
             and progress.is_final
         )
 
-    def has_news(self, now_s: float, *, is_suspicious: bool) -> bool:
-        """Returns whether own evidence should be reported.
-
-        Args:
-            now_s: Loop time.
-            is_suspicious: Whether attempts without fault matter, too.
-        """
-        if _count_bad(self.evidence) > _count_bad(self.reported):
+    def has_news(self, now_s: float) -> bool:
+        """Returns whether own evidence should be reported at a loop time."""
+        if self.evidence == self.reported:
+            return False
+        if self.suspected_s is not None:
             return True
-        has_changed = self.evidence != self.reported
-        is_due = now_s - self.reported_s >= _REPORT_S
-        return is_suspicious and has_changed and is_due
+        new = rollouts.sum_new(self.evidence)
+        known = rollouts.sum_new(self.reported)
+        if new.failed > known.failed:
+            return True
+        is_due = now_s - self.reported_s >= _IMPAIRED_REPORT_S
+        return is_due and new.impaired > known.impaired
 
 
 class Conductor:
@@ -230,12 +234,14 @@
         if progress.is_final:
             return None
         evidence = dict(progress.evidence)
-        has_news = local.has_news(
-            now_s, is_suspicious=rollouts.is_suspicious(evidence)
-        )
+        has_news = local.has_news(now_s)
         if has_news:
             evidence[self._vm] = dict(local.evidence)
-        if rollouts.is_failing(evidence):
+        if not rollouts.is_failing(evidence):
+            local.suspected_s = None
+        elif local.suspected_s is None:
+            local.suspected_s = now_s
+        elif now_s - local.suspected_s >= _CONFIRM_S:
             due = rollouts.Stage.ROLLED_BACK
         if due is None and not has_news:
             return None
@@ -344,10 +350,6 @@
         self._conductor.count(self._member, self._route, counts)
 
 
-def _count_bad(evidence: Mapping[str, rollouts.RouteEvidence]) -> int:
-    return sum(entry.new.bad for entry in evidence.values())
-
-
 def _describe(progress: rollouts.Progress | None) -> dict[str, str]:
     if progress is None:
         return {}
--- a/src/dragonflydyke/forwarding/rollouts.py
+++ b/src/dragonflydyke/forwarding/rollouts.py
@@ -32,9 +32,6 @@
 # of the old version have more load, so that the new one should be faster.
 _OLD_FAILURES_FACTOR = 2.0
 _OLD_IMPAIRED_FACTOR = 1.2
-# So many bad attempts make all nodes report what they saw; else the share of
-# bad attempts would look larger than it is.
-_SUSPICION_ATTEMPTS = 3
 # The first half is kept free, with a margin for the delays of nodes.
 _FIRST_EXPOSURE_SHARE = 0.52
 # Sessions of the canary, a part that keeps exposure within its
@@ -241,14 +238,9 @@
     return any(_fails_more(found) for found in (everything, *by_route.values()))
 
 
-def is_suspicious(evidence: Mapping[str, NodeEvidence]) -> bool:
-    """Returns whether all nodes should report what they saw."""
-    bad = sum(
-        entry.new.bad
-        for routes in evidence.values()
-        for entry in routes.values()
-    )
-    return bad >= _SUSPICION_ATTEMPTS
+def sum_new(evidence: NodeEvidence) -> AttemptCounts:
+    """Returns the attempts at the new version on all routes."""
+    return _sum_counts(entry.new for entry in evidence.values())
 
 
 def _collect_routes(
