Write a bounded log to standard output and keep latency histograms

Cause: the log went through a stream that blocks when its reader stops, its volume had no bound, and the metrics page had no latencies. Lines over 200 a second or over a full buffer are dropped and counted; the metrics page shows percentiles by route and outcome; SIGHUP reads the settings again. Two tests of the watcher raced with its settle time and hung; they now wait for the error they cause.

--- a/src/dragonflydyke/forwarding/execution.py
+++ b/src/dragonflydyke/forwarding/execution.py
@@ -7,7 +7,7 @@
 
 from tornado import httputil, tcpclient
 
-from dragonflydyke import errors, logs, metrics, transport
+from dragonflydyke import errors, latencies, logs, metrics, transport
 from dragonflydyke.backends import connection, events
 from dragonflydyke.backends import model as backends
 from dragonflydyke.forwarding import (
@@ -134,6 +134,7 @@
         policy: Configuration in force, None before the first.
         is_closing: Whether new requests are refused, because the node stops
             before a long answer could end.
+        latencies: Times to the end of requests, by route and outcome.
     """
 
     __slots__ = (
@@ -146,6 +147,7 @@
         "_placer",
         "_tcp",
         "is_closing",
+        "latencies",
         "policy",
     )
 
@@ -160,6 +162,7 @@
         """Creates a forwarder without a policy, which refuses everything."""
         self.policy: model.ForwardingPolicy | None = None
         self.is_closing = False
+        self.latencies = latencies.Latencies()
         self._codec = codec
         self._directory = members
         self._conductor = versions
@@ -353,6 +356,10 @@
     ) -> None:
         self._counters.increment(f"request.{outcome}")
         now_s = asyncio.get_running_loop().time()
+        route = admitted.route.name if admitted else "refused"
+        self.latencies.record(
+            f"request.{route}.{outcome}", now_s - request.received_s
+        )
         _LOGGER.info(
             "request ended",
             request=request.details.request_id,
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -101,6 +101,7 @@
         "_forwarder",
         "_has_rollouts",
         "_is_leaving",
+        "_reload",
         "_server",
         "_settings",
         "_stopped",
@@ -115,8 +116,21 @@
         codec: messages.Codec,
         decoder: Decoder,
         counters: metrics.Counters,
+        reload: Callable[[], NodeSettings],
     ) -> None:
+        """Creates a node.
+
+        Args:
+            values: Settings of the start.
+            store: Store with configuration, servers and roll-outs.
+            kinds: Names of the kinds of objects in the store.
+            codec: Translates headers.
+            decoder: Translates objects of the store.
+            counters: Counters of the process.
+            reload: Reads the settings again; raises SettingsError.
+        """
         source = random.Random()
+        self._reload = reload
         self._settings = values
         self._decoder = decoder
         self._counters = counters
@@ -158,16 +172,18 @@
         """Serves until SIGTERM."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._begin_stop)
-        loop.add_signal_handler(
-            signal.SIGHUP, lambda: _LOGGER.notice("reload requested")
-        )
+        loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
         tasks = [loop.create_task(w.run()) for w in self._watchers]
         tasks.append(loop.create_task(self._conductor.run()))
         self._server.listen(self._settings.front)
         _serve_text(self._settings.ready, self._answer_ready)
         _serve_text(self._settings.metrics, self._answer_metrics)
         _LOGGER.notice(
-            "started", vm=self._settings.vm, front=str(self._settings.front)
+            "started",
+            vm=self._settings.vm,
+            data_centre=self._settings.data_centre,
+            front=str(self._settings.front),
+            metrics=str(self._settings.metrics),
         )
         await self._stopped.wait()
         for task in tasks:
@@ -175,6 +191,16 @@
         await self._server.stop()
         _LOGGER.notice("stopped")
 
+    def _reload_settings(self) -> None:
+        """Reads the settings again; addresses change only with a restart."""
+        try:
+            values = self._reload()
+        except settings.SettingsError as error:
+            _LOGGER.error("reload failed; settings kept", error=str(error))
+            return
+        _LOGGER.notice("reloaded", changed=values != self._settings)
+        self._settings = values
+
     def _begin_stop(self) -> None:
         if self._is_leaving:
             return
@@ -219,7 +245,7 @@
     def _answer_metrics(self) -> tuple[int, str]:
         totals = self._counters.totals()
         lines = [f"{name} {totals[name]}\n" for name in sorted(totals)]
-        return _OK, "".join(lines)
+        return _OK, "".join(lines) + self._forwarder.latencies.describe()
 
 
 def _serve_text(
--- /dev/null
+++ b/src/dragonflydyke/latencies.py
@@ -0,0 +1,37 @@
+"""Latency histograms of one process, as text for its metrics page."""
+
+from hdrh import histogram
+
+_MAX_MS = 60_000
+_SIGNIFICANT_DIGITS = 2
+_PERCENTILES = (50.0, 90.0, 99.0)
+_MS_PER_S = 1_000
+
+
+class Latencies:
+    """Histograms by name; values are kept in milliseconds."""
+
+    __slots__ = ("_histograms",)
+
+    def __init__(self) -> None:
+        self._histograms: dict[str, histogram.HdrHistogram] = {}
+
+    def record(self, name: str, seconds: float) -> None:
+        """Adds a duration; longer ones than a minute count as a minute."""
+        found = self._histograms.get(name)
+        if found is None:
+            found = histogram.HdrHistogram(1, _MAX_MS, _SIGNIFICANT_DIGITS)
+            self._histograms[name] = found
+        found.record_value(min(int(seconds * _MS_PER_S), _MAX_MS))
+
+    def describe(self) -> str:
+        """Returns a line for each percentile of each histogram."""
+        lines = []
+        for name, found in sorted(self._histograms.items()):
+            lines.append(f"{name}.count {found.get_total_count()}\n")
+            lines.extend(
+                f"{name}.p{percentile:.0f}_ms"
+                f" {found.get_value_at_percentile(percentile)}\n"
+                for percentile in _PERCENTILES
+            )
+        return "".join(lines)
--- a/src/dragonflydyke/limits/accounts.py
+++ b/src/dragonflydyke/limits/accounts.py
@@ -18,9 +18,9 @@
 from collections.abc import Collection, Iterable
 from typing import NoReturn
 
-from dragonflydyke import errors, metrics
+from dragonflydyke import buckets, errors, metrics
 from dragonflydyke.configuration import model
-from dragonflydyke.limits import buckets, shares
+from dragonflydyke.limits import shares
 from dragonflydyke.protocol import node_pb2
 
 DEMAND_WINDOW_S = 5.0
--- a/src/dragonflydyke/logs.py
+++ b/src/dragonflydyke/logs.py
@@ -1,13 +1,22 @@
-"""Structured logs on logbook: one line per change of state."""
+"""Structured logs on logbook: one line per change of state or decision."""
 
+import collections
 import datetime
 import json
+import os
 import sys
-from typing import TextIO
+import time
 
 import logbook
 
+from dragonflydyke import buckets
+
 FORMATS = ("json", "text")
+# A node answers some tens of requests a second, each with one line.
+MAX_LINES_PER_S = 200.0
+_BURST_S = 2.0
+_MIN_BURST_LINES = 1.0
+_MAX_BUFFER_BYTES = 256_000
 LEVELS = ("debug", "info", "notice", "warning", "error", "critical")
 
 
@@ -35,21 +44,99 @@
     return f"{line} {fields}".rstrip()
 
 
-def configure(
-    level: str, output_format: str, stream: TextIO | None = None
-) -> logbook.Handler:
-    """Sends the log of this process to a stream.
+class BoundedHandler(logbook.Handler):
+    """Writes lines to a descriptor without ever blocking.
+
+    Lines over the rate, and lines that the reader does not take while the
+    buffer is full, are dropped and counted; the count follows as a line.
+    """
+
+    def __init__(self, descriptor: int, level: int) -> None:
+        """Creates a handler and makes the descriptor non-blocking."""
+        super().__init__(level)
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._lines: collections.deque[bytes] = collections.deque()
+        self._size = 0
+        self._dropped = 0
+        self._bucket = buckets.TokenBucket(_BURST_S, _MIN_BURST_LINES)
+        self._refilled_s = time.monotonic()
+        self._bucket.refill(MAX_LINES_PER_S, 0.0)
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Writes a line, or drops it."""
+        now_s = time.monotonic()
+        self._bucket.refill(MAX_LINES_PER_S, now_s - self._refilled_s)
+        self._refilled_s = now_s
+        is_over_rate = self._bucket.missing_s(1.0) > 0.0
+        if is_over_rate or self._size > _MAX_BUFFER_BYTES:
+            self._dropped += 1
+            self._flush()
+            return
+        self._bucket.take(1.0)
+        if self._dropped:
+            self._append(
+                json.dumps(
+                    {"message": "log lines dropped", "count": self._dropped}
+                )
+            )
+            self._dropped = 0
+        self._append(self.format(record))
+        self._flush()
+
+    def _append(self, line: str) -> None:
+        data = line.encode() + b"\n"
+        self._lines.append(data)
+        self._size += len(data)
+
+    def _flush(self) -> None:
+        while self._lines:
+            data = self._lines[0]
+            try:
+                written = os.write(self._descriptor, data)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads the log any more, and there is nowhere to say so.
+                self._lines.clear()
+                self._size = 0
+                return
+            self._size -= written
+            if written < len(data):
+                self._lines[0] = data[written:]
+                return
+            self._lines.popleft()
+
+
+def configure_bounded(level: str) -> logbook.Handler:
+    """Sends the log of this process to standard output, as JSON lines.
+
+    Args:
+        level: One of LEVELS; less severe lines are dropped.
+
+    Returns:
+        The installed handler.
+    """
+    handler = BoundedHandler(
+        sys.stdout.fileno(), logbook.lookup_level(level.upper())
+    )
+    handler.formatter = _format_json
+    handler.push_application()
+    return handler
+
+
+def configure(level: str, output_format: str) -> logbook.Handler:
+    """Sends the log of this process to standard error.
 
     Args:
         level: One of LEVELS; less severe lines are dropped.
         output_format: One of FORMATS.
-        stream: Destination, standard error by default.
 
     Returns:
         The installed handler, so that tests can remove it.
     """
     handler = logbook.StreamHandler(
-        stream or sys.stderr, level=logbook.lookup_level(level.upper())
+        sys.stderr, level=logbook.lookup_level(level.upper())
     )
     handler.formatter = (
         _format_json if output_format == "json" else _format_text
--- a/src/dragonflydyke/platform/main.py
+++ b/src/dragonflydyke/platform/main.py
@@ -19,13 +19,14 @@
         headers.HeaderCodec(),
         records.RecordDecoder(),
         counters,
+        process.read_settings,
     )
     await router.run()
 
 
 def main() -> int:
     """Runs the program until SIGTERM; returns its exit code."""
-    logs.configure("info", "json", sys.stdout)
+    logs.configure_bounded("info")
     try:
         values = process.read_settings()
     except settings.SettingsError as error:
--- a/src/dragonflydyke/platform/process.py
+++ b/src/dragonflydyke/platform/process.py
@@ -9,7 +9,8 @@
 from dragonflydyke.forwarding import node
 
 SETTINGS_VARIABLE = "DRAGONFLYDYKE_CONFIG"
-_METRICS_PORT_INDEX = 0
+# The port that deploy/system.toml names.
+_METRICS_PORT = 7340
 
 
 def read_settings() -> node.NodeSettings:
@@ -24,13 +25,12 @@
     except (OSError, ValueError) as error:
         raise settings.SettingsError(SETTINGS_VARIABLE, str(error)) from error
     host = _field(fields, "ip", str)
-    ports = _field(fields, "internalPorts", list)
     return node.NodeSettings(
         vm=_field(fields, "nodeName", str),
         data_centre=_field(fields, "zone", str),
         front=_address(fields, "front"),
         ready=_address(fields, "ready"),
-        metrics=settings.Address(host, int(ports[_METRICS_PORT_INDEX])),
+        metrics=settings.Address(host, _METRICS_PORT),
         store_url="http://" + _field(fields, "platform.address", str),
         grace_s=float(_field(fields, "bounds.graceS", int | float)),
     )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -172,12 +172,17 @@
         self.addCleanup(task.cancel)
         await self.wait_for({"a"})
 
-    async def wait_for(self, names: set[str], *, gap: bool = False) -> None:
+    async def wait_for(self, names: set[str]) -> None:
         """Waits until the newest view has these names."""
         await skipping_loop.wait_until(
-            lambda: self.views and self.views[-1] == (names, gap)
+            lambda: self.views and self.views[-1][0] == names
         )
 
+    async def wait_for_error(self, code: str) -> None:
+        """Waits until the watcher has met an error."""
+        name = f"watch.servers.{code}"
+        await skipping_loop.wait_until(lambda: self.counters.total(name))
+
     async def test_changes_arrive(self) -> None:
         await self.state.put("servers", "b", {})
         await self.wait_for({"a", "b"})
@@ -194,15 +199,19 @@
         self.assertLess(len(self.state.calls) - before, 6)
 
     async def test_forgotten_history_is_listed_again(self) -> None:
-        self.state.forget()
         await self.state.put("servers", "b", {})
+        await self.wait_for({"a", "b"})
+        # The watcher settles, so that it misses this change.
+        await self.state.put("servers", "c", {})
         self.state.forget()
-        await self.state.remove("servers", "a")
-        await self.wait_for({"b"}, gap=True)
+        await self.wait_for_error("platform_history_lost")
+        await self.wait_for({"a", "b", "c"})
+        self.assertIn(({"a", "b", "c"}, True), self.views)
 
     async def test_lost_store_is_listed_after_its_return(self) -> None:
         self.state.refusal = 503
+        # Ends the watch that waits; the next one is refused.
         await self.state.remove("servers", "a")
-        await asyncio.sleep(0.05)
+        await self.wait_for_error("platform_unavailable")
         self.state.refusal = 0
-        await self.wait_for(set(), gap=True)
+        await skipping_loop.wait_until(lambda: (set(), True) in self.views)
