--- a/src/dragonflydyke/forwarding/decisions.py
+++ b/src/dragonflydyke/forwarding/decisions.py
@@ -13,7 +13,6 @@
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
-_SERVER_ERROR = 500
 # The configuration arrives within a second of a start.
 _START_RETRY_S = 0.3
 # Another node answers at once.
@@ -149,14 +148,12 @@
         attempts: Attempts that may have run at a server that still exists.
         dispatches: Attempts that were sent at all.
         may_have_run: Whether any of them may have run.
-        answer_begun: Whether the client has a part of the answer.
         remaining_s: Time left.
     """
 
     attempts: int
     dispatches: int
     may_have_run: bool
-    answer_begun: bool
     remaining_s: float
 
 
--- a/src/dragonflydyke/forwarding/server.py
+++ b/src/dragonflydyke/forwarding/server.py
@@ -7,7 +7,7 @@
 from tornado import httpserver, httputil, iostream, netutil
 
 from dragonflydyke import logs, settings
-from dragonflydyke.forwarding import execution, messages
+from dragonflydyke.forwarding import attempts, execution, messages
 
 _HEADER_LENGTH = "Content-Length"
 _HEADER_CONNECTION = "Connection"
@@ -66,7 +66,7 @@
         try:
             await self._connection.write(chunk)
         except iostream.StreamClosedError:
-            raise execution.ClientGoneError from None
+            raise attempts.ClientGoneError from None
 
     def finish(self) -> None:
         """Ends the answer."""
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -73,7 +73,7 @@
     ) -> decisions.NextStep:
         """Returns the step after an attempt with time left."""
         progress = decisions.RequestProgress(
-            attempts, attempts, attempts > 0, False, 5.0
+            attempts, attempts, attempts > 0, 5.0
         )
         return decisions.decide_next(
             forwarding.build_route(**route), end, progress
@@ -106,7 +106,7 @@
     def test_only_work_that_did_not_run_is_called_so(self) -> None:
         lost = decisions.AttemptEnd.LOST
         for may_have_run, status in ((False, 503), (True, 502)):
-            progress = decisions.RequestProgress(1, 1, may_have_run, False, 5.0)
+            progress = decisions.RequestProgress(1, 1, may_have_run, 5.0)
             error = decisions.conclude(lost, progress)
             self.assertEqual(error.status, status)
 
