--- a/src/dragonflydyke/forwarding/rollouts.py
+++ b/src/dragonflydyke/forwarding/rollouts.py
@@ -20,7 +20,7 @@
 # Servers of a good version hardly ever answer with a failure of their own, and
 # on small fleets few requests reach the canary.
 _FAILURE_STOP = configuration.StopCondition(
-    min_samples=3, min_rating=0.0, max_error_share=0.25
+    min_samples=3, min_rating=0.0, max_error_share=0.12
 )
 _MIN_FAILURES = 3
 # Queues and crashes impair attempts on any version, so it takes more of them.
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -327,6 +327,17 @@
         )
         self.assertTrue(rollouts.is_failing({"vm1": {"r1": bad}}))
 
+    def test_version_that_fails_a_third_of_the_time_is_rolled_back(
+        self,
+    ) -> None:
+        """Three failures of thirteen attempts passed for a good version."""
+        bad = rollouts.RouteEvidence(
+            rollouts.AttemptCounts(13, 3),
+            rollouts.AttemptCounts(50, 0),
+            {"a": 2, "b": 1},
+        )
+        self.assertTrue(rollouts.is_failing({"vm1": {"r1": bad}}))
+
     def test_few_slow_attempts_prove_nothing(self) -> None:
         """Three nodes with four slow attempts rolled a good version back."""
         few = rollouts.RouteEvidence(
