Report held-back evidence of a roll-out with each write of a stage

Cause: found by reading. A node holds impaired attempts back for up to 1.5 s; a stage that it wrote meanwhile did not carry them, yet they were marked as reported, so other nodes never heard of them. Each write now carries the newest evidence, and only what was written counts as reported. The restraint of a node is computed when its evidence changes, not for each request.

--- a/src/dragonflydyke/forwarding/conductor.py
+++ b/src/dragonflydyke/forwarding/conductor.py
@@ -64,6 +64,7 @@
         reported_s: Loop time of the last report.
         suspected_s: Loop time since which the reports of all nodes call for a
             roll-back, None while they do not.
+        is_restrained: Whether own evidence alone calls for a roll-back.
     """
 
     stored: StoredRollout
@@ -77,6 +78,7 @@
     )
     reported_s: float = 0.0
     suspected_s: float | None = None
+    is_restrained: bool = False
 
     @property
     def is_over(self) -> bool:
@@ -163,7 +165,7 @@
             local.stored.order,
             local.stored.progress,
             session,
-            is_restrained=rollouts.is_failing({self._vm: local.evidence}),
+            is_restrained=local.is_restrained,
         )
 
     def begin(
@@ -202,6 +204,7 @@
                 bad_servers=dict(+bad_servers),
             )
         local.evidence[route] = entry
+        local.is_restrained = rollouts.is_failing({self._vm: local.evidence})
 
     def is_new(self, member: directory.Member) -> bool:
         """Returns whether a server has the version that is rolled out."""
@@ -245,10 +248,12 @@
             due = rollouts.Stage.ROLLED_BACK
         if due is None and not has_news:
             return None
+        if local.evidence:
+            # A write that is due anyway also carries what was held back.
+            evidence[self._vm] = dict(local.evidence)
         return rollouts.Progress(order.version, due or progress.stage, evidence)
 
     async def _write(self, local: _Local, progress: rollouts.Progress) -> None:
-        reported = dict(local.evidence)
         try:
             stored = await self._store.write_progress(local.stored, progress)
         except errors.DragonflydykeError as error:
@@ -262,7 +267,7 @@
             )
             return
         now_s = asyncio.get_running_loop().time()
-        local.reported = reported
+        local.reported = dict(progress.evidence.get(self._vm, {}))
         local.reported_s = now_s
         self._adopt(stored, now_s)
 
--- a/tests/builders/forwarding.py
+++ b/tests/builders/forwarding.py
@@ -263,6 +263,38 @@
         raise objects.ConflictError("rollouts", "x", None, peer="store")
 
 
+def build_stored_rollout(
+    order: rollouts.Order,
+    progress: rollouts.Progress | None = None,
+    version: int = 1,
+) -> conductor.StoredRollout:
+    """Returns a roll-out as the store has it; `version` is the object's."""
+    entry = objects.StoredObject("rollouts", order.pool, version, {})
+    return conductor.StoredRollout(entry, order, progress)
+
+
+class RecordingRolloutStore:
+    """A store that takes every write and keeps the newest progress."""
+
+    def __init__(self) -> None:
+        self.progress = rollouts.Progress("")
+        self._created_s = asyncio.get_running_loop().time()
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the order."""
+        return asyncio.get_running_loop().time() - self._created_s
+
+    async def write_progress(
+        self, stored: conductor.StoredRollout, progress: rollouts.Progress
+    ) -> conductor.StoredRollout:
+        """Takes over the progress."""
+        self.progress = progress
+        return build_stored_rollout(
+            stored.order, progress, stored.entry.version + 1
+        )
+
+
 class ForwardingTestCase(skipping_loop.SkippingTestCase):
     """Test case with a forwarding server and scripted backend servers."""
 
