Wait for the first request of accepted connections at a planned stop

A router that stops closed its listener, found no request in progress and refused from then on; a caller that had connected just before and sent its request a moment later got router_leaving. Ruled out: a router that takes new connections while it leaves; the listener is closed in time.

--- a/src/dragonflydyke/gateway/application.py
+++ b/src/dragonflydyke/gateway/application.py
@@ -10,6 +10,7 @@
 
 import tornado.httpserver
 import tornado.web
+from tornado import httputil
 
 from dragonflydyke import errors, logs
 from dragonflydyke.configuration import model
@@ -48,7 +49,7 @@
 
 
 def build_server(
-    application: tornado.web.Application,
+    application: httputil.HTTPServerConnectionDelegate,
     *,
     ssl_options: ssl.SSLContext | None = None,
 ) -> tornado.httpserver.HTTPServer:
--- a/src/dragonflydyke/router/assembly.py
+++ b/src/dragonflydyke/router/assembly.py
@@ -22,7 +22,7 @@
     routing,
     settings,
 )
-from dragonflydyke.gateway import tracking
+from dragonflydyke.gateway import connections, tracking
 from dragonflydyke.membership import node, reports
 from dragonflydyke.protocol import client as inner_client
 from dragonflydyke.protocol import node_pb2
@@ -72,10 +72,11 @@
     """One router: caller API, inner protocol, admin API and control loops."""
 
     __slots__ = (
+        "_admin_certificate",
         "_backends",
         "_bills",
-        "_admin_certificate",
         "_claims",
+        "_connections",
         "_counters",
         "_driver",
         "_gateway",
@@ -161,8 +162,11 @@
             ssl_options=_read_context(self._admin_certificate),
         )
         admin_address = _listen(admin_server, values.admin_address)
+        self._connections = connections.ConnectionWatch(
+            gateway.build_application(self._gateway)
+        )
         self._public_server = gateway.build_server(
-            gateway.build_application(self._gateway),
+            self._connections,
             ssl_options=_read_context(self._public_certificate),
         )
         public_address = _listen(self._public_server, values.public_address)
@@ -181,6 +185,7 @@
         tracker.state = tracking.AcceptanceState.DRAINING
         await asyncio.sleep(self._settings.drain_s)
         self._public_server.stop()
+        await self._connections.wait_first_requests()
         try:
             async with asyncio.timeout(self._settings.shutdown_s):
                 await tracker.wait_idle()
--- a/tests/test_live_stops.py
+++ b/tests/test_live_stops.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 from typing import Any
+from urllib import parse
 
 from harness import callers, deployment, invariants
 from tests.builders import live
@@ -81,6 +82,47 @@
         self.assertEqual(check, {"gaps": [], "duplicates": []})
 
 
+class AcceptedConnectionTest(live.LiveTestCase):
+    """Guards against refusing the first request of an accepted connection.
+
+    A caller that connected just before the listener closed sends its request
+    a moment later, and has no reason to expect a refusal.
+    """
+
+    @classmethod
+    def build_options(cls) -> deployment.DeploymentOptions:
+        options = super().build_options()
+        options.routers = deployment.ROUTERS[:1]
+        options.router_flags = ("--drain-s", "0.5")
+        return options
+
+    @live.on_deployment
+    async def test_first_request_after_the_listener_closed(self) -> None:
+        router = self.router(1)
+        url = parse.urlsplit(router.public_url)
+        reader, writer = await asyncio.open_connection(url.hostname, url.port)
+        router.process.terminate()
+        await self._wait_refused(url)
+        writer.write(b"GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        # The router read the request: without a key it is not authorized.
+        self.assertIn(b" 401 ", head)
+        self.assertIn(b"Connection: close", head)
+        self.assertEqual(await router.process.wait(), 0)
+
+    async def _wait_refused(self, url: parse.SplitResult) -> None:
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(
+                    url.hostname, url.port
+                )
+            except OSError:
+                return
+            writer.close()
+            await asyncio.sleep(0.005)
+
+
 class LeavingServerTest(live.LiveTestCase):
     """Guards against new work for a backend server that is leaving."""
 
