Judge streams of a new version by their pauses and hold a suspected one

The pauses between events tell them apart (old 0.017 to 0.027 s for 80%, new at least 0.077 s). Its size now follows from the deployment's bound on exposure: 0.2 of the sessions there (0.12 before), 0.08 on the grown sites, where 0.12 was over the bound. - Failures reported in the last half second came too late, as the stage that was due was written first. No stage is entered while the version is suspected, and two failures at two servers are enough. Tests replay both loads and fail before. Observers moved to a module of their own.

--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -17,6 +17,7 @@
     directory,
     messages,
     model,
+    observers,
 )
 from dragonflydyke.routing import retries
 
@@ -170,7 +171,7 @@
         self._request = request
         self._admitted = admitted
         self._exchange: connection.Exchange | None = None
-        self._observer: conductor.AttemptObserver | None = None
+        self._observer: observers.AttemptObserver | None = None
         self.member = member
         self.may_have_run = False
 
@@ -241,9 +242,10 @@
         )
         await self._exchange.connect(self._tcp)
         self.may_have_run = True
-        route = admitted.route.name
         self._observer = self._conductor.begin(
-            self.member, route, f"{route} {model_name}"
+            self.member,
+            admitted.route,
+            model_name or self._request.details.model,
         )
         await self._exchange.send()
         await self._await_start(state)
@@ -354,6 +356,8 @@
             if chunk is None:
                 break
             for event in splitter.feed(chunk):
+                if self._observer is not None:
+                    self._observer.note_event()
                 await self._relay_event(reply, state, event)
         if splitter.has_rest:
             raise AttemptEndedError(decisions.AttemptEnd.LOST, "torn event")
--- a/src/dragonflydyke/forwarding/conductor.py
+++ b/src/dragonflydyke/forwarding/conductor.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from dragonflydyke import errors, logs, metrics
-from dragonflydyke.forwarding import directory, pace, rollouts
+from dragonflydyke.forwarding import directory, model, observers, rollouts
 from dragonflydyke.objects import model as objects
 
 _POLL_S = 0.25
@@ -109,6 +109,7 @@
 
     __slots__ = (
         "_counters",
+        "_exposure_share",
         "_paces",
         "_random",
         "_rollouts",
@@ -122,13 +123,25 @@
         store: RolloutStore,
         counters: metrics.Counters,
         source: random.Random,
+        exposure_share: float,
     ) -> None:
+        """Creates a conductor that knows of no roll-out.
+
+        Args:
+            vm: Name of this VM in the reports.
+            store: Where the progress is kept.
+            counters: Receives `rollout.write.<code>`.
+            source: Spreads the writes of the nodes.
+            exposure_share: Part of the requests of a roll-out that a bad
+                version may get; the same on all nodes.
+        """
         self._vm = vm
+        self._exposure_share = exposure_share
         self._store = store
         self._counters = counters
         self._random = source
         self._rollouts: dict[str, _Local] = {}
-        self._paces: dict[str, pace.PaceBook] = {}
+        self._paces: dict[str, observers.VersionPaces] = {}
 
     def update(self, stored: list[StoredRollout], now_s: float) -> None:
         """Takes over what the store has; `now_s` is a loop time."""
@@ -165,21 +178,22 @@
             local.stored.order,
             local.stored.progress,
             session,
+            exposure_share=self._exposure_share,
             is_restrained=local.is_restrained,
         )
 
     def begin(
-        self, member: directory.Member, route: str, kind: str
-    ) -> "AttemptObserver":
+        self, member: directory.Member, route: model.Route, model_name: str
+    ) -> observers.AttemptObserver:
         """Returns the observer of an attempt that begins now.
 
         Args:
             member: Where it goes.
             route: Route of the request.
-            kind: Kind of work, whose times are comparable.
+            model_name: Model that is asked, empty without a choice.
         """
-        paces = self._paces.setdefault(member.pool, pace.PaceBook())
-        return AttemptObserver(self, paces, member, route, kind)
+        paces = self._paces.setdefault(member.pool, observers.VersionPaces())
+        return observers.AttemptObserver(self, paces, member, route, model_name)
 
     def count(
         self,
@@ -244,8 +258,10 @@
             local.suspected_s = None
         elif local.suspected_s is None:
             local.suspected_s = now_s
-        elif now_s - local.suspected_s >= _CONFIRM_S:
-            due = rollouts.Stage.ROLLED_BACK
+        if local.suspected_s is not None:
+            # No stage is entered on reports that call for a roll-back.
+            is_confirmed = now_s - local.suspected_s >= _CONFIRM_S
+            due = rollouts.Stage.ROLLED_BACK if is_confirmed else None
         if due is None and not has_news:
             return None
         if local.evidence:
@@ -284,77 +300,6 @@
         )
 
 
-class AttemptObserver:
-    """Judges one attempt at a server for the evidence on its version.
-
-    A slow attempt counts when it becomes slow; waiting for its end would take
-    longer than a bad version may be exposed.
-    """
-
-    __slots__ = (
-        "_begun_s",
-        "_conductor",
-        "_is_counted",
-        "_kind",
-        "_member",
-        "_paces",
-        "_route",
-        "_timer",
-    )
-
-    def __init__(
-        self,
-        owner: Conductor,
-        paces: pace.PaceBook,
-        member: directory.Member,
-        route: str,
-        kind: str,
-    ) -> None:
-        loop = asyncio.get_running_loop()
-        self._conductor = owner
-        self._paces = paces
-        self._member = member
-        self._route = route
-        self._kind = kind
-        self._begun_s = loop.time()
-        self._is_counted = False
-        self._timer: asyncio.TimerHandle | None = None
-        bound_s = paces.find_slow_bound_s(kind)
-        if bound_s is not None:
-            impaired = rollouts.AttemptCounts(impaired=1)
-            self._timer = loop.call_later(bound_s, self._count, impaired)
-
-    def note_answer(self) -> None:
-        """Notes that the answer began."""
-        latency_s = asyncio.get_running_loop().time() - self._begun_s
-        if not self._conductor.is_new(self._member):
-            self._paces.record(self._kind, latency_s)
-        if not self._is_counted:
-            self._count(rollouts.AttemptCounts())
-
-    def end(self, *, failed: bool, lost: bool) -> None:
-        """Notes the end of the attempt.
-
-        Args:
-            failed: Whether the server itself answered with a failure.
-            lost: Whether the answer was lost or not valid.
-        """
-        if failed:
-            self._count(rollouts.AttemptCounts(failed=1))
-        elif lost:
-            self._count(rollouts.AttemptCounts(impaired=1))
-        if self._timer is not None:
-            self._timer.cancel()
-
-    def _count(self, counts: rollouts.AttemptCounts) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        if not self._is_counted:
-            counts = counts.add(rollouts.AttemptCounts(attempts=1))
-        self._is_counted = True
-        self._conductor.count(self._member, self._route, counts)
-
-
 def _describe(progress: rollouts.Progress | None) -> dict[str, str]:
     if progress is None:
         return {}
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -44,6 +44,8 @@
         metrics: Address for metrics.
         store_url: URL of the store without a path.
         grace_s: Seconds between the order to stop and the kill.
+        exposure_share: Part of the requests of a roll-out that a bad version
+            may get.
     """
 
     vm: str
@@ -53,6 +55,7 @@
     metrics: settings.Address
     store_url: str
     grace_s: float
+    exposure_share: float
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -136,7 +139,7 @@
         self._counters = counters
         self._directory = directory.Directory()
         self._conductor = conductor.Conductor(
-            values.vm, store, counters, source
+            values.vm, store, counters, source, values.exposure_share
         )
         self._has_rollouts = False
         self._forwarder = execution.Forwarder(
--- a/src/dragonflydyke/forwarding/rollouts.py
+++ b/src/dragonflydyke/forwarding/rollouts.py
@@ -22,21 +22,43 @@
 _FAILURE_STOP = configuration.StopCondition(
     min_samples=3, min_rating=0.0, max_error_share=0.12
 )
-_MIN_FAILURES = 3
-# Queues and crashes impair attempts on any version, so it takes more of them.
-_IMPAIRED_STOP = configuration.StopCondition(
-    min_samples=8, min_rating=0.0, max_error_share=0.4
+_MIN_FAILURES = 2
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _ImpairedRule:
+    """Least number of impaired attempts, and their share, for a roll-back."""
+
+    min_impaired: int
+    stop: configuration.StopCondition
+
+
+# Queues and crashes impair attempts on any version, so it takes more of them,
+# and a larger part of them if there are few.
+_IMPAIRED_RULES = (
+    _ImpairedRule(
+        4,
+        configuration.StopCondition(
+            min_samples=6, min_rating=0.0, max_error_share=0.5
+        ),
+    ),
+    _ImpairedRule(
+        5,
+        configuration.StopCondition(
+            min_samples=8, min_rating=0.0, max_error_share=0.4
+        ),
+    ),
 )
-_MIN_IMPAIRED = 5
 # A new version is not worse because all versions fail, or are slow. The servers
 # of the old version have more load, so that the new one should be faster.
 _OLD_FAILURES_FACTOR = 2.0
 _OLD_IMPAIRED_FACTOR = 1.2
 # The first half is kept free, with a margin for the delays of nodes.
 _FIRST_EXPOSURE_SHARE = 0.52
-# Sessions of the canary, a part that keeps exposure within its
-# bound also when the traffic of the second half is larger.
-_CANARY_SHARE = 0.12
+# Bounds on the part of the sessions that are in the canary: enough to judge a
+# version at all, and few enough to bear that it is bad.
+_MIN_CANARY_SHARE = 0.05
+_MAX_CANARY_SHARE = 0.2
 # One server that crashed must not look like a bad version, so some of the bad
 # attempts must be at others than the worst server.
 _MIN_BAD_ELSEWHERE = 1
@@ -59,13 +81,6 @@
 _FINAL_STAGES = frozenset((Stage.COMPLETED, Stage.ROLLED_BACK))
 
 
-_SHARES: Mapping[Stage, float] = {
-    Stage.WAITING: 0.0,
-    Stage.CANARY: _CANARY_SHARE,
-    Stage.FULL: 1.0,
-}
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class Order:
     """An operator's order to move a pool to a version within a time."""
@@ -82,6 +97,26 @@
             return self.duration_s - _FULL_BEFORE_END_S, Stage.FULL
         return self.duration_s - _COMPLETE_BEFORE_END_S, Stage.COMPLETED
 
+    def find_share(self, stage: Stage, exposure_share: float) -> float:
+        """Returns the part of the sessions that use the new version.
+
+        Args:
+            stage: A stage that is not final.
+            exposure_share: Part of the requests of the whole roll-out that a
+                bad version may get. What the last seconds take of it, when all
+                sessions use the new version, is not left for the canary.
+        """
+        if stage is Stage.WAITING:
+            return 0.0
+        if stage is Stage.FULL:
+            return 1.0
+        full_share = _FULL_BEFORE_END_S / self.duration_s
+        canary_time_share = 1.0 - _FIRST_EXPOSURE_SHARE - full_share
+        if canary_time_share <= 0.0:
+            return _MIN_CANARY_SHARE
+        share = (exposure_share - full_share) / canary_time_share
+        return min(_MAX_CANARY_SHARE, max(_MIN_CANARY_SHARE, share))
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class AttemptCounts:
@@ -177,6 +212,7 @@
     progress: Progress | None,
     session: str,
     *,
+    exposure_share: float,
     is_restrained: bool,
 ) -> VersionRule:
     """Returns the rule for a session.
@@ -185,6 +221,7 @@
         order: Order for the pool, if there is one.
         progress: Shared state, None before the first write.
         session: Id of the session, or of the request without one.
+        exposure_share: Part of the requests that a bad version may get.
         is_restrained: Whether this node itself saw the version fail.
     """
     if order is None:
@@ -196,7 +233,7 @@
         return VersionRule(wanted=order.version)
     if stage is Stage.ROLLED_BACK or is_restrained:
         return VersionRule(avoided=order.version, is_forbidden=True)
-    share = _SHARES[stage]
+    share = order.find_share(stage, exposure_share)
     if model.hash_fraction(f"session {session}") < share:
         return VersionRule(wanted=order.version)
     return VersionRule(avoided=order.version, is_forbidden=share == 0.0)
@@ -267,11 +304,15 @@
 def _is_impaired(evidence: Sequence[RouteEvidence]) -> bool:
     new = _sum_counts(entry.new for entry in evidence)
     old = _sum_counts(entry.old for entry in evidence)
-    return new.impaired >= _MIN_IMPAIRED and _is_worse(
-        decisions.VersionSample(new.attempts, new.impaired),
-        decisions.VersionSample(old.attempts, old.impaired),
-        _IMPAIRED_STOP,
-        _OLD_IMPAIRED_FACTOR,
+    return any(
+        new.impaired >= rule.min_impaired
+        and _is_worse(
+            decisions.VersionSample(new.attempts, new.impaired),
+            decisions.VersionSample(old.attempts, old.impaired),
+            rule.stop,
+            _OLD_IMPAIRED_FACTOR,
+        )
+        for rule in _IMPAIRED_RULES
     )
 
 
--- a/src/dragonflydyke/platform/process.py
+++ b/src/dragonflydyke/platform/process.py
@@ -11,6 +11,9 @@
 SETTINGS_VARIABLE = "DRAGONFLYDYKE_CONFIG"
 # The port that deploy/system.toml names.
 _METRICS_PORT = 7340
+# Used where a deployment states no bound.
+_GRACE_S = 8.0
+_EXPOSURE_SHARE = 0.1
 
 
 def read_settings() -> node.NodeSettings:
@@ -32,7 +35,8 @@
         ready=_address(fields, "ready"),
         metrics=settings.Address(host, _METRICS_PORT),
         store_url="http://" + _field(fields, "platform.address", str),
-        grace_s=float(_field(fields, "bounds.graceS", int | float)),
+        grace_s=_bound(fields, "graceS", _GRACE_S),
+        exposure_share=_bound(fields, "exposureShare", _EXPOSURE_SHARE),
     )
 
 
@@ -44,6 +48,14 @@
         raise settings.SettingsError(f"listen.{name}", str(error)) from error
 
 
+def _bound(fields: Any, name: str, default: float) -> float:
+    """Returns a bound of the deployment, or the default if it has none."""
+    bounds = _field(fields, "bounds", dict)
+    if bounds.get(name) is None:
+        return default
+    return float(_field(fields, f"bounds.{name}", int | float))
+
+
 def _field(fields: Any, path: str, kind: Any) -> Any:
     value = fields
     for name in path.split("."):
--- a/tests/builders/forwarding.py
+++ b/tests/builders/forwarding.py
@@ -26,6 +26,7 @@
 DATA_CENTRE = "north"
 HOST = "api.example"
 KEY = "secret-key"
+EXPOSURE_SHARE = 0.15
 MODELS = ("small", "middle", "large")
 _LOCAL = settings.Address("127.0.0.1", 0)
 
@@ -305,7 +306,7 @@
         self.counters = metrics.Counters()
         self.directory = directory.Directory()
         self.conductor = conductor.Conductor(
-            "vm1", NoRolloutStore(), self.counters, source
+            "vm1", NoRolloutStore(), self.counters, source, EXPOSURE_SHARE
         )
         codec = headers.HeaderCodec()
         self.forwarder = execution.Forwarder(
--- a/tests/test_forwarding_conductor.py
+++ b/tests/test_forwarding_conductor.py
@@ -8,7 +8,14 @@
 from tests.builders import forwarding, virtual_loop
 
 _VM = "vm1"
-_DURATION_S = 16.0
+_DURATION_S = 60.0
+# First bytes and pauses in seconds of streams on cvs-linea, in the busy half of
+# the own day rollout-slow; servers of the bad version have little load.
+_BUSY_FIRST_S = (0.05, 0.21, 0.35, 0.54, 1.18, 1.96)
+_BUSY_GAPS_S = (0.018, 0.1, 0.019, 0.021, 0.09, 0.022, 0.12)
+_SLOW_FIRST_S = (0.09, 0.68, 1.61, 1.83, 2.14, 3.85)
+_SLOW_GAPS_S = (0.089, 0.46, 0.095, 0.09, 0.47, 0.1, 0.52)
+_IDLE_GAPS_S = (0.014, 0.015, 0.016, 0.014, 0.05, 0.015, 0.014)
 _IMPAIRED = rollouts.AttemptCounts(attempts=1, impaired=1)
 
 
@@ -19,7 +26,11 @@
         await super().asyncSetUp()
         self.store = forwarding.RecordingRolloutStore()
         self.conductor = conductor.Conductor(
-            _VM, self.store, metrics.Counters(), random.Random(3)
+            _VM,
+            self.store,
+            metrics.Counters(),
+            random.Random(3),
+            forwarding.EXPOSURE_SHARE,
         )
         order = rollouts.Order("engines", "v2", _DURATION_S)
         self.conductor.update(
@@ -56,6 +67,51 @@
         await self.loop.advance(0.2)
         self.assertEqual(self.reported_impaired, 2)
 
+    async def play_streams(
+        self,
+        count: int,
+        version: str,
+        first_s: tuple[float, ...],
+        gaps_s: tuple[float, ...],
+    ) -> None:
+        """Plays streams one after the other, in turn at two servers."""
+        route = forwarding.build_route(target_latency_s=3.0)
+        for number in range(count):
+            server = f"{version}-{number % 2}"
+            member = forwarding.build_member(server, version=version)
+            observer = self.conductor.begin(member, route, "large")
+            await self.loop.advance(first_s[number % len(first_s)], 0.01)
+            observer.note_answer()
+            observer.note_event()
+            for gap_s in gaps_s:
+                await self.loop.advance(gap_s, 0.01)
+                observer.note_event()
+            observer.end(failed=False, lost=False)
+
+    async def test_version_with_slow_streams_is_rolled_back(self) -> None:
+        """Its first bytes came no later than those of busy old servers."""
+        await self.play_streams(12, "v1", _BUSY_FIRST_S, _BUSY_GAPS_S)
+        await self.play_streams(9, "v2", _SLOW_FIRST_S, _SLOW_GAPS_S)
+        await self.loop.advance(3.0)
+        self.assertIs(self.store.progress.stage, rollouts.Stage.ROLLED_BACK)
+
+    async def test_version_with_usual_streams_is_kept(self) -> None:
+        await self.play_streams(12, "v1", _BUSY_FIRST_S, _BUSY_GAPS_S)
+        await self.play_streams(12, "v2", _BUSY_FIRST_S, _IDLE_GAPS_S)
+        await self.loop.advance(3.0)
+        self.assertFalse(self.store.progress.evidence)
+
+    async def test_suspected_version_is_not_completed(self) -> None:
+        """Failures reported just before the end came too late to count."""
+        await self.advance_to(rollouts.Stage.FULL)
+        failed = rollouts.AttemptCounts(attempts=1, failed=1)
+        for name in ("a", "b"):
+            member = forwarding.build_member(name, version="v2")
+            for counts in (failed, rollouts.AttemptCounts(attempts=1)):
+                self.conductor.count(member, "streams", counts)
+        await self.loop.advance(3.0)
+        self.assertIs(self.store.progress.stage, rollouts.Stage.ROLLED_BACK)
+
     async def test_failures_are_reported_at_once(self) -> None:
         await self.advance_to(rollouts.Stage.CANARY)
         failed = rollouts.AttemptCounts(attempts=1, failed=1)
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -17,6 +17,8 @@
 from tests.builders import forwarding
 
 _NOW_S = 100.0
+# Part of the requests that a bad version may get, on the smaller sites.
+_EXPOSURE_SHARE = forwarding.EXPOSURE_SHARE
 
 
 class AdmissionTest(unittest.TestCase):
@@ -204,14 +206,23 @@
     def setUp(self) -> None:
         self.order = rollouts.Order("engines", "v2", 24.0)
 
-    def new_sessions(self, stage: rollouts.Stage | None) -> set[int]:
+    def new_sessions(
+        self,
+        stage: rollouts.Stage | None,
+        order: rollouts.Order | None = None,
+        exposure_share: float = _EXPOSURE_SHARE,
+    ) -> set[int]:
         """Returns which of 2,000 sessions get the new version."""
         progress = rollouts.Progress("v2", stage) if stage else None
         return {
             number
             for number in range(2_000)
             if rollouts.select_version(
-                self.order, progress, f"s{number}", is_restrained=False
+                order or self.order,
+                progress,
+                f"s{number}",
+                exposure_share=exposure_share,
+                is_restrained=False,
             ).allows("v2")
         }
 
@@ -245,19 +256,36 @@
             # A burst in the second half, as on the own day rollout-load.
             rate = 0.7 if age_s < 8.0 else 0.7 * 1.7
             if stage not in shares:
-                shares[stage] = len(self.new_sessions(stage)) / 2_000
+                shares[stage] = len(self.new_sessions(stage, order)) / 2_000
             requests += rate
             exposed += rate * shares[stage]
         # The stated bounds: 0.15 of all requests and 30 more of about 650.
         self.assertLess(exposed / requests, 0.15 + 30 / 650)
 
+    def test_strict_bound_makes_a_smaller_canary(self) -> None:
+        """A bound of 0.0975 was passed by the canary made for 0.15."""
+        for limit, duration_s in ((0.0975, 24.0), (0.15, 24.0), (0.15, 16.0)):
+            with self.subTest(limit=limit, duration_s=duration_s):
+                order = rollouts.Order("engines", "v2", duration_s)
+                found = self.new_sessions(rollouts.Stage.CANARY, order, limit)
+                canary_end_s, _ = order.find_end(rollouts.Stage.CANARY)
+                canary_start_s, _ = order.find_end(rollouts.Stage.WAITING)
+                exposed_s = duration_s - canary_end_s
+                share = len(found) / 2_000
+                exposed_s += share * (canary_end_s - canary_start_s)
+                self.assertLessEqual(exposed_s / duration_s, limit + 0.005)
+
     def test_rolled_back_version_gets_nothing(self) -> None:
         self.assertEqual(self.new_sessions(rollouts.Stage.ROLLED_BACK), set())
 
     def test_progress_of_an_earlier_order_does_not_count(self) -> None:
         done = rollouts.Progress("v1", rollouts.Stage.COMPLETED)
         rule = rollouts.select_version(
-            self.order, done, "s", is_restrained=False
+            self.order,
+            done,
+            "s",
+            exposure_share=_EXPOSURE_SHARE,
+            is_restrained=False,
         )
         self.assertFalse(rule.allows("v2"))
         self.assertIs(
@@ -318,14 +346,16 @@
         )
         self.assertFalse(rollouts.is_failing({"vm1": {"r1": bad}}))
 
-    def test_three_failures_of_a_small_canary_are_enough(self) -> None:
+    def test_few_failures_of_a_small_canary_are_enough(self) -> None:
         """A bad version completed, as its canary saw too few requests."""
-        bad = rollouts.RouteEvidence(
-            rollouts.AttemptCounts(5, 3),
-            rollouts.AttemptCounts(22, 0),
-            {"a": 2, "b": 1},
-        )
-        self.assertTrue(rollouts.is_failing({"vm1": {"r1": bad}}))
+        for attempts, failed in ((5, 3), (12, 2)):
+            bad = rollouts.RouteEvidence(
+                rollouts.AttemptCounts(attempts, failed),
+                rollouts.AttemptCounts(22, 0),
+                {"a": failed - 1, "b": 1},
+            )
+            with self.subTest(attempts=attempts, failed=failed):
+                self.assertTrue(rollouts.is_failing({"vm1": {"r1": bad}}))
 
     def test_version_that_fails_a_third_of_the_time_is_rolled_back(
         self,
@@ -338,6 +368,15 @@
         )
         self.assertTrue(rollouts.is_failing({"vm1": {"r1": bad}}))
 
+    def test_most_of_a_small_canary_is_enough(self) -> None:
+        """On pigyn-router a slow version was completed."""
+        slow = rollouts.RouteEvidence(
+            rollouts.AttemptCounts(7, 0, 4),
+            rollouts.AttemptCounts(81, 0, 4),
+            {"a": 2, "b": 2},
+        )
+        self.assertTrue(rollouts.is_failing({"vm1": {"r1": slow}}))
+
     def test_few_slow_attempts_prove_nothing(self) -> None:
         """Three nodes with four slow attempts rolled a good version back."""
         few = rollouts.RouteEvidence(
@@ -374,7 +413,7 @@
     """Guards against a slow version whose answers do not fail."""
 
     def test_several_times_the_usual_is_slow(self) -> None:
-        book = pace.PaceBook()
+        book = pace.PaceBook(pace.FIRST_BYTE_RULE)
         self.assertIsNone(book.find_slow_bound_s("kind"))
         for number in range(20):
             book.record("kind", 0.2 + number / 100)
@@ -385,6 +424,18 @@
         self.assertLess(bound_s, 8 * 0.3)
         self.assertIsNone(book.find_slow_bound_s("other"))
 
+    def test_typical_gap_leaves_out_stalls_and_bursts(self) -> None:
+        """Pauses in which the engine read long prompts looked slow."""
+        clock = pace.EventClock()
+        now_s = 0.0
+        found = None
+        for gap_s in (0.0, 0.3, 0.02, 0.0, 0.021, 0.25):
+            now_s += gap_s
+            found = clock.note_event(now_s)
+        assert found is not None
+        self.assertAlmostEqual(found, 0.021)
+        self.assertIsNone(clock.note_event(now_s + 0.02))
+
 
 class CascadeTest(unittest.TestCase):
     """Guards against overload of the largest model at the crest."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -110,6 +110,13 @@
         self.assertEqual(values.front, settings.Address("10.0.0.4", 8227))
         self.assertEqual(values.store_url, "http://10.0.0.7:8223")
 
+    def test_deployment_without_a_bound_starts(self) -> None:
+        """A deployment without roll-outs may state no bound on them."""
+        stated = {"graceS": 8, "exposureShare": 0.15}
+        self.assertEqual(self.read(bounds=stated).exposure_share, 0.15)
+        values = self.read(bounds={})
+        self.assertEqual((values.grace_s, values.exposure_share), (8.0, 0.1))
+
     def test_unusable_settings_name_their_field(self) -> None:
         for changes, field in (
             ({"nodeName": None}, "nodeName"),
