Call a store that is away with one call of a node at a time

Now the watchers share the contact: one call at a time while the store is away, and all go on when it succeeds. Waits and the pause after a change follow from the bounds of the deployment (contact, drain, apply). Ruled out: long watches with TCP keep-alive, as a store that falls silent and returns may never answer a watch that it lost, while the connection stays up.

--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -46,6 +46,9 @@
         grace_s: Seconds between the order to stop and the kill.
         exposure_share: Part of the requests of a roll-out that a bad version
             may get.
+        contact_s: Seconds after a disturbance in which the bounds do not hold.
+        drain_s: Seconds within which a leaving server gets no more requests.
+        apply_s: Seconds within which a configuration is in force.
     """
 
     vm: str
@@ -56,6 +59,16 @@
     store_url: str
     grace_s: float
     exposure_share: float
+    contact_s: float
+    drain_s: float
+    apply_s: float
+
+    @property
+    def watch_pace(self) -> watching.WatchPace:
+        """How long watches wait to keep the bounds of this deployment."""
+        return watching.WatchPace(
+            self.contact_s + min(self.drain_s, self.apply_s)
+        )
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -152,8 +165,11 @@
         self._server = server.ForwardingServer(self._forwarder, codec)
         self._is_leaving = False
         self._stopped = asyncio.Event()
+        contact = watching.StoreContact(source)
         self._watchers = [
-            watching.KindWatcher(store, kind, listener, counters, source)
+            watching.KindWatcher(
+                store, kind, listener, counters, contact, values.watch_pace
+            )
             for kind, listener in (
                 (kinds.policies, self._adopt_policy),
                 (kinds.servers, self._adopt_servers),
--- a/src/dragonflydyke/objects/watching.py
+++ b/src/dragonflydyke/objects/watching.py
@@ -1,18 +1,20 @@
 """Following all objects of one kind through lists and long polls."""
 
 import asyncio
+import dataclasses
 import random
-from collections.abc import Callable, Mapping
-from typing import Protocol
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Protocol, TypeVar
 
 from dragonflydyke import errors, logs, metrics
 from dragonflydyke.objects import model
 
-# A watch whose connection went silent is noticed after this time and one call
-# timeout, which must stay within the bounds for changes and leaving servers.
-WATCH_WAIT_S = 3.6
+# What a watch leaves of the time within which a change must be noticed: the
+# timeout of a call and a list.
+_CALL_MARGIN_S = 1.4
+_MIN_WAIT_S = 1.0
 # Each change wakes all nodes, so changes that come together are read together.
-_SETTLE_S = 0.25
+_SETTLE_SHARE = 0.1
 _FIRST_RETRY_S = 0.1
 # Many nodes that regain the store at once must not press on it together, but
 # a change must still arrive within a second of its return.
@@ -21,6 +23,31 @@
 _LOGGER = logs.get_logger("store")
 
 
+_Result = TypeVar("_Result")
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class WatchPace:
+    """How long watches wait.
+
+    Attributes:
+        notice_s: Seconds within which a change must be noticed even if the
+            connection of a watch went silent.
+    """
+
+    notice_s: float = 5.0
+
+    @property
+    def wait_s(self) -> float:
+        """Seconds for which the store may hold a watch without a change."""
+        return max(_MIN_WAIT_S, self.notice_s - _CALL_MARGIN_S)
+
+    @property
+    def settle_s(self) -> float:
+        """Seconds between a change and the next watch."""
+        return self.notice_s * _SETTLE_SHARE
+
+
 class WatchableStore(Protocol):
     """What a watcher needs of a store."""
 
@@ -37,6 +64,64 @@
         """
 
 
+class StoreContact:
+    """Lets one watcher of a node at a time call a store that is away.
+
+    A store that refuses the calls of some nodes counts each of them, so a node
+    tries with one call, and all its watchers go on when that one succeeds.
+    """
+
+    __slots__ = ("_is_lost", "_lock", "_random", "_retry_s")
+
+    def __init__(self, source: random.Random) -> None:
+        """Creates the contact to a store that is expected to answer.
+
+        Args:
+            source: Spreads the retries of many nodes.
+        """
+        self._is_lost = False
+        self._lock = asyncio.Lock()
+        self._random = source
+        self._retry_s = _FIRST_RETRY_S
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the last call was not answered."""
+        return self._is_lost
+
+    async def call(self, send: Callable[[], Awaitable[_Result]]) -> _Result:
+        """Sends a call, after a delay and alone while the store is away.
+
+        Raises:
+            DragonflydykeError: As the call.
+        """
+        if not self._is_lost:
+            return await self._send(send)
+        async with self._lock:
+            if self._is_lost:
+                delay_s = self._retry_s * self._random.uniform(0.5, 1.0)
+                self._retry_s = min(self._retry_s * 2, _MAX_RETRY_S)
+                await asyncio.sleep(delay_s)
+                return await self._send(send)
+        return await self._send(send)
+
+    async def _send(self, send: Callable[[], Awaitable[_Result]]) -> _Result:
+        try:
+            result = await send()
+        except model.HistoryLostError:
+            self._note_answer()
+            raise
+        except errors.DragonflydykeError:
+            self._is_lost = True
+            raise
+        self._note_answer()
+        return result
+
+    def _note_answer(self) -> None:
+        self._is_lost = False
+        self._retry_s = _FIRST_RETRY_S
+
+
 class KindView:
     """The known objects of a kind.
 
@@ -58,13 +143,13 @@
     """Keeps the objects of one kind up to date and reports each change."""
 
     __slots__ = (
+        "_contact",
         "_counters",
         "_kind",
         "_listener",
         "_lost",
         "_objects",
-        "_random",
-        "_retry_s",
+        "_pace",
         "_store",
         "_version",
     )
@@ -75,7 +160,8 @@
         kind: str,
         listener: Callable[[KindView, bool], None],
         counters: metrics.Counters,
-        source: random.Random,
+        contact: StoreContact,
+        pace: WatchPace,
     ) -> None:
         """Creates a watcher.
 
@@ -85,16 +171,17 @@
             listener: Called with the view after each change, and with whether
                 contact was lost or history missed before it.
             counters: Receives `watch.<kind>.<event>`.
-            source: Spreads retries of many nodes.
+            contact: Contact to the store, shared by the watchers of a node.
+            pace: How long watches wait.
         """
+        self._contact = contact
+        self._pace = pace
         self._store = store
         self._kind = kind
         self._listener = listener
         self._counters = counters
-        self._random = source
         self._objects: dict[str, model.StoredObject] = {}
         self._version: int | None = None
-        self._retry_s = _FIRST_RETRY_S
         self._lost = False
 
     async def run(self) -> None:
@@ -103,14 +190,20 @@
             try:
                 await self._step()
             except errors.DragonflydykeError as error:
-                await self._recover(error)
+                self._recover(error)
 
     async def _step(self) -> None:
+        if self._contact.is_lost:
+            # A watch would keep the other watchers of this node waiting, and
+            # entries can lapse while the store is away.
+            self._version = None
+            self._lost = True
         if self._version is None:
             await self._list()
             return
-        changes = await self._store.watch(
-            self._kind, self._version, WATCH_WAIT_S
+        since = self._version
+        changes = await self._contact.call(
+            lambda: self._store.watch(self._kind, since, self._pace.wait_s)
         )
         self._note_contact()
         self._version = changes.version
@@ -121,10 +214,12 @@
         for name in changes.removed:
             self._objects.pop(name, None)
         self._report(after_gap=False)
-        await asyncio.sleep(_SETTLE_S)
+        await asyncio.sleep(self._pace.settle_s)
 
     async def _list(self) -> None:
-        listed = await self._store.list_all(self._kind)
+        listed = await self._contact.call(
+            lambda: self._store.list_all(self._kind)
+        )
         after_gap = self._lost
         self._note_contact()
         self._objects = {entry.name: entry for entry in listed.objects}
@@ -136,12 +231,11 @@
         self._listener(KindView(dict(self._objects), now_s), after_gap)
 
     def _note_contact(self) -> None:
-        self._retry_s = _FIRST_RETRY_S
         if self._lost:
             self._lost = False
             _LOGGER.notice("store regained", kind=self._kind)
 
-    async def _recover(self, error: errors.DragonflydykeError) -> None:
+    def _recover(self, error: errors.DragonflydykeError) -> None:
         self._counters.increment(f"watch.{self._kind}.{error.code}")
         if not self._lost:
             _LOGGER.warning(
@@ -151,7 +245,3 @@
         # does not tell what still holds.
         self._lost = True
         self._version = None
-        if isinstance(error, model.HistoryLostError):
-            return
-        await asyncio.sleep(self._retry_s * self._random.uniform(0.5, 1.0))
-        self._retry_s = min(self._retry_s * 2, _MAX_RETRY_S)
--- a/src/dragonflydyke/platform/process.py
+++ b/src/dragonflydyke/platform/process.py
@@ -14,6 +14,10 @@
 # Used where a deployment states no bound.
 _GRACE_S = 8.0
 _EXPOSURE_SHARE = 0.1
+_CONTACT_MS = 3_000.0
+_DRAIN_MS = 2_000.0
+_APPLY_MS = 2_000.0
+_MS_PER_S = 1_000
 
 
 def read_settings() -> node.NodeSettings:
@@ -37,6 +41,9 @@
         store_url="http://" + _field(fields, "platform.address", str),
         grace_s=_bound(fields, "graceS", _GRACE_S),
         exposure_share=_bound(fields, "exposureShare", _EXPOSURE_SHARE),
+        contact_s=_bound(fields, "contactMs", _CONTACT_MS) / _MS_PER_S,
+        drain_s=_bound(fields, "drainMs", _DRAIN_MS) / _MS_PER_S,
+        apply_s=_bound(fields, "configApplyMs", _APPLY_MS) / _MS_PER_S,
     )
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -167,12 +167,14 @@
         """Starts a watcher of servers."""
         await super().asyncSetUp()
         self.views: list[tuple[set[str], bool]] = []
+        self.contact = watching.StoreContact(random.Random(3))
         watcher = watching.KindWatcher(
             self.store,
             "servers",
             lambda view, gap: self.views.append((set(view.objects), gap)),
             self.counters,
-            random.Random(3),
+            self.contact,
+            watching.WatchPace(),
         )
         await self.state.put("servers", "a", {})
         task = asyncio.create_task(watcher.run())
@@ -215,6 +217,57 @@
         await self.wait_for({"a", "b", "c"})
         self.assertIn(({"a", "b", "c"}, True), self.views)
 
+    async def test_store_that_refuses_gets_one_call_at_a_time(self) -> None:
+        """Each watcher of a node called a store that refused all of them."""
+        self.state.refusal = 503
+        await self.state.remove("servers", "a")
+        await self.wait_for_error("platform_unavailable")
+        others = [
+            watching.KindWatcher(
+                self.store,
+                kind,
+                lambda view, gap: None,
+                self.counters,
+                self.contact,
+                watching.WatchPace(),
+            )
+            for kind in ("config", "rollouts")
+        ]
+        for other in others:
+            self.addCleanup(asyncio.create_task(other.run()).cancel)
+        before = len(self.state.calls)
+        await asyncio.sleep(1.5)
+        # Alone, each would call about every 0.45 s.
+        self.assertLessEqual(len(self.state.calls) - before, 6)
+        self.state.refusal = 0
+        await skipping_loop.wait_until(lambda: (set(), True) in self.views)
+        for kind in ("config", "rollouts"):
+            await skipping_loop.wait_until(
+                lambda k=kind: any(
+                    f"/{k}?watch" in call for call in self.state.calls
+                )
+            )
+
+    async def test_watcher_without_a_failure_lists_after_a_loss(self) -> None:
+        """Its watch would have kept the other watchers from their lists."""
+        await self.state.put("servers", "b", {})
+        await self.wait_for({"a", "b"})
+        self.state.refusal = 503
+        with self.assertRaises(objects.PlatformUnavailableError):
+            await self.contact.call(lambda: self.store.list_all("config"))
+        self.state.refusal = 0
+        before = len(self.views)
+        await skipping_loop.wait_until(lambda: len(self.views) > before)
+        self.assertEqual(self.views[-1], ({"a", "b"}, True))
+        self.assertFalse(self.contact.is_lost)
+
+    def test_watches_keep_within_the_bounds(self) -> None:
+        """A silent watch is noticed, with a list, within the given time."""
+        for notice_s in (5.0, 7.0):
+            pace = watching.WatchPace(notice_s)
+            self.assertLessEqual(pace.wait_s + 1.0 + 0.4, notice_s)
+            self.assertLess(pace.settle_s, 1.0)
+
     async def test_lost_store_is_listed_after_its_return(self) -> None:
         self.state.refusal = 503
         # Ends the watch that waits; the next one is refused.
