Split the run of a request from its forwarder and log each decision

Cause: the forwarder held two jobs and its attempt 63 lines, and the log had one line for a request when it ended, although the users ask for one for each decision. The run of a request is a module of its own; attempts share a context instead of eight arguments. Each attempt is logged with the chosen server, its predicted cost, whether it has the beginning of the prompt, the requests in progress there and the age of the list of servers; each next step with its reason and the time left. Fields that nothing used are gone.

--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -7,7 +7,7 @@
 
 from tornado import httputil, tcpclient
 
-from dragonflydyke import errors
+from dragonflydyke import errors, metrics
 from dragonflydyke.backends import connection, events
 from dragonflydyke.backends import model as backends
 from dragonflydyke.forwarding import (
@@ -18,6 +18,7 @@
     messages,
     model,
     observers,
+    placement,
 )
 from dragonflydyke.routing import retries
 
@@ -130,6 +131,39 @@
         reply.send_whole(self.status, self.headers, self.body)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ForwardingServices:
+    """What all requests of a node share."""
+
+    codec: messages.Codec
+    directory: directory.Directory
+    conductor: conductor.Conductor
+    placer: placement.Placer
+    counters: metrics.Counters
+    tcp: tcpclient.TCPClient
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RequestContext:
+    """An admitted request and what its attempts share.
+
+    Attributes:
+        request: The request.
+        admitted: What allows it.
+        reply: Where its answer goes.
+        models: Choice of models of its pool.
+        budget: Retry budget of its pool.
+        state: What has happened to it.
+    """
+
+    request: messages.IncomingRequest
+    admitted: decisions.Admitted
+    reply: Reply
+    models: cascade.Cascade
+    budget: retries.RetryBudget
+    state: RunState
+
+
 class Attempt:
     """One dispatch of a request to a server.
 
@@ -141,49 +175,45 @@
     __slots__ = (
         "_admitted",
         "_budget",
-        "_codec",
-        "_conductor",
         "_exchange",
         "_models",
         "_observer",
+        "_reply",
         "_request",
-        "_tcp",
+        "_services",
+        "_state",
         "may_have_run",
         "member",
     )
 
     def __init__(
         self,
-        codec: messages.Codec,
-        tcp: tcpclient.TCPClient,
-        versions: conductor.Conductor,
-        request: messages.IncomingRequest,
-        admitted: decisions.Admitted,
+        services: ForwardingServices,
+        context: RequestContext,
         member: directory.Member,
-        models: cascade.Cascade,
-        budget: retries.RetryBudget,
     ) -> None:
-        self._conductor = versions
-        self._models = models
-        self._budget = budget
-        self._codec = codec
-        self._tcp = tcp
-        self._request = request
-        self._admitted = admitted
+        """Creates an attempt that has sent nothing."""
+        self._services = services
+        self._request = context.request
+        self._admitted = context.admitted
+        self._reply = context.reply
+        self._models = context.models
+        self._budget = context.budget
+        self._state = context.state
         self._exchange: connection.Exchange | None = None
         self._observer: observers.AttemptObserver | None = None
         self.member = member
         self.may_have_run = False
 
-    async def run(self, reply: Reply, state: RunState) -> None:
+    async def run(self) -> None:
         """Sends the request and delivers the answer.
 
         Raises:
             AttemptEndedError: If there is nothing to deliver yet.
         """
         try:
-            await self._open(state)
-            await self._deliver_answer(reply, state)
+            await self._open()
+            await self._deliver_answer()
         except errors.DragonflydykeError as error:
             raise AttemptEndedError(
                 self._classify(error), error.code
@@ -211,13 +241,13 @@
             return decisions.AttemptEnd.LATE
         return decisions.AttemptEnd.LOST
 
-    async def _open(self, state: RunState) -> None:
+    async def _open(self) -> None:
         admitted = self._admitted
         loop = asyncio.get_running_loop()
-        last_event_id = state.last_event_id
+        last_event_id = self._state.last_event_id
         if last_event_id is None:
             last_event_id = self._request.details.last_event_id
-        model_name = self._select_model(state)
+        model_name = self._select_model()
         dispatch = messages.Dispatch(
             server=self.member.name,
             remaining_s=admitted.deadline_s - loop.time(),
@@ -231,7 +261,7 @@
             self.member.server,
             self._request.method,
             self._request.target,
-            self._codec.write_request(self._request, dispatch),
+            self._services.codec.write_request(self._request, dispatch),
             body if body else None,
             accepts_unframed=True,
         )
@@ -240,22 +270,22 @@
             admitted.deadline_s,
             connect_timeout_s=_CONNECT_TIMEOUT_S,
         )
-        await self._exchange.connect(self._tcp)
+        await self._exchange.connect(self._services.tcp)
         self.may_have_run = True
-        self._observer = self._conductor.begin(
+        self._observer = self._services.conductor.begin(
             self.member,
             admitted.route,
             model_name or self._request.details.model,
         )
         await self._exchange.send()
-        await self._await_start(state)
+        await self._await_start()
 
-    async def _await_start(self, state: RunState) -> None:
+    async def _await_start(self) -> None:
         assert self._exchange is not None
         patience_s = None
-        if not state.begun:
+        if not self._state.begun:
             patience_s = self._models.find_patience_s(
-                self._admitted.route, state.describe(), self._elapsed_s()
+                self._admitted.route, self._state.describe(), self._elapsed_s()
             )
         try:
             async with asyncio.timeout(patience_s):
@@ -272,19 +302,19 @@
         now_s = asyncio.get_running_loop().time()
         return now_s - self._request.received_s
 
-    def _select_model(self, state: RunState) -> str:
+    def _select_model(self) -> str:
         if not self._request.details.wants_any_model:
             return ""
-        return self._models.select_model(self._admitted.route, state.describe())
+        return self._models.select_model(
+            self._admitted.route, self._state.describe()
+        )
 
-    def _check_confidence(
-        self, details: messages.AnswerDetails, state: RunState
-    ) -> None:
-        if state.begun or not self._request.details.wants_any_model:
+    def _check_confidence(self, details: messages.AnswerDetails) -> None:
+        if self._state.begun or not self._request.details.wants_any_model:
             return
         good = self._models.is_good_enough(
             self._admitted.route,
-            state.describe(),
+            self._state.describe(),
             details.confidence,
             self._elapsed_s(),
         )
@@ -294,10 +324,12 @@
                 f"confidence {details.confidence:.2f}",
             )
 
-    async def _deliver_answer(self, reply: Reply, state: RunState) -> None:
+    async def _deliver_answer(self) -> None:
         exchange = self._exchange
         assert exchange is not None
-        details = self._codec.read_answer(exchange.status, exchange.headers)
+        details = self._services.codec.read_answer(
+            exchange.status, exchange.headers
+        )
         if not details.not_run and self._observer is not None:
             self._observer.note_answer()
         if details.not_run:
@@ -313,19 +345,19 @@
         succeeded = _OK <= exchange.status < _FIRST_REDIRECT
         is_stream = self._admitted.route.kind is model.RequestKind.STREAM
         if is_stream and succeeded and details.is_stream:
-            self._check_confidence(details, state)
-            await self._relay_events(reply, state)
+            self._check_confidence(details)
+            await self._relay_events()
             return
         answer = await self._read_whole()
-        if state.begun:
+        if self._state.begun:
             raise AttemptEndedError(decisions.AttemptEnd.FAILED, "no stream")
         if exchange.status >= _SERVER_ERROR:
-            state.failure = answer
+            self._state.failure = answer
             end = decisions.AttemptEnd.FAILED
             if exchange.status == _GATEWAY_TIMEOUT:
                 end = decisions.AttemptEnd.LATE
             raise AttemptEndedError(end, f"status {exchange.status}")
-        answer.deliver(reply)
+        answer.deliver(self._reply)
 
     async def _read_whole(self) -> BufferedAnswer:
         exchange = self._exchange
@@ -337,17 +369,17 @@
             size += len(chunk)
             if size > _MAX_ANSWER_BYTES:
                 raise AttemptEndedError(decisions.AttemptEnd.LOST, "too large")
-        headers = self._codec.write_answer(exchange.headers)
+        headers = self._services.codec.write_answer(exchange.headers)
         return BufferedAnswer(exchange.status, headers, b"".join(parts))
 
-    async def _relay_events(self, reply: Reply, state: RunState) -> None:
+    async def _relay_events(self) -> None:
         exchange = self._exchange
         assert exchange is not None
         splitter = events.EventSplitter()
         chunks = exchange.read_chunks()
         while True:
             try:
-                async with asyncio.timeout(self._find_silence_s(state)):
+                async with asyncio.timeout(self._find_silence_s()):
                     chunk = await anext(chunks, None)
             except TimeoutError as error:
                 raise AttemptEndedError(
@@ -358,31 +390,29 @@
             for event in splitter.feed(chunk):
                 if self._observer is not None:
                     self._observer.note_event()
-                await self._relay_event(reply, state, event)
+                await self._relay_event(event)
         if splitter.has_rest:
             raise AttemptEndedError(decisions.AttemptEnd.LOST, "torn event")
-        self._begin(reply, state)
-        reply.finish()
+        self._begin()
+        self._reply.finish()
 
-    def _find_silence_s(self, state: RunState) -> float | None:
+    def _find_silence_s(self) -> float | None:
         """Returns after which silence a stream goes on elsewhere, if it can."""
         route = self._admitted.route
         may_resume = (
-            state.begun
+            self._state.begun
             and route.resumable
-            and state.attempts + 1 < route.max_attempts
+            and self._state.attempts + 1 < route.max_attempts
             and self._budget.has_room
         )
         if not may_resume or not route.max_event_gap_s:
             return None
         return route.max_event_gap_s * _SILENT_GAPS
 
-    async def _relay_event(
-        self, reply: Reply, state: RunState, event: bytes
-    ) -> None:
-        event_id = self._codec.read_event_id(event)
+    async def _relay_event(self, event: bytes) -> None:
+        event_id = self._services.codec.read_event_id(event)
         if event_id is not None:
-            last = state.last_event_id
+            last = self._state.last_event_id
             if last is None:
                 last = self._request.details.last_event_id
             expected = event_id if last is None else last + 1
@@ -391,21 +421,21 @@
                     decisions.AttemptEnd.LOST,
                     f"event {event_id} instead of {expected}",
                 )
-        self._begin(reply, state)
-        await reply.write(event + b"\n\n")
+        self._begin()
+        await self._reply.write(event + b"\n\n")
         if event_id is not None:
-            state.last_event_id = event_id
+            self._state.last_event_id = event_id
 
-    def _begin(self, reply: Reply, state: RunState) -> None:
-        if state.begun:
+    def _begin(self) -> None:
+        if self._state.begun:
             return
         assert self._exchange is not None
-        headers = self._codec.write_answer(self._exchange.headers)
-        state.begun = True
-        reply.start(self._exchange.status, headers)
+        headers = self._services.codec.write_answer(self._exchange.headers)
+        self._state.begun = True
+        self._reply.start(self._exchange.status, headers)
 
 
 def _select_urgency(admitted: decisions.Admitted) -> int | None:
-    if admitted.pool.engine is None:
+    if not admitted.pool.has_engines:
         return None
     return min(_LAST_URGENCY, max(0, _FIRST_URGENCY + admitted.priority))
--- a/src/dragonflydyke/forwarding/directory.py
+++ b/src/dragonflydyke/forwarding/directory.py
@@ -96,6 +96,12 @@
             _LOGGER.notice("server did not return", server=name)
         self._index()
 
+    def find_age_s(self, now_s: float) -> float | None:
+        """Returns the seconds since the last change, None before the first."""
+        if self.updated_s is None:
+            return None
+        return round(now_s - self.updated_s, 2)
+
     def list_usable(self, pool: str) -> tuple[Member, ...]:
         """Returns the servers of a pool that take new work."""
         return self._by_pool.get(pool, ())
--- a/src/dragonflydyke/forwarding/model.py
+++ b/src/dragonflydyke/forwarding/model.py
@@ -4,7 +4,6 @@
 import dataclasses
 import enum
 import hashlib
-from collections.abc import Mapping
 
 _HASH_BYTES = 8
 _HASH_RANGE = 1 << (8 * _HASH_BYTES)
@@ -79,28 +78,12 @@
         return self.pools[-1].pool
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class EngineProfile:
-    """What the engines of a pool have in common.
-
-    Attributes:
-        slots: Requests that run at the same time.
-        kv_tokens: Tokens that the KV cache holds.
-        model_costs: Cost per 1,000 generated tokens by model.
-    """
-
-    slots: int
-    kv_tokens: int
-    model_costs: Mapping[str, float]
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class Pool:
-    """A group of equal backend servers; `engine` is None for plain ones."""
+    """A group of equal backend servers: model engines or plain services."""
 
     name: str
-    max_connections: int
-    engine: EngineProfile | None = None
+    has_engines: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -114,11 +97,9 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ClientLimits:
-    """What clients may send and how long connections may be idle."""
+    """What clients may send."""
 
-    max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
-    idle_timeout_s: float = 15.0
 
 
 class ForwardingPolicy:
--- a/src/dragonflydyke/forwarding/placement.py
+++ b/src/dragonflydyke/forwarding/placement.py
@@ -50,7 +50,7 @@
     @property
     def work_s(self) -> float:
         """Seconds of a server that the request takes, its beginning cached."""
-        if self.pool.engine is None:
+        if not self.pool.has_engines:
             return _PLAIN_WORK_S
         tokens = self.own_tokens
         tokens += self.output_tokens * _READ_TOKENS_PER_OUTPUT
@@ -191,7 +191,6 @@
         now_s: float,
         *,
         failed: bool | None,
-        latency: float | None,
         peers: Sequence[directory.Member],
     ) -> bool:
         """Ends the account of an attempt.
@@ -201,7 +200,6 @@
             member: Where it went.
             now_s: Loop time.
             failed: Whether the server was at fault; None if that is not known.
-            latency: Time to the first byte as a multiple of the usual one.
             peers: Servers with the same work.
 
         Returns:
@@ -218,6 +216,6 @@
             member.name,
             now_s,
             failed=failed,
-            latency=latency,
+            latency=None,
             peers=[peer.name for peer in peers],
         )
--- /dev/null
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -0,0 +1,237 @@
+"""The run of one request: attempts until an answer or an error."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from dragonflydyke import logs
+from dragonflydyke.forwarding import (
+    attempts,
+    decisions,
+    directory,
+    messages,
+    placement,
+)
+
+_BLAMELESS = frozenset(
+    (decisions.AttemptEnd.DELIVERED, decisions.AttemptEnd.INSUFFICIENT)
+)
+_UNJUDGED = frozenset(
+    (decisions.AttemptEnd.CLIENT_GONE, decisions.AttemptEnd.SLOW)
+)
+
+_LOGGER = logs.get_logger("forwarding")
+
+
+class RequestRun:
+    """Sends a request to one server after the other until it is answered."""
+
+    __slots__ = ("_admitted", "_context", "_job", "_services", "_state")
+
+    def __init__(
+        self,
+        services: attempts.ForwardingServices,
+        context: attempts.RequestContext,
+    ) -> None:
+        """Creates a run that has sent nothing."""
+        self._services = services
+        self._context = context
+        self._admitted = context.admitted
+        self._state = context.state
+        self._job = _build_job(context.request, context.admitted)
+
+    async def run(self) -> None:
+        """Answers the request.
+
+        Raises:
+            DragonflydykeError: If there is no answer to deliver.
+            ClientGoneError: If the client left.
+        """
+        while True:
+            end = await self._attempt()
+            progress = self._describe_progress()
+            step = self._decide_next(end, progress)
+            if step is decisions.NextStep.DONE:
+                return
+            if step is decisions.NextStep.RETRY:
+                self._services.counters.increment(f"retry.{end}")
+                self._note_models(end)
+                continue
+            if self._state.failure is not None and not self._state.begun:
+                self._state.failure.deliver(self._context.reply)
+                return
+            raise decisions.conclude(end, progress)
+
+    def _describe_progress(self) -> decisions.RequestProgress:
+        now_s = asyncio.get_running_loop().time()
+        return decisions.RequestProgress(
+            attempts=self._state.attempts,
+            dispatches=self._state.dispatches,
+            may_have_run=self._state.may_have_run,
+            remaining_s=self._admitted.deadline_s - now_s,
+        )
+
+    def _decide_next(
+        self, end: decisions.AttemptEnd, progress: decisions.RequestProgress
+    ) -> decisions.NextStep:
+        step = decisions.decide_next(self._admitted.route, end, progress)
+        reason = str(end)
+        wants_retry = step is decisions.NextStep.RETRY
+        if wants_retry and not self._context.budget.try_spend():
+            step = decisions.NextStep.GIVE_UP
+            reason = "no retry budget"
+        if step is not decisions.NextStep.DONE:
+            _LOGGER.info(
+                "next step",
+                request=self._context.request.details.request_id,
+                step=step.value,
+                reason=reason,
+                attempts=progress.attempts,
+                may_have_run=progress.may_have_run,
+                remaining_s=round(progress.remaining_s, 3),
+            )
+        return step
+
+    async def _attempt(self) -> decisions.AttemptEnd:
+        """Makes one attempt and returns how it ended."""
+        members = self._list_members()
+        choice = self._choose(members)
+        if choice is None:
+            return decisions.AttemptEnd.NOT_RUN
+        attempt = attempts.Attempt(self._services, self._context, choice.member)
+        self._state.dispatches += 1
+        self._services.placer.begin(self._job, choice.member)
+        end = decisions.AttemptEnd.DELIVERED
+        reason = ""
+        try:
+            await _until_closed(self._context.reply, attempt.run())
+        except attempts.AttemptEndedError as error:
+            end, reason = error.end, error.reason
+        except attempts.ClientGoneError:
+            end = decisions.AttemptEnd.CLIENT_GONE
+            raise
+        finally:
+            attempt.close()
+            self._settle(attempt, end, reason, members)
+        return end
+
+    def _choose(
+        self, members: tuple[directory.Member, ...]
+    ) -> placement.Choice | None:
+        now_s = asyncio.get_running_loop().time()
+        choice = self._services.placer.choose(
+            self._job, members, now_s, self._state.failed_servers
+        )
+        _LOGGER.info(
+            "attempt",
+            request=self._context.request.details.request_id,
+            server=choice.member.name if choice else "",
+            version=choice.member.version if choice else "",
+            cost_s=round(choice.cost_s, 3) if choice else None,
+            has_beginning=choice.is_preferred if choice else None,
+            in_progress=choice.requests if choice else None,
+            usable=len(members),
+            servers_age_s=self._services.directory.find_age_s(now_s),
+        )
+        return choice
+
+    def _list_members(self) -> tuple[directory.Member, ...]:
+        self._services.directory.expire(asyncio.get_running_loop().time())
+        pool = self._admitted.pool.name
+        details = self._context.request.details
+        rule = self._services.conductor.select(
+            pool, details.session or details.request_id
+        )
+        members = self._services.directory.list_usable(pool)
+        return placement.filter_versions(rule, members)
+
+    def _settle(
+        self,
+        attempt: attempts.Attempt,
+        end: decisions.AttemptEnd,
+        reason: str,
+        members: tuple[directory.Member, ...],
+    ) -> None:
+        """Ends the accounts of an attempt."""
+        member = attempt.member
+        if attempt.may_have_run and not self._has_ended(member, end):
+            self._state.attempts += 1
+        self._state.may_have_run |= attempt.may_have_run
+        attempt.end(end)
+        self._state.trail.append(f"{member.name}:{end}:{reason}")
+        if end not in _BLAMELESS:
+            self._state.failed_servers.append(member.name)
+        ejected = self._services.placer.end(
+            self._job,
+            member,
+            asyncio.get_running_loop().time(),
+            failed=_judge(end),
+            peers=members,
+        )
+        if ejected:
+            self._services.counters.increment("server.ejected")
+            _LOGGER.notice("server ejected", server=member.name)
+
+    def _has_ended(
+        self, member: directory.Member, end: decisions.AttemptEnd
+    ) -> bool:
+        """Returns whether an attempt was lost because its server ended.
+
+        The old servers stop at once when a roll-out completes.
+        """
+        if end is not decisions.AttemptEnd.LOST:
+            return False
+        rule = self._services.conductor.select(member.pool, "")
+        has_other_version = bool(rule.wanted) and not rule.allows(
+            member.version
+        )
+        return has_other_version or not self._services.directory.is_usable(
+            member
+        )
+
+    def _note_models(self, end: decisions.AttemptEnd) -> None:
+        if end is decisions.AttemptEnd.INSUFFICIENT:
+            self._state.escalated = True
+        elif end is decisions.AttemptEnd.SLOW:
+            self._state.fell_back = True
+
+
+async def _until_closed(
+    reply: attempts.Reply, work: Coroutine[Any, Any, None]
+) -> None:
+    """Runs work until its end, or cancels it when the client goes."""
+    task = asyncio.ensure_future(work)
+    reply.on_close(task.cancel)
+    try:
+        await task
+    except asyncio.CancelledError:
+        if reply.is_closed:
+            raise attempts.ClientGoneError from None
+        raise
+    finally:
+        reply.on_close(None)
+
+
+def _judge(end: decisions.AttemptEnd) -> bool | None:
+    """Returns whether a server was at fault, None if that is not known."""
+    if end in _UNJUDGED:
+        return None
+    return end not in _BLAMELESS
+
+
+def _build_job(
+    request: messages.IncomingRequest, admitted: decisions.Admitted
+) -> placement.Job:
+    details = request.details
+    if not admitted.pool.has_engines:
+        return placement.Job(admitted.pool, body_bytes=len(request.body))
+    shared = details.shared_part
+    shared_tokens = sum(part.tokens for part in details.prompt[:-1])
+    return placement.Job(
+        pool=admitted.pool,
+        affinity=shared.part_id if shared else "",
+        shared_tokens=shared_tokens,
+        own_tokens=max(0, details.prompt_tokens - shared_tokens),
+        output_tokens=details.length_hint or details.max_output_tokens,
+        body_bytes=len(request.body),
+    )
--- a/src/dragonflydyke/platform/records.py
+++ b/src/dragonflydyke/platform/records.py
@@ -198,11 +198,7 @@
             )
             for account in spec.get("tenants") or ()
         ),
-        limits=model.ClientLimits(
-            max_header_bytes=limits["maxHeaderBytes"],
-            max_body_bytes=limits["maxBodyBytes"],
-            idle_timeout_s=limits["idleTimeoutMs"] / _MS_PER_S,
-        ),
+        limits=model.ClientLimits(max_body_bytes=limits["maxBodyBytes"]),
     )
 
 
@@ -230,22 +226,7 @@
 
 
 def _read_pool(spec: Any) -> model.Pool:
-    engine = spec.get("engine")
-    profile = None
-    if engine:
-        profile = model.EngineProfile(
-            slots=engine["slots"],
-            kv_tokens=engine["kvCapacity"],
-            model_costs={
-                entry["name"]: entry["cost"]
-                for entry in engine.get("models") or ()
-            },
-        )
-    return model.Pool(
-        name=spec["name"],
-        max_connections=spec["maxConnections"],
-        engine=profile,
-    )
+    return model.Pool(spec["name"], has_engines=bool(spec.get("engine")))
 
 
 def _text(value: Any) -> str:
--- a/tests/builders/forwarding.py
+++ b/tests/builders/forwarding.py
@@ -195,11 +195,10 @@
     *routes: model.Route, version: int = 1
 ) -> model.ForwardingPolicy:
     """Returns a configuration with one account and pool `engines`."""
-    profile = model.EngineProfile(64, 500_000, {})
     return model.ForwardingPolicy(
         version,
         routes or (build_route(),),
-        (model.Pool("engines", 370, profile), model.Pool("plain", 110)),
+        (model.Pool("engines", has_engines=True), model.Pool("plain")),
         (model.Account("acme", (KEY,)),),
         model.ClientLimits(),
     )
