Space out the writes of roll-outs that the store refuses

After a refused write a node now waits 0.4 to 1.2 s, and the first write of a roll-out, on which nothing depends, is spread over up to 4 s. The new test fails before.

--- a/src/dragonflydyke/forwarding/conductor.py
+++ b/src/dragonflydyke/forwarding/conductor.py
@@ -14,6 +14,14 @@
 # Spreads the writes of nodes that all see the same stage as due; the first
 # one that succeeds spares the others theirs.
 _MAX_DELAY_S = 0.5
+# Nothing depends on the first write of a roll-out, so that it has more time; in
+# a short roll-out no more than this part of it.
+_FIRST_WRITE_SPREAD = 8.0
+_MAX_FIRST_WRITE_SHARE = 0.2
+# After a conflict the watch brings the object that won; a store that refuses is
+# asked again as often as its watches are.
+_MIN_WRITE_RETRY_S = 0.4
+_MAX_WRITE_RETRY_S = 1.2
 # Impaired attempts are common, and each report wakes all nodes.
 _IMPAIRED_REPORT_S = 1.5
 # Nodes report attempts without fault only when the others' reports call for a
@@ -65,6 +73,7 @@
         suspected_s: Loop time since which the reports of all nodes call for a
             roll-back, None while they do not.
         is_restrained: Whether own evidence alone calls for a roll-back.
+        retry_at_s: Loop time before which this node does not write again.
     """
 
     stored: StoredRollout
@@ -79,6 +88,7 @@
     reported_s: float = 0.0
     suspected_s: float | None = None
     is_restrained: bool = False
+    retry_at_s: float = 0.0
 
     @property
     def is_over(self) -> bool:
@@ -234,7 +244,7 @@
             now_s = asyncio.get_running_loop().time()
             for local in list(self._rollouts.values()):
                 progress = self._find_next(local, now_s)
-                if progress is not None:
+                if progress is not None and now_s >= local.retry_at_s:
                     await self._write(local, progress)
 
     def _find_next(
@@ -245,7 +255,11 @@
         age_s = now_s - local.first_seen_s - local.delay_s
         due = rollouts.find_due_stage(order, progress, age_s)
         if progress is None or progress.version != order.version:
-            if age_s < 0.0:
+            delay_s = min(
+                local.delay_s * _FIRST_WRITE_SPREAD,
+                order.duration_s * _MAX_FIRST_WRITE_SHARE,
+            )
+            if now_s - local.first_seen_s < delay_s:
                 return None
             return rollouts.Progress(order.version)
         if progress.is_final:
@@ -273,6 +287,10 @@
         try:
             stored = await self._store.write_progress(local.stored, progress)
         except errors.DragonflydykeError as error:
+            delay_s = self._random.uniform(
+                _MIN_WRITE_RETRY_S, _MAX_WRITE_RETRY_S
+            )
+            local.retry_at_s = asyncio.get_running_loop().time() + delay_s
             # The watch brings the state that won; then this is decided anew.
             self._counters.increment(f"rollout.write.{error.code}")
             _LOGGER.info(
--- a/tests/builders/forwarding.py
+++ b/tests/builders/forwarding.py
@@ -274,10 +274,18 @@
 
 
 class RecordingRolloutStore:
-    """A store that takes every write and keeps the newest progress."""
+    """A store that takes every write and keeps the newest progress.
+
+    Attributes:
+        progress: What was written last.
+        is_refusing: Whether writes are refused.
+        calls: Writes that were tried.
+    """
 
     def __init__(self) -> None:
         self.progress = rollouts.Progress("")
+        self.is_refusing = False
+        self.calls = 0
         self._created_s = asyncio.get_running_loop().time()
 
     @property
@@ -288,7 +296,10 @@
     async def write_progress(
         self, stored: conductor.StoredRollout, progress: rollouts.Progress
     ) -> conductor.StoredRollout:
-        """Takes over the progress."""
+        """Takes over the progress, unless all calls are refused."""
+        self.calls += 1
+        if self.is_refusing:
+            raise objects.ConflictError("rollouts", "x", None, peer="store")
         self.progress = progress
         return build_stored_rollout(
             stored.order, progress, stored.entry.version + 1
--- a/tests/test_forwarding_conductor.py
+++ b/tests/test_forwarding_conductor.py
@@ -112,6 +112,17 @@
         await self.loop.advance(3.0)
         self.assertIs(self.store.progress.stage, rollouts.Stage.ROLLED_BACK)
 
+    async def test_refused_writes_are_not_repeated_at_once(self) -> None:
+        """26 nodes made 883 writes to a store that refused them for 9 s."""
+        self.store.is_refusing = True
+        await self.loop.advance(13.0)
+        # First write after up to 4 s, then one every 0.8 s on average.
+        self.assertLessEqual(self.store.calls, 20)
+        self.assertGreater(self.store.calls, 8)
+        self.store.is_refusing = False
+        await self.loop.advance(1.5)
+        self.assertIs(self.store.progress.stage, rollouts.Stage.WAITING)
+
     async def test_failures_are_reported_at_once(self) -> None:
         await self.advance_to(rollouts.Stage.CANARY)
         failed = rollouts.AttemptCounts(attempts=1, failed=1)
