--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,11 @@
 SEED ?= 1
 # Duration of the soak.
 MINUTES ?= 2
+# Number of soaks of the forwarding program, with seeds from SEED on.
+RUNS ?= 10
 BIN := .venv/bin
 
-.PHONY: setup test demo check format soak experiment generate capacity
+.PHONY: setup test demo check format soak soak-forwarding experiment generate capacity
 
 .venv/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -39,5 +41,8 @@
 soak: setup
 	$(BIN)/python -m harness.soak --seed $(SEED) --minutes $(MINUTES)
 
+soak-forwarding: setup
+	$(BIN)/python -m tests.soak --seed $(SEED) --runs $(RUNS)
+
 experiment: setup
 	$(BIN)/python -m harness.experiments $(EXPERIMENT_FLAGS)
--- a/src/dragonflydyke/cli/commands.py
+++ b/src/dragonflydyke/cli/commands.py
@@ -8,7 +8,7 @@
 from cleo.helpers import argument, option
 
 from dragonflydyke import configuration
-from dragonflydyke.cli import base, operations, output
+from dragonflydyke.cli import base, explanations, operations, output
 from dragonflydyke.cli.exit_codes import ExitCode, UsageError
 
 _FILES = argument(
@@ -354,4 +354,5 @@
         BillsCommand(),
         RotateSessionKeysCommand(),
         HashKeyCommand(),
+        explanations.ExplainCommand(),
     ]
--- /dev/null
+++ b/src/dragonflydyke/cli/explanations.py
@@ -0,0 +1,70 @@
+"""The history of one request in the logs of several nodes."""
+
+import json
+import pathlib
+from collections.abc import Iterable
+from typing import Any
+
+from cleo.helpers import argument
+
+from dragonflydyke.cli import base
+from dragonflydyke.cli.exit_codes import ExitCode, UsageError
+
+_TIME = "time"
+_REQUEST = "request"
+_MESSAGE = "message"
+# Fields that are shown first or say nothing about the request.
+_SHOWN_APART = frozenset((_TIME, _REQUEST, _MESSAGE, "level", "channel"))
+
+
+class ExplainCommand(base.BaseCommand):
+    """Prints what the nodes logged on a request."""
+
+    name = "explain"
+    description = "Prints the history of a request from the logs of nodes."
+    arguments = [
+        argument("request", description="Id of the request."),
+        argument("files", description="Log files of nodes.", multiple=True),
+    ]
+
+    def run_command(self) -> ExitCode:
+        """Reads the logs; a request that none of them has is refused."""
+        request_id = self.argument("request")
+        found = []
+        for name in self.argument("files"):
+            found.extend(_read_lines(pathlib.Path(name), request_id))
+        found.sort(key=lambda line: str(line.get(_TIME, "")))
+        if not found:
+            self.show(f"no line on request {request_id}", found)
+            return ExitCode.REFUSED
+        self.show("\n".join(_describe(line) for line in found), found)
+        return ExitCode.OK
+
+
+def _read_lines(
+    path: pathlib.Path, request_id: str
+) -> Iterable[dict[str, Any]]:
+    """Yields the lines of a log on a request; other text is passed over."""
+    try:
+        text = path.read_text(errors="replace")
+    except OSError as error:
+        raise UsageError(f"{path}: {error.strerror}") from error
+    for line in text.splitlines():
+        if request_id not in line:
+            continue
+        try:
+            # A collector may have put its own fields before the line.
+            fields = json.loads(line[line.index("{") :])
+        except ValueError:
+            continue
+        if isinstance(fields, dict) and fields.get(_REQUEST) == request_id:
+            yield fields | {"log": path.name}
+
+
+def _describe(line: dict[str, Any]) -> str:
+    details = " ".join(
+        f"{name}={value}"
+        for name, value in line.items()
+        if name not in _SHOWN_APART
+    )
+    return f"{line.get(_TIME, '')} {line.get(_MESSAGE, '')}: {details}"
