Refuse at once without servers, and shorten the last seconds of a roll-out

A node that knew no server of a pool counted each try as free and tried again without a pause, so that its loop stood still until the deadline. The last 1.1 s took 0.07 of the requests of a roll-out of 16 s, of a bound of 0.0975, and the traffic grew. All sessions move 0.75 s before the end or in the last 0.04 of the time, and the canary is planned with 0.65 of the bound.

--- a/src/dragonflydyke/forwarding/decisions.py
+++ b/src/dragonflydyke/forwarding/decisions.py
@@ -142,11 +142,13 @@
 class AttemptEnd(enum.StrEnum):
     """How an attempt at a server ended.
 
+    NO_SERVER is no attempt at all, as the pool has no usable server.
     INSUFFICIENT is an answer of low confidence that was dropped, SLOW one that
     did not begin while there was time to ask a faster model.
     """
 
     DELIVERED = "delivered"
+    NO_SERVER = "no_server"
     NOT_RUN = "not_run"
     FAILED = "failed"
     LOST = "lost"
@@ -192,7 +194,9 @@
     """Returns what follows an attempt, before the retry budget is asked."""
     if end in (AttemptEnd.DELIVERED, AttemptEnd.CLIENT_GONE):
         return NextStep.DONE
-    if end is AttemptEnd.LATE or progress.remaining_s < MIN_ATTEMPT_S:
+    if end in (AttemptEnd.LATE, AttemptEnd.NO_SERVER):
+        return NextStep.GIVE_UP
+    if progress.remaining_s < MIN_ATTEMPT_S:
         return NextStep.GIVE_UP
     if progress.dispatches >= MAX_DISPATCHES:
         return NextStep.GIVE_UP
--- a/src/dragonflydyke/forwarding/rollouts.py
+++ b/src/dragonflydyke/forwarding/rollouts.py
@@ -57,18 +57,20 @@
 _FIRST_EXPOSURE_SHARE = 0.52
 # Bounds on the part of the sessions that are in the canary: enough to judge a
 # version at all, and few enough to bear that it is bad.
-_MIN_CANARY_SHARE = 0.05
+_MIN_CANARY_SHARE = 0.03
 _MAX_CANARY_SHARE = 0.2
 # One server that crashed must not look like a bad version, so some of the bad
 # attempts must be at others than the worst server.
 _MIN_BAD_ELSEWHERE = 1
 # The old servers stop when the roll-out completes; until then they end what
-# they work on, while new requests go to the new ones.
-_FULL_BEFORE_END_S = 1.1
-_COMPLETE_BEFORE_END_S = 0.7
+# they work on, while new requests go to the new ones. That is late and short, as
+# all of it is exposure if the version is bad.
+_MAX_FULL_S = 0.75
+_MAX_FULL_SHARE = 0.04
+_COMPLETE_SHARE_OF_FULL = 0.8
 # Part of the bound on exposure that is planned with; the rest is for traffic
 # that grows while the version is rolled out.
-_PLANNED_EXPOSURE = 0.8
+_PLANNED_EXPOSURE = 0.65
 
 
 class Stage(enum.StrEnum):
@@ -97,8 +99,14 @@
         if stage is Stage.WAITING:
             return self.duration_s * _FIRST_EXPOSURE_SHARE, Stage.CANARY
         if stage is Stage.CANARY:
-            return self.duration_s - _FULL_BEFORE_END_S, Stage.FULL
-        return self.duration_s - _COMPLETE_BEFORE_END_S, Stage.COMPLETED
+            return self.duration_s - self.full_s, Stage.FULL
+        complete_s = self.full_s * _COMPLETE_SHARE_OF_FULL
+        return self.duration_s - complete_s, Stage.COMPLETED
+
+    @property
+    def full_s(self) -> float:
+        """Seconds before the end in which all sessions use the new version."""
+        return min(_MAX_FULL_S, self.duration_s * _MAX_FULL_SHARE)
 
     def find_share(self, stage: Stage, exposure_share: float) -> float:
         """Returns the part of the sessions that use the new version.
@@ -113,7 +121,7 @@
             return 0.0
         if stage is Stage.FULL:
             return 1.0
-        full_share = _FULL_BEFORE_END_S / self.duration_s
+        full_share = self.full_s / self.duration_s
         canary_time_share = 1.0 - _FIRST_EXPOSURE_SHARE - full_share
         if canary_time_share <= 0.0:
             return _MIN_CANARY_SHARE
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -77,8 +77,9 @@
         step = decisions.decide_next(self._admitted.route, end, progress)
         reason = str(end)
         # What reached no server yet is not a retry to any of them.
-        is_charged = step is decisions.NextStep.RETRY and self._state.arrivals
-        if is_charged and not self._context.budget.try_spend():
+        is_charged = self._state.arrivals > 0
+        wants_retry = step is decisions.NextStep.RETRY
+        if wants_retry and is_charged and not self._context.budget.try_spend():
             step = decisions.NextStep.GIVE_UP
             reason = "no retry budget"
         if step is not decisions.NextStep.DONE:
@@ -98,7 +99,7 @@
         members = self._list_members()
         choice = self._choose(members)
         if choice is None:
-            return decisions.AttemptEnd.NOT_RUN
+            return decisions.AttemptEnd.NO_SERVER
         attempt = attempts.Attempt(self._services, self._context, choice.member)
         self._state.dispatches += 1
         self._services.placer.begin(self._job, choice.member)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -176,6 +176,16 @@
             answer = await self.fetch(Prompt_Prefix=f"p{number}:900,q:9")
             self.assertEqual(answer.status, 200)
 
+    async def test_pool_without_servers_is_refused_at_once(self) -> None:
+        """A node that knew no server tried again and again, without a pause.
+
+        Soaks with seeds 118, 205 and 302: the node did not become ready.
+        """
+        self.allow(model.RequestKind.NON_IDEMPOTENT, 1)
+        answer = await self.fetch()
+        self.assertEqual(answer.status, 503)
+        self.assertIn("Retry-After", answer.headers)
+
     async def test_reused_address_is_left_for_another_server(self) -> None:
         """The other server does not say in words that nothing ran."""
 
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -243,7 +243,9 @@
             before = now
         self.assertEqual((sizes[1], sizes[-1]), (0, 2_000))
 
-    def measure_exposure(self, order: rollouts.Order, growth: float) -> float:
+    def measure_exposure(
+        self, order: rollouts.Order, growth: float, limit: float
+    ) -> float:
         """Returns the exposed part when traffic grows in the second half."""
         exposed = requests = 0.0
         shares: dict[rollouts.Stage, float] = {}
@@ -254,7 +256,8 @@
             stage = rollouts.find_due_stage(order, progress, age_s) or stage
             rate = 1.0 if age_s < order.duration_s / 2 else growth
             if stage not in shares:
-                shares[stage] = len(self.new_sessions(stage, order)) / 2_000
+                found = self.new_sessions(stage, order, limit)
+                shares[stage] = len(found) / 2_000
             requests += rate
             exposed += rate * shares[stage]
         return exposed / requests
@@ -265,14 +268,28 @@
         On cvs-linea rollout-load, seed 258425243635, 134 of 639 requests, of
         which 126 were allowed, reached a version that was bad under load.
         """
-        for duration_s in (16.0, 24.0):
-            for growth in (1.7, 2.2):
-                with self.subTest(duration_s=duration_s, growth=growth):
-                    order = rollouts.Order("engines", "v2", duration_s)
-                    # The stated bounds: 0.15 of all requests and 30 more.
-                    self.assertLess(
-                        self.measure_exposure(order, growth), 0.15 + 30 / 639
-                    )
+        for duration_s, growth in ((16.0, 1.7), (16.0, 2.2), (24.0, 2.2)):
+            with self.subTest(duration_s=duration_s, growth=growth):
+                order = rollouts.Order("engines", "v2", duration_s)
+                # The stated bounds: 0.15 of all requests and 30 more.
+                self.assertLess(
+                    self.measure_exposure(order, growth, 0.15), 0.15 + 30 / 639
+                )
+
+    def test_exposure_of_a_large_fleet_stays_within_its_bound(self) -> None:
+        """The last second alone took most of a strict bound.
+
+        On cvs-linea-grown rollout-load, seed 239469464005, 539 of 3,662
+        requests, of which 387 were allowed.
+        """
+        for duration_s in (12.0, 16.0, 24.0):
+            with self.subTest(duration_s=duration_s):
+                order = rollouts.Order("engines", "v2", duration_s)
+                # The stated bounds: 0.0975 of all requests and 30 more.
+                self.assertLess(
+                    self.measure_exposure(order, 2.2, 0.0975),
+                    0.0975 + 30 / 3_662,
+                )
 
     def test_strict_bound_makes_a_smaller_canary(self) -> None:
         """A bound of 0.0975 was passed by the canary made for 0.15."""
