--- a/src/dragonflydyke/forwarding/rollouts.py
+++ b/src/dragonflydyke/forwarding/rollouts.py
@@ -63,8 +63,8 @@
 # attempts must be at others than the worst server.
 _MIN_BAD_ELSEWHERE = 1
 # The old servers stop when the roll-out completes; until then they end what
-# they work on, while new requests go to the new ones. That is late and short, as
-# all of it is exposure if the version is bad.
+# they work on, while new requests go to the new ones. That is late and short,
+# as all of it is exposure if the version is bad.
 _MAX_FULL_S = 0.75
 _MAX_FULL_SHARE = 0.04
 _COMPLETE_SHARE_OF_FULL = 0.8
