Log connections that stay without a request at a planned stop

Found on reading the change: the wait for first requests ended without a line when callers kept connections unused.

--- a/src/dragonflydyke/gateway/connections.py
+++ b/src/dragonflydyke/gateway/connections.py
@@ -5,10 +5,14 @@
 
 from tornado import httputil
 
+from dragonflydyke import logs
+
 # A caller sends its first request right after it connected; one that only
 # keeps a connection ready delays a planned stop by no more than this.
 FIRST_REQUEST_S = 0.5
 
+_LOGGER = logs.get_logger("gateway")
+
 
 class ConnectionWatch(httputil.HTTPServerConnectionDelegate):
     """Hands requests to an application and notes unused connections.
@@ -60,8 +64,9 @@
             async with asyncio.timeout(FIRST_REQUEST_S):
                 await self._used.wait()
         except TimeoutError:
-            # These callers keep connections without a request in them.
-            return
+            _LOGGER.info(
+                "connections stay without a request", count=len(self._unused)
+            )
 
 
 class _FirstRequestReader(httputil.HTTPMessageDelegate):
