--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -2,25 +2,18 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable
-from typing import Protocol
 
-from tornado import httputil, tcpclient
-
-from dragonflydyke import errors, metrics
+from dragonflydyke import errors
 from dragonflydyke.backends import connection, events
 from dragonflydyke.backends import model as backends
 from dragonflydyke.forwarding import (
-    cascade,
-    controller,
+    contexts,
     decisions,
     directory,
     messages,
     model,
     observers,
-    selection,
 )
-from dragonflydyke.routing import retries
 
 # A server in the same region accepts connections within milliseconds. A server
 # that does not is down or unreachable, and has not received the request.
@@ -34,41 +27,6 @@
 # other servers have no capacity either. Only an unreachable server stays silent
 # for a multiple of that limit.
 _EVENT_TIMEOUT_GAPS = 2.0
-# Keeps all priorities in use more urgent than the engines' default of 5.
-_TOP_PRIORITY_URGENCY = 2
-_LOWEST_URGENCY = 9
-
-
-class ResponseWriter(Protocol):
-    """Writes the response to a client."""
-
-    @property
-    def is_closed(self) -> bool:
-        """Whether the client closed its connection."""
-
-    def set_close_callback(self, callback: Callable[[], object] | None) -> None:
-        """Sets the function to call when the client closes its connection."""
-
-    def send_response(
-        self, status: int, headers: httputil.HTTPHeaders, body: bytes
-    ) -> None:
-        """Sends a complete response."""
-
-    def start(self, status: int, headers: httputil.HTTPHeaders) -> None:
-        """Sends status and headers of a response of unknown length."""
-
-    async def write(self, chunk: bytes) -> None:
-        """Sends a part of the body and waits until the client accepts it."""
-
-    def finish(self) -> None:
-        """Completes the response."""
-
-    def abort(self) -> None:
-        """Closes the connection, so that the response is incomplete."""
-
-
-class ClientDisconnectedError(Exception):
-    """The client closed its connection."""
 
 
 class AttemptFailedError(Exception):
@@ -80,93 +38,21 @@
         self.reason = reason
 
 
-@dataclasses.dataclass(slots=True)
-class RequestState:
-    """Mutable state of a request across its attempts.
-
-    Attributes:
-        attempts: Attempts that may have run, except those lost because their
-            server was stopped.
-        may_have_run: Whether any attempt may have run.
-        dispatches: All attempts, including those at unreachable servers.
-        sent_attempts: Attempts that may have reached a server.
-        last_event_id: Id of the last event that was sent to the client.
-        response_started: Whether the start of the response was sent to the
-            client.
-        failed_servers: Names of the servers that failed the request.
-        server_failure: Signed error response of a server, delivered if no
-            attempt succeeds.
-        escalated: Whether the request was sent to the largest model.
-        fell_back: Whether the largest model exceeded its timeout.
-        attempt_history: Server, outcome and reason of each attempt, for the
-            log.
-    """
-
-    attempts: int = 0
-    may_have_run: bool = False
-    dispatches: int = 0
-    sent_attempts: int = 0
-    last_event_id: int | None = None
-    response_started: bool = False
-    failed_servers: list[str] = dataclasses.field(default_factory=list)
-    server_failure: "BufferedResponse | None" = None
-    escalated: bool = False
-    fell_back: bool = False
-    attempt_history: list[str] = dataclasses.field(default_factory=list)
-
-    def describe_cascade(self) -> cascade.CascadeState:
-        """Returns the input of the cascade, including the current attempt."""
-        return cascade.CascadeState(
-            attempts=self.attempts + 1,
-            fell_back=self.fell_back,
-            escalated=self.escalated,
-        )
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
-class BufferedResponse:
-    """A complete response."""
-
-    status: int
-    headers: httputil.HTTPHeaders
-    body: bytes
-
-    def send(self, reply: ResponseWriter) -> None:
-        """Sends the response to the client."""
-        reply.send_response(self.status, self.headers, self.body)
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class ForwardingServices:
-    """Components that all requests of a node share."""
-
-    codec: messages.HeaderCodec
-    directory: directory.Directory
-    rollout_controller: controller.RolloutController
-    selector: selection.ServerSelector
-    counters: metrics.Counters
-    tcp_client: tcpclient.TCPClient
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class RequestContext:
-    """An admitted request and the objects that its attempts share.
+class AttemptTarget:
+    """Where and how an attempt runs.
 
     Attributes:
-        request: The request.
-        admitted: Route, pool, account and deadline of the request.
-        writer: Writes the response to the client.
-        model_cascade: Model cascade of the pool.
-        retry_budget: Retry budget of the pool.
-        state: State of the request across its attempts.
+        server: The backend server.
+        model_name: Model to use, empty to keep the model of the client.
+        urgency: 0 to 9, where 0 is the most urgent; None for plain servers.
+        prefix_source: Engine from which the server may fetch the cached prefix.
     """
 
-    request: messages.IncomingRequest
-    admitted: decisions.AdmittedRequest
-    writer: ResponseWriter
-    model_cascade: cascade.Cascade
-    retry_budget: retries.RetryBudget
-    state: RequestState
+    server: directory.ServerEntry
+    model_name: str = ""
+    urgency: int | None = None
+    prefix_source: directory.ServerEntry | None = None
 
 
 class Attempt:
@@ -180,13 +66,13 @@
 
     __slots__ = (
         "_admitted",
-        "_cascade",
         "_exchange",
         "_observer",
         "_request",
         "_retry_budget",
         "_services",
         "_state",
+        "_target",
         "_writer",
         "may_have_run",
         "server",
@@ -195,37 +81,63 @@
 
     def __init__(
         self,
-        services: ForwardingServices,
-        context: RequestContext,
-        server: directory.ServerEntry,
+        services: contexts.ForwardingServices,
+        context: contexts.RequestContext,
+        target: AttemptTarget,
     ) -> None:
         """Creates an attempt without opening a connection."""
         self._services = services
         self._request = context.request
         self._admitted = context.admitted
         self._writer = context.writer
-        self._cascade = context.model_cascade
         self._retry_budget = context.retry_budget
         self._state = context.state
         self._exchange: connection.Exchange | None = None
         self._observer: observers.AttemptObserver | None = None
-        self.server = server
+        self._target = target
+        self.server = target.server
         self.may_have_run = False
         self.was_sent = False
 
-    async def run(self) -> None:
-        """Sends the request and delivers the response.
+    async def start(self) -> messages.ResponseDetails:
+        """Sends the request and waits for the start of the response.
+
+        Returns:
+            Contents of the response's headers, which belong to this request.
 
         Raises:
-            AttemptFailedError: If no response could be delivered.
+            AttemptFailedError: If there is no response to this request.
         """
         try:
             await self._send_request()
-            await self._deliver_response()
+            await self._await_response_start()
         except errors.DragonflydykeError as error:
-            raise AttemptFailedError(
-                self._classify(error), error.code
-            ) from error
+            raise self._build_failure(error) from error
+        return self._read_response_start()
+
+    async def deliver(self, details: messages.ResponseDetails) -> None:
+        """Delivers the response to the client.
+
+        Args:
+            details: Contents of the response's headers.
+
+        Raises:
+            AttemptFailedError: If no response could be delivered.
+        """
+        try:
+            if self.is_event_stream(details):
+                await self._relay_events()
+            else:
+                await self._deliver_buffered()
+        except errors.DragonflydykeError as error:
+            raise self._build_failure(error) from error
+
+    def is_event_stream(self, details: messages.ResponseDetails) -> bool:
+        """Returns whether the response is a successful stream of events."""
+        assert self._exchange is not None
+        is_stream = self._admitted.route.kind is model.RequestKind.STREAM
+        succeeded = _OK <= self._exchange.status < _FIRST_REDIRECT_STATUS
+        return is_stream and succeeded and details.is_stream
 
     def close(self) -> None:
         """Closes the connection, which cancels the request at the server."""
@@ -240,6 +152,11 @@
                 lost=outcome is decisions.AttemptOutcome.LOST,
             )
 
+    def _build_failure(
+        self, error: errors.DragonflydykeError
+    ) -> AttemptFailedError:
+        return AttemptFailedError(self._classify(error), error.code)
+
     def _classify(
         self, error: errors.DragonflydykeError
     ) -> decisions.AttemptOutcome:
@@ -255,14 +172,15 @@
         last_event_id = self._state.last_event_id
         if last_event_id is None:
             last_event_id = self._request.details.last_event_id
-        model_name = self._select_model()
+        source = self._target.prefix_source
         dispatch = messages.Dispatch(
             server=self.server.name,
             remaining_s=admitted.deadline_s - loop.time(),
             account=admitted.account.name if admitted.account else "",
-            model=model_name,
-            urgency=_select_urgency(admitted),
+            model=self._target.model_name,
+            urgency=self._target.urgency,
             last_event_id=last_event_id,
+            prefix_source=source.address if source else "",
         )
         body = self._request.body
         request = backends.BackendRequest(
@@ -284,61 +202,32 @@
         self._observer = self._services.rollout_controller.observe_attempt(
             self.server,
             admitted.route,
-            model_name or self._request.details.model,
+            self._target.model_name or self._request.details.model,
         )
         await self._exchange.send()
-        await self._await_response_start()
 
     async def _await_response_start(self) -> None:
         assert self._exchange is not None
-        timeout_s = None
-        if not self._state.response_started:
-            timeout_s = self._cascade.find_first_event_timeout_s(
-                self._admitted.route,
-                self._state.describe_cascade(),
-                self._elapsed_s(),
-            )
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._exchange.await_response()
-        except TimeoutError as error:
-            self._cascade.record_escalation(timed_out=True)
-            raise AttemptFailedError(
-                decisions.AttemptOutcome.FIRST_EVENT_TIMEOUT, "no event yet"
-            ) from error
-        if timeout_s is not None:
-            self._cascade.record_escalation(timed_out=False)
-
-    def _elapsed_s(self) -> float:
-        now_s = asyncio.get_running_loop().time()
-        return now_s - self._request.received_s
-
-    def _select_model(self) -> str:
-        if not self._request.details.wants_any_model:
-            return ""
-        return self._cascade.select_model(
-            self._admitted.route, self._state.describe_cascade()
-        )
-
-    def _check_confidence(self, details: messages.ResponseDetails) -> None:
-        if (
-            self._state.response_started
-            or not self._request.details.wants_any_model
-        ):
-            return
-        is_acceptable = self._cascade.is_acceptable(
+        timeout_s = decisions.find_first_event_timeout_s(
             self._admitted.route,
-            self._state.describe_cascade(),
-            details.confidence,
-            self._elapsed_s(),
+            attempts=self._state.attempts,
+            has_retries_left=self._retry_budget.has_retries_left,
         )
-        if not is_acceptable and self._retry_budget.has_retries_left:
-            raise AttemptFailedError(
-                decisions.AttemptOutcome.LOW_CONFIDENCE,
-                f"confidence {details.confidence:.2f}",
-            )
+        while True:
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await self._exchange.await_response()
+                return
+            except TimeoutError as error:
+                # Under peak load a second run would only lengthen the queues.
+                if await self._services.planner.is_busy(self.server):
+                    continue
+                raise AttemptFailedError(
+                    decisions.AttemptOutcome.FIRST_EVENT_TIMEOUT,
+                    "no event yet",
+                ) from error
 
-    async def _deliver_response(self) -> None:
+    def _read_response_start(self) -> messages.ResponseDetails:
         exchange = self._exchange
         assert exchange is not None
         details = self._services.codec.read_response(
@@ -360,12 +249,11 @@
             raise AttemptFailedError(
                 decisions.AttemptOutcome.LOST, "not signed"
             )
-        succeeded = _OK <= exchange.status < _FIRST_REDIRECT_STATUS
-        is_stream = self._admitted.route.kind is model.RequestKind.STREAM
-        if is_stream and succeeded and details.is_stream:
-            self._check_confidence(details)
-            await self._relay_events()
-            return
+        return details
+
+    async def _deliver_buffered(self) -> None:
+        exchange = self._exchange
+        assert exchange is not None
         response = await self._read_body()
         if self._state.response_started:
             raise AttemptFailedError(
@@ -379,7 +267,7 @@
             raise AttemptFailedError(outcome, f"status {exchange.status}")
         response.send(self._writer)
 
-    async def _read_body(self) -> BufferedResponse:
+    async def _read_body(self) -> contexts.BufferedResponse:
         exchange = self._exchange
         assert exchange is not None
         parts = []
@@ -392,7 +280,9 @@
                     decisions.AttemptOutcome.LOST, "response too large"
                 )
         headers = self._services.codec.write_response(exchange.headers)
-        return BufferedResponse(exchange.status, headers, b"".join(parts))
+        return contexts.BufferedResponse(
+            exchange.status, headers, b"".join(parts)
+        )
 
     async def _relay_events(self) -> None:
         exchange = self._exchange
@@ -457,11 +347,3 @@
         headers = self._services.codec.write_response(self._exchange.headers)
         self._state.response_started = True
         self._writer.start(self._exchange.status, headers)
-
-
-def _select_urgency(admitted: decisions.AdmittedRequest) -> int | None:
-    if not admitted.pool.has_engines:
-        return None
-    return min(
-        _LOWEST_URGENCY, max(0, _TOP_PRIORITY_URGENCY + admitted.priority)
-    )
--- a/src/dragonflydyke/forwarding/cascade.py
+++ b/src/dragonflydyke/forwarding/cascade.py
@@ -3,10 +3,10 @@
 Designed for peaks of requests of which the smallest model answers half with
 sufficient quality, while the largest answers all of them at ten times the cost.
 Each request is sent to the smallest model first. A response of low confidence
-is discarded before any of it reaches the client, and the request is sent to the
-largest model. When the largest model exceeds its timeout, fewer responses are
-discarded, and a request that waits too long falls back to the smallest model
-rather than missing its deadline.
+is almost always wrong, so it is discarded before any of it reaches the client,
+and the request is sent to the largest model. A late answer of the largest model
+is worth more than a punctual one of the smallest that is wrong, so the request
+returns to the smallest model only if no other engine can run the largest.
 """
 
 import dataclasses
@@ -15,13 +15,6 @@
 
 # Below this confidence a response is more often wrong than right.
 _MIN_CONFIDENCE = 0.5
-# Fraction of the target latency after which a request stops waiting for the
-# largest model; the rest suffices for the first event of the smallest model.
-_WAIT_SHARE = 0.8
-_MIN_WAIT_S = 0.2
-_SMOOTHING = 0.1
-# Fraction of the target latency that must remain to discard a response.
-_MIN_REMAINING_SHARE = 0.4
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -29,8 +22,8 @@
     """Attempts and model changes of a request so far.
 
     Attributes:
-        attempts: Attempts that ran.
-        fell_back: Whether the largest model exceeded its timeout.
+        attempts: Attempts that ran, including the current one.
+        fell_back: Whether the request returned to the smallest model.
         escalated: Whether the request was sent to the largest model.
     """
 
@@ -38,71 +31,38 @@
     fell_back: bool = False
     escalated: bool = False
 
-
-class Cascade:
-    """Selects models for the requests of one pool."""
-
-    __slots__ = ("_timeout_share",)
-
-    def __init__(self) -> None:
-        self._timeout_share = 0.0
-
     @property
-    def timeout_share(self) -> float:
-        """Moving average of the escalations that timed out, 0..1."""
-        return self._timeout_share
+    def needs_largest_model(self) -> bool:
+        """Whether the next attempt uses the largest model."""
+        return self.escalated and not self.fell_back
 
-    def select_model(self, route: model.Route, state: CascadeState) -> str:
-        """Returns the model of the next attempt, empty if there is none."""
-        if not route.models:
-            return ""
-        if state.escalated and not state.fell_back:
-            return route.models[-1]
-        return route.models[0]
 
-    def is_acceptable(
-        self,
-        route: model.Route,
-        state: CascadeState,
-        confidence: float | None,
-        elapsed_s: float,
-    ) -> bool:
-        """Returns whether a response is delivered to the client.
+def select_model(route: model.Route, state: CascadeState) -> str:
+    """Returns the model of the next attempt, empty if there is none."""
+    if not route.models:
+        return ""
+    if state.needs_largest_model:
+        return route.models[-1]
+    return route.models[0]
 
-        Args:
-            route: Route of the request.
-            state: State of the request, including this attempt.
-            confidence: Confidence that the model reports, 0..1, or None.
-            elapsed_s: Seconds since the request arrived.
-        """
-        if len(route.models) < 2 or confidence is None:
-            return True
-        if state.escalated or state.fell_back:
-            return True
-        if state.attempts >= route.max_attempts:
-            return True
-        remaining_s = route.target_latency_s - elapsed_s
-        if remaining_s < route.target_latency_s * _MIN_REMAINING_SHARE:
-            return True
-        return confidence >= _MIN_CONFIDENCE * (1.0 - self._timeout_share)
 
-    def find_first_event_timeout_s(
-        self, route: model.Route, state: CascadeState, elapsed_s: float
-    ) -> float | None:
-        """Returns the timeout for the first event in seconds, None for none.
+def is_acceptable(
+    route: model.Route, state: CascadeState, confidence: float | None
+) -> bool:
+    """Returns whether a response is delivered without trying a larger model.
 
-        Args:
-            route: Route of the request.
-            state: State of the request, including this attempt.
-            elapsed_s: Seconds since the request arrived.
-        """
-        if not state.escalated or state.fell_back:
-            return None
-        if state.attempts >= route.max_attempts:
-            return None
-        remaining_s = route.target_latency_s * _WAIT_SHARE - elapsed_s
-        return max(_MIN_WAIT_S, remaining_s)
+    A request that may run only once is never sent again, so its first response
+    is acceptable in all cases.
 
-    def record_escalation(self, *, timed_out: bool) -> None:
-        """Records whether an attempt at the largest model timed out."""
-        self._timeout_share += _SMOOTHING * (timed_out - self._timeout_share)
+    Args:
+        route: Route of the request.
+        state: State of the request, including this attempt.
+        confidence: Confidence that the model reports, 0..1, or None.
+    """
+    if len(route.models) < 2 or confidence is None:
+        return True
+    if state.escalated or not route.is_retryable:
+        return True
+    if state.attempts >= route.max_attempts:
+        return True
+    return confidence >= _MIN_CONFIDENCE
--- /dev/null
+++ b/src/dragonflydyke/forwarding/contexts.py
@@ -0,0 +1,139 @@
+"""State and components that the attempts of a request share."""
+
+import dataclasses
+from collections.abc import Callable
+from typing import Protocol
+
+from tornado import httputil, tcpclient
+
+from dragonflydyke import metrics
+from dragonflydyke.forwarding import (
+    cascade,
+    controller,
+    decisions,
+    directory,
+    messages,
+    planner,
+    selection,
+)
+from dragonflydyke.routing import retries
+
+
+class ResponseWriter(Protocol):
+    """Writes the response to a client."""
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the client closed its connection."""
+
+    def set_close_callback(self, callback: Callable[[], object] | None) -> None:
+        """Sets the function to call when the client closes its connection."""
+
+    def send_response(
+        self, status: int, headers: httputil.HTTPHeaders, body: bytes
+    ) -> None:
+        """Sends a complete response."""
+
+    def start(self, status: int, headers: httputil.HTTPHeaders) -> None:
+        """Sends status and headers of a response of unknown length."""
+
+    async def write(self, chunk: bytes) -> None:
+        """Sends a part of the body and waits until the client accepts it."""
+
+    def finish(self) -> None:
+        """Completes the response."""
+
+    def abort(self) -> None:
+        """Closes the connection, so that the response is incomplete."""
+
+
+class ClientDisconnectedError(Exception):
+    """The client closed its connection."""
+
+
+@dataclasses.dataclass(slots=True)
+class RequestState:
+    """Mutable state of a request across its attempts.
+
+    Attributes:
+        attempts: Attempts that may have run, except those lost because their
+            server was stopped.
+        may_have_run: Whether any attempt may have run.
+        dispatches: All attempts, including those at unreachable servers.
+        sent_attempts: Attempts that may have reached a server.
+        last_event_id: Id of the last event that was sent to the client.
+        response_started: Whether the start of the response was sent to the
+            client.
+        failed_servers: Names of the servers that failed the request.
+        server_failure: Signed error response of a server, delivered if no
+            attempt succeeds.
+        escalated: Whether the request was sent to the largest model.
+        fell_back: Whether the request returned to the smallest model.
+        attempt_history: Server, outcome and reason of each attempt, for the
+            log.
+    """
+
+    attempts: int = 0
+    may_have_run: bool = False
+    dispatches: int = 0
+    sent_attempts: int = 0
+    last_event_id: int | None = None
+    response_started: bool = False
+    failed_servers: list[str] = dataclasses.field(default_factory=list)
+    server_failure: "BufferedResponse | None" = None
+    escalated: bool = False
+    fell_back: bool = False
+    attempt_history: list[str] = dataclasses.field(default_factory=list)
+
+    def describe_cascade(self) -> cascade.CascadeState:
+        """Returns the input of the cascade, including the current attempt."""
+        return cascade.CascadeState(
+            attempts=self.attempts + 1,
+            fell_back=self.fell_back,
+            escalated=self.escalated,
+        )
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class BufferedResponse:
+    """A complete response."""
+
+    status: int
+    headers: httputil.HTTPHeaders
+    body: bytes
+
+    def send(self, reply: ResponseWriter) -> None:
+        """Sends the response to the client."""
+        reply.send_response(self.status, self.headers, self.body)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ForwardingServices:
+    """Components that all requests of a node share."""
+
+    codec: messages.HeaderCodec
+    directory: directory.Directory
+    rollout_controller: controller.RolloutController
+    selector: selection.ServerSelector
+    planner: planner.EscalationPlanner
+    counters: metrics.Counters
+    tcp_client: tcpclient.TCPClient
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RequestContext:
+    """An admitted request and the objects that its attempts share.
+
+    Attributes:
+        request: The request.
+        admitted: Route, pool, account and deadline of the request.
+        writer: Writes the response to the client.
+        retry_budget: Retry budget of the pool.
+        state: State of the request across its attempts.
+    """
+
+    request: messages.IncomingRequest
+    admitted: decisions.AdmittedRequest
+    writer: ResponseWriter
+    retry_budget: retries.RetryBudget
+    state: RequestState
--- a/src/dragonflydyke/forwarding/decisions.py
+++ b/src/dragonflydyke/forwarding/decisions.py
@@ -19,6 +19,9 @@
 _CLOSING_RETRY_AFTER_S = 0.05
 # Full servers have capacity as soon as one request finishes.
 _NO_CAPACITY_RETRY_AFTER_S = 0.25
+# Multiple of the target latency after which an engine that has not started its
+# response is given up. Queues under peak load are shorter.
+_FIRST_EVENT_TIMEOUT_SHARE = 1.5
 # An attempt with less time left could not finish before its deadline.
 MIN_ATTEMPT_S = 0.02
 
@@ -158,8 +161,8 @@
     was made, as the pool has no usable server. LOST means that the response was
     lost or not valid, FAILED that the server itself returned an error.
     LOW_CONFIDENCE means that a response was discarded in favour of the largest
-    model, FIRST_EVENT_TIMEOUT that the largest model sent no event while there
-    was still time to fall back to a faster model.
+    model, FIRST_EVENT_TIMEOUT that a stream did not start while there was still
+    time to try another server.
     """
 
     DELIVERED = "delivered"
@@ -226,6 +229,29 @@
     return NextStep.RETRY if route.is_retryable else NextStep.GIVE_UP
 
 
+def find_first_event_timeout_s(
+    route: model.Route, *, attempts: int, has_retries_left: bool
+) -> float | None:
+    """Returns how long an attempt may wait for its response to start.
+
+    Designed for engines that accept requests and never answer. Plain requests
+    have short deadlines, and their servers queue little.
+
+    Args:
+        route: Route of the request.
+        attempts: Attempts that ran before this one.
+        has_retries_left: Whether another attempt could be made.
+
+    Returns:
+        The timeout in seconds, or None to wait until the deadline.
+    """
+    if route.kind is not model.RequestKind.STREAM or not route.is_retryable:
+        return None
+    if attempts + 1 >= route.max_attempts or not has_retries_left:
+        return None
+    return route.target_latency_s * _FIRST_EVENT_TIMEOUT_SHARE
+
+
 def build_failure(
     outcome: AttemptOutcome, progress: RequestProgress
 ) -> errors.DragonflydykeError:
--- a/src/dragonflydyke/forwarding/directory.py
+++ b/src/dragonflydyke/forwarding/directory.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from collections.abc import Iterable
+from urllib import parse
 
 from dragonflydyke import logs
 from dragonflydyke.configuration import model as configuration
@@ -35,6 +36,11 @@
         """Unique name of the server."""
         return self.backend.name
 
+    @property
+    def address(self) -> str:
+        """Address of the server as `host:port`."""
+        return parse.urlsplit(self.backend.url).netloc
+
     @property
     def is_draining(self) -> bool:
         """Whether the server accepts no new requests."""
--- /dev/null
+++ b/src/dragonflydyke/forwarding/escalation.py
@@ -0,0 +1,211 @@
+"""Selection of the engine for an escalated request, or of none; no I/O.
+
+Designed for peaks at which the escalated requests of all nodes need about as
+much prefill time as the engines have. An engine prefills one prompt at a time,
+and a long prompt takes the largest model a second, so a node that cannot
+observe the requests of the others must ask engines for their queues. It asks a
+few of them: the affinity server of the prefix, others of the local data centre,
+whose phases of demand coincide, and one elsewhere. A request that would get its
+first event too late everywhere is not escalated, so that the queues stay short
+enough for those that are.
+"""
+
+import dataclasses
+import random
+from collections.abc import Mapping, Sequence
+
+from dragonflydyke.forwarding import directory, selection
+
+# Prefill time of the largest model per prompt token in seconds.
+_PREFILL_S_PER_TOKEN = 60e-6
+# Mean prefill time of a queued request in seconds, over all models.
+_QUEUED_REQUEST_S = 0.22
+# Each running request delays a prefill by its share of a decode step.
+_RUNNING_REQUEST_S = 0.004
+# The affinity server has the prefix only if it served it before.
+_PREFIX_HIT_SHARE = 0.3
+# Traffic between data centres is expensive.
+_REMOTE_PENALTY_S = 0.15
+# Fraction of the target latency by which the first event must be expected.
+_MAX_LATENCY_SHARE = 0.9
+# An engine with a shorter queue has had time to start a request that has waited
+# for a multiple of its target latency.
+_MIN_BUSY_QUEUE_S = 0.5
+# Each report is a call to an engine, so short prompts get by with fewer.
+_SHORT_PROMPT_TOKENS = 2_500
+_SHORT_PROMPT_REPORTS = 2
+_LONG_PROMPT_LOCAL_REPORTS = 2
+_LONG_PROMPT_REMOTE_REPORTS = 1
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EngineReport:
+    """Load of an engine some hundred milliseconds ago.
+
+    Attributes:
+        waiting: Requests that were not admitted yet.
+        running: Requests that were admitted.
+        streaming: Admitted requests that finished their prefill.
+    """
+
+    waiting: int
+    running: int
+    streaming: int
+
+    @property
+    def queued(self) -> int:
+        """Requests whose prefill was not finished."""
+        return self.waiting + max(0, self.running - self.streaming)
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether the queue explains that a request has not started yet."""
+        return self.queued * _QUEUED_REQUEST_S >= _MIN_BUSY_QUEUE_S
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EscalationCandidates:
+    """Engines whose reports decide where an escalated request runs.
+
+    Attributes:
+        affinity_server: Server whose cache may hold the prefix, None if the
+            prompt is too short for that to matter.
+        others: Further servers.
+    """
+
+    affinity_server: directory.ServerEntry | None
+    others: tuple[directory.ServerEntry, ...]
+
+    @property
+    def servers(self) -> tuple[directory.ServerEntry, ...]:
+        """All candidates."""
+        if self.affinity_server is None:
+            return self.others
+        return (self.affinity_server, *self.others)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EscalationPlan:
+    """Where an escalated request runs.
+
+    Attributes:
+        server: The selected engine.
+        first_event_s: Predicted seconds until its first event.
+        queued: Requests whose prefill was not finished at the engine.
+        prefix_source: Engine from which the selected one may fetch the prefix,
+            None if it is the affinity server itself.
+    """
+
+    server: directory.ServerEntry
+    first_event_s: float
+    queued: int
+    prefix_source: directory.ServerEntry | None
+
+
+def select_candidates(
+    profile: selection.RequestProfile,
+    model_name: str,
+    servers: Sequence[directory.ServerEntry],
+    data_centre: str,
+    source: random.Random,
+) -> EscalationCandidates:
+    """Returns the engines to ask for reports.
+
+    Args:
+        profile: Profile of the request.
+        model_name: Model to which it is escalated.
+        servers: Servers that accept new requests.
+        data_centre: Data centre of this node.
+        source: Random source, so that nodes do not all ask the same servers.
+    """
+    local = [s for s in servers if s.backend.data_centre == data_centre]
+    remote = [s for s in servers if s.backend.data_centre != data_centre]
+    if profile.prompt_tokens < _SHORT_PROMPT_TOKENS:
+        near = local if len(local) >= _SHORT_PROMPT_REPORTS else servers
+        return EscalationCandidates(
+            None, _sample(near, _SHORT_PROMPT_REPORTS, source)
+        )
+    # Caches hold prefixes by model, so the models' affinity servers differ.
+    affinity_server = selection.find_affinity_server(
+        f"{model_name} {profile.affinity_key}", servers
+    )
+    others = (
+        *_sample(local, _LONG_PROMPT_LOCAL_REPORTS, source),
+        *_sample(remote, _LONG_PROMPT_REMOTE_REPORTS, source),
+    )
+    return EscalationCandidates(
+        affinity_server, tuple(s for s in others if s is not affinity_server)
+    )
+
+
+def plan_escalation(
+    profile: selection.RequestProfile,
+    candidates: EscalationCandidates,
+    reports: Mapping[str, EngineReport],
+    data_centre: str,
+) -> EscalationPlan | None:
+    """Returns the plan with the earliest first event.
+
+    Args:
+        profile: Profile of the request.
+        candidates: Engines that were asked for reports.
+        reports: Reports by the names of the engines that answered.
+        data_centre: Data centre of this node.
+
+    Returns:
+        The plan, or None if no engine answered.
+    """
+    affinity_server = candidates.affinity_server
+    plans = []
+    for server in candidates.servers:
+        report = reports.get(server.name)
+        if report is None:
+            continue
+        predicted_s = _predict_first_event_s(
+            profile, report, has_affinity=server is affinity_server
+        )
+        source = affinity_server
+        if source is server or source is None or source.name not in reports:
+            source = None
+        plan = EscalationPlan(server, predicted_s, report.queued, source)
+        is_remote = server.backend.data_centre != data_centre
+        plans.append((predicted_s + is_remote * _REMOTE_PENALTY_S, plan))
+    if not plans:
+        return None
+    return min(plans, key=lambda entry: entry[0])[1]
+
+
+def is_in_time(
+    plan: EscalationPlan, target_latency_s: float, elapsed_s: float
+) -> bool:
+    """Returns whether the first event is expected within the target latency.
+
+    Args:
+        plan: Plan of the escalation.
+        target_latency_s: Target latency of the route in seconds.
+        elapsed_s: Seconds since the request arrived.
+    """
+    limit_s = target_latency_s * _MAX_LATENCY_SHARE
+    return elapsed_s + plan.first_event_s <= limit_s
+
+
+def _predict_first_event_s(
+    profile: selection.RequestProfile,
+    report: EngineReport,
+    *,
+    has_affinity: bool,
+) -> float:
+    tokens: float = profile.prompt_tokens
+    if has_affinity:
+        tokens -= profile.shared_prefix_tokens * _PREFIX_HIT_SHARE
+    return (
+        report.queued * _QUEUED_REQUEST_S
+        + report.running * _RUNNING_REQUEST_S
+        + tokens * _PREFILL_S_PER_TOKEN
+    )
+
+
+def _sample(
+    servers: Sequence[directory.ServerEntry], count: int, source: random.Random
+) -> tuple[directory.ServerEntry, ...]:
+    return tuple(source.sample(servers, min(count, len(servers))))
--- a/src/dragonflydyke/forwarding/execution.py
+++ b/src/dragonflydyke/forwarding/execution.py
@@ -6,13 +6,13 @@
 
 from dragonflydyke import errors, latencies, logs, metrics, transport
 from dragonflydyke.forwarding import (
-    attempts,
-    cascade,
+    contexts,
     controller,
     decisions,
     directory,
     messages,
     model,
+    planner,
     runs,
     selection,
 )
@@ -38,7 +38,6 @@
 
     __slots__ = (
         "_budgets",
-        "_cascades",
         "_services",
         "is_closing",
         "latencies",
@@ -51,28 +50,29 @@
         servers: directory.Directory,
         rollout_controller: controller.RolloutController,
         selector: selection.ServerSelector,
+        escalation_planner: planner.EscalationPlanner,
         counters: metrics.Counters,
     ) -> None:
         """Creates a forwarder without a policy, which rejects all requests."""
         self.policy: model.ForwardingPolicy | None = None
         self.is_closing = False
         self.latencies = latencies.LatencyHistograms()
-        self._services = attempts.ForwardingServices(
+        self._services = contexts.ForwardingServices(
             codec=codec,
             directory=servers,
             rollout_controller=rollout_controller,
             selector=selector,
+            planner=escalation_planner,
             counters=counters,
             tcp_client=tcpclient.TCPClient(transport.AddressResolver()),
         )
         self._budgets: dict[str, retries.RetryBudget] = {}
-        self._cascades: dict[str, cascade.Cascade] = {}
 
     async def forward(
-        self, request: messages.IncomingRequest, writer: attempts.ResponseWriter
+        self, request: messages.IncomingRequest, writer: contexts.ResponseWriter
     ) -> None:
         """Responds to a request in all cases unless the client disconnects."""
-        state = attempts.RequestState()
+        state = contexts.RequestState()
         outcome = "delivered"
         try:
             admitted = decisions.admit(
@@ -87,7 +87,7 @@
         except errors.DragonflydykeError as error:
             outcome = error.code
             self._fail(request, writer, state, error)
-        except attempts.ClientDisconnectedError:
+        except contexts.ClientDisconnectedError:
             outcome = "client_gone"
             writer.abort()
         self._log(request, admitted, state, outcome)
@@ -95,25 +95,24 @@
     async def _run(
         self,
         request: messages.IncomingRequest,
-        writer: attempts.ResponseWriter,
+        writer: contexts.ResponseWriter,
         admitted: decisions.AdmittedRequest,
-        state: attempts.RequestState,
+        state: contexts.RequestState,
     ) -> None:
         pool = admitted.pool.name
         retry_budget = self._budgets.setdefault(
             pool, retries.RetryBudget(_RETRY_RESERVE)
         )
         retry_budget.record_request(_RETRY_SHARE)
-        model_cascade = self._cascades.setdefault(pool, cascade.Cascade())
-        context = attempts.RequestContext(
-            request, admitted, writer, model_cascade, retry_budget, state
+        context = contexts.RequestContext(
+            request, admitted, writer, retry_budget, state
         )
         await runs.RequestRun(self._services, context).run()
 
     def _reject(
         self,
         request: messages.IncomingRequest,
-        writer: attempts.ResponseWriter,
+        writer: contexts.ResponseWriter,
         error: errors.DragonflydykeError,
     ) -> None:
         self._services.counters.increment(f"refusal.{error.code}")
@@ -123,13 +122,13 @@
             request.details.request_id, error.retry_after_s
         )
         body = (error.code + "\n").encode()
-        attempts.BufferedResponse(error.status, headers, body).send(writer)
+        contexts.BufferedResponse(error.status, headers, body).send(writer)
 
     def _fail(
         self,
         request: messages.IncomingRequest,
-        writer: attempts.ResponseWriter,
-        state: attempts.RequestState,
+        writer: contexts.ResponseWriter,
+        state: contexts.RequestState,
         error: errors.DragonflydykeError,
     ) -> None:
         if state.response_started:
@@ -142,7 +141,7 @@
         self,
         request: messages.IncomingRequest,
         admitted: decisions.AdmittedRequest | None,
-        state: attempts.RequestState,
+        state: contexts.RequestState,
         outcome: str,
     ) -> None:
         self._services.counters.increment(f"request.{outcome}")
--- a/src/dragonflydyke/forwarding/messages.py
+++ b/src/dragonflydyke/forwarding/messages.py
@@ -84,6 +84,8 @@
         model: Model to use, empty to keep the model of the client.
         urgency: 0 to 9, where 0 is the most urgent; None for plain servers.
         last_event_id: Event after which a stream continues, or None.
+        prefix_source: Address, as `host:port`, of an engine from which the
+            server may fetch the cached prefix, empty for none.
     """
 
     server: str
@@ -92,6 +94,7 @@
     model: str = ""
     urgency: int | None = None
     last_event_id: int | None = None
+    prefix_source: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -16,6 +16,8 @@
     execution,
     messages,
     model,
+    planner,
+    reports,
     selection,
     server,
 )
@@ -111,7 +113,6 @@
     """One router process."""
 
     __slots__ = (
-        "_rollout_controller",
         "_counters",
         "_decoder",
         "_directory",
@@ -119,6 +120,7 @@
         "_has_rollouts",
         "_is_draining",
         "_reload",
+        "_rollout_controller",
         "_server",
         "_settings",
         "_stopped",
@@ -131,6 +133,7 @@
         store: NodeStore,
         kinds: ObjectKinds,
         codec: messages.HeaderCodec,
+        report_codec: reports.ReportCodec,
         decoder: Decoder,
         counters: metrics.Counters,
         reload: Callable[[], NodeSettings],
@@ -142,6 +145,7 @@
             store: Store with configuration, servers and rollouts.
             kinds: Names of the kinds of objects in the store.
             codec: Translates requests and responses to headers.
+            report_codec: Decodes reports of engines.
             decoder: Decodes objects of the store.
             counters: Counters of the process.
             reload: Reads the settings again; raises SettingsError.
@@ -161,6 +165,11 @@
             self._directory,
             self._rollout_controller,
             selection.ServerSelector(values.data_centre, source),
+            planner.EscalationPlanner(
+                values.data_centre,
+                reports.ReportReader(report_codec, counters),
+                source,
+            ),
             counters,
         )
         self._server = server.ForwardingServer(self._forwarder, codec)
@@ -182,7 +191,12 @@
         )
         return [
             watchers.KindWatcher(
-                store, kind, listener, self._counters, retry_gate, timing
+                store,
+                kind,
+                listener,
+                self._counters,
+                retry_gate,
+                timing,
             )
             for kind, listener in listeners
         ]
--- /dev/null
+++ b/src/dragonflydyke/forwarding/planner.py
@@ -0,0 +1,67 @@
+"""Plans escalations with fresh reports of a few engines."""
+
+import random
+from collections.abc import Sequence
+
+from dragonflydyke.forwarding import (
+    directory,
+    escalation,
+    reports,
+    selection,
+)
+
+
+class EscalationPlanner:
+    """Asks engines for their load and selects one for an escalated request."""
+
+    __slots__ = ("_data_centre", "_random", "_reader")
+
+    def __init__(
+        self,
+        data_centre: str,
+        reader: reports.ReportReader,
+        source: random.Random,
+    ) -> None:
+        """Creates a planner.
+
+        Args:
+            data_centre: Data centre of this node.
+            reader: Reads the reports.
+            source: Random source that spreads the calls over the engines.
+        """
+        self._data_centre = data_centre
+        self._reader = reader
+        self._random = source
+
+    async def plan(
+        self,
+        profile: selection.RequestProfile,
+        model_name: str,
+        servers: Sequence[directory.ServerEntry],
+    ) -> escalation.EscalationPlan | None:
+        """Returns where an escalated request should run.
+
+        Args:
+            profile: Profile of the request.
+            model_name: Model to which it is escalated.
+            servers: Servers that accept new requests.
+
+        Returns:
+            The plan, or None if no engine answered.
+        """
+        candidates = escalation.select_candidates(
+            profile, model_name, servers, self._data_centre, self._random
+        )
+        found = await self._reader.read_all(candidates.servers)
+        return escalation.plan_escalation(
+            profile, candidates, found, self._data_centre
+        )
+
+    async def is_busy(self, server: directory.ServerEntry) -> bool:
+        """Returns whether an engine still works on the requests before ours.
+
+        An engine that does not answer is not busy but lost.
+        """
+        found = await self._reader.read_all((server,))
+        report = found.get(server.name)
+        return report is not None and report.is_busy
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -7,10 +7,14 @@
 from dragonflydyke import logs
 from dragonflydyke.forwarding import (
     attempts,
+    cascade,
+    contexts,
     decisions,
     directory,
+    escalation,
     messages,
     selection,
+    urgency,
 )
 
 _OUTCOMES_WITHOUT_FAILURE = frozenset(
@@ -32,19 +36,29 @@
 class RequestRun:
     """Sends a request to successive servers until a response is delivered."""
 
-    __slots__ = ("_admitted", "_context", "_profile", "_services", "_state")
+    __slots__ = (
+        "_admitted",
+        "_context",
+        "_plan",
+        "_profile",
+        "_services",
+        "_state",
+    )
 
     def __init__(
         self,
-        services: attempts.ForwardingServices,
-        context: attempts.RequestContext,
+        services: contexts.ForwardingServices,
+        context: contexts.RequestContext,
     ) -> None:
         """Creates a run without any attempt."""
         self._services = services
         self._context = context
         self._admitted = context.admitted
         self._state = context.state
-        self._profile = _build_profile(context.request, context.admitted)
+        self._profile = selection.build_profile(
+            context.request, context.admitted
+        )
+        self._plan: escalation.EscalationPlan | None = None
 
     async def run(self) -> None:
         """Makes attempts until a response is delivered to the client.
@@ -72,12 +86,11 @@
             raise decisions.build_failure(outcome, progress)
 
     def _describe_progress(self) -> decisions.RequestProgress:
-        now_s = asyncio.get_running_loop().time()
         return decisions.RequestProgress(
             attempts=self._state.attempts,
             dispatches=self._state.dispatches,
             may_have_run=self._state.may_have_run,
-            remaining_s=self._admitted.deadline_s - now_s,
+            remaining_s=self._admitted.deadline_s - _now_s(),
         )
 
     def _decide_next(
@@ -89,12 +102,9 @@
             self._admitted.route, outcome, progress
         )
         reason = str(outcome)
-        # A request that has not reached any server costs no retry budget.
-        is_charged = self._state.sent_attempts > 0
-        wants_retry = step is decisions.NextStep.RETRY
         if (
-            wants_retry
-            and is_charged
+            step is decisions.NextStep.RETRY
+            and self._is_charged(outcome)
             and not self._context.retry_budget.try_spend()
         ):
             step = decisions.NextStep.GIVE_UP
@@ -111,24 +121,34 @@
             )
         return step
 
+    def _is_charged(self, outcome: decisions.AttemptOutcome) -> bool:
+        """Returns whether the next attempt costs a retry.
+
+        An escalation has paid before the first response was discarded. A
+        request that has not reached any server costs no retry.
+        """
+        if outcome is decisions.AttemptOutcome.LOW_CONFIDENCE:
+            return False
+        return self._state.sent_attempts > 0
+
     async def _attempt(self) -> decisions.AttemptOutcome:
         """Makes one attempt and returns its outcome."""
         servers = self._list_servers()
-        selected = self._select_server(servers)
-        if selected is None:
+        target = await self._select_target(servers)
+        if target is None:
             return decisions.AttemptOutcome.NO_SERVER
-        attempt = attempts.Attempt(
-            self._services, self._context, selected.server
-        )
+        attempt = attempts.Attempt(self._services, self._context, target)
         self._state.dispatches += 1
-        self._services.selector.record_start(self._profile, selected.server)
+        self._services.selector.record_start(self._profile, target.server)
         outcome = decisions.AttemptOutcome.DELIVERED
         reason = ""
         try:
-            await _run_until_disconnect(self._context.writer, attempt.run())
+            await _run_until_disconnect(
+                self._context.writer, self._run_attempt(attempt)
+            )
         except attempts.AttemptFailedError as error:
             outcome, reason = error.outcome, error.reason
-        except attempts.ClientDisconnectedError:
+        except contexts.ClientDisconnectedError:
             outcome = decisions.AttemptOutcome.CLIENT_DISCONNECTED
             raise
         finally:
@@ -136,10 +156,147 @@
             self._record_attempt(attempt, outcome, reason, servers)
         return outcome
 
+    async def _run_attempt(self, attempt: attempts.Attempt) -> None:
+        """Sends the request, and delivers the response if it is good enough."""
+        details = await attempt.start()
+        if attempt.is_event_stream(details) and self._should_escalate(details):
+            self._plan = await self._plan_escalation(details)
+            if self._plan is not None:
+                raise attempts.AttemptFailedError(
+                    decisions.AttemptOutcome.LOW_CONFIDENCE,
+                    f"confidence {details.confidence:.2f}",
+                )
+        await attempt.deliver(details)
+
+    def _should_escalate(self, details: messages.ResponseDetails) -> bool:
+        return (
+            self._context.request.details.wants_any_model
+            and not self._state.response_started
+            and not cascade.is_acceptable(
+                self._admitted.route,
+                self._describe_cascade(),
+                details.confidence,
+            )
+        )
+
+    async def _plan_escalation(
+        self, details: messages.ResponseDetails
+    ) -> escalation.EscalationPlan | None:
+        """Spends a retry on an escalation and returns where it should run.
+
+        Returns:
+            The plan, or None if the response at hand should be delivered.
+        """
+        retry_budget = self._context.retry_budget
+        if not retry_budget.try_spend():
+            self._log_no_escalation(details, None, "no retry budget")
+            return None
+        plan = await self._read_plan(self._list_servers())
+        route = self._admitted.route
+        elapsed_s = _now_s() - self._context.request.received_s
+        if plan is None:
+            reason = "no report"
+        elif escalation.is_in_time(plan, route.target_latency_s, elapsed_s):
+            self._services.counters.increment("escalation.planned")
+            return plan
+        else:
+            reason = "too late everywhere"
+        retry_budget.refund()
+        self._log_no_escalation(details, plan, reason)
+        return None
+
+    def _log_no_escalation(
+        self,
+        details: messages.ResponseDetails,
+        plan: escalation.EscalationPlan | None,
+        reason: str,
+    ) -> None:
+        self._services.counters.increment("escalation.declined")
+        _LOGGER.info(
+            "not escalated",
+            request=self._context.request.details.request_id,
+            reason=reason,
+            confidence=details.confidence,
+            first_event_s=round(plan.first_event_s, 3) if plan else None,
+        )
+
+    async def _read_plan(
+        self, servers: tuple[directory.ServerEntry, ...]
+    ) -> escalation.EscalationPlan | None:
+        """Returns the best engine for the largest model, None if unknown."""
+        return await self._services.planner.plan(
+            self._profile,
+            self._admitted.route.models[-1],
+            self._exclude_failed(servers),
+        )
+
+    def _exclude_failed(
+        self, servers: tuple[directory.ServerEntry, ...]
+    ) -> tuple[directory.ServerEntry, ...]:
+        failed = self._state.failed_servers
+        return tuple(s for s in servers if s.name not in failed) or servers
+
+    async def _select_target(
+        self, servers: tuple[directory.ServerEntry, ...]
+    ) -> attempts.AttemptTarget | None:
+        plan, self._plan = self._plan, None
+        state = self._describe_cascade()
+        if plan is None and state.needs_largest_model and servers:
+            plan = await self._read_plan(servers)
+        if plan is not None:
+            self._log_plan(plan, len(servers))
+            return self._build_target(plan.server, plan.prefix_source)
+        selected = self._select_server(servers)
+        return self._build_target(selected.server) if selected else None
+
+    def _build_target(
+        self,
+        server: directory.ServerEntry,
+        prefix_source: directory.ServerEntry | None = None,
+    ) -> attempts.AttemptTarget:
+        state = self._describe_cascade()
+        wants_any_model = self._context.request.details.wants_any_model
+        model_name = ""
+        if wants_any_model:
+            model_name = cascade.select_model(self._admitted.route, state)
+        return attempts.AttemptTarget(
+            server,
+            model_name,
+            urgency.select_urgency(
+                self._admitted,
+                uses_cascade=bool(model_name),
+                is_escalated=state.needs_largest_model,
+                prompt_tokens=self._profile.prompt_tokens,
+            ),
+            prefix_source,
+        )
+
+    def _describe_cascade(self) -> cascade.CascadeState:
+        return cascade.CascadeState(
+            attempts=self._state.attempts + 1,
+            fell_back=self._state.fell_back,
+            escalated=self._state.escalated,
+        )
+
+    def _log_plan(
+        self, plan: escalation.EscalationPlan, usable_count: int
+    ) -> None:
+        _LOGGER.info(
+            "attempt",
+            request=self._context.request.details.request_id,
+            server=plan.server.name,
+            version=plan.server.version,
+            cost_s=round(plan.first_event_s, 3),
+            has_beginning=plan.prefix_source is None,
+            in_progress=plan.queued,
+            usable=usable_count,
+            servers_age_s=self._services.directory.find_age_s(_now_s()),
+        )
+
     def _select_server(
         self, servers: tuple[directory.ServerEntry, ...]
     ) -> selection.SelectedServer | None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = _now_s()
         selected = self._services.selector.select_server(
             self._profile, servers, now_s, self._state.failed_servers
         )
@@ -157,7 +314,7 @@
         return selected
 
     def _list_servers(self) -> tuple[directory.ServerEntry, ...]:
-        self._services.directory.expire(asyncio.get_running_loop().time())
+        self._services.directory.expire(_now_s())
         pool = self._admitted.pool.name
         details = self._context.request.details
         rule = self._services.rollout_controller.select_version_rule(
@@ -188,7 +345,7 @@
         ejected = self._services.selector.record_outcome(
             self._profile,
             server,
-            asyncio.get_running_loop().time(),
+            _now_s(),
             failed=_classify_failure(outcome),
             peers=servers,
         )
@@ -218,12 +375,22 @@
     def _update_cascade_state(self, outcome: decisions.AttemptOutcome) -> None:
         if outcome is decisions.AttemptOutcome.LOW_CONFIDENCE:
             self._state.escalated = True
-        elif outcome is decisions.AttemptOutcome.FIRST_EVENT_TIMEOUT:
-            self._state.fell_back = True
+        elif (
+            outcome is decisions.AttemptOutcome.FIRST_EVENT_TIMEOUT
+            and self._state.escalated
+        ):
+            failed = self._state.failed_servers
+            self._state.fell_back = all(
+                server.name in failed for server in self._list_servers()
+            )
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
 
 
 async def _run_until_disconnect(
-    writer: attempts.ResponseWriter, coroutine: Coroutine[Any, Any, None]
+    writer: contexts.ResponseWriter, coroutine: Coroutine[Any, Any, None]
 ) -> None:
     """Runs a coroutine; cancels it when the client disconnects.
 
@@ -236,7 +403,7 @@
         await task
     except asyncio.CancelledError:
         if writer.is_closed:
-            raise attempts.ClientDisconnectedError from None
+            raise contexts.ClientDisconnectedError from None
         raise
     finally:
         writer.set_close_callback(None)
@@ -247,23 +414,3 @@
     if outcome in _INCONCLUSIVE_OUTCOMES:
         return None
     return outcome not in _OUTCOMES_WITHOUT_FAILURE
-
-
-def _build_profile(
-    request: messages.IncomingRequest, admitted: decisions.AdmittedRequest
-) -> selection.RequestProfile:
-    details = request.details
-    if not admitted.pool.has_engines:
-        return selection.RequestProfile(
-            admitted.pool, body_bytes=len(request.body)
-        )
-    shared = details.shared_prefix
-    shared_tokens = sum(part.tokens for part in details.prompt[:-1])
-    return selection.RequestProfile(
-        pool=admitted.pool,
-        affinity_key=shared.part_id if shared else "",
-        shared_prefix_tokens=shared_tokens,
-        unshared_tokens=max(0, details.prompt_tokens - shared_tokens),
-        output_tokens=details.length_hint or details.max_output_tokens,
-        body_bytes=len(request.body),
-    )
--- a/src/dragonflydyke/forwarding/selection.py
+++ b/src/dragonflydyke/forwarding/selection.py
@@ -11,7 +11,13 @@
 import random
 from collections.abc import Collection, Sequence
 
-from dragonflydyke.forwarding import directory, model, rollouts
+from dragonflydyke.forwarding import (
+    decisions,
+    directory,
+    messages,
+    model,
+    rollouts,
+)
 from dragonflydyke.routing import outliers
 
 # Prompt tokens that a server prefills per second without concurrent requests;
@@ -50,6 +56,11 @@
     output_tokens: int = 0
     body_bytes: int = 0
 
+    @property
+    def prompt_tokens(self) -> int:
+        """Length of the prompt in tokens."""
+        return self.shared_prefix_tokens + self.unshared_tokens
+
     @property
     def service_time_s(self) -> float:
         """Estimated service time in seconds with the prefix cached."""
@@ -65,6 +76,25 @@
         return self.shared_prefix_tokens / _PREFILL_TOKENS_PER_S
 
 
+def build_profile(
+    request: messages.IncomingRequest, admitted: decisions.AdmittedRequest
+) -> RequestProfile:
+    """Returns the profile of an admitted request."""
+    details = request.details
+    if not admitted.pool.has_engines:
+        return RequestProfile(admitted.pool, body_bytes=len(request.body))
+    shared = details.shared_prefix
+    shared_tokens = sum(part.tokens for part in details.prompt[:-1])
+    return RequestProfile(
+        pool=admitted.pool,
+        affinity_key=shared.part_id if shared else "",
+        shared_prefix_tokens=shared_tokens,
+        unshared_tokens=max(0, details.prompt_tokens - shared_tokens),
+        output_tokens=details.length_hint or details.max_output_tokens,
+        body_bytes=len(request.body),
+    )
+
+
 def filter_versions(
     rule: rollouts.VersionRule, servers: Sequence[directory.ServerEntry]
 ) -> tuple[directory.ServerEntry, ...]:
@@ -81,6 +111,21 @@
     )
 
 
+def find_affinity_server(
+    key: str, servers: Sequence[directory.ServerEntry]
+) -> directory.ServerEntry | None:
+    """Returns the server that all nodes select for a key, None without servers.
+
+    Rendezvous hashing: adding or removing a server moves only its own share of
+    the keys.
+    """
+    return max(
+        servers,
+        key=lambda server: model.hash_fraction(f"{key} {server.name}"),
+        default=None,
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class _Load:
     """Attempts of this node in flight at a server, and their total cost."""
@@ -168,13 +213,8 @@
             for server in servers
             if server.backend.data_centre == self._data_centre
         ]
-        # Rendezvous hashing: adding or removing a server moves only its own
-        # share of the prefixes.
-        return max(
-            local_servers or servers,
-            key=lambda server: model.hash_fraction(
-                f"{profile.affinity_key} {server.name}"
-            ),
+        return find_affinity_server(
+            profile.affinity_key, local_servers or servers
         )
 
     def _estimate_cost(
--- a/src/dragonflydyke/forwarding/server.py
+++ b/src/dragonflydyke/forwarding/server.py
@@ -7,7 +7,7 @@
 from tornado import httpserver, httputil, iostream, netutil
 
 from dragonflydyke import logs, settings
-from dragonflydyke.forwarding import attempts, execution, messages
+from dragonflydyke.forwarding import contexts, execution, messages
 
 _HEADER_LENGTH = "Content-Length"
 _HEADER_CONNECTION = "Connection"
@@ -69,7 +69,7 @@
         try:
             await self._connection.write(chunk)
         except iostream.StreamClosedError:
-            raise attempts.ClientDisconnectedError from None
+            raise contexts.ClientDisconnectedError from None
 
     def finish(self) -> None:
         """Completes the response."""
--- a/src/dragonflydyke/platform/headers.py
+++ b/src/dragonflydyke/platform/headers.py
@@ -21,6 +21,8 @@
 NOT_RUN = "Not-Executed"
 CONFIDENCE = "Confidence"
 SESSION = "Session"
+# Address of an engine from which the server may fetch a cached prefix.
+PREFIX_SOURCE = "Kv-Fetch"
 _KEY_SCHEME = "token"
 _ANY_MODEL = "*"
 _EVENT_STREAM = "text/event-stream"
@@ -52,7 +54,7 @@
     "Hold",
     "Pin-Ms",
     "Kv-Backup",
-    "Kv-Fetch",
+    PREFIX_SOURCE,
     "Kv-From",
 )
 
@@ -84,7 +86,7 @@
             prompt_tokens=prompt_tokens,
             max_output_tokens=output_tokens,
             length_hint=_read_count(headers.get(LENGTH_HINT, "")),
-            last_event_id=int(last) if last.isdigit() else None,
+            last_event_id=_read_event_id(last),
             session=headers.get(SESSION, ""),
         )
 
@@ -107,6 +109,8 @@
             headers[URGENCY] = str(dispatch.urgency)
         if dispatch.last_event_id is not None:
             headers[LAST_EVENT_ID] = str(dispatch.last_event_id)
+        if dispatch.prefix_source:
+            headers[PREFIX_SOURCE] = dispatch.prefix_source
         return headers
 
     def read_response(
@@ -145,8 +149,7 @@
         """Returns the id of an event of a stream, None if it has none."""
         for line in event.split(b"\n"):
             if line.startswith(_EVENT_ID_FIELD):
-                value = line[len(_EVENT_ID_FIELD) :].strip()
-                return int(value) if value.isdigit() else None
+                return _read_event_id(line[len(_EVENT_ID_FIELD) :].strip())
         return None
 
 
@@ -163,6 +166,11 @@
     return key.strip() if scheme.lower() == _KEY_SCHEME else ""
 
 
+def _read_event_id(text: str | bytes) -> int | None:
+    # The first condition excludes digits of other scripts, which `int` rejects.
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
 def _read_count(text: str) -> int:
     try:
         return max(0, int(float(text)))
--- a/src/dragonflydyke/platform/main.py
+++ b/src/dragonflydyke/platform/main.py
@@ -5,7 +5,7 @@
 
 from dragonflydyke import logs, metrics, settings
 from dragonflydyke.forwarding import node
-from dragonflydyke.platform import headers, process, records, store
+from dragonflydyke.platform import headers, process, records, reports, store
 
 _EXIT_USAGE = 2
 
@@ -17,6 +17,7 @@
         store.PlatformStore(values.store_url, counters),
         records.KINDS,
         headers.HeaderCodec(),
+        reports.ReportCodec(),
         records.RecordDecoder(),
         counters,
         process.read_settings,
--- a/src/dragonflydyke/routing/retries.py
+++ b/src/dragonflydyke/routing/retries.py
@@ -33,3 +33,7 @@
             return False
         self._balance -= 1.0
         return True
+
+    def refund(self) -> None:
+        """Returns one retry that was spent but not made."""
+        self._balance = min(self._balance + 1.0, self._reserve)
--- a/tests/builders/forwarding.py
+++ b/tests/builders/forwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import json
 import random
 import socket
 import struct
@@ -15,12 +16,15 @@
     execution,
     messages,
     model,
+    planner,
+    reports,
     rollouts,
     selection,
     server,
 )
 from dragonflydyke.objects import model as objects
 from dragonflydyke.platform import headers
+from dragonflydyke.platform import reports as platform_reports
 from tests.builders import skipping_loop
 
 DATA_CENTRE = "north"
@@ -71,6 +75,8 @@
         script: Coroutine function that responds to a request.
         received: Requests in order of arrival.
         cancelled: Number of requests whose client disconnected early.
+        report: Body of the load report, empty to never answer.
+        report_calls: Number of calls of the load report.
     """
 
     def __init__(self, name: str, script: Script) -> None:
@@ -78,6 +84,8 @@
         self.script = script
         self.received: list[ReceivedRequest] = []
         self.cancelled = 0
+        self.report = build_report()
+        self.report_calls = 0
         self._server: asyncio.Server | None = None
 
     async def start(self) -> int:
@@ -97,6 +105,9 @@
     ) -> None:
         try:
             line, found = await read_message(reader)
+            if line.startswith("GET /api/report "):
+                await self._send_report(reader, writer)
+                return
             size = int(found.get("Content-Length", "0"))
             request = ReceivedRequest(
                 line, found, await reader.readexactly(size)
@@ -115,6 +126,35 @@
         finally:
             writer.close()
 
+    async def _send_report(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.report_calls += 1
+        if not self.report:
+            # Returns when the node closes the connection.
+            await reader.read()
+            return
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(self.report)
+            + self.report
+        )
+        await writer.drain()
+
+
+def build_report(
+    *, waiting: int = 0, running: int = 0, streaming: int = 0
+) -> bytes:
+    """Returns the load report of an engine."""
+    fields = {
+        "stage": "both",
+        "waiting": waiting,
+        "running": running,
+        "runs": [[f"r{n}", 900, 3, 5] for n in range(streaming)],
+        "kvUsed": 41_000,
+        "kvTotal": 90_000,
+    }
+    return json.dumps(fields).encode()
+
 
 def write_response(
     request: ReceivedRequest,
@@ -335,6 +375,13 @@
             self.directory,
             self.rollout_controller,
             selection.ServerSelector(DATA_CENTRE, source),
+            planner.EscalationPlanner(
+                DATA_CENTRE,
+                reports.ReportReader(
+                    platform_reports.ReportCodec(), self.counters
+                ),
+                source,
+            ),
             self.counters,
         )
         self.forwarder.policy = build_policy()
