Write no rollout progress while the store is unavailable

Ruled out: conflicts (411 writes at the roll-back, unchanged). Change: the controller asks the retry gate of the watchers, whose probes are cheap, whether the store answers, and writes only then.

--- a/src/dragonflydyke/forwarding/controller.py
+++ b/src/dragonflydyke/forwarding/controller.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import random
+from collections.abc import Callable
 from typing import Protocol
 
 from dragonflydyke import errors, logs, metrics
@@ -122,6 +123,7 @@
         "_baselines",
         "_counters",
         "_exposure_share",
+        "_is_store_available",
         "_random",
         "_rollouts",
         "_store",
@@ -135,6 +137,7 @@
         counters: metrics.Counters,
         source: random.Random,
         exposure_share: float,
+        is_store_available: Callable[[], bool] = lambda: True,
     ) -> None:
         """Creates a controller without rollouts.
 
@@ -145,12 +148,16 @@
             source: Random source that spreads the writes of the nodes.
             exposure_share: Fraction of the requests during a rollout that a
                 bad version may receive; the same on all nodes.
+            is_store_available: Returns whether the last read of the store
+                succeeded. Rejected writes are counted as calls too, so that a
+                node does not write before.
         """
         self._vm = vm
         self._exposure_share = exposure_share
         self._store = store
         self._counters = counters
         self._random = source
+        self._is_store_available = is_store_available
         self._rollouts: dict[str, _RolloutState] = {}
         self._baselines: dict[str, observers.VersionBaselines] = {}
 
@@ -250,6 +257,8 @@
         """Advances the rollouts until cancelled."""
         while True:
             await asyncio.sleep(_POLL_INTERVAL_S)
+            if not self._is_store_available():
+                continue
             now_s = asyncio.get_running_loop().time()
             for state in list(self._rollouts.values()):
                 progress = self._find_next_progress(state, now_s)
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -120,6 +120,7 @@
         "_has_rollouts",
         "_is_draining",
         "_reload",
+        "_retry_gate",
         "_rollout_controller",
         "_server",
         "_settings",
@@ -156,8 +157,16 @@
         self._decoder = decoder
         self._counters = counters
         self._directory = directory.Directory()
+        self._retry_gate = watchers.StoreRetryGate(
+            source, lambda: store.probe(kinds.rollouts)
+        )
         self._rollout_controller = controller.RolloutController(
-            values.vm, store, counters, source, values.exposure_share
+            values.vm,
+            store,
+            counters,
+            source,
+            values.exposure_share,
+            lambda: not self._retry_gate.is_unavailable,
         )
         self._has_rollouts = False
         self._forwarder = execution.Forwarder(
@@ -175,14 +184,11 @@
         self._server = server.ForwardingServer(self._forwarder, codec)
         self._is_draining = False
         self._stopped = asyncio.Event()
-        self._watchers = self._build_watchers(store, kinds, source)
+        self._watchers = self._build_watchers(store, kinds)
 
     def _build_watchers(
-        self, store: NodeStore, kinds: ObjectKinds, source: random.Random
+        self, store: NodeStore, kinds: ObjectKinds
     ) -> list[watchers.KindWatcher]:
-        retry_gate = watchers.StoreRetryGate(
-            source, lambda: store.probe(kinds.rollouts)
-        )
         timing = self._settings.watch_timing
         listeners = (
             (kinds.policies, self._apply_policy),
@@ -195,7 +201,7 @@
                 kind,
                 listener,
                 self._counters,
-                retry_gate,
+                self._retry_gate,
                 timing,
             )
             for kind, listener in listeners
--- a/tests/test_forwarding_controller.py
+++ b/tests/test_forwarding_controller.py
@@ -26,12 +26,14 @@
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         self.store = forwarding.RecordingRolloutStore()
+        self.is_store_available = True
         self.controller = controller.RolloutController(
             _VM,
             self.store,
             metrics.Counters(),
             random.Random(3),
             forwarding.EXPOSURE_SHARE,
+            lambda: self.is_store_available,
         )
         order = rollouts.Order("engines", "v2", _DURATION_S)
         self.controller.update(
@@ -140,6 +142,16 @@
         await self.loop.advance(1.5)
         self.assertIs(self.store.progress.stage, rollouts.Stage.WAITING)
 
+    async def test_unavailable_store_gets_no_writes(self) -> None:
+        """27 nodes made 220 writes to a store that rejected all their reads."""
+        self.is_store_available = False
+        await self.loop.advance(13.0)
+        self.assertEqual(self.store.write_attempts, 0)
+        self.is_store_available = True
+        await self.loop.advance(1.0)
+        self.assertIs(self.store.progress.stage, rollouts.Stage.WAITING)
+        self.assertGreater(self.store.write_attempts, 0)
+
     async def test_failures_are_reported_immediately(self) -> None:
         await self.advance_to(rollouts.Stage.CANARY)
         failed = rollouts.AttemptCounts(attempts=1, failed=1)
