List kinds from replicas that have reached the store's version

Change: one linearizable list of the smallest kind tells the store's version to all watchers of a node; a stale list counts only if it has reached it. A replica that lags makes the watches linearizable for 15 s, as a lost history does. Tests: a list of a lagging replica is not used, also when only its second page lags; watches are linearizable then; three watchers read the version once.

--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -190,6 +190,7 @@
         self, store: NodeStore, kinds: ObjectKinds
     ) -> list[watchers.KindWatcher]:
         timing = self._settings.watch_timing
+        reader = watchers.ReplicaReader(store, kinds.rollouts)
         listeners = (
             (kinds.policies, self._apply_policy),
             (kinds.servers, self._apply_servers),
@@ -197,7 +198,7 @@
         )
         return [
             watchers.KindWatcher(
-                store,
+                reader,
                 kind,
                 listener,
                 self._counters,
--- a/src/dragonflydyke/objects/watchers.py
+++ b/src/dragonflydyke/objects/watchers.py
@@ -1,10 +1,12 @@
 """Watchers that follow all objects of a kind through lists and long polls.
 
 Stale reads cost the store much less than linearizable ones, so a fleet of
-hundreds of nodes follows changes through them. Lists are always linearizable: a
-watch that starts at the revision of such a list delivers every later change in
-order. After the store lost its history its replicas may lag behind by more than
-the limits on changes allow, so watches are linearizable until they caught up.
+hundreds of nodes follows changes through them. A list is taken from a replica
+only if that has reached the current version of the store, which one
+linearizable read tells for all kinds. A watch from the version of such a list
+delivers every later change in order. After the store lost its history its
+replicas may lag behind by more than the limits on changes allow, so watches are
+linearizable until they caught up.
 """
 
 import asyncio
@@ -27,6 +29,9 @@
 # Many nodes must not retry at the same time when the store is available again,
 # but they must receive a change within a second of its return.
 _MAX_RETRY_DELAY_S = 0.6
+# The watchers of a node list their kinds at about the same time, so that one
+# read of the store's version serves all of them.
+_VERSION_MAX_AGE_S = 0.5
 # Time for which replicas may lag behind after the store lost its history.
 _REPLICA_CATCH_UP_S = 15.0
 
@@ -62,8 +67,18 @@
 class WatchableStore(Protocol):
     """Store whose changes can be followed."""
 
-    async def list_all(self, kind: str) -> model.ObjectList:
-        """Returns all current objects of a kind."""
+    async def list_all(
+        self, kind: str, *, consistency: model.ReadConsistency
+    ) -> model.ObjectList:
+        """Returns all objects of a kind.
+
+        Args:
+            kind: Kind of the objects.
+            consistency: Whether a replica that lags behind may respond.
+        """
+
+    async def read_version(self, kind: str) -> int:
+        """Returns the current version of the store, by reading a small kind."""
 
     async def watch(
         self,
@@ -168,6 +183,97 @@
         self._next_delay_s = _MIN_RETRY_DELAY_S
 
 
+class ReplicaReader:
+    """Reads kinds from replicas of the store while they are current."""
+
+    __slots__ = (
+        "_lagging_until_s",
+        "_read_at_s",
+        "_smallest_kind",
+        "_store",
+        "_version",
+    )
+
+    def __init__(self, store: WatchableStore, smallest_kind: str) -> None:
+        """Creates a reader.
+
+        Args:
+            store: Store to read from.
+            smallest_kind: Kind with few objects, whose list tells the version
+                of the store.
+        """
+        self._store = store
+        self._smallest_kind = smallest_kind
+        self._version: asyncio.Future[int] | None = None
+        self._read_at_s = 0.0
+        self._lagging_until_s = 0.0
+
+    async def list_all(self, kind: str) -> model.ObjectList:
+        """Returns all current objects of a kind.
+
+        Raises:
+            DragonflydykeError: If the store does not respond or rejects a call.
+        """
+        version = await self._read_version()
+        listed = await self._store.list_all(
+            kind, consistency=model.ReadConsistency.STALE
+        )
+        if listed.version >= version:
+            return listed
+        self._record_lag()
+        return await self._store.list_all(
+            kind, consistency=model.ReadConsistency.LINEARIZABLE
+        )
+
+    async def watch(
+        self, kind: str, since: int, wait_s: float
+    ) -> model.ObjectChanges:
+        """Returns the changes after a version, waiting until there is one.
+
+        Args:
+            kind: Kind of the objects.
+            since: Version of the store after which changes are returned.
+            wait_s: Seconds after which the store responds without changes.
+
+        Raises:
+            HistoryLostError: If the store no longer has these changes.
+        """
+        is_lagging = asyncio.get_running_loop().time() < self._lagging_until_s
+        consistency = model.ReadConsistency.STALE
+        if is_lagging:
+            consistency = model.ReadConsistency.LINEARIZABLE
+        try:
+            return await self._store.watch(
+                kind, since, wait_s, consistency=consistency
+            )
+        except model.HistoryLostError:
+            self._record_lag()
+            raise
+
+    def _record_lag(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if now_s >= self._lagging_until_s:
+            _LOGGER.notice("replicas of the store lag behind")
+        self._lagging_until_s = now_s + _REPLICA_CATCH_UP_S
+
+    async def _read_version(self) -> int:
+        now_s = asyncio.get_running_loop().time()
+        if (
+            self._version is None
+            or now_s - self._read_at_s > _VERSION_MAX_AGE_S
+        ):
+            self._read_at_s = now_s
+            self._version = asyncio.ensure_future(
+                self._store.read_version(self._smallest_kind)
+            )
+        try:
+            # Other watchers wait for the same read.
+            return await asyncio.shield(self._version)
+        except errors.DragonflydykeError:
+            self._version = None
+            raise
+
+
 class KindSnapshot:
     """Objects of a kind at a point in time.
 
@@ -192,18 +298,17 @@
         "_counters",
         "_is_disconnected",
         "_kind",
-        "_lagging_until_s",
         "_listener",
         "_objects",
+        "_reader",
         "_retry_gate",
-        "_store",
         "_timing",
         "_version",
     )
 
     def __init__(
         self,
-        store: WatchableStore,
+        reader: ReplicaReader,
         kind: str,
         listener: Callable[[KindSnapshot, bool], None],
         counters: metrics.Counters,
@@ -213,7 +318,7 @@
         """Creates a watcher.
 
         Args:
-            store: Store to follow.
+            reader: Reads the store, shared by the watchers of a node.
             kind: Kind of objects.
             listener: Called after each change with a snapshot and with whether
                 the store was unavailable, or changes were missed, before it.
@@ -224,24 +329,19 @@
         """
         self._retry_gate = retry_gate
         self._timing = timing
-        self._store = store
+        self._reader = reader
         self._kind = kind
         self._listener = listener
         self._counters = counters
         self._objects: dict[str, model.StoredObject] = {}
         self._version: int | None = None
         self._is_disconnected = False
-        self._lagging_until_s = 0.0
 
     async def run(self) -> None:
         """Follows the kind until cancelled."""
         while True:
             try:
                 await self._step()
-            except model.HistoryLostError as error:
-                now_s = asyncio.get_running_loop().time()
-                self._lagging_until_s = now_s + _REPLICA_CATCH_UP_S
-                self._record_failure(error)
             except errors.DragonflydykeError as error:
                 self._record_failure(error)
 
@@ -256,14 +356,8 @@
             await self._list()
             return
         since = self._version
-        consistency = self._select_consistency()
         changes = await self._retry_gate.call(
-            lambda: self._store.watch(
-                self._kind,
-                since,
-                self._timing.wait_s,
-                consistency=consistency,
-            )
+            lambda: self._reader.watch(self._kind, since, self._timing.wait_s)
         )
         self._record_reconnection()
         # A replica that lags behind may report an older version.
@@ -277,14 +371,9 @@
         self._notify_listener(after_gap=False)
         await asyncio.sleep(self._timing.coalescing_delay_s)
 
-    def _select_consistency(self) -> model.ReadConsistency:
-        if asyncio.get_running_loop().time() < self._lagging_until_s:
-            return model.ReadConsistency.LINEARIZABLE
-        return model.ReadConsistency.STALE
-
     async def _list(self) -> None:
         listed = await self._retry_gate.call(
-            lambda: self._store.list_all(self._kind)
+            lambda: self._reader.list_all(self._kind)
         )
         after_gap = self._is_disconnected
         self._record_reconnection()
--- a/src/dragonflydyke/platform/store.py
+++ b/src/dragonflydyke/platform/store.py
@@ -44,25 +44,33 @@
             timeout_s=_TIMEOUT_S,
         )
 
-    async def list_all(self, kind: str) -> model.ObjectList:
+    async def list_all(
+        self, kind: str, *, consistency: model.ReadConsistency
+    ) -> model.ObjectList:
         """Returns all objects of a kind, which are read page by page.
 
-        The version is that of the first page, so that a watch from it repeats
-        the changes that happened between the pages.
+        The version is the oldest of all pages, which may come from different
+        replicas, so that a watch from it repeats the changes that happened
+        between the pages.
         """
         found: list[model.StoredObject] = []
-        version: int | None = None
-        after = ""
+        versions = []
+        parameters: dict[str, object] = {}
+        if consistency is model.ReadConsistency.STALE:
+            parameters |= _STALE_PARAMETERS
         while True:
-            query = f"?{parse.urlencode({'after': after})}" if after else ""
+            query = f"?{parse.urlencode(parameters)}" if parameters else ""
             page = await self._read(_PATH + kind + query)
             items = page["items"]
             found.extend(_decode(kind, item) for item in items)
-            if version is None:
-                version = page["storeRevision"]
+            versions.append(page["storeRevision"])
             if not page.get("more") or not items:
-                return model.ObjectList(version, tuple(found))
-            after = items[-1]["metadata"]["name"]
+                return model.ObjectList(min(versions), tuple(found))
+            parameters["after"] = items[-1]["metadata"]["name"]
+
+    async def read_version(self, kind: str) -> int:
+        """Returns the current version of the store, by reading a small kind."""
+        return (await self._read(_PATH + kind))["storeRevision"]
 
     async def watch(
         self,
--- a/tests/builders/store.py
+++ b/tests/builders/store.py
@@ -26,6 +26,7 @@
         rejection_status: Status with which all calls are rejected, 0 for none.
         reported_lag: Revisions by which watches report an older revision of the
             store, as a replica that lags behind does.
+        replica_lag: Revisions by which replicas that serve stale lists lag.
         page_size: Maximum number of objects in a page of a list.
         calls: Received calls as method and path.
     """
@@ -36,6 +37,7 @@
         self.oldest_revision = 1
         self.rejection_status = 0
         self.reported_lag = 0
+        self.replica_lag = 0
         self.page_size = 100
         self.calls: list[str] = []
         self._events: list[tuple[int, str, bool, dict[str, Any]]] = []
@@ -123,14 +125,21 @@
             self._reply({"events": events, "storeRevision": reported})
             return
         after = self.get_query_argument("after", "")
+        revision = state.revision
+        if self.get_query_argument("allowStale", ""):
+            revision -= state.replica_lag
         found = sorted(state.objects.get(kind, {}).items())
-        items = [entry for name, entry in found if name > after]
+        items = [
+            entry
+            for name, entry in found
+            if name > after and entry["metadata"]["rev"] <= revision
+        ]
         page = items[: state.page_size]
         self._reply(
             {
                 "items": page,
                 "more": len(items) > len(page),
-                "storeRevision": state.revision,
+                "storeRevision": revision,
             }
         )
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -140,7 +140,9 @@
         self.stub.page_size = 2
         for number in range(5):
             await self.stub.put("servers", f"s{number}", {})
-        listed = await self.store.list_all("servers")
+        listed = await self.store.list_all(
+            "servers", consistency=objects.ReadConsistency.LINEARIZABLE
+        )
         self.assertEqual(
             [entry.name for entry in listed.objects],
             [f"s{number}" for number in range(5)],
@@ -149,7 +151,11 @@
     async def test_progress_write_is_conditional(self) -> None:
         spec = {"service": "engines", "target": "v2", "rampS": 24}
         await self.stub.put("rollouts", "engines", spec)
-        (entry,) = (await self.store.list_all("rollouts")).objects
+        (entry,) = (
+            await self.store.list_all(
+                "rollouts", consistency=objects.ReadConsistency.STALE
+            )
+        ).objects
         order = rollouts.Order("engines", "v2", 24.0)
         stored = controller.StoredRollout(entry, order, None)
         progress = rollouts.Progress("v2", rollouts.Stage.ROLLED_BACK)
@@ -171,8 +177,9 @@
         self.retry_gate = watchers.StoreRetryGate(
             random.Random(3), lambda: self.store.probe("rollouts")
         )
+        self.reader = watchers.ReplicaReader(self.store, "rollouts")
         watcher = watchers.KindWatcher(
-            self.store,
+            self.reader,
             "servers",
             lambda view, gap: self.views.append((set(view.objects), gap)),
             self.counters,
@@ -216,8 +223,47 @@
         await self.wait_for({"a", "b"})
         watches = [call for call in self.stub.calls if "watch=" in call]
         self.assertTrue(all("allowStale=1" in call for call in watches))
-        lists = [call for call in self.stub.calls if "watch=" not in call]
-        self.assertFalse(any("allowStale" in call for call in lists))
+        others = [call for call in self.stub.calls if "watch=" not in call]
+        self.assertEqual(
+            others,
+            [
+                "GET /api/objects/rollouts",
+                "GET /api/objects/servers?allowStale=1",
+            ],
+        )
+
+    async def test_list_of_a_lagging_replica_is_not_used(self) -> None:
+        """A node that started while replicas lagged began with old servers."""
+        self.stub.page_size = 2
+        for name in ("b", "c", "d"):
+            await self.stub.put("servers", name, {})
+        for lag in (1, 3):
+            self.stub.calls.clear()
+            self.stub.replica_lag = lag
+            reader = watchers.ReplicaReader(self.store, "rollouts")
+            listed = await reader.list_all("servers")
+            self.assertEqual(
+                {entry.name for entry in listed.objects}, set("abcd")
+            )
+            self.assertEqual(listed.version, self.stub.revision)
+
+    async def test_watches_are_exact_while_replicas_lag(self) -> None:
+        """A node that starts after the history was lost sees only the lag."""
+        self.stub.replica_lag = 1
+        reader = watchers.ReplicaReader(self.store, "rollouts")
+        listed = await reader.list_all("servers")
+        self.stub.calls.clear()
+        await reader.watch("servers", listed.version, 0.0)
+        self.assertNotIn("allowStale", self.stub.calls[0])
+
+    async def test_watchers_of_a_node_read_the_version_once(self) -> None:
+        """Each start of 195 nodes made four linearizable calls a node."""
+        self.stub.calls.clear()
+        reader = watchers.ReplicaReader(self.store, "rollouts")
+        kinds = ("config", "servers", "rollouts")
+        await asyncio.gather(*(reader.list_all(kind) for kind in kinds))
+        exact = [call for call in self.stub.calls if "allowStale" not in call]
+        self.assertEqual(exact, ["GET /api/objects/rollouts"])
 
     async def test_watches_are_exact_after_lost_history(self) -> None:
         """Replicas of a store that lost its history lag behind for seconds."""
@@ -269,7 +315,7 @@
         await self.wait_for_error("platform_unavailable")
         others = [
             watchers.KindWatcher(
-                self.store,
+                self.reader,
                 kind,
                 lambda view, gap: None,
                 self.counters,
@@ -302,7 +348,7 @@
         await self.wait_for({"a", "b"})
         self.stub.rejection_status = 503
         with self.assertRaises(objects.PlatformUnavailableError):
-            await self.retry_gate.call(lambda: self.store.list_all("config"))
+            await self.retry_gate.call(lambda: self.store.probe("config"))
         self.stub.rejection_status = 0
         before = len(self.views)
         await skipping_loop.wait_until(lambda: len(self.views) > before)
