Prefer the affinity server of a prefix more

Cause: three of four shared tokens that the largest model reads were read before; the affinity server was selected only while its queue was about as short as the others'. Conclusion: a third of the engines' queue time is worth a likely cached prefix.

--- a/src/dragonflydyke/forwarding/escalation.py
+++ b/src/dragonflydyke/forwarding/escalation.py
@@ -23,7 +23,7 @@
 # Each running request delays a prefill by its share of a decode step.
 _RUNNING_REQUEST_S = 0.004
 # The affinity server has the prefix only if it served it before.
-_PREFIX_HIT_SHARE = 0.3
+_PREFIX_HIT_SHARE = 0.7
 # Traffic between data centres is expensive.
 _REMOTE_PENALTY_S = 0.15
 # Fraction of the target latency by which the first event must be expected.
