Log what a lost response had in common with others

Change: a line `response lost` names the server process, the events received, the age of the response and the shared parts of the prompt. No decision is changed.

--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -62,6 +62,8 @@
         server: The backend server.
         may_have_run: Whether the server may have run the request.
         was_sent: Whether the request may have reached the server.
+        response_started_s: Loop time at which its response started, or None.
+        event_count: Events that it received.
     """
 
     __slots__ = (
@@ -74,7 +76,9 @@
         "_state",
         "_target",
         "_writer",
+        "event_count",
         "may_have_run",
+        "response_started_s",
         "server",
         "was_sent",
     )
@@ -98,6 +102,8 @@
         self.server = target.server
         self.may_have_run = False
         self.was_sent = False
+        self.response_started_s: float | None = None
+        self.event_count = 0
 
     async def start(self) -> messages.ResponseDetails:
         """Sends the request and waits for the start of the response.
@@ -233,6 +239,7 @@
         details = self._services.codec.read_response(
             exchange.status, exchange.headers
         )
+        self.response_started_s = asyncio.get_running_loop().time()
         if not details.not_run and self._observer is not None:
             self._observer.record_response_start()
         if details.not_run:
@@ -300,6 +307,7 @@
             if chunk is None:
                 break
             for event in splitter.feed(chunk):
+                self.event_count += 1
                 if self._observer is not None:
                     self._observer.record_event()
                 await self._relay_event(event)
--- a/src/dragonflydyke/forwarding/messages.py
+++ b/src/dragonflydyke/forwarding/messages.py
@@ -44,6 +44,11 @@
     last_event_id: int | None = None
     session: str = ""
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Parts that other requests may share: all but the last."""
+        return self.prompt[:-1]
+
     @property
     def shared_prefix(self) -> PromptPart | None:
         """Last part of the longest prefix that other requests may share.
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -342,6 +342,8 @@
         self._state.attempt_history.append(f"{server.name}:{outcome}:{reason}")
         if outcome not in _OUTCOMES_WITHOUT_FAILURE:
             self._state.failed_servers.append(server.name)
+        if outcome is decisions.AttemptOutcome.LOST:
+            self._log_loss(attempt, reason)
         ejected = self._services.selector.record_outcome(
             self._profile,
             server,
@@ -353,6 +355,22 @@
             self._services.counters.increment("server.ejected")
             _LOGGER.notice("server ejected", server=server.name)
 
+    def _log_loss(self, attempt: attempts.Attempt, reason: str) -> None:
+        started_s = attempt.response_started_s
+        details = self._context.request.details
+        _LOGGER.info(
+            "response lost",
+            request=details.request_id,
+            server=attempt.server.name,
+            server_started_ms=attempt.server.started_ms,
+            reason=reason,
+            events=attempt.event_count,
+            response_age_s=round(_now_s() - started_s, 4)
+            if started_s is not None
+            else None,
+            shared_parts=[part.part_id for part in details.shared_parts],
+        )
+
     def _was_server_stopped(
         self, server: directory.ServerEntry, outcome: decisions.AttemptOutcome
     ) -> bool:
--- a/src/dragonflydyke/forwarding/selection.py
+++ b/src/dragonflydyke/forwarding/selection.py
@@ -84,7 +84,7 @@
     if not admitted.pool.has_engines:
         return RequestProfile(admitted.pool, body_bytes=len(request.body))
     shared = details.shared_prefix
-    shared_tokens = sum(part.tokens for part in details.prompt[:-1])
+    shared_tokens = sum(part.tokens for part in details.shared_parts)
     return RequestProfile(
         pool=admitted.pool,
         affinity_key=shared.part_id if shared else "",
