Quarantine prompts that crash engines

Cause: a lost response counted only against the server. Its request was sent to the next engine, each node began anew, and an escalation discarded the response before its engine crashed, so that nobody noticed. Load is ruled out: engines with two requests crashed like full ones. Fix: that request is reported if the engine's address refuses connections. All nodes share the reports through the store and reject prompts with all the parts that two crashed processes have in common. It works because the part that crashes engines never yields a response, while its neighbours do and are left out. A response is discarded for an escalation only after its first bytes. Ruled out: counts in each node (every node loses engines first), the status of server entries (removed after the crash), one shared object (conflicts). Tests: test_prompt_that_crashes_engines_is_sent_to_two_of_them and test_crash_during_an_escalation_is_noticed fail without the check of the quarantine (3 engines crashed instead of 2), the second also without the wait for the first bytes.

--- a/src/dragonflydyke/backends/connection.py
+++ b/src/dragonflydyke/backends/connection.py
@@ -332,26 +332,26 @@
             ) from error
         self.status = start_line.code
 
-    async def read_chunks(self) -> AsyncIterator[bytes]:
-        """Yields the body as it arrives.
+    async def read_chunk(self) -> bytes | None:
+        """Returns the next part of the body, None at its end.
+
+        May be cancelled and called again without losing data.
 
         Raises:
             DragonflydykeError: backend_connection_lost if the response was
                 truncated, or backend_deadline_exceeded.
         """
         assert self._reader is not None
-        while True:
-            try:
-                async with asyncio.timeout_at(self._deadline):
-                    chunk = await self._reader.chunks.get()
-            except TimeoutError as error:
-                raise self._build_deadline_error(
-                    errors.Step.READ_ANSWER, errors.Execution.UNKNOWN
-                ) from error
-            if chunk is None:
-                break
-            yield chunk
-        # Puts the end marker back, so that a second iteration also ends.
+        try:
+            async with asyncio.timeout_at(self._deadline):
+                chunk = await self._reader.chunks.get()
+        except TimeoutError as error:
+            raise self._build_deadline_error(
+                errors.Step.READ_ANSWER, errors.Execution.UNKNOWN
+            ) from error
+        if chunk is not None:
+            return chunk
+        # Puts the end marker back, so that a second call also ends.
         self._reader.chunks.put_nowait(None)
         if not self._reader.complete:
             raise failures.build_connection_lost_error(
@@ -359,6 +359,16 @@
                 errors.Step.READ_ANSWER,
                 "the response was truncated",
             )
+        return None
+
+    async def read_chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body as it arrives.
+
+        Raises:
+            DragonflydykeError: As `read_chunk` does.
+        """
+        while (chunk := await self.read_chunk()) is not None:
+            yield chunk
 
     def close_now(self) -> None:
         """Closes the connection without waiting for the reader task."""
--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -27,6 +27,12 @@
 # other servers have no capacity either. Only an unreachable server stays silent
 # for a multiple of that limit.
 _EVENT_TIMEOUT_GAPS = 2.0
+# An engine sends the first event together with the start of the response. One
+# that crashes as it begins to write ends within this time.
+_FIRST_BYTES_TIMEOUT_S = 0.5
+# An engine that crashes at the start of a response gets no further than its
+# first event.
+_PRODUCED_EVENTS = 2
 
 
 class AttemptFailedError(Exception):
@@ -69,6 +75,7 @@
     __slots__ = (
         "_admitted",
         "_exchange",
+        "_first_chunk",
         "_observer",
         "_request",
         "_retry_budget",
@@ -97,6 +104,7 @@
         self._retry_budget = context.retry_budget
         self._state = context.state
         self._exchange: connection.Exchange | None = None
+        self._first_chunk: bytes | None = None
         self._observer: observers.AttemptObserver | None = None
         self._target = target
         self.server = target.server
@@ -121,6 +129,24 @@
             raise self._build_failure(error) from error
         return self._read_response_start()
 
+    async def await_first_bytes(self) -> None:
+        """Waits for a short time until the body of the response begins.
+
+        An engine that crashes as it begins to write would otherwise do so
+        unnoticed after its response was discarded.
+
+        Raises:
+            AttemptFailedError: If the response was lost.
+        """
+        assert self._exchange is not None
+        try:
+            async with asyncio.timeout(_FIRST_BYTES_TIMEOUT_S):
+                self._first_chunk = await self._exchange.read_chunk()
+        except TimeoutError:
+            return
+        except errors.DragonflydykeError as error:
+            raise self._build_failure(error) from error
+
     async def deliver(self, details: messages.ResponseDetails) -> None:
         """Delivers the response to the client.
 
@@ -145,6 +171,11 @@
         succeeded = _OK <= self._exchange.status < _FIRST_REDIRECT_STATUS
         return is_stream and succeeded and details.is_stream
 
+    @property
+    def has_only_started(self) -> bool:
+        """Whether the response started, but not even one event arrived."""
+        return self.response_started_s is not None and not self.event_count
+
     def close(self) -> None:
         """Closes the connection, which cancels the request at the server."""
         if self._exchange is not None:
@@ -292,32 +323,45 @@
         )
 
     async def _relay_events(self) -> None:
-        exchange = self._exchange
-        assert exchange is not None
         splitter = events.EventSplitter()
-        chunks = exchange.read_chunks()
-        while True:
-            try:
-                async with asyncio.timeout(self._find_event_timeout_s()):
-                    chunk = await anext(chunks, None)
-            except TimeoutError as error:
-                raise AttemptFailedError(
-                    decisions.AttemptOutcome.LOST, "stream stalled"
-                ) from error
-            if chunk is None:
-                break
+        while (chunk := await self._read_chunk()) is not None:
             for event in splitter.feed(chunk):
-                self.event_count += 1
-                if self._observer is not None:
-                    self._observer.record_event()
+                self._record_event()
                 await self._relay_event(event)
         if splitter.has_incomplete_event:
             raise AttemptFailedError(
                 decisions.AttemptOutcome.LOST, "torn event"
             )
+        self._record_production()
         self._start_response()
         self._writer.finish()
 
+    async def _read_chunk(self) -> bytes | None:
+        assert self._exchange is not None
+        chunk, self._first_chunk = self._first_chunk, None
+        if chunk is not None:
+            return chunk
+        try:
+            async with asyncio.timeout(self._find_event_timeout_s()):
+                return await self._exchange.read_chunk()
+        except TimeoutError as error:
+            raise AttemptFailedError(
+                decisions.AttemptOutcome.LOST, "stream stalled"
+            ) from error
+
+    def _record_event(self) -> None:
+        self.event_count += 1
+        if self.event_count == _PRODUCED_EVENTS:
+            self._record_production()
+        if self._observer is not None:
+            self._observer.record_event()
+
+    def _record_production(self) -> None:
+        """Records that the prompt does not crash its engine."""
+        self._services.quarantine.record_response(
+            self.server.pool, self._request.details.shared_part_ids
+        )
+
     def _find_event_timeout_s(self) -> float | None:
         """Returns the event timeout, or None if the stream cannot resume."""
         route = self._admitted.route
--- a/src/dragonflydyke/forwarding/contexts.py
+++ b/src/dragonflydyke/forwarding/contexts.py
@@ -10,10 +10,12 @@
 from dragonflydyke.forwarding import (
     cascade,
     controller,
+    crash_reports,
     decisions,
     directory,
     messages,
     planner,
+    quarantine,
     selection,
 )
 from dragonflydyke.routing import retries
@@ -116,6 +118,8 @@
     rollout_controller: controller.RolloutController
     selector: selection.ServerSelector
     planner: planner.EscalationPlanner
+    quarantine: quarantine.PromptQuarantine
+    crash_reporter: crash_reports.CrashReporter
     counters: metrics.Counters
     tcp_client: tcpclient.TCPClient
 
--- /dev/null
+++ b/src/dragonflydyke/forwarding/crash_reports.py
@@ -0,0 +1,172 @@
+"""Confirms crashes of engines and shares the reports through the store."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from dragonflydyke import errors, logs, metrics
+from dragonflydyke.forwarding import directory, messages, quarantine
+
+# A VM whose process ended refuses a connection within a round trip.
+_CONFIRMATION_TIMEOUT_S = 0.2
+_POLL_INTERVAL_S = 1.0
+_MIN_WRITE_RETRY_S = 0.2
+_MAX_WRITE_RETRY_S = 0.5
+# Spreads the removal of expired reports, which one node does for all.
+_MAX_REMOVAL_DELAY_S = 30.0
+
+_LOGGER = logs.get_logger("crashes")
+
+
+class CrashStore(Protocol):
+    """Stores the crash reports of all nodes."""
+
+    async def write_crash(self, report: quarantine.CrashReport) -> None:
+        """Stores a report; does nothing if the store has it already.
+
+        Raises:
+            DragonflydykeError: If the write fails, or may not have happened.
+        """
+
+    async def remove_crash(self, report: quarantine.CrashReport) -> None:
+        """Removes a report; does nothing if the store does not have it.
+
+        Raises:
+            DragonflydykeError: If the write fails, or may not have happened.
+        """
+
+
+class CrashReporter:
+    """Reports requests that crash engines, to this node and to all others."""
+
+    __slots__ = (
+        "_counters",
+        "_is_store_available",
+        "_pending",
+        "_quarantine",
+        "_random",
+        "_removal_delay_s",
+        "_store",
+        "_wake",
+    )
+
+    def __init__(
+        self,
+        prompts: quarantine.PromptQuarantine,
+        store: CrashStore,
+        counters: metrics.Counters,
+        source: random.Random,
+        is_store_available: Callable[[], bool] = lambda: True,
+    ) -> None:
+        """Creates a reporter without reports.
+
+        Args:
+            prompts: Quarantine that the reports lead to.
+            store: Stores the reports.
+            counters: Receives `crash.<outcome>`.
+            source: Random source that spreads the writes of the nodes.
+            is_store_available: Returns whether the last read of the store
+                succeeded.
+        """
+        self._quarantine = prompts
+        self._store = store
+        self._counters = counters
+        self._random = source
+        self._is_store_available = is_store_available
+        self._removal_delay_s = source.uniform(0.0, _MAX_REMOVAL_DELAY_S)
+        self._pending: dict[str, quarantine.CrashReport] = {}
+        self._wake = asyncio.Event()
+
+    async def report(
+        self, server: directory.ServerEntry, details: messages.RequestDetails
+    ) -> None:
+        """Reports a request if the engine that lost its response has ended.
+
+        Args:
+            server: The engine.
+            details: Details of a request whose response had started without
+                an event when it was lost.
+        """
+        parts = details.shared_part_ids
+        if not parts or not await _has_ended(server):
+            return
+        report = quarantine.CrashReport(
+            server.pool,
+            details.request_id,
+            server.name,
+            server.started_ms,
+            parts,
+        )
+        self._counters.increment("crash.reported")
+        _LOGGER.warning(
+            "engine crashed under a request",
+            request=details.request_id,
+            pool=server.pool,
+            server=server.name,
+            server_started_ms=server.started_ms,
+            parts=sorted(parts),
+        )
+        self._quarantine.add(report, asyncio.get_running_loop().time())
+        self._pending[report.name] = report
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Writes and removes reports until cancelled."""
+        while True:
+            await self._wait()
+            if not self._is_store_available():
+                continue
+            try:
+                await self._write_pending()
+                await self._remove_expired()
+            except errors.DragonflydykeError as error:
+                self._counters.increment(f"crash.{error.code}")
+                _LOGGER.info("crash report not written", code=error.code)
+
+    async def _wait(self) -> None:
+        """Waits for a new report, or for the time of the next attempt."""
+        delay_s = _POLL_INTERVAL_S
+        if self._pending:
+            delay_s = self._random.uniform(
+                _MIN_WRITE_RETRY_S, _MAX_WRITE_RETRY_S
+            )
+        try:
+            async with asyncio.timeout(delay_s):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+        self._wake.clear()
+
+    async def _write_pending(self) -> None:
+        for name, report in list(self._pending.items()):
+            await self._store.write_crash(report)
+            del self._pending[name]
+
+    async def _remove_expired(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for report in self._quarantine.list_expired(
+            now_s - self._removal_delay_s
+        ):
+            await self._store.remove_crash(report)
+            self._quarantine.discard(report)
+            _LOGGER.notice("quarantine ended", parts=sorted(report.parts))
+
+
+async def _has_ended(server: directory.ServerEntry) -> bool:
+    """Returns whether the address of an engine refuses connections."""
+    host, _, port = server.address.rpartition(":")
+    try:
+        async with asyncio.timeout(_CONFIRMATION_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return True
+    except (TimeoutError, OSError) as error:
+        _LOGGER.info(
+            "engine neither accepts nor refuses connections",
+            server=server.name,
+            error=repr(error),
+        )
+        return False
+    writer.close()
+    return False
--- a/src/dragonflydyke/forwarding/decisions.py
+++ b/src/dragonflydyke/forwarding/decisions.py
@@ -4,7 +4,7 @@
 import enum
 
 from dragonflydyke import errors
-from dragonflydyke.forwarding import messages, model
+from dragonflydyke.forwarding import messages, model, quarantine
 
 _BAD_REQUEST = 400
 _UNAUTHORIZED = 401
@@ -162,11 +162,13 @@
     lost or not valid, FAILED that the server itself returned an error.
     LOW_CONFIDENCE means that a response was discarded in favour of the largest
     model, FIRST_EVENT_TIMEOUT that a stream did not start while there was still
-    time to try another server.
+    time to try another server. QUARANTINED means that no attempt was made, as
+    the prompt crashes engines.
     """
 
     DELIVERED = "delivered"
     NO_SERVER = "no_server"
+    QUARANTINED = "quarantined"
     NOT_RUN = "not_run"
     FAILED = "failed"
     LOST = "lost"
@@ -202,6 +204,11 @@
     GIVE_UP = "give_up"
 
 
+_FINAL_OUTCOMES = (
+    AttemptOutcome.DEADLINE_EXCEEDED,
+    AttemptOutcome.NO_SERVER,
+    AttemptOutcome.QUARANTINED,
+)
 # Limits the attempts of a request that every server rejects; more dispatches
 # would only consume the retry budget that all requests share.
 MAX_DISPATCHES = 5
@@ -216,7 +223,7 @@
         AttemptOutcome.CLIENT_DISCONNECTED,
     ):
         return NextStep.DONE
-    if outcome in (AttemptOutcome.DEADLINE_EXCEEDED, AttemptOutcome.NO_SERVER):
+    if outcome in _FINAL_OUTCOMES:
         return NextStep.GIVE_UP
     if progress.remaining_s < MIN_ATTEMPT_S:
         return NextStep.GIVE_UP
@@ -260,6 +267,14 @@
         outcome is AttemptOutcome.DEADLINE_EXCEEDED
         or progress.remaining_s < MIN_ATTEMPT_S
     )
+    if outcome is AttemptOutcome.QUARANTINED and not progress.may_have_run:
+        return build_rejection(
+            "prompt_quarantined",
+            "the prompt has parts that crash engines",
+            _UNAVAILABLE,
+            step=errors.Step.ROUTE,
+            retry_after_s=quarantine.QUARANTINE_S,
+        )
     if not progress.may_have_run:
         return build_rejection(
             "no_server_took_it",
--- a/src/dragonflydyke/forwarding/execution.py
+++ b/src/dragonflydyke/forwarding/execution.py
@@ -8,11 +8,13 @@
 from dragonflydyke.forwarding import (
     contexts,
     controller,
+    crash_reports,
     decisions,
     directory,
     messages,
     model,
     planner,
+    quarantine,
     runs,
     selection,
 )
@@ -51,6 +53,8 @@
         rollout_controller: controller.RolloutController,
         selector: selection.ServerSelector,
         escalation_planner: planner.EscalationPlanner,
+        prompt_quarantine: quarantine.PromptQuarantine,
+        crash_reporter: crash_reports.CrashReporter,
         counters: metrics.Counters,
     ) -> None:
         """Creates a forwarder without a policy, which rejects all requests."""
@@ -63,6 +67,8 @@
             rollout_controller=rollout_controller,
             selector=selector,
             planner=escalation_planner,
+            quarantine=prompt_quarantine,
+            crash_reporter=crash_reporter,
             counters=counters,
             tcp_client=tcpclient.TCPClient(transport.AddressResolver()),
         )
--- a/src/dragonflydyke/forwarding/messages.py
+++ b/src/dragonflydyke/forwarding/messages.py
@@ -49,6 +49,11 @@
         """Parts that other requests may share: all but the last."""
         return self.prompt[:-1]
 
+    @property
+    def shared_part_ids(self) -> frozenset[str]:
+        """Ids of the shared parts."""
+        return frozenset(part.part_id for part in self.shared_parts)
+
     @property
     def shared_prefix(self) -> PromptPart | None:
         """Last part of the longest prefix that other requests may share.
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -12,11 +12,13 @@
 from dragonflydyke import logs, metrics, settings
 from dragonflydyke.forwarding import (
     controller,
+    crash_reports,
     directory,
     execution,
     messages,
     model,
     planner,
+    quarantine,
     reports,
     selection,
     server,
@@ -81,6 +83,7 @@
     policies: str
     servers: str
     rollouts: str
+    crashes: str
 
 
 class Decoder:
@@ -104,8 +107,19 @@
         """Returns the rollouts, without entries that cannot be decoded."""
         raise NotImplementedError
 
+    def read_crashes(
+        self, entries: Iterable[objects.StoredObject]
+    ) -> list[quarantine.CrashReport]:
+        """Returns the crash reports that can be decoded."""
+        raise NotImplementedError
+
 
-class NodeStore(watchers.WatchableStore, controller.RolloutStore, Protocol):
+class NodeStore(
+    watchers.WatchableStore,
+    controller.RolloutStore,
+    crash_reports.CrashStore,
+    Protocol,
+):
     """Operations of the store that a node uses."""
 
 
@@ -114,11 +128,14 @@
 
     __slots__ = (
         "_counters",
+        "_crash_reporter",
         "_decoder",
         "_directory",
         "_forwarder",
+        "_has_crashes",
         "_has_rollouts",
         "_is_draining",
+        "_quarantine",
         "_reload",
         "_retry_gate",
         "_rollout_controller",
@@ -170,7 +187,16 @@
             values.exposure_share,
             lambda: not self._retry_gate.is_unavailable,
         )
+        self._quarantine = quarantine.PromptQuarantine()
+        self._crash_reporter = crash_reports.CrashReporter(
+            self._quarantine,
+            store,
+            counters,
+            source,
+            lambda: not self._retry_gate.is_unavailable,
+        )
         self._has_rollouts = False
+        self._has_crashes = False
         self._forwarder = execution.Forwarder(
             codec,
             self._directory,
@@ -181,6 +207,8 @@
                 reports.ReportReader(report_codec, counters),
                 source,
             ),
+            self._quarantine,
+            self._crash_reporter,
             counters,
         )
         self._server = server.ForwardingServer(self._forwarder, codec)
@@ -197,6 +225,7 @@
             (kinds.policies, self._apply_policy),
             (kinds.servers, self._apply_servers),
             (kinds.rollouts, self._apply_rollouts),
+            (kinds.crashes, self._apply_crashes),
         )
         return [
             watchers.KindWatcher(
@@ -218,6 +247,7 @@
             and self._forwarder.policy is not None
             and self._directory.updated_s is not None
             and self._has_rollouts
+            and self._has_crashes
         )
 
     async def run(self) -> None:
@@ -227,6 +257,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
         tasks = [loop.create_task(w.run()) for w in self._watchers]
         tasks.append(loop.create_task(self._rollout_controller.run()))
+        tasks.append(loop.create_task(self._crash_reporter.run()))
         self._server.listen(self._settings.front)
         _serve_text(self._settings.ready, self._describe_readiness)
         _serve_text(self._settings.metrics, self._describe_metrics)
@@ -299,6 +330,14 @@
         self._rollout_controller.update(found, view.confirmed_s)
         self._has_rollouts = True
 
+    def _apply_crashes(
+        self, view: watchers.KindSnapshot, after_gap: bool
+    ) -> None:
+        del after_gap
+        found = self._decoder.read_crashes(view.objects.values())
+        self._quarantine.replace_stored(found, view.confirmed_s)
+        self._has_crashes = True
+
     def _describe_readiness(self) -> tuple[int, str]:
         return (_OK, "ready\n") if self.is_ready else (_UNAVAILABLE, "no\n")
 
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from dragonflydyke import logs
+from dragonflydyke.backends import failures
 from dragonflydyke.forwarding import (
     attempts,
     cascade,
@@ -133,6 +134,8 @@
 
     async def _attempt(self) -> decisions.AttemptOutcome:
         """Makes one attempt and returns its outcome."""
+        if self._is_quarantined():
+            return decisions.AttemptOutcome.QUARANTINED
         servers = self._list_servers()
         target = await self._select_target(servers)
         if target is None:
@@ -154,12 +157,32 @@
         finally:
             attempt.close()
             self._record_attempt(attempt, outcome, reason, servers)
+        if reason == failures.CONNECTION_LOST and attempt.has_only_started:
+            await self._services.crash_reporter.report(
+                attempt.server, self._context.request.details
+            )
         return outcome
 
+    def _is_quarantined(self) -> bool:
+        details = self._context.request.details
+        found = self._services.quarantine.find_combination(
+            self._admitted.pool.name, details.shared_part_ids
+        )
+        if found is None:
+            return False
+        self._services.counters.increment("crash.prompt_rejected")
+        _LOGGER.info(
+            "prompt is in quarantine",
+            request=details.request_id,
+            parts=sorted(found),
+        )
+        return True
+
     async def _run_attempt(self, attempt: attempts.Attempt) -> None:
         """Sends the request, and delivers the response if it is good enough."""
         details = await attempt.start()
         if attempt.is_event_stream(details) and self._should_escalate(details):
+            await attempt.await_first_bytes()
             self._plan = await self._plan_escalation(details)
             if self._plan is not None:
                 raise attempts.AttemptFailedError(
--- a/src/dragonflydyke/platform/records.py
+++ b/src/dragonflydyke/platform/records.py
@@ -10,12 +10,17 @@
     directory,
     model,
     node,
+    quarantine,
     rollouts,
 )
 from dragonflydyke.objects import model as objects
 
 KINDS = node.ObjectKinds(
-    policies="config", servers="servers", rollouts="rollouts"
+    policies="config",
+    servers="servers",
+    rollouts="rollouts",
+    # Only the routers use this kind.
+    crashes="enginecrashes",
 )
 _POLICY_OBJECT_NAME = "main"
 _RUNNING = "running"
@@ -70,6 +75,13 @@
         found = (self._read(entry, _read_rollout) for entry in entries)
         return [stored for stored in found if stored is not None]
 
+    def read_crashes(
+        self, entries: Iterable[objects.StoredObject]
+    ) -> list[quarantine.CrashReport]:
+        """Returns the crash reports that can be decoded."""
+        found = (self._read(entry, _read_crash) for entry in entries)
+        return [report for report in found if report is not None]
+
     def _read(self, entry: objects.StoredObject, read: Any) -> Any:
         try:
             return read(entry)
@@ -181,6 +193,28 @@
     }
 
 
+def _read_crash(entry: objects.StoredObject) -> quarantine.CrashReport:
+    spec = entry.value
+    return quarantine.CrashReport(
+        pool=_require_text(spec["pool"]),
+        request_id=_require_text(spec["request"]),
+        server=_require_text(spec["server"]),
+        started_ms=int(_require_number(spec["startedMs"])),
+        parts=frozenset(_require_text(part) for part in spec["parts"]),
+    )
+
+
+def write_crash(report: quarantine.CrashReport) -> dict[str, Any]:
+    """Returns the stored value of a crash report."""
+    return {
+        "pool": report.pool,
+        "request": report.request_id,
+        "server": report.server,
+        "startedMs": report.started_ms,
+        "parts": sorted(report.parts),
+    }
+
+
 def _read_counts(counts: Any) -> rollouts.AttemptCounts:
     attempts, failed, impaired = counts
     return rollouts.AttemptCounts(attempts, failed, impaired)
--- a/src/dragonflydyke/platform/store.py
+++ b/src/dragonflydyke/platform/store.py
@@ -5,7 +5,7 @@
 from urllib import parse
 
 from dragonflydyke import metrics
-from dragonflydyke.forwarding import controller, rollouts
+from dragonflydyke.forwarding import controller, quarantine, rollouts
 from dragonflydyke.objects import model, store_http
 from dragonflydyke.platform import records
 
@@ -13,6 +13,7 @@
 _TIMEOUT_S = 1.0
 _MS_PER_S = 1_000
 _OK = 200
+_CREATED = 201
 _NOT_FOUND = 404
 _CONFLICT = 409
 _GONE = 410
@@ -142,6 +143,30 @@
         written = _decode(entry.kind, json.loads(response.body))
         return controller.StoredRollout(written, stored.order, progress)
 
+    async def write_crash(self, report: quarantine.CrashReport) -> None:
+        """Stores a crash report; does nothing if the store has it already."""
+        body = {
+            "metadata": {"name": report.name},
+            "spec": records.write_crash(report),
+        }
+        await self._caller.call(
+            store_http.StoreMethod.POST,
+            _PATH + records.KINDS.crashes,
+            expected_statuses=(_OK, _CREATED, _CONFLICT),
+            rejected_statuses=_REJECTED_STATUSES,
+            headers=_JSON_HEADERS,
+            body=json.dumps(body),
+        )
+
+    async def remove_crash(self, report: quarantine.CrashReport) -> None:
+        """Removes a crash report; does nothing if the store has none."""
+        await self._caller.call(
+            store_http.StoreMethod.DELETE,
+            f"{_PATH}{records.KINDS.crashes}/{report.name}",
+            expected_statuses=(_OK, _NOT_FOUND),
+            rejected_statuses=_REJECTED_STATUSES,
+        )
+
     async def _read(self, path: str) -> Any:
         response = await self._caller.call(
             store_http.StoreMethod.GET,
--- a/tests/builders/forwarding.py
+++ b/tests/builders/forwarding.py
@@ -12,11 +12,13 @@
 from dragonflydyke.configuration import model as configuration
 from dragonflydyke.forwarding import (
     controller,
+    crash_reports,
     directory,
     execution,
     messages,
     model,
     planner,
+    quarantine,
     reports,
     rollouts,
     selection,
@@ -353,6 +355,39 @@
         )
 
 
+class RecordingCrashStore:
+    """A store of crash reports.
+
+    Attributes:
+        reports: Stored reports by name.
+        failures: Number of writes to fail from now on.
+    """
+
+    def __init__(self) -> None:
+        self.reports: dict[str, quarantine.CrashReport] = {}
+        self.failures = 0
+
+    async def write_crash(self, report: quarantine.CrashReport) -> None:
+        """Stores a report."""
+        if self.failures:
+            self.failures -= 1
+            raise objects.OutcomeUnknownError("lost", peer="store")
+        self.reports[report.name] = report
+
+    async def remove_crash(self, report: quarantine.CrashReport) -> None:
+        """Removes a report."""
+        self.reports.pop(report.name, None)
+
+
+def build_crash_report(
+    *parts: str, server: str = "a", request_id: str = "r1"
+) -> quarantine.CrashReport:
+    """Returns a report on a crash of an engine of pool `engines`."""
+    return quarantine.CrashReport(
+        "engines", request_id, server, 1, frozenset(parts)
+    )
+
+
 class ForwardingTestCase(skipping_loop.SkippingTestCase):
     """Test case with a forwarding server and scripted backend servers."""
 
@@ -369,6 +404,11 @@
             source,
             EXPOSURE_SHARE,
         )
+        self.crash_store = RecordingCrashStore()
+        self.quarantine = quarantine.PromptQuarantine()
+        self.crash_reporter = crash_reports.CrashReporter(
+            self.quarantine, self.crash_store, self.counters, source
+        )
         codec = headers.HeaderCodec()
         self.forwarder = execution.Forwarder(
             codec,
@@ -382,6 +422,8 @@
                 ),
                 source,
             ),
+            self.quarantine,
+            self.crash_reporter,
             self.counters,
         )
         self.forwarder.policy = build_policy()
--- a/tests/builders/store.py
+++ b/tests/builders/store.py
@@ -143,6 +143,25 @@
             }
         )
 
+    async def post(self, kind: str, *rest: str) -> None:
+        state = self._stub
+        body = json.loads(self.request.body)
+        name = body["metadata"]["name"]
+        present = state.objects.get(kind, {}).get(name)
+        if present is not None:
+            self.set_status(409)
+            self._reply(present)
+            return
+        self._reply(await state.store(kind, name, body["spec"], None))
+
+    async def delete(self, kind: str, name: str, *rest: str) -> None:
+        state = self._stub
+        if name not in state.objects.get(kind, {}):
+            self.send_error(404)
+            return
+        await state.remove(kind, name)
+        self._reply({})
+
     async def put(self, kind: str, name: str, status: str) -> None:
         state = self._stub
         body = json.loads(self.request.body)
--- /dev/null
+++ b/tests/test_forwarding_quarantine.py
@@ -0,0 +1,224 @@
+"""Tests of the quarantine of prompts that crash engines."""
+
+import asyncio
+import random
+import unittest
+
+from dragonflydyke import metrics
+from dragonflydyke.forwarding import crash_reports, quarantine
+from tests.builders import forwarding, skipping_loop, virtual_loop
+
+_POOL = "engines"
+_SOUND = "aaa:400,ccc:300,d1:100"
+_DEADLY_PART = "bbb"
+
+
+def _build_prompt(first: str, last: str) -> str:
+    return f"{first}:400,{_DEADLY_PART}:300,{last}:100"
+
+
+class PromptQuarantineTest(unittest.TestCase):
+    """Guards against too many crashes, and against rejected sound prompts."""
+
+    def setUp(self) -> None:
+        self.prompts = quarantine.PromptQuarantine()
+
+    def add(self, *parts: str, server: str, request_id: str = "r1") -> None:
+        """Adds a report."""
+        report = forwarding.build_crash_report(
+            *parts, server=server, request_id=request_id
+        )
+        self.prompts.add(report, 0.0)
+
+    def is_rejected(self, *parts: str) -> bool:
+        """Returns whether a prompt is rejected."""
+        return self.prompts.find_combination(_POOL, parts) is not None
+
+    def test_two_crashed_engines_put_a_prompt_in_quarantine(self) -> None:
+        self.add("aaa", "bbb", server="a")
+        self.assertFalse(self.is_rejected("aaa", "bbb"))
+        self.add("aaa", "bbb", server="b")
+        self.assertTrue(self.is_rejected("aaa", "bbb"))
+        self.assertIsNone(self.prompts.find_combination("other", ["aaa"]))
+
+    def test_sound_prompts_with_some_of_the_parts_are_served(self) -> None:
+        """A sound route was blocked by the first part of its prompts."""
+        self.add("aaa", "bbb", server="a")
+        self.add("aaa", "bbb", server="b")
+        self.assertFalse(self.is_rejected("aaa", "ccc"))
+        self.assertFalse(self.is_rejected("aaa"))
+
+    def test_crash_of_one_engine_is_not_counted_twice(self) -> None:
+        self.add("aaa", "bbb", server="a", request_id="r1")
+        self.add("aaa", "bbb", server="a", request_id="r2")
+        self.assertFalse(self.is_rejected("aaa", "bbb"))
+
+    def test_different_requests_show_the_part_they_share(self) -> None:
+        self.add("aaa", "bbb", server="a")
+        self.add("ccc", "bbb", server="b", request_id="r2")
+        self.assertTrue(self.is_rejected("ddd", "bbb"))
+        self.assertFalse(self.is_rejected("ccc", "ddd"))
+
+    def test_part_of_a_later_response_is_not_the_cause(self) -> None:
+        """Requests that share only a common first part looked alike."""
+        self.add("aaa", "bbb", server="a")
+        self.prompts.record_response(_POOL, ["aaa", "ddd"])
+        self.add("aaa", "ccc", server="b", request_id="r2")
+        self.prompts.record_response(_POOL, ["aaa"])
+        self.assertFalse(self.is_rejected("aaa", "ddd"))
+        self.add("eee", "bbb", server="c", request_id="r3")
+        self.assertTrue(self.is_rejected("fff", "bbb"))
+
+    def test_reports_of_other_nodes_count(self) -> None:
+        """Every node lost its own engines before all rejected the prompt."""
+        self.add("aaa", "bbb", server="a")
+        other = forwarding.build_crash_report("aaa", "bbb", server="b")
+        self.prompts.replace_stored([other], 0.0)
+        self.assertTrue(self.is_rejected("aaa", "bbb"))
+        # The report of this node is not stored yet and must not get lost.
+        self.prompts.replace_stored([], 0.0)
+        self.add("aaa", "bbb", server="c")
+        self.assertTrue(self.is_rejected("aaa", "bbb"))
+
+    def test_quarantine_ends(self) -> None:
+        self.add("aaa", "bbb", server="a")
+        self.assertEqual(
+            self.prompts.list_expired(quarantine.QUARANTINE_S - 1.0), []
+        )
+        (expired,) = self.prompts.list_expired(quarantine.QUARANTINE_S)
+        self.prompts.discard(expired)
+        self.add("aaa", "bbb", server="b")
+        self.assertFalse(self.is_rejected("aaa", "bbb"))
+
+
+class CrashReporterTest(virtual_loop.VirtualTimeTestCase):
+    """Guards against reports that do not reach the store, or never leave it."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.prompts = quarantine.PromptQuarantine()
+        self.store = forwarding.RecordingCrashStore()
+        self.reporter = crash_reports.CrashReporter(
+            self.prompts, self.store, metrics.Counters(), random.Random(3)
+        )
+        task = asyncio.create_task(self.reporter.run())
+        self.addCleanup(task.cancel)
+
+    async def test_expired_reports_are_removed(self) -> None:
+        report = forwarding.build_crash_report("aaa")
+        await self.store.write_crash(report)
+        self.prompts.replace_stored([report], self.loop.time())
+        await self.loop.advance(quarantine.QUARANTINE_S - 1.0, step_s=1.0)
+        self.assertIn(report.name, self.store.reports)
+        await self.loop.advance(40.0, step_s=1.0)
+        self.assertEqual(self.store.reports, {})
+
+
+class CrashingPromptTest(forwarding.ForwardingTestCase):
+    """Replays requests of which one part crashes every engine.
+
+    The engine sends the start of a response, and its process ends before the
+    first event. Requests with other parts are served all the while.
+    """
+
+    async def asyncSetUp(self) -> None:
+        """Starts five engines and the reporter."""
+        await super().asyncSetUp()
+        self.crashed: list[str] = []
+        for name in "abcde":
+            await self.start_engine(name)
+        task = asyncio.create_task(self.crash_reporter.run())
+        self.addCleanup(task.cancel)
+
+    async def start_engine(self, name: str) -> None:
+        """Starts an engine that crashes on the deadly part."""
+
+        async def run(request, writer) -> None:
+            is_deadly = _DEADLY_PART in request.headers["Prompt-Prefix"]
+            forwarding.write_stream_start(
+                request, writer, Confidence=self.confidence
+            )
+            await writer.drain()
+            if is_deadly:
+                await self.crash(name, writer)
+                return
+            for event_id in (1, 2):
+                forwarding.write_event(writer, event_id)
+            forwarding.write_chunk(writer, b"")
+            await writer.drain()
+
+        await self.start_server(name, run)
+
+    confidence = "100"
+
+    async def crash(self, name: str, writer: asyncio.StreamWriter) -> None:
+        """Ends an engine: its address refuses connections from now on."""
+        await self.servers[name].stop()
+        self.crashed.append(name)
+        await asyncio.sleep(0.02)
+        forwarding.reset(writer)
+
+    async def test_prompt_that_crashes_engines_is_sent_to_two_of_them(
+        self,
+    ) -> None:
+        """One request after the other took all engines of a pool down."""
+        prompt = _build_prompt("aaa", "x1")
+        response = await self.fetch(Prompt_Prefix=prompt)
+        # The request may have run.
+        self.assertEqual(response.status, 502)
+        self.assertEqual(len(self.crashed), 2)
+        for number in range(3):
+            prompt = _build_prompt("aaa", f"y{number}")
+            response = await self.fetch(Prompt_Prefix=prompt)
+            self.assertEqual(response.status, 503)
+            self.assertIn("Retry-After", response.headers)
+        self.assertEqual(len(self.crashed), 2)
+        response = await self.fetch(Prompt_Prefix=_SOUND)
+        self.assertEqual((response.status, response.is_complete), (200, True))
+
+    async def test_crashes_are_shared_with_other_nodes(self) -> None:
+        await self.fetch(Prompt_Prefix=_build_prompt("aaa", "x1"))
+        await skipping_loop.wait_until(
+            lambda: len(self.crash_store.reports) > 1
+        )
+        other = quarantine.PromptQuarantine()
+        other.replace_stored(self.crash_store.reports.values(), 0.0)
+        parts = ["aaa", _DEADLY_PART]
+        self.assertIsNotNone(other.find_combination(_POOL, parts))
+
+    async def test_lost_write_of_a_report_is_repeated(self) -> None:
+        self.crash_store.failures = 2
+        await self.fetch(Prompt_Prefix=_build_prompt("aaa", "x1"))
+        await skipping_loop.wait_until(
+            lambda: len(self.crash_store.reports) > 1
+        )
+        self.assertEqual(self.crash_store.failures, 0)
+
+    async def test_crash_during_an_escalation_is_noticed(self) -> None:
+        """The engine crashed after its response had been discarded."""
+        self.forwarder.policy = forwarding.build_policy(
+            forwarding.build_route(models=forwarding.MODELS)
+        )
+        self.confidence = "10"
+        prompt = _build_prompt("aaa", "x1")
+        response = await self.fetch(Model="*", Prompt_Prefix=prompt)
+        self.assertEqual(response.status, 502)
+        self.assertEqual(len(self.crashed), 2)
+
+    async def test_broken_connection_to_a_running_engine_is_no_crash(
+        self,
+    ) -> None:
+        """Responses that get lost on the way do not incriminate a prompt."""
+
+        async def run(request, writer) -> None:
+            forwarding.write_stream_start(request, writer)
+            await writer.drain()
+            forwarding.reset(writer)
+
+        for scripted in self.servers.values():
+            scripted.script = run
+        for _ in range(3):
+            await self.fetch(Prompt_Prefix=_build_prompt("aaa", "x1"))
+        parts = ["aaa", _DEADLY_PART]
+        self.assertIsNone(self.quarantine.find_combination(_POOL, parts))
+        self.assertEqual(self.crash_store.reports, {})
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,11 +11,11 @@
 from urllib import parse
 
 from dragonflydyke import settings
-from dragonflydyke.forwarding import controller, model, rollouts
+from dragonflydyke.forwarding import controller, model, quarantine, rollouts
 from dragonflydyke.objects import model as objects
 from dragonflydyke.objects import watchers
 from dragonflydyke.platform import process, records
-from tests.builders import skipping_loop, store
+from tests.builders import forwarding, skipping_loop, store
 
 
 def _entry(name: str, value: object, version: int = 1) -> objects.StoredObject:
@@ -166,6 +166,24 @@
         with self.assertRaises(objects.ConflictError):
             await self.store.write_progress(stored, progress)
 
+    async def test_crash_reports_are_shared_until_removed(self) -> None:
+        report = forwarding.build_crash_report("aaa", "bbb")
+        await self.store.write_crash(report)
+        # The response to the first write may get lost.
+        await self.store.write_crash(report)
+        self.assertEqual(await self.read_crashes(), [report])
+        await self.store.remove_crash(report)
+        await self.store.remove_crash(report)
+        self.assertEqual(await self.read_crashes(), [])
+
+    async def read_crashes(self) -> list[quarantine.CrashReport]:
+        """Returns the crash reports in the store."""
+        listed = await self.store.list_all(
+            records.KINDS.crashes,
+            consistency=objects.ReadConsistency.LINEARIZABLE,
+        )
+        return records.RecordDecoder().read_crashes(listed.objects)
+
 
 class WatchTest(store.StoreTestCase):
     """Guards against stale views after the store was unavailable."""
