Log the limits that servers name

Change: responses are decoded with the limit, and a line `server limit changed` is logged when it changes. No decision is changed.

--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -271,6 +271,10 @@
             exchange.status, exchange.headers
         )
         self.response_started_s = asyncio.get_running_loop().time()
+        if details.request_id == self._request.details.request_id:
+            self._services.server_limits.record_response(
+                self.server, details.server_limit_per_s
+            )
         if not details.not_run and self._observer is not None:
             self._observer.record_response_start()
         if details.not_run:
--- a/src/dragonflydyke/forwarding/contexts.py
+++ b/src/dragonflydyke/forwarding/contexts.py
@@ -17,6 +17,7 @@
     planner,
     quarantine,
     selection,
+    server_limits,
 )
 from dragonflydyke.routing import retries
 
@@ -120,6 +121,7 @@
     planner: planner.EscalationPlanner
     quarantine: quarantine.PromptQuarantine
     crash_reporter: crash_reports.CrashReporter
+    server_limits: server_limits.ServerLimits
     counters: metrics.Counters
     tcp_client: tcpclient.TCPClient
 
--- a/src/dragonflydyke/forwarding/execution.py
+++ b/src/dragonflydyke/forwarding/execution.py
@@ -17,6 +17,7 @@
     quarantine,
     runs,
     selection,
+    server_limits,
 )
 from dragonflydyke.routing import retries
 
@@ -69,6 +70,7 @@
             planner=escalation_planner,
             quarantine=prompt_quarantine,
             crash_reporter=crash_reporter,
+            server_limits=server_limits.ServerLimits(),
             counters=counters,
             tcp_client=tcpclient.TCPClient(transport.AddressResolver()),
         )
--- a/src/dragonflydyke/forwarding/messages.py
+++ b/src/dragonflydyke/forwarding/messages.py
@@ -118,6 +118,8 @@
         is_stream: Whether the body is a stream of events.
         has_content_encoding: Whether the body has a content encoding.
         confidence: Confidence that the model reports, 0..1, or None.
+        server_limit_per_s: Requests a second that the server accepts from all
+            nodes together, None if it names no limit.
     """
 
     request_id: str
@@ -126,6 +128,7 @@
     is_stream: bool = False
     has_content_encoding: bool = False
     confidence: float | None = None
+    server_limit_per_s: float | None = None
 
 
 class HeaderCodec(Protocol):
--- a/src/dragonflydyke/platform/headers.py
+++ b/src/dragonflydyke/platform/headers.py
@@ -1,5 +1,7 @@
 """Headers of the platform's requests and responses."""
 
+import math
+
 from tornado import httputil
 
 from dragonflydyke.forwarding import messages
@@ -20,6 +22,8 @@
 SIGNATURE = "Runner-Seal"
 NOT_RUN = "Not-Executed"
 CONFIDENCE = "Confidence"
+# Requests a second that a server accepts from all nodes together.
+SERVER_LIMIT = "Server-Limit"
 SESSION = "Session"
 # Address of an engine from which the server may fetch a cached prefix.
 PREFIX_SOURCE = "Kv-Fetch"
@@ -126,6 +130,7 @@
             is_stream=content_type.startswith(_EVENT_STREAM),
             has_content_encoding="Content-Encoding" in headers,
             confidence=_read_count(confidence) / 100 if confidence else None,
+            server_limit_per_s=_read_limit(headers.get(SERVER_LIMIT, "")),
         )
 
     def write_response(
@@ -178,6 +183,15 @@
         return 0
 
 
+def _read_limit(text: str) -> float | None:
+    """Returns a rate, None if the text is not a number of 0 or more."""
+    try:
+        limit = float(text)
+    except ValueError:
+        return None
+    return limit if math.isfinite(limit) and limit >= 0 else None
+
+
 def _read_counts(text: str | None) -> tuple[int, int]:
     first, _, second = (text or "").partition(",")
     return _read_count(first), _read_count(second)
