Share the limits that servers name among all nodes

Cause: the limit was not read, and a node did not know how many others there are. Evidence: with the limit in the logs all nodes were told within seconds and sent on as before; no node exceeded it alone, the sum of eight did, also before the restart of a node. Fix: nodes register in the store and know their rank and number. Each sends to a server with a limit only in its own slots, which are spread evenly over the nodes and expire after 2 s. It works because any 4 s then hold at most 6 L + 1 requests of all nodes, whatever each of them had saved up. If all servers are limited, a request waits for at most a quarter of its target latency and is rejected then. Tests: without the check two tests of LimitedServerTest fail, 7 requests reach the server instead of 2; with a limit for each node alone test_requests_of_all_nodes_stay_within_the_limit fails. The servers get 0.8 of their limits; the rest of the load queues at the others. Conclusion: the limit is kept; equal shares leave a fifth of it unused.

--- a/src/dragonflydyke/forwarding/decisions.py
+++ b/src/dragonflydyke/forwarding/decisions.py
@@ -19,6 +19,11 @@
 _CLOSING_RETRY_AFTER_S = 0.05
 # Full servers have capacity as soon as one request finishes.
 _NO_CAPACITY_RETRY_AFTER_S = 0.25
+# By then this node, or another one, has its next slot at one of the servers.
+_LIMITED_RETRY_AFTER_S = 1.0
+# Fraction of the target latency for which a request waits for a slot at a
+# server that limits its requests.
+_MAX_SLOT_WAIT_SHARE = 0.25
 # Multiple of the target latency after which an engine that has not started its
 # response is given up. Queues under peak load are shorter.
 _FIRST_EVENT_TIMEOUT_SHARE = 1.5
@@ -163,12 +168,14 @@
     LOW_CONFIDENCE means that a response was discarded in favour of the largest
     model, FIRST_EVENT_TIMEOUT that a stream did not start while there was still
     time to try another server. QUARANTINED means that no attempt was made, as
-    the prompt crashes engines.
+    the prompt crashes engines, LIMITED that none was made, as the servers limit
+    the requests that they accept.
     """
 
     DELIVERED = "delivered"
     NO_SERVER = "no_server"
     QUARANTINED = "quarantined"
+    LIMITED = "limited"
     NOT_RUN = "not_run"
     FAILED = "failed"
     LOST = "lost"
@@ -208,6 +215,7 @@
     AttemptOutcome.DEADLINE_EXCEEDED,
     AttemptOutcome.NO_SERVER,
     AttemptOutcome.QUARANTINED,
+    AttemptOutcome.LIMITED,
 )
 # Limits the attempts of a request that every server rejects; more dispatches
 # would only consume the retry budget that all requests share.
@@ -259,6 +267,26 @@
     return route.target_latency_s * _FIRST_EVENT_TIMEOUT_SHARE
 
 
+def find_slot_wait_s(
+    route: model.Route, *, elapsed_s: float, remaining_s: float, started: bool
+) -> float:
+    """Returns how long a request may wait for a slot at a limited server.
+
+    Designed for servers that all name a limit: requests beyond it cannot be
+    served in time, so they are rejected early. A response that has started
+    cannot be rejected any more.
+
+    Args:
+        route: Route of the request.
+        elapsed_s: Seconds since the request arrived.
+        remaining_s: Seconds until its deadline.
+        started: Whether the client has the start of the response.
+    """
+    if started:
+        return remaining_s - MIN_ATTEMPT_S
+    return route.target_latency_s * _MAX_SLOT_WAIT_SHARE - elapsed_s
+
+
 def build_failure(
     outcome: AttemptOutcome, progress: RequestProgress
 ) -> errors.DragonflydykeError:
@@ -275,6 +303,14 @@
             step=errors.Step.ROUTE,
             retry_after_s=quarantine.QUARANTINE_S,
         )
+    if outcome is AttemptOutcome.LIMITED and not progress.may_have_run:
+        return build_rejection(
+            "servers_limited",
+            "all servers limit the requests that they accept",
+            _UNAVAILABLE,
+            step=errors.Step.ROUTE,
+            retry_after_s=_LIMITED_RETRY_AFTER_S,
+        )
     if not progress.may_have_run:
         return build_rejection(
             "no_server_took_it",
--- a/src/dragonflydyke/forwarding/directory.py
+++ b/src/dragonflydyke/forwarding/directory.py
@@ -119,6 +119,10 @@
             return None
         return round(now_s - self.updated_s, 2)
 
+    def list_all(self) -> tuple[ServerEntry, ...]:
+        """Returns all servers, including those that accept no requests."""
+        return tuple(self._servers.values())
+
     def list_usable(self, pool: str) -> tuple[ServerEntry, ...]:
         """Returns the servers of a pool that accept new requests."""
         return self._by_pool.get(pool, ())
--- a/src/dragonflydyke/forwarding/execution.py
+++ b/src/dragonflydyke/forwarding/execution.py
@@ -56,6 +56,7 @@
         escalation_planner: planner.EscalationPlanner,
         prompt_quarantine: quarantine.PromptQuarantine,
         crash_reporter: crash_reports.CrashReporter,
+        limits: server_limits.ServerLimits,
         counters: metrics.Counters,
     ) -> None:
         """Creates a forwarder without a policy, which rejects all requests."""
@@ -70,7 +71,7 @@
             planner=escalation_planner,
             quarantine=prompt_quarantine,
             crash_reporter=crash_reporter,
-            server_limits=server_limits.ServerLimits(),
+            server_limits=limits,
             counters=counters,
             tcp_client=tcpclient.TCPClient(transport.AddressResolver()),
         )
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -19,9 +19,11 @@
     model,
     planner,
     quarantine,
+    registry,
     reports,
     selection,
     server,
+    server_limits,
 )
 from dragonflydyke.objects import model as objects
 from dragonflydyke.objects import watchers
@@ -118,6 +120,7 @@
     watchers.WatchableStore,
     controller.RolloutStore,
     crash_reports.CrashStore,
+    registry.NodeStore,
     Protocol,
 ):
     """Operations of the store that a node uses."""
@@ -135,7 +138,9 @@
         "_has_crashes",
         "_has_rollouts",
         "_is_draining",
+        "_limits",
         "_quarantine",
+        "_registry",
         "_reload",
         "_retry_gate",
         "_rollout_controller",
@@ -195,6 +200,15 @@
             source,
             lambda: not self._retry_gate.is_unavailable,
         )
+        self._limits = server_limits.ServerLimits()
+        self._registry = registry.NodeRegistry(
+            values.vm,
+            store,
+            self._limits,
+            counters,
+            source,
+            lambda: not self._retry_gate.is_unavailable,
+        )
         self._has_rollouts = False
         self._has_crashes = False
         self._forwarder = execution.Forwarder(
@@ -209,6 +223,7 @@
             ),
             self._quarantine,
             self._crash_reporter,
+            self._limits,
             counters,
         )
         self._server = server.ForwardingServer(self._forwarder, codec)
@@ -258,6 +273,7 @@
         tasks = [loop.create_task(w.run()) for w in self._watchers]
         tasks.append(loop.create_task(self._rollout_controller.run()))
         tasks.append(loop.create_task(self._crash_reporter.run()))
+        tasks.append(loop.create_task(self._registry.run()))
         self._server.listen(self._settings.front)
         _serve_text(self._settings.ready, self._describe_readiness)
         _serve_text(self._settings.metrics, self._describe_metrics)
@@ -321,6 +337,7 @@
         self._directory.update(
             servers, view.confirmed_s, after_outage=after_gap
         )
+        self._limits.retain(self._directory.list_all())
 
     def _apply_rollouts(
         self, view: watchers.KindSnapshot, after_gap: bool
--- /dev/null
+++ b/src/dragonflydyke/forwarding/registry.py
@@ -0,0 +1,187 @@
+"""Registry of the nodes in the store, which tells a node how many there are.
+
+Each node writes its entry again now and then. An entry that has not changed for
+longer than that, by the clock of the reader, belongs to a node that is gone.
+"""
+
+import asyncio
+import dataclasses
+import math
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from dragonflydyke import errors, logs, metrics
+from dragonflydyke.forwarding import server_limits
+from dragonflydyke.objects import model as objects
+
+# All nodes start at about the same time; their first writes are spread.
+_MAX_START_DELAY_S = 4.0
+_HEARTBEAT_INTERVAL_S = 60.0
+_RETRY_INTERVAL_S = 2.0
+# Interval of the lists while the number of nodes matters.
+_LIST_INTERVAL_S = 10.0
+_EXPIRY_S = 5 * _HEARTBEAT_INTERVAL_S
+_REMOVAL_S = 30 * _HEARTBEAT_INTERVAL_S
+_POLL_INTERVAL_S = 1.0
+
+_LOGGER = logs.get_logger("registry")
+
+
+class NodeStore(Protocol):
+    """Stores the entries of the nodes."""
+
+    async def write_node(self, name: str, heartbeat: int) -> None:
+        """Creates or replaces the entry of a node.
+
+        Raises:
+            DragonflydykeError: If the write fails, or may not have happened.
+        """
+
+    async def list_nodes(self) -> tuple[objects.StoredObject, ...]:
+        """Returns the entries of all nodes, possibly some seconds old.
+
+        Raises:
+            DragonflydykeError: If the store does not respond.
+        """
+
+    async def remove_node(self, name: str) -> None:
+        """Removes the entry of a node; does nothing if there is none.
+
+        Raises:
+            DragonflydykeError: If the write fails, or may not have happened.
+        """
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    """Version of an entry, and the loop time at which it was first seen."""
+
+    version: int
+    changed_s: float
+
+
+class NodeRegistry:
+    """Registers this node and follows the number of nodes."""
+
+    __slots__ = (
+        "_counters",
+        "_entries",
+        "_heartbeat",
+        "_is_store_available",
+        "_limits",
+        "_list_after_s",
+        "_listed_s",
+        "_name",
+        "_random",
+        "_store",
+        "_write_after_s",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        store: NodeStore,
+        limits: server_limits.ServerLimits,
+        counters: metrics.Counters,
+        source: random.Random,
+        is_store_available: Callable[[], bool] = lambda: True,
+    ) -> None:
+        """Creates the registry of a node that is not registered yet.
+
+        Args:
+            name: Unique name of this node.
+            store: Stores the entries.
+            limits: Receives the position of this node.
+            counters: Receives `registry.<error code>`.
+            source: Random source that spreads the writes of the nodes.
+            is_store_available: Returns whether the last read of the store
+                succeeded.
+        """
+        self._name = name
+        self._store = store
+        self._limits = limits
+        self._counters = counters
+        self._random = source
+        self._is_store_available = is_store_available
+        self._entries: dict[str, _Entry] = {}
+        self._heartbeat = 0
+        self._write_after_s = 0.0
+        self._list_after_s = 0.0
+        self._listed_s = -math.inf
+
+    async def run(self) -> None:
+        """Writes and lists entries until cancelled."""
+        await asyncio.sleep(self._random.uniform(0.0, _MAX_START_DELAY_S))
+        while True:
+            if self._is_store_available():
+                await self._step(asyncio.get_running_loop().time())
+            await asyncio.sleep(_POLL_INTERVAL_S)
+
+    async def _step(self, now_s: float) -> None:
+        try:
+            if now_s >= self._write_after_s:
+                await self._write(now_s)
+            if self._is_list_due(now_s):
+                await self._list(now_s)
+        except errors.DragonflydykeError as error:
+            retry_s = now_s + _RETRY_INTERVAL_S
+            self._write_after_s = max(self._write_after_s, retry_s)
+            self._list_after_s = retry_s
+            self._counters.increment(f"registry.{error.code}")
+            _LOGGER.info("registry not updated", code=error.code)
+
+    def _is_list_due(self, now_s: float) -> bool:
+        interval_s = _HEARTBEAT_INTERVAL_S
+        if self._limits.has_limits:
+            interval_s = _LIST_INTERVAL_S
+        return (
+            now_s >= self._list_after_s and now_s - self._listed_s >= interval_s
+        )
+
+    async def _write(self, now_s: float) -> None:
+        self._heartbeat += 1
+        await self._store.write_node(self._name, self._heartbeat)
+        if self._heartbeat == 1:
+            # The other nodes that start now register within this time.
+            self._list_after_s = now_s + _MAX_START_DELAY_S + _POLL_INTERVAL_S
+        self._write_after_s = now_s + _HEARTBEAT_INTERVAL_S
+
+    async def _list(self, now_s: float) -> None:
+        listed = await self._store.list_nodes()
+        self._listed_s = now_s
+        names = {entry.name for entry in listed}
+        for name in self._entries.keys() - names:
+            del self._entries[name]
+        for stored in listed:
+            entry = self._entries.get(stored.name)
+            if entry is None or entry.version != stored.version:
+                self._entries[stored.name] = _Entry(stored.version, now_s)
+        self._update_position(now_s)
+        await self._remove_stale(now_s)
+
+    def _update_position(self, now_s: float) -> None:
+        names = sorted(
+            {
+                name
+                for name, entry in self._entries.items()
+                if now_s - entry.changed_s < _EXPIRY_S
+            }
+            | {self._name}
+        )
+        position = server_limits.FleetPosition(
+            names.index(self._name), len(names)
+        )
+        if position != self._limits.position:
+            _LOGGER.notice(
+                "position among the nodes changed",
+                rank=position.rank,
+                nodes=position.nodes,
+            )
+        self._limits.position = position
+
+    async def _remove_stale(self, now_s: float) -> None:
+        for name, entry in list(self._entries.items()):
+            if now_s - entry.changed_s >= _REMOVAL_S:
+                await self._store.remove_node(name)
+                del self._entries[name]
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -31,6 +31,9 @@
     )
 )
 
+# Slots depend on the time of day, which differs slightly from the loop's time.
+_MIN_SLOT_DELAY_S = 0.005
+
 _LOGGER = logs.get_logger("forwarding")
 
 
@@ -136,10 +139,13 @@
         """Makes one attempt and returns its outcome."""
         if self._is_quarantined():
             return decisions.AttemptOutcome.QUARANTINED
+        if not await self._await_slot():
+            return decisions.AttemptOutcome.LIMITED
         servers = self._list_servers()
         target = await self._select_target(servers)
         if target is None:
             return decisions.AttemptOutcome.NO_SERVER
+        self._services.server_limits.record_start(target.server)
         attempt = attempts.Attempt(self._services, self._context, target)
         self._state.dispatches += 1
         self._services.selector.record_start(self._profile, target.server)
@@ -163,6 +169,30 @@
             )
         return outcome
 
+    async def _await_slot(self) -> bool:
+        """Waits until the servers' limits allow a request to one of them.
+
+        Returns:
+            Whether they do, or whether there is no server at all.
+        """
+        limits = self._services.server_limits
+        while True:
+            servers = self._list_servers()
+            if not servers or limits.list_allowed(servers):
+                return True
+            now_s = _now_s()
+            delay_s = limits.find_delay_s(servers)
+            wait_s = decisions.find_slot_wait_s(
+                self._admitted.route,
+                elapsed_s=now_s - self._context.request.received_s,
+                remaining_s=self._admitted.deadline_s - now_s,
+                started=self._state.response_started,
+            )
+            if delay_s > wait_s or self._context.writer.is_closed:
+                self._services.counters.increment("limit.exceeded")
+                return False
+            await asyncio.sleep(max(delay_s, _MIN_SLOT_DELAY_S))
+
     def _is_quarantined(self) -> bool:
         details = self._context.request.details
         found = self._services.quarantine.find_combination(
@@ -250,26 +280,29 @@
         return await self._services.planner.plan(
             self._profile,
             self._admitted.route.models[-1],
-            self._exclude_failed(servers),
+            self._list_candidates(servers),
         )
 
-    def _exclude_failed(
+    def _list_candidates(
         self, servers: tuple[directory.ServerEntry, ...]
     ) -> tuple[directory.ServerEntry, ...]:
         failed = self._state.failed_servers
+        servers = self._services.server_limits.list_allowed(servers)
         return tuple(s for s in servers if s.name not in failed) or servers
 
     async def _select_target(
         self, servers: tuple[directory.ServerEntry, ...]
     ) -> attempts.AttemptTarget | None:
+        limits = self._services.server_limits
         plan, self._plan = self._plan, None
         state = self._describe_cascade()
         if plan is None and state.needs_largest_model and servers:
             plan = await self._read_plan(servers)
-        if plan is not None:
+        # Another request may have used the slot while reports were read.
+        if plan is not None and limits.allows(plan.server):
             self._log_plan(plan, len(servers))
             return self._build_target(plan.server, plan.prefix_source)
-        selected = self._select_server(servers)
+        selected = self._select_server(limits.list_allowed(servers))
         return self._build_target(selected.server) if selected else None
 
     def _build_target(
--- a/src/dragonflydyke/platform/records.py
+++ b/src/dragonflydyke/platform/records.py
@@ -22,6 +22,8 @@
     # Only the routers use this kind.
     crashes="enginecrashes",
 )
+# Kind of the entries of the nodes, which only the routers use.
+NODE_KIND = "routernodes"
 _POLICY_OBJECT_NAME = "main"
 _RUNNING = "running"
 _FINAL_STATES = {
--- a/src/dragonflydyke/platform/store.py
+++ b/src/dragonflydyke/platform/store.py
@@ -4,6 +4,8 @@
 from typing import Any
 from urllib import parse
 
+from tornado import httpclient
+
 from dragonflydyke import metrics
 from dragonflydyke.forwarding import controller, quarantine, rollouts
 from dragonflydyke.objects import model, store_http
@@ -128,13 +130,10 @@
             "metadata": {"name": entry.name, "rev": entry.version},
             "status": records.write_progress(progress),
         }
-        response = await self._caller.call(
+        response = await self._write(
             store_http.StoreMethod.PUT,
-            f"{_PATH}{entry.kind}/{parse.quote(entry.name, safe='')}/status",
-            expected_statuses=(_OK, _CONFLICT, _NOT_FOUND),
-            rejected_statuses=_REJECTED_STATUSES,
-            headers=_JSON_HEADERS,
-            body=json.dumps(body),
+            f"{_PATH}{entry.kind}/{_quote(entry.name)}/status",
+            body,
         )
         if response.code != _OK:
             raise model.ConflictError(
@@ -149,20 +148,52 @@
             "metadata": {"name": report.name},
             "spec": records.write_crash(report),
         }
-        await self._caller.call(
-            store_http.StoreMethod.POST,
-            _PATH + records.KINDS.crashes,
-            expected_statuses=(_OK, _CREATED, _CONFLICT),
+        await self._write(
+            store_http.StoreMethod.POST, _PATH + records.KINDS.crashes, body
+        )
+
+    async def remove_crash(self, report: quarantine.CrashReport) -> None:
+        """Removes a crash report; does nothing if the store has none."""
+        await self._remove(f"{_PATH}{records.KINDS.crashes}/{report.name}")
+
+    async def write_node(self, name: str, heartbeat: int) -> None:
+        """Creates or replaces the entry of a node."""
+        body = {"metadata": {"name": name}, "spec": {"heartbeat": heartbeat}}
+        path = f"{_PATH}{records.NODE_KIND}"
+        response = await self._write(
+            store_http.StoreMethod.PUT, f"{path}/{_quote(name)}", body
+        )
+        if response.code == _NOT_FOUND:
+            # A conflict means that an earlier call was executed late.
+            await self._write(store_http.StoreMethod.POST, path, body)
+
+    async def list_nodes(self) -> tuple[model.StoredObject, ...]:
+        """Returns the entries of all nodes, possibly some seconds old."""
+        listed = await self.list_all(
+            records.NODE_KIND, consistency=model.ReadConsistency.STALE
+        )
+        return listed.objects
+
+    async def remove_node(self, name: str) -> None:
+        """Removes the entry of a node; does nothing if there is none."""
+        await self._remove(f"{_PATH}{records.NODE_KIND}/{_quote(name)}")
+
+    async def _write(
+        self, method: store_http.StoreMethod, path: str, body: Any
+    ) -> httpclient.HTTPResponse:
+        return await self._caller.call(
+            method,
+            path,
+            expected_statuses=(_OK, _CREATED, _CONFLICT, _NOT_FOUND),
             rejected_statuses=_REJECTED_STATUSES,
             headers=_JSON_HEADERS,
             body=json.dumps(body),
         )
 
-    async def remove_crash(self, report: quarantine.CrashReport) -> None:
-        """Removes a crash report; does nothing if the store has none."""
+    async def _remove(self, path: str) -> None:
         await self._caller.call(
             store_http.StoreMethod.DELETE,
-            f"{_PATH}{records.KINDS.crashes}/{report.name}",
+            path,
             expected_statuses=(_OK, _NOT_FOUND),
             rejected_statuses=_REJECTED_STATUSES,
         )
@@ -177,6 +208,10 @@
         return json.loads(response.body)
 
 
+def _quote(name: str) -> str:
+    return parse.quote(name, safe="")
+
+
 def _decode(kind: str, item: Any) -> model.StoredObject:
     metadata = item["metadata"]
     return model.StoredObject(
--- a/tests/builders/forwarding.py
+++ b/tests/builders/forwarding.py
@@ -23,6 +23,7 @@
     rollouts,
     selection,
     server,
+    server_limits,
 )
 from dragonflydyke.objects import model as objects
 from dragonflydyke.platform import headers
@@ -409,6 +410,8 @@
         self.crash_reporter = crash_reports.CrashReporter(
             self.quarantine, self.crash_store, self.counters, source
         )
+        self.time_of_day_s = 1_000_000.0
+        self.limits = server_limits.ServerLimits(lambda: self.time_of_day_s)
         codec = headers.HeaderCodec()
         self.forwarder = execution.Forwarder(
             codec,
@@ -424,6 +427,7 @@
             ),
             self.quarantine,
             self.crash_reporter,
+            self.limits,
             self.counters,
         )
         self.forwarder.policy = build_policy()
