Count streams as evidence once they are classified

Cause: a stream counted as good from its first byte on and as slow seconds later, responses discarded for an escalation counted as good, and four slow attempts of four did not stop the irreversible completion. Fix: a stream is counted once it is classified or delivered, a slow one is classified during its third slow pause, and from 2 s before the stage `full` three impaired attempts of four stop the rollout. It works because the share of impaired attempts no longer depends on how long they take. Tests: test_slow_version_is_not_completed_while_its_streams_run (completed instead of rolled back) and test_discarded_response_is_no_evidence (2 attempts instead of 1) fail on the code before; the two others test new functions.

--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -187,6 +187,7 @@
             self._observer.record_outcome(
                 failed=outcome is decisions.AttemptOutcome.FAILED,
                 lost=outcome is decisions.AttemptOutcome.LOST,
+                delivered=outcome is decisions.AttemptOutcome.DELIVERED,
             )
 
     def _build_failure(
--- a/src/dragonflydyke/forwarding/baselines.py
+++ b/src/dragonflydyke/forwarding/baselines.py
@@ -90,13 +90,28 @@
             The typical gap in seconds at the event that completes the sample,
             None at all other events.
         """
-        if len(self._gaps) >= _SAMPLED_GAP_COUNT:
+        if self._is_complete:
             return None
         last_s = self._last_s
         self._last_s = now_s
         if last_s is None or now_s - last_s < _MIN_GAP_S:
             return None
         self._gaps.append(now_s - last_s)
-        if len(self._gaps) < _SAMPLED_GAP_COUNT:
+        if not self._is_complete:
             return None
         return sorted(self._gaps)[_TYPICAL_GAP_RANK]
+
+    def is_slow_after(self, threshold_s: float) -> bool:
+        """Returns whether one more gap above a threshold decides the estimate.
+
+        The typical gap then exceeds the threshold whatever gaps follow, so that
+        a slow stream is recognised before its next event arrives.
+        """
+        if self._is_complete:
+            return False
+        longer = sum(gap > threshold_s for gap in self._gaps)
+        return longer + 1 >= _SAMPLED_GAP_COUNT - _TYPICAL_GAP_RANK
+
+    @property
+    def _is_complete(self) -> bool:
+        return len(self._gaps) >= _SAMPLED_GAP_COUNT
--- a/src/dragonflydyke/forwarding/controller.py
+++ b/src/dragonflydyke/forwarding/controller.py
@@ -286,7 +286,10 @@
         has_unreported = state.has_unreported_evidence(now_s)
         if has_unreported:
             evidence[self._vm] = dict(state.local_evidence)
-        if not rollouts.should_roll_back(evidence):
+        completes_soon = order.is_completion_near(progress, age_s)
+        if not rollouts.should_roll_back(
+            evidence, completes_soon=completes_soon
+        ):
             state.suspect_since_s = None
         elif state.suspect_since_s is None:
             state.suspect_since_s = now_s
--- a/src/dragonflydyke/forwarding/observers.py
+++ b/src/dragonflydyke/forwarding/observers.py
@@ -45,7 +45,9 @@
     until it finishes would take longer than a bad version may be exposed. The
     time to the first byte of a stream depends more on the queue at a server
     than on its version. So streams are classified by their inter-event gaps,
-    and by the first byte only if it arrives after the target latency.
+    and by the first byte only if it arrives after the target latency. A stream
+    is counted once it is classified: if it counted as good from its first byte
+    on, a slow version would look good for as long as its streams take.
     """
 
     __slots__ = (
@@ -106,40 +108,59 @@
                 self._baseline_key, latency_s
             )
         self._cancel_timer()
-        if not self._is_counted:
-            self._record_counts(rollouts.AttemptCounts())
+        if not self._is_stream:
+            self._record_good()
 
     def record_event(self) -> None:
         """Records an event of a stream."""
+        self._cancel_timer()
+        gaps = self._baselines.event_gap
+        threshold_s = gaps.find_slow_threshold_s(self._model_name)
         gap_s = self._gap_estimator.record_event(
             asyncio.get_running_loop().time()
         )
-        if gap_s is None:
-            return
-        gaps = self._baselines.event_gap
-        threshold_s = gaps.find_slow_threshold_s(self._model_name)
-        if not self._recorder.has_new_version(self._server):
-            gaps.record(self._model_name, gap_s)
-        if threshold_s is not None and gap_s > threshold_s:
-            self._record_impaired()
+        if gap_s is not None:
+            if not self._recorder.has_new_version(self._server):
+                gaps.record(self._model_name, gap_s)
+            if threshold_s is not None and gap_s > threshold_s:
+                self._record_impaired()
+            else:
+                self._record_good()
+        elif threshold_s is not None and self._gap_estimator.is_slow_after(
+            threshold_s
+        ):
+            self._timer = asyncio.get_running_loop().call_later(
+                threshold_s, self._record_impaired
+            )
 
-    def record_outcome(self, *, failed: bool, lost: bool) -> None:
+    def record_outcome(
+        self, *, failed: bool, lost: bool, delivered: bool
+    ) -> None:
         """Records how the attempt finished.
 
         Args:
             failed: Whether the server itself returned an error.
             lost: Whether the response was lost or not valid.
+            delivered: Whether the whole response was delivered. A response
+                that was discarded, or whose client left, is not counted unless
+                it was classified before.
         """
         self._cancel_timer()
         if failed:
             self._record_counts(rollouts.AttemptCounts(failed=1))
         elif lost:
             self._record_impaired()
+        elif delivered:
+            self._record_good()
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
 
+    def _record_good(self) -> None:
+        if not self._is_counted:
+            self._record_counts(rollouts.AttemptCounts())
+
     def _record_impaired(self) -> None:
         if self._is_impaired:
             return
--- a/src/dragonflydyke/forwarding/rollouts.py
+++ b/src/dragonflydyke/forwarding/rollouts.py
@@ -50,6 +50,17 @@
         ),
     ),
 )
+# A completed rollout cannot be rolled back, so less evidence prevents the
+# completion than ends a canary.
+_COMPLETION_RULE = _ImpairedRule(
+    3,
+    configuration.StopCondition(
+        min_samples=4, min_rating=0.0, max_error_share=0.3
+    ),
+)
+# The evidence is checked by that rule for this time before the stage FULL, so
+# that all nodes can report theirs first.
+_COMPLETION_CHECK_S = 2.0
 # The error share of the new version must exceed that of the old one by this
 # factor, since failures and slowness may affect all versions. The factor for
 # impaired attempts is lower: the servers of the old version have more load, so
@@ -107,6 +118,18 @@
         complete_s = self.full_stage_s * _COMPLETED_SHARE_OF_FULL_STAGE
         return self.duration_s - complete_s, Stage.COMPLETED
 
+    def is_completion_near(self, progress: "Progress", age_s: float) -> bool:
+        """Returns whether the rollout completes soon unless it is stopped.
+
+        Args:
+            progress: Shared state.
+            age_s: Seconds since this node first saw the order.
+        """
+        if progress.stage is Stage.FULL:
+            return True
+        check_s = self.duration_s - self.full_stage_s - _COMPLETION_CHECK_S
+        return progress.stage is Stage.CANARY and age_s >= check_s
+
     @property
     def full_stage_s(self) -> float:
         """Duration in seconds of the stage FULL, before the rollout ends."""
@@ -275,11 +298,17 @@
     return next_stage if age_s >= end_s else None
 
 
-def should_roll_back(evidence: Mapping[str, NodeEvidence]) -> bool:
+def should_roll_back(
+    evidence: Mapping[str, NodeEvidence], *, completes_soon: bool = False
+) -> bool:
     """Returns whether evidence calls for a rollback.
 
     A version may be bad on a single route, so failures are evaluated over all
     routes and for each route separately.
+
+    Args:
+        evidence: Attempts by VM and route.
+        completes_soon: Whether the rollout completes soon.
     """
     by_route = _collect_routes(evidence)
     all_entries = [entry for entries in by_route.values() for entry in entries]
@@ -289,7 +318,10 @@
     worst_server_count = max(by_server.values(), default=0)
     if by_server.total() - worst_server_count < _MIN_BAD_AT_OTHER_SERVERS:
         return False
-    if _has_excess_impaired(all_entries):
+    rules = _IMPAIRED_RULES
+    if completes_soon:
+        rules += (_COMPLETION_RULE,)
+    if _has_excess_impaired(all_entries, rules):
         return True
     return any(
         _has_excess_failures(entries)
@@ -323,7 +355,9 @@
     )
 
 
-def _has_excess_impaired(evidence: Sequence[RouteEvidence]) -> bool:
+def _has_excess_impaired(
+    evidence: Sequence[RouteEvidence], rules: Sequence[_ImpairedRule]
+) -> bool:
     new = _sum_counts(entry.new for entry in evidence)
     old = _sum_counts(entry.old for entry in evidence)
     return any(
@@ -334,7 +368,7 @@
             rule.stop,
             _OLD_IMPAIRED_FACTOR,
         )
-        for rule in _IMPAIRED_RULES
+        for rule in rules
     )
 
 
--- a/tests/test_forwarding_controller.py
+++ b/tests/test_forwarding_controller.py
@@ -95,7 +95,7 @@
             for gap_s in event_gaps_s:
                 await self.loop.advance(gap_s, 0.01)
                 observer.record_event()
-            observer.record_outcome(failed=False, lost=False)
+            observer.record_outcome(failed=False, lost=False, delivered=True)
 
     async def test_version_with_slow_streams_is_rolled_back(self) -> None:
         """Its time to first byte was no longer than that of loaded servers."""
@@ -120,6 +120,52 @@
         await self.loop.advance(3.0)
         self.assertFalse(self.store.progress.evidence)
 
+    async def start_slow_streams(self, count: int, gaps: int) -> None:
+        """Starts streams of the new version that are still in progress."""
+        for number in range(count):
+            server_entry = forwarding.build_server_entry(
+                f"v2-{number % 2}", version="v2"
+            )
+            observer = self.controller.observe_attempt(
+                server_entry, forwarding.build_route(), "large"
+            )
+            observer.record_response_start()
+            observer.record_event()
+            for _ in range(gaps):
+                await self.loop.advance(0.5, 0.05)
+                observer.record_event()
+
+    async def test_slow_version_is_not_completed_while_its_streams_run(
+        self,
+    ) -> None:
+        """Streams counted as good until they had shown that they are slow.
+
+        On cvs-linea hasty, seed 1, nine of eleven bad streams were in progress
+        when the version was completed.
+        """
+        await self.observe_streams(
+            12, "v1", _BASELINE_FIRST_BYTE_S, _BASELINE_EVENT_GAPS_S
+        )
+        while self.store.age_s < _DURATION_S - 7.0:
+            await self.loop.advance(0.05)
+        await self.start_slow_streams(4, gaps=2)
+        await self.start_slow_streams(6, gaps=0)
+        await self.loop.advance(6.0)
+        self.assertIs(self.store.progress.stage, rollouts.Stage.ROLLED_BACK)
+
+    async def test_discarded_response_is_no_evidence(self) -> None:
+        """Responses discarded for escalations counted as good attempts."""
+        observer = self.controller.observe_attempt(
+            self.server_entry, forwarding.build_route(), "small"
+        )
+        observer.record_response_start()
+        observer.record_outcome(failed=False, lost=False, delivered=False)
+        self.controller.record_attempts(self.server_entry, "streams", _IMPAIRED)
+        await self.advance_to(rollouts.Stage.CANARY)
+        await self.loop.advance(2.0)
+        routes = self.store.progress.evidence[_VM]
+        self.assertEqual(rollouts.sum_new_version(routes).attempts, 1)
+
     async def test_suspect_version_is_not_completed(self) -> None:
         """Failures reported just before completion were not considered."""
         await self.advance_to(rollouts.Stage.FULL)
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -426,6 +426,40 @@
         )
         self.assertTrue(rollouts.should_roll_back({"vm1": {"r1": slow}}))
 
+    def test_slow_version_is_not_completed_on_little_evidence(self) -> None:
+        """Four slow attempts of four did not prevent the completion."""
+        for attempts, impaired, expected in (
+            (4, 4, True),
+            (7, 3, True),
+            (10, 3, False),
+            (12, 2, False),
+        ):
+            slow = rollouts.RouteEvidence(
+                rollouts.AttemptCounts(attempts, 0, impaired),
+                rollouts.AttemptCounts(72, 0, 18),
+                {"a": impaired - 1, "b": 1},
+            )
+            evidence = {"vm1": {"r1": slow}}
+            with self.subTest(attempts=attempts, impaired=impaired):
+                self.assertFalse(rollouts.should_roll_back(evidence))
+                self.assertIs(
+                    rollouts.should_roll_back(evidence, completes_soon=True),
+                    expected,
+                )
+
+    def test_completion_is_checked_before_the_last_stage(self) -> None:
+        for stage, age_s, expected in (
+            (rollouts.Stage.CANARY, 20.0, False),
+            (rollouts.Stage.CANARY, 21.5, True),
+            (rollouts.Stage.FULL, 23.4, True),
+            (rollouts.Stage.WAITING, 23.4, False),
+        ):
+            progress = rollouts.Progress("v2", stage)
+            with self.subTest(stage=stage, age_s=age_s):
+                self.assertIs(
+                    self.order.is_completion_near(progress, age_s), expected
+                )
+
     def test_few_slow_attempts_cause_no_rollback(self) -> None:
         """Four slow attempts at three nodes rolled back a good version."""
         inconclusive = rollouts.RouteEvidence(
@@ -476,6 +510,17 @@
         self.assertLess(threshold_s, 8 * 0.3)
         self.assertIsNone(baseline.find_slow_threshold_s("other"))
 
+    def test_slow_stream_is_recognised_before_its_last_sample(self) -> None:
+        """Four gaps of a slow stream took longer than the rest of a canary."""
+        estimator = baselines.EventGapEstimator()
+        for now_s, expected in ((0.0, False), (0.5, False), (1.0, True)):
+            estimator.record_event(now_s)
+            self.assertIs(estimator.is_slow_after(0.12), expected)
+        estimator.record_event(1.05)
+        self.assertTrue(estimator.is_slow_after(0.12))
+        estimator.record_event(1.1)
+        self.assertFalse(estimator.is_slow_after(0.12))
+
     def test_typical_event_gap_excludes_stalls_and_bursts(self) -> None:
         """Event gaps during prefills of long prompts counted as slow."""
         estimator = baselines.EventGapEstimator()
