Pass the components of forwarding as one object

Change: Forwarder takes ForwardingServices, which Node builds in a method; the stores of shared objects for tests are in tests/builders/shared_objects.py. No behaviour is changed; no test was changed but for names.

--- a/src/dragonflydyke/forwarding/execution.py
+++ b/src/dragonflydyke/forwarding/execution.py
@@ -2,22 +2,13 @@
 
 import asyncio
 
-from tornado import tcpclient
-
-from dragonflydyke import errors, latencies, logs, metrics, transport
+from dragonflydyke import errors, latencies, logs
 from dragonflydyke.forwarding import (
     contexts,
-    controller,
-    crash_reports,
     decisions,
-    directory,
     messages,
     model,
-    planner,
-    quarantine,
     runs,
-    selection,
-    server_limits,
 )
 from dragonflydyke.routing import retries
 
@@ -47,34 +38,12 @@
         "policy",
     )
 
-    def __init__(
-        self,
-        codec: messages.HeaderCodec,
-        servers: directory.Directory,
-        rollout_controller: controller.RolloutController,
-        selector: selection.ServerSelector,
-        escalation_planner: planner.EscalationPlanner,
-        prompt_quarantine: quarantine.PromptQuarantine,
-        crash_reporter: crash_reports.CrashReporter,
-        limits: server_limits.ServerLimits,
-        counters: metrics.Counters,
-    ) -> None:
+    def __init__(self, services: contexts.ForwardingServices) -> None:
         """Creates a forwarder without a policy, which rejects all requests."""
         self.policy: model.ForwardingPolicy | None = None
         self.is_closing = False
         self.latencies = latencies.LatencyHistograms()
-        self._services = contexts.ForwardingServices(
-            codec=codec,
-            directory=servers,
-            rollout_controller=rollout_controller,
-            selector=selector,
-            planner=escalation_planner,
-            quarantine=prompt_quarantine,
-            crash_reporter=crash_reporter,
-            server_limits=limits,
-            counters=counters,
-            tcp_client=tcpclient.TCPClient(transport.AddressResolver()),
-        )
+        self._services = services
         self._budgets: dict[str, retries.RetryBudget] = {}
 
     async def forward(
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -7,10 +7,11 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
-from tornado import httpserver, httputil
+from tornado import httpserver, httputil, tcpclient
 
-from dragonflydyke import logs, metrics, settings
+from dragonflydyke import logs, metrics, settings, transport
 from dragonflydyke.forwarding import (
+    contexts,
     controller,
     crash_reports,
     directory,
@@ -140,6 +141,7 @@
         "_is_draining",
         "_limits",
         "_quarantine",
+        "_random",
         "_registry",
         "_reload",
         "_retry_gate",
@@ -173,14 +175,14 @@
             counters: Counters of the process.
             reload: Reads the settings again; raises SettingsError.
         """
-        source = random.Random()
+        self._random = random.Random()
         self._reload = reload
         self._settings = values
         self._decoder = decoder
         self._counters = counters
         self._directory = directory.Directory()
         self._retry_gate = watchers.StoreRetryGate(
-            source,
+            self._random,
             lambda: store.probe(kinds.rollouts),
             values.watch_timing,
         )
@@ -188,17 +190,17 @@
             values.vm,
             store,
             counters,
-            source,
+            self._random,
             values.exposure_share,
-            lambda: not self._retry_gate.is_unavailable,
+            self._is_store_available,
         )
         self._quarantine = quarantine.PromptQuarantine()
         self._crash_reporter = crash_reports.CrashReporter(
             self._quarantine,
             store,
             counters,
-            source,
-            lambda: not self._retry_gate.is_unavailable,
+            self._random,
+            self._is_store_available,
         )
         self._limits = server_limits.ServerLimits()
         self._registry = registry.NodeRegistry(
@@ -206,31 +208,43 @@
             store,
             self._limits,
             counters,
-            source,
-            lambda: not self._retry_gate.is_unavailable,
+            self._random,
+            self._is_store_available,
         )
         self._has_rollouts = False
         self._has_crashes = False
         self._forwarder = execution.Forwarder(
-            codec,
-            self._directory,
-            self._rollout_controller,
-            selection.ServerSelector(values.data_centre, source),
-            planner.EscalationPlanner(
-                values.data_centre,
-                reports.ReportReader(report_codec, counters),
-                source,
-            ),
-            self._quarantine,
-            self._crash_reporter,
-            self._limits,
-            counters,
+            self._build_services(codec, report_codec)
         )
         self._server = server.ForwardingServer(self._forwarder, codec)
         self._is_draining = False
         self._stopped = asyncio.Event()
         self._watchers = self._build_watchers(store, kinds)
 
+    def _build_services(
+        self, codec: messages.HeaderCodec, report_codec: reports.ReportCodec
+    ) -> contexts.ForwardingServices:
+        data_centre = self._settings.data_centre
+        return contexts.ForwardingServices(
+            codec=codec,
+            directory=self._directory,
+            rollout_controller=self._rollout_controller,
+            selector=selection.ServerSelector(data_centre, self._random),
+            planner=planner.EscalationPlanner(
+                data_centre,
+                reports.ReportReader(report_codec, self._counters),
+                self._random,
+            ),
+            quarantine=self._quarantine,
+            crash_reporter=self._crash_reporter,
+            server_limits=self._limits,
+            counters=self._counters,
+            tcp_client=tcpclient.TCPClient(transport.AddressResolver()),
+        )
+
+    def _is_store_available(self) -> bool:
+        return not self._retry_gate.is_unavailable
+
     def _build_watchers(
         self, store: NodeStore, kinds: ObjectKinds
     ) -> list[watchers.KindWatcher]:
--- a/tests/builders/forwarding.py
+++ b/tests/builders/forwarding.py
@@ -8,9 +8,12 @@
 import struct
 from collections.abc import Awaitable, Callable
 
-from dragonflydyke import metrics, settings
+from tornado import tcpclient
+
+from dragonflydyke import metrics, settings, transport
 from dragonflydyke.configuration import model as configuration
 from dragonflydyke.forwarding import (
+    contexts,
     controller,
     crash_reports,
     directory,
@@ -20,15 +23,13 @@
     planner,
     quarantine,
     reports,
-    rollouts,
     selection,
     server,
     server_limits,
 )
-from dragonflydyke.objects import model as objects
 from dragonflydyke.platform import headers
 from dragonflydyke.platform import reports as platform_reports
-from tests.builders import skipping_loop
+from tests.builders import shared_objects, skipping_loop
 
 DATA_CENTRE = "north"
 HOST = "api.example"
@@ -303,92 +304,6 @@
     )
 
 
-class RejectingRolloutStore:
-    """A store that rejects all writes."""
-
-    async def write_progress(
-        self, stored: controller.StoredRollout, progress: rollouts.Progress
-    ) -> controller.StoredRollout:
-        """Rejects the write."""
-        raise objects.ConflictError("rollouts", "x", None, peer="store")
-
-
-def build_stored_rollout(
-    order: rollouts.Order,
-    progress: rollouts.Progress | None = None,
-    version: int = 1,
-) -> controller.StoredRollout:
-    """Returns a stored rollout; `version` is that of the object."""
-    entry = objects.StoredObject("rollouts", order.pool, version, {})
-    return controller.StoredRollout(entry, order, progress)
-
-
-class RecordingRolloutStore:
-    """A store that accepts every write and keeps the newest progress.
-
-    Attributes:
-        progress: Progress that was written last.
-        rejects_writes: Whether writes are rejected.
-        write_attempts: Number of writes, including rejected ones.
-    """
-
-    def __init__(self) -> None:
-        self.progress = rollouts.Progress("")
-        self.rejects_writes = False
-        self.write_attempts = 0
-        self._created_s = asyncio.get_running_loop().time()
-
-    @property
-    def age_s(self) -> float:
-        """Seconds since the store was created."""
-        return asyncio.get_running_loop().time() - self._created_s
-
-    async def write_progress(
-        self, stored: controller.StoredRollout, progress: rollouts.Progress
-    ) -> controller.StoredRollout:
-        """Stores the progress unless writes are rejected."""
-        self.write_attempts += 1
-        if self.rejects_writes:
-            raise objects.ConflictError("rollouts", "x", None, peer="store")
-        self.progress = progress
-        return build_stored_rollout(
-            stored.order, progress, stored.entry.version + 1
-        )
-
-
-class RecordingCrashStore:
-    """A store of crash reports.
-
-    Attributes:
-        reports: Stored reports by name.
-        failures: Number of writes to fail from now on.
-    """
-
-    def __init__(self) -> None:
-        self.reports: dict[str, quarantine.CrashReport] = {}
-        self.failures = 0
-
-    async def write_crash(self, report: quarantine.CrashReport) -> None:
-        """Stores a report."""
-        if self.failures:
-            self.failures -= 1
-            raise objects.OutcomeUnknownError("lost", peer="store")
-        self.reports[report.name] = report
-
-    async def remove_crash(self, report: quarantine.CrashReport) -> None:
-        """Removes a report."""
-        self.reports.pop(report.name, None)
-
-
-def build_crash_report(
-    *parts: str, server: str = "a", request_id: str = "r1"
-) -> quarantine.CrashReport:
-    """Returns a report on a crash of an engine of pool `engines`."""
-    return quarantine.CrashReport(
-        "engines", request_id, server, 1, frozenset(parts)
-    )
-
-
 class ForwardingTestCase(skipping_loop.SkippingTestCase):
     """Test case with a forwarding server and scripted backend servers."""
 
@@ -400,12 +315,12 @@
         self.directory = directory.Directory()
         self.rollout_controller = controller.RolloutController(
             "vm1",
-            RejectingRolloutStore(),
+            shared_objects.RejectingRolloutStore(),
             self.counters,
             source,
             EXPOSURE_SHARE,
         )
-        self.crash_store = RecordingCrashStore()
+        self.crash_store = shared_objects.RecordingCrashStore()
         self.quarantine = quarantine.PromptQuarantine()
         self.crash_reporter = crash_reports.CrashReporter(
             self.quarantine, self.crash_store, self.counters, source
@@ -414,21 +329,24 @@
         self.limits = server_limits.ServerLimits(lambda: self.time_of_day_s)
         codec = headers.HeaderCodec()
         self.forwarder = execution.Forwarder(
-            codec,
-            self.directory,
-            self.rollout_controller,
-            selection.ServerSelector(DATA_CENTRE, source),
-            planner.EscalationPlanner(
-                DATA_CENTRE,
-                reports.ReportReader(
-                    platform_reports.ReportCodec(), self.counters
+            contexts.ForwardingServices(
+                codec=codec,
+                directory=self.directory,
+                rollout_controller=self.rollout_controller,
+                selector=selection.ServerSelector(DATA_CENTRE, source),
+                planner=planner.EscalationPlanner(
+                    DATA_CENTRE,
+                    reports.ReportReader(
+                        platform_reports.ReportCodec(), self.counters
+                    ),
+                    source,
                 ),
-                source,
-            ),
-            self.quarantine,
-            self.crash_reporter,
-            self.limits,
-            self.counters,
+                quarantine=self.quarantine,
+                crash_reporter=self.crash_reporter,
+                server_limits=self.limits,
+                counters=self.counters,
+                tcp_client=tcpclient.TCPClient(transport.AddressResolver()),
+            )
         )
         self.forwarder.policy = build_policy()
         self.server = server.ForwardingServer(self.forwarder, codec)
--- /dev/null
+++ b/tests/builders/shared_objects.py
@@ -0,0 +1,129 @@
+"""Stores of the objects that nodes share, for tests without a store."""
+
+import asyncio
+
+from dragonflydyke import errors
+from dragonflydyke.forwarding import controller, quarantine, rollouts
+from dragonflydyke.objects import model as objects
+
+
+class RejectingRolloutStore:
+    """A store that rejects all writes."""
+
+    async def write_progress(
+        self, stored: controller.StoredRollout, progress: rollouts.Progress
+    ) -> controller.StoredRollout:
+        """Rejects the write."""
+        raise objects.ConflictError("rollouts", "x", None, peer="store")
+
+
+def build_stored_rollout(
+    order: rollouts.Order,
+    progress: rollouts.Progress | None = None,
+    version: int = 1,
+) -> controller.StoredRollout:
+    """Returns a stored rollout; `version` is that of the object."""
+    entry = objects.StoredObject("rollouts", order.pool, version, {})
+    return controller.StoredRollout(entry, order, progress)
+
+
+class RecordingRolloutStore:
+    """A store that accepts every write and keeps the newest progress.
+
+    Attributes:
+        progress: Progress that was written last.
+        rejects_writes: Whether writes are rejected.
+        write_attempts: Number of writes, including rejected ones.
+    """
+
+    def __init__(self) -> None:
+        self.progress = rollouts.Progress("")
+        self.rejects_writes = False
+        self.write_attempts = 0
+        self._created_s = asyncio.get_running_loop().time()
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the store was created."""
+        return asyncio.get_running_loop().time() - self._created_s
+
+    async def write_progress(
+        self, stored: controller.StoredRollout, progress: rollouts.Progress
+    ) -> controller.StoredRollout:
+        """Stores the progress unless writes are rejected."""
+        self.write_attempts += 1
+        if self.rejects_writes:
+            raise objects.ConflictError("rollouts", "x", None, peer="store")
+        self.progress = progress
+        return build_stored_rollout(
+            stored.order, progress, stored.entry.version + 1
+        )
+
+
+class RecordingCrashStore:
+    """A store of crash reports.
+
+    Attributes:
+        reports: Stored reports by name.
+        failures: Number of writes to fail from now on.
+    """
+
+    def __init__(self) -> None:
+        self.reports: dict[str, quarantine.CrashReport] = {}
+        self.failures = 0
+
+    async def write_crash(self, report: quarantine.CrashReport) -> None:
+        """Stores a report."""
+        if self.failures:
+            self.failures -= 1
+            raise objects.OutcomeUnknownError("lost", peer="store")
+        self.reports[report.name] = report
+
+    async def remove_crash(self, report: quarantine.CrashReport) -> None:
+        """Removes a report."""
+        self.reports.pop(report.name, None)
+
+
+def build_crash_report(
+    *parts: str, server: str = "a", request_id: str = "r1"
+) -> quarantine.CrashReport:
+    """Returns a report on a crash of an engine of pool `engines`."""
+    return quarantine.CrashReport(
+        "engines", request_id, server, 1, frozenset(parts)
+    )
+
+
+class ListedNodes:
+    """A store of the entries of the nodes.
+
+    Attributes:
+        versions: Versions of the entries by name.
+        is_rejecting: Whether all calls fail.
+    """
+
+    def __init__(self) -> None:
+        self.versions: dict[str, int] = {}
+        self.is_rejecting = False
+
+    async def write_node(self, name: str, heartbeat: int) -> None:
+        """Stores an entry."""
+        self._check()
+        self.versions[name] = heartbeat
+
+    async def list_nodes(self) -> tuple[objects.StoredObject, ...]:
+        """Returns all entries."""
+        self._check()
+        return tuple(
+            objects.StoredObject("nodes", name, version, {})
+            for name, version in self.versions.items()
+        )
+
+    async def remove_node(self, name: str) -> None:
+        """Removes an entry."""
+        self.versions.pop(name, None)
+
+    def _check(self) -> None:
+        if self.is_rejecting:
+            raise objects.PlatformUnavailableError(
+                "rejected", step=errors.Step.WRITE_PLATFORM, peer="store"
+            )
--- a/tests/test_forwarding_controller.py
+++ b/tests/test_forwarding_controller.py
@@ -5,7 +5,7 @@
 
 from dragonflydyke import metrics
 from dragonflydyke.forwarding import controller, rollouts
-from tests.builders import forwarding, virtual_loop
+from tests.builders import forwarding, shared_objects, virtual_loop
 
 _VM = "vm1"
 _DURATION_S = 60.0
@@ -25,7 +25,7 @@
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        self.store = forwarding.RecordingRolloutStore()
+        self.store = shared_objects.RecordingRolloutStore()
         self.is_store_available = True
         self.controller = controller.RolloutController(
             _VM,
@@ -37,7 +37,7 @@
         )
         order = rollouts.Order("engines", "v2", _DURATION_S)
         self.controller.update(
-            [forwarding.build_stored_rollout(order)], self.loop.time()
+            [shared_objects.build_stored_rollout(order)], self.loop.time()
         )
         task = asyncio.create_task(self.controller.run())
         self.addCleanup(task.cancel)
--- a/tests/test_forwarding_limits.py
+++ b/tests/test_forwarding_limits.py
@@ -5,10 +5,14 @@
 import random
 import unittest
 
-from dragonflydyke import errors, metrics
+from dragonflydyke import metrics
 from dragonflydyke.forwarding import registry, server_limits
-from dragonflydyke.objects import model as objects
-from tests.builders import forwarding, skipping_loop, virtual_loop
+from tests.builders import (
+    forwarding,
+    shared_objects,
+    skipping_loop,
+    virtual_loop,
+)
 
 _SEED = int(os.environ.get("DRAGONFLYDYKE_SEED", "1"))
 # The platform allows one and a half times the limit in 4 s, and 5 requests.
@@ -125,48 +129,12 @@
         self.assertTrue(self.limits.allows(self.server))
 
 
-class ListedNodes:
-    """A store of the entries of the nodes.
-
-    Attributes:
-        versions: Versions of the entries by name.
-        is_rejecting: Whether all calls fail.
-    """
-
-    def __init__(self) -> None:
-        self.versions: dict[str, int] = {}
-        self.is_rejecting = False
-
-    async def write_node(self, name: str, heartbeat: int) -> None:
-        """Stores an entry."""
-        self._check()
-        self.versions[name] = heartbeat
-
-    async def list_nodes(self) -> tuple[objects.StoredObject, ...]:
-        """Returns all entries."""
-        self._check()
-        return tuple(
-            objects.StoredObject("nodes", name, version, {})
-            for name, version in self.versions.items()
-        )
-
-    async def remove_node(self, name: str) -> None:
-        """Removes an entry."""
-        self.versions.pop(name, None)
-
-    def _check(self) -> None:
-        if self.is_rejecting:
-            raise objects.PlatformUnavailableError(
-                "rejected", step=errors.Step.WRITE_PLATFORM, peer="store"
-            )
-
-
 class RegistryTest(virtual_loop.VirtualTimeTestCase):
     """Guards against a wrong number of nodes, which misjudges all limits."""
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        self.store = ListedNodes()
+        self.store = shared_objects.ListedNodes()
         self.limits: dict[str, server_limits.ServerLimits] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
 
--- a/tests/test_forwarding_quarantine.py
+++ b/tests/test_forwarding_quarantine.py
@@ -6,7 +6,12 @@
 
 from dragonflydyke import metrics
 from dragonflydyke.forwarding import crash_reports, quarantine
-from tests.builders import forwarding, skipping_loop, virtual_loop
+from tests.builders import (
+    forwarding,
+    shared_objects,
+    skipping_loop,
+    virtual_loop,
+)
 
 _POOL = "engines"
 _SOUND = "aaa:400,ccc:300,d1:100"
@@ -25,7 +30,7 @@
 
     def add(self, *parts: str, server: str, request_id: str = "r1") -> None:
         """Adds a report."""
-        report = forwarding.build_crash_report(
+        report = shared_objects.build_crash_report(
             *parts, server=server, request_id=request_id
         )
         self.prompts.add(report, 0.0)
@@ -72,7 +77,7 @@
     def test_reports_of_other_nodes_count(self) -> None:
         """Every node lost its own engines before all rejected the prompt."""
         self.add("aaa", "bbb", server="a")
-        other = forwarding.build_crash_report("aaa", "bbb", server="b")
+        other = shared_objects.build_crash_report("aaa", "bbb", server="b")
         self.prompts.replace_stored([other], 0.0)
         self.assertTrue(self.is_rejected("aaa", "bbb"))
         # The report of this node is not stored yet and must not get lost.
@@ -97,7 +102,7 @@
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         self.prompts = quarantine.PromptQuarantine()
-        self.store = forwarding.RecordingCrashStore()
+        self.store = shared_objects.RecordingCrashStore()
         self.reporter = crash_reports.CrashReporter(
             self.prompts, self.store, metrics.Counters(), random.Random(3)
         )
@@ -105,7 +110,7 @@
         self.addCleanup(task.cancel)
 
     async def test_expired_reports_are_removed(self) -> None:
-        report = forwarding.build_crash_report("aaa")
+        report = shared_objects.build_crash_report("aaa")
         await self.store.write_crash(report)
         self.prompts.replace_stored([report], self.loop.time())
         await self.loop.advance(quarantine.QUARANTINE_S - 1.0, step_s=1.0)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,7 +15,7 @@
 from dragonflydyke.objects import model as objects
 from dragonflydyke.objects import watchers
 from dragonflydyke.platform import process, records
-from tests.builders import forwarding, skipping_loop, store
+from tests.builders import shared_objects, skipping_loop, store
 
 
 def _entry(name: str, value: object, version: int = 1) -> objects.StoredObject:
@@ -167,7 +167,7 @@
             await self.store.write_progress(stored, progress)
 
     async def test_crash_reports_are_shared_until_removed(self) -> None:
-        report = forwarding.build_crash_report("aaa", "bbb")
+        report = shared_objects.build_crash_report("aaa", "bbb")
         await self.store.write_crash(report)
         # The response to the first write may get lost.
         await self.store.write_crash(report)
