Retry unframed streams that end before their first event

Cause: the end of the connection ends such a response, so a crash without a reset looks like its end. Evidence: test_unframed_stream_without_events_is_not_complete failed before with an empty body instead of the four events. A stream that ends inside an event was retried before; its test guards that. Fix: a stream without framing and without any event counts as lost, which also makes it evidence on a crash. A later end of such a stream cannot be told from a crash and is still delivered. Conclusion: fixed for streams; a plain response without a length has no mark either.

--- a/src/dragonflydyke/backends/connection.py
+++ b/src/dragonflydyke/backends/connection.py
@@ -47,7 +47,7 @@
         self._accepts_unframed = request.accepts_unframed
         self._peer = request.server.name
         self._is_closed = False
-        self._is_framed = True
+        self.is_framed = True
         self.complete = False
         self.response_start: asyncio.Future[
             tuple[httputil.ResponseStartLine, httputil.HTTPHeaders]
@@ -87,7 +87,7 @@
             )
             self._stream.close()
             return
-        self._is_framed = is_framed
+        self.is_framed = is_framed
         self.response_start.set_result((start_line, headers))
 
     def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
@@ -103,7 +103,7 @@
         """Records whether the response is complete."""
         # Tornado also calls this when a connection whose response has no
         # length was reset.
-        self.complete = self._is_framed or self._stream.error is None
+        self.complete = self.is_framed or self._stream.error is None
 
     async def run(self, connection: http1connection.HTTP1Connection) -> None:
         """Reads the response until it ends, the connection is lost or closed.
@@ -204,6 +204,11 @@
         """Whether the whole response was received."""
         return self._reader is not None and self._reader.complete
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether a length or chunks, not the connection, end the response."""
+        return self._reader is None or self._reader.is_framed
+
     async def connect(self, client: tcpclient.TCPClient) -> None:
         """Opens the connection.
 
--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from dragonflydyke import errors
-from dragonflydyke.backends import connection, events
+from dragonflydyke.backends import connection, events, failures
 from dragonflydyke.backends import model as backends
 from dragonflydyke.forwarding import (
     contexts,
@@ -337,10 +337,22 @@
             raise AttemptFailedError(
                 decisions.AttemptOutcome.LOST, "torn event"
             )
+        if self._is_unframed_without_events():
+            raise AttemptFailedError(
+                decisions.AttemptOutcome.LOST, failures.CONNECTION_LOST
+            )
         self._record_production()
         self._start_response()
         self._writer.finish()
 
+    def _is_unframed_without_events(self) -> bool:
+        """Returns whether a stream ended before its first event.
+
+        The end of its connection is then that of its engine.
+        """
+        assert self._exchange is not None
+        return not self._exchange.is_framed and not self.event_count
+
     async def _read_chunk(self) -> bytes | None:
         assert self._exchange is not None
         chunk, self._first_chunk = self._first_chunk, None
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -87,6 +87,36 @@
         self.assertEqual(response.body.split(b"\n\n")[:-1], _EVENTS)
         self.assertEqual(self.count_received(), 2)
 
+    async def check_unframed_stream_resumes(self, received: bytes) -> None:
+        """Checks that a broken stream without framing is not delivered."""
+
+        async def end(request, writer) -> None:
+            forwarding.write_start(
+                request, writer, Content_Type="text/event-stream"
+            )
+            writer.write(received)
+            await writer.drain()
+
+        script = _play_in_order((end, _send_all_events))
+        await self.start_server("a", script)
+        response = await self.fetch()
+        self.assertTrue(response.is_complete)
+        self.assertEqual(response.body.split(b"\n\n")[:-1], _EVENTS)
+        self.assertEqual(self.count_received(), 2)
+
+    async def test_unframed_stream_without_events_is_not_complete(
+        self,
+    ) -> None:
+        """An engine that crashed looked like one that had nothing to say."""
+        await self.check_unframed_stream_resumes(b"")
+
+    async def test_unframed_stream_that_ends_inside_an_event_resumes(
+        self,
+    ) -> None:
+        await self.check_unframed_stream_resumes(
+            _EVENTS[0] + b"\n\n" + _EVENTS[1]
+        )
+
     async def test_interrupted_stream_without_resume_is_incomplete(
         self,
     ) -> None:
