Report limited servers as such when the last slot was used

Cause: found in a read of the whole change. If other requests used the last slots at limited servers while reports of engines were read, the request was rejected with `no_server_took_it`, as if the pool had no servers. `PromptQuarantine.describe` was used by nothing. Change: the outcome is `servers_limited` then; the method is gone.

--- a/src/dragonflydyke/forwarding/quarantine.py
+++ b/src/dragonflydyke/forwarding/quarantine.py
@@ -13,7 +13,7 @@
 import dataclasses
 import hashlib
 import itertools
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable
 
 # A part may become harmless with another version of the engines. Requests that
 # crash engines again are rejected again after two crashes.
@@ -160,10 +160,6 @@
             pool: _find_common_parts(states) for pool, states in by_pool.items()
         }
 
-    def describe(self) -> Mapping[str, frozenset[frozenset[str]]]:
-        """Returns the quarantined combinations of parts by pool."""
-        return self._combinations
-
 
 def _find_common_parts(
     states: Iterable[_ReportState],
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -144,7 +144,13 @@
         servers = self._list_servers()
         target = await self._select_target(servers)
         if target is None:
-            return decisions.AttemptOutcome.NO_SERVER
+            # Other requests may have used the last slots while reports of
+            # engines were read.
+            return (
+                decisions.AttemptOutcome.LIMITED
+                if servers
+                else decisions.AttemptOutcome.NO_SERVER
+            )
         self._services.server_limits.record_start(target.server)
         attempt = attempts.Attempt(self._services, self._context, target)
         self._state.dispatches += 1
