Serve unconditional writes in the store stub

Cause: the stub answered 500 to the registration of a node, so that the nodes of the soak never knew how many they are, and no test had the real calls. Change: the stub replaces a value without a condition and answers 404 without an object; a test registers, renews and removes a node through the client.

--- a/tests/builders/store.py
+++ b/tests/builders/store.py
@@ -165,14 +165,18 @@
     async def put(self, kind: str, name: str, status: str) -> None:
         state = self._stub
         body = json.loads(self.request.body)
-        present = state.objects[kind][name]
-        if body["metadata"]["rev"] != present["metadata"]["rev"]:
+        present = state.objects.get(kind, {}).get(name)
+        if present is None:
+            self.send_error(404)
+            return
+        current = present["metadata"]["rev"]
+        if body["metadata"].get("rev", current) != current:
             self.set_status(409)
             self._reply(present)
             return
-        assert status
+        fields = present | body
         self._reply(
-            await state.store(kind, name, present["spec"], body["status"])
+            await state.store(kind, name, fields["spec"], fields["status"])
         )
 
     def _reply(self, body: Any) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -177,6 +177,18 @@
         await self.store.remove_crash(report)
         self.assertEqual(await self.read_crashes(), [])
 
+    async def test_nodes_are_registered_and_removed(self) -> None:
+        await self.store.write_node("n/1", 1)
+        (entry,) = await self.store.list_nodes()
+        await self.store.write_node("n/1", 2)
+        (replaced,) = await self.store.list_nodes()
+        self.assertEqual((entry.name, replaced.name), ("n/1", "n/1"))
+        # The version tells that the node is alive.
+        self.assertGreater(replaced.version, entry.version)
+        await self.store.remove_node("n/1")
+        await self.store.remove_node("n/1")
+        self.assertEqual(await self.store.list_nodes(), ())
+
     async def read_crashes(self) -> list[quarantine.CrashReport]:
         """Returns the crash reports in the store."""
         listed = await self.store.list_all(
