Enlarge the canary of small fleets by less

Cause: the additional share of the canary, fixed from the first half, was planned with 0.4 of the fixed number of requests; escalations and retries at the new version add to it, and traffic grew. Fix: 0.2 of that number. Test: test_enlarged_canary_stays_within_limit counts repeated attempts; it fails with 0.4 (127 exposed at a limit of 126) and passes with 0.2.

--- a/src/dragonflydyke/forwarding/rollouts.py
+++ b/src/dragonflydyke/forwarding/rollouts.py
@@ -97,7 +97,7 @@
 # Fraction of the additional requests that is planned for. Their share of the
 # sessions is fixed from the traffic of the first half, so it takes more of them
 # if the traffic doubles in the second.
-_PLANNED_ADDITIONAL_SHARE = 0.4
+_PLANNED_ADDITIONAL_SHARE = 0.2
 _MAX_ENLARGED_CANARY_SHARE = 0.6
 # Ratio of all attempts to those in the evidence, which lacks the ones that are
 # discarded or in progress.
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -20,6 +20,9 @@
 _NOW_S = 100.0
 # Fraction of the requests that a bad version may receive on small fleets.
 _EXPOSURE_SHARE = forwarding.EXPOSURE_SHARE
+# Attempts at a new version as a multiple of its share of the sessions:
+# escalations and retries of its requests are attempts at it, too.
+_REPEATED_ATTEMPTS_FACTOR = 1.15
 
 
 class AdmissionTest(unittest.TestCase):
@@ -310,7 +313,12 @@
                 )
 
     def test_enlarged_canary_stays_within_limit(self) -> None:
-        """The traffic of the first half sizes the canary of the second."""
+        """The traffic of the first half sizes the canary of the second.
+
+        In pigyn-router rollout-load, seed 932483493478, 89 to 102 of 371
+        requests were exposed; the limit was 86. Escalations and retries at the
+        new version add to the share of the sessions.
+        """
         limit = rollouts.ExposureLimit(0.15, 30.0)
         for requests in (20, 60, 150, 400, 2_000):
             for growth in (1.0, 2.2):
@@ -330,6 +338,7 @@
                         * 2
                         * (share * (0.48 - full_share) + full_share)
                     )
+                    exposed *= _REPEATED_ATTEMPTS_FACTOR
                     with self.subTest(
                         requests=requests, growth=growth, share=share
                     ):
