Stop comparing the gaps of a stream once it is classified

Cause: since streams are classified early, each of their events looked up the slow threshold, which sorts 64 samples, also when the estimate was complete. Change: an observer returns at once then; nothing else happened in that case before. Conclusion: the work is done for the first events of a stream only, as before.

--- a/src/dragonflydyke/forwarding/baselines.py
+++ b/src/dragonflydyke/forwarding/baselines.py
@@ -90,14 +90,14 @@
             The typical gap in seconds at the event that completes the sample,
             None at all other events.
         """
-        if self._is_complete:
+        if self.is_complete:
             return None
         last_s = self._last_s
         self._last_s = now_s
         if last_s is None or now_s - last_s < _MIN_GAP_S:
             return None
         self._gaps.append(now_s - last_s)
-        if not self._is_complete:
+        if not self.is_complete:
             return None
         return sorted(self._gaps)[_TYPICAL_GAP_RANK]
 
@@ -107,11 +107,12 @@
         The typical gap then exceeds the threshold whatever gaps follow, so that
         a slow stream is recognised before its next event arrives.
         """
-        if self._is_complete:
+        if self.is_complete:
             return False
         longer = sum(gap > threshold_s for gap in self._gaps)
         return longer + 1 >= _SAMPLED_GAP_COUNT - _TYPICAL_GAP_RANK
 
     @property
-    def _is_complete(self) -> bool:
+    def is_complete(self) -> bool:
+        """Whether further events no longer change the estimate."""
         return len(self._gaps) >= _SAMPLED_GAP_COUNT
--- a/src/dragonflydyke/forwarding/observers.py
+++ b/src/dragonflydyke/forwarding/observers.py
@@ -114,6 +114,8 @@
     def record_event(self) -> None:
         """Records an event of a stream."""
         self._cancel_timer()
+        if self._gap_estimator.is_complete:
+            return
         gaps = self._baselines.event_gap
         threshold_s = gaps.find_slow_threshold_s(self._model_name)
         gap_s = self._gap_estimator.record_event(
