Log the era of the store and the versions of conflicting writes

The logs could not tell whether writes of a roll-out conflict because another writer always comes first or because nodes take the object of a restored store for an older one, nor when the store was restored at all. Responses state the era of the store; a rise is logged and counted as platform.restored, and a failed write of a roll-out logs the version it was based on and the one in the store. No decision changes.

--- a/src/dragonflydyke/forwarding/controller.py
+++ b/src/dragonflydyke/forwarding/controller.py
@@ -393,6 +393,8 @@
                 pool=state.stored.order.pool,
                 stage=progress.stage,
                 code=error.code,
+                object_version=state.stored.entry.version,
+                stored_version=_find_stored_version(error),
             )
             if not isinstance(error, RolloutChangedError):
                 return True
@@ -419,6 +421,13 @@
         )
 
 
+def _find_stored_version(error: errors.DragonflydykeError) -> int | None:
+    """Returns the version of the object that a write conflicted with."""
+    if isinstance(error, RolloutChangedError):
+        return error.rollout.entry.version
+    return None
+
+
 def _describe_evidence(progress: rollouts.Progress | None) -> dict[str, str]:
     if progress is None:
         return {}
--- a/src/dragonflydyke/objects/client.py
+++ b/src/dragonflydyke/objects/client.py
@@ -10,6 +10,7 @@
 from dragonflydyke.objects import model, store_http
 
 DEFAULT_TIMEOUT_S = 1.0
+ERA_HEADER = "Object-Store-Era"
 _OK = 200
 _CONFLICT = 409
 _NOT_FOUND = 404
@@ -73,6 +74,7 @@
             parse.urlsplit(base_url).netloc,
             counters,
             timeout_s=timeout_s,
+            era_header=ERA_HEADER,
         )
 
     async def get(self, kind: str, name: str) -> model.StoredObject | None:
--- a/src/dragonflydyke/objects/store_http.py
+++ b/src/dragonflydyke/objects/store_http.py
@@ -4,7 +4,7 @@
 
 from tornado import httpclient, simple_httpclient
 
-from dragonflydyke import errors, metrics, transport
+from dragonflydyke import errors, logs, metrics, transport
 from dragonflydyke.objects import model
 
 # The HTTP client queues requests above this number without reporting it.
@@ -12,6 +12,8 @@
 _MAX_BODY_BYTES = 8_000_000
 _UNAVAILABLE = 503
 
+_LOGGER = logs.get_logger("store")
+
 
 class StoreMethod(enum.StrEnum):
     """HTTP methods of the store APIs."""
@@ -32,7 +34,15 @@
         peer: Name of the store in errors.
     """
 
-    __slots__ = ("_base_url", "_counters", "_http", "_timeout_s", "peer")
+    __slots__ = (
+        "_base_url",
+        "_counters",
+        "_era",
+        "_era_header",
+        "_http",
+        "_timeout_s",
+        "peer",
+    )
 
     def __init__(
         self,
@@ -41,17 +51,22 @@
         counters: metrics.Counters,
         *,
         timeout_s: float,
+        era_header: str,
     ) -> None:
         """Creates a client without connections.
 
         Args:
             base_url: URL of the store without a path.
             peer: Name of the store in errors.
-            counters: Receives `platform.<method>.<outcome>`.
+            counters: Receives `platform.<method>.<outcome>` and
+                `platform.restored`.
             timeout_s: Timeout of connecting and of a call, in seconds. The
                 `wait_s` of a call is added to the latter.
+            era_header: Header in which responses state the era of the store.
         """
         self.peer = peer
+        self._era: int | None = None
+        self._era_header = era_header
         self._base_url = base_url
         self._counters = counters
         self._timeout_s = timeout_s
@@ -62,6 +77,14 @@
             max_body_size=_MAX_BODY_BYTES,
         )
 
+    @property
+    def era(self) -> int:
+        """Newest era that the store stated, 0 before the first response.
+
+        It rises when the store is restored from a copy.
+        """
+        return self._era or 0
+
     async def call(
         self,
         method: StoreMethod,
@@ -114,12 +137,31 @@
                 method, f"unexpected status {response.code}"
             )
         self._counters.increment(f"platform.{method}.answered")
+        self._record_era(self.find_era(response))
         return response
 
+    def find_era(self, response: httpclient.HTTPResponse) -> int:
+        """Returns the era that a response states, 0 without one."""
+        text = response.headers.get(self._era_header, "")
+        return int(text) if text.isdecimal() else 0
+
     def close(self) -> None:
         """Closes the HTTP client."""
         self._http.close()
 
+    def _record_era(self, era: int) -> None:
+        if self._era is not None and era <= self._era:
+            return
+        if self._era is not None:
+            self._counters.increment("platform.restored")
+            _LOGGER.warning(
+                "store was restored from a copy",
+                peer=self.peer,
+                era=era,
+                previous_era=self._era,
+            )
+        self._era = era
+
     def _unavailable_error(
         self, method: StoreMethod, cause: object
     ) -> model.PlatformUnavailableError:
--- a/src/dragonflydyke/platform/store.py
+++ b/src/dragonflydyke/platform/store.py
@@ -26,6 +26,7 @@
 # A stale read costs a tenth of a linearizable one and counts toward no rate.
 _STALE_PARAMETERS = {"allowStale": 1}
 _JSON_HEADERS = {"Content-Type": "application/json"}
+_ERA_HEADER = "Store-Era"
 
 _LOGGER = logs.get_logger("store")
 
@@ -47,6 +48,7 @@
             parse.urlsplit(base_url).netloc,
             counters,
             timeout_s=_TIMEOUT_S,
+            era_header=_ERA_HEADER,
         )
 
     async def list_all(
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -26,6 +26,7 @@
     "Kv-Backup",
     "Kv-Fetch",
     "Kv-From",
+    "Store-Era",
     "/api/",
     "storeRevision",
     "waitMs",
