Order the versions of a restored store after those of before

Callers saw: after a restore, nodes could follow changes of the store that ended before it, or miss changes after it. Cause: versions were bare revisions. A store restored from a copy issues revisions again, so a watch from a revision of before skips the changes up to it, a list of a replica that was not restored looks newer than the store, and the condition of a write can hold for another state with the same revision.

Versions now combine the era that each response states with the revision, the era first, so that each comparison of versions orders the states of the store as they followed. A watch of another era raises HistoryLostError, which leads to a list; a write with a version of an older era is not sent.

Ruled out: taking the loss of the connection as the sign of a restore (the store may be away between two watches), and the status 410 (missing once the revisions have been issued again).

--- a/src/dragonflydyke/objects/model.py
+++ b/src/dragonflydyke/objects/model.py
@@ -6,6 +6,30 @@
 
 from dragonflydyke import errors
 
+# Bits of a version that hold the revision.
+_REVISION_BITS = 40
+
+
+def combine_version(era: int, revision: int) -> int:
+    """Returns the version of a revision that a store issued in an era.
+
+    A store that is restored from a copy issues revisions again that it had
+    issued before, and enters a new era. Its revisions alone therefore do not
+    tell which of two states is newer; versions do, as the era is in their upper
+    bits. A store that has no eras is in era 0.
+    """
+    return era << _REVISION_BITS | revision
+
+
+def find_era(version: int) -> int:
+    """Returns the era in which a version was issued."""
+    return version >> _REVISION_BITS
+
+
+def find_revision(version: int) -> int:
+    """Returns the revision by which the store knows a version."""
+    return version & (1 << _REVISION_BITS) - 1
+
 
 class ReadConsistency(enum.Enum):
     """Whether a replica of the store that lags behind may serve a read."""
@@ -21,8 +45,9 @@
     Attributes:
         kind: Group of objects that are listed together.
         name: Name, unique within the kind.
-        version: Version of the store at the last write of the object. Each
-            write to the store increases it.
+        version: Version of the store at the last write of the object, as
+            `combine_version` returns it. Each write to the store, and each
+            restoration from a copy, increases it.
         value: Any JSON value, at most 1 MB as text.
         status: Reported status of the object, if the store keeps one
             separately from the value.
@@ -102,13 +127,17 @@
 
 
 class HistoryLostError(errors.DragonflydykeError):
-    """The store no longer has the changes after the requested version."""
+    """The store does not have the changes after the requested version.
+
+    It has dropped them, or it was restored from a copy, or a replica responded
+    that has not been restored yet.
+    """
 
     def __init__(self, kind: str, version: int, *, peer: str) -> None:
         super().__init__(
             "platform_history_lost",
-            f"changes of {kind} after {version} are no longer stored; list the "
-            "kind again",
+            f"changes of {kind} after revision {find_revision(version)} of era "
+            f"{find_era(version)} are not stored; list the kind again",
             step=errors.Step.READ_PLATFORM,
             peer=peer,
             status=410,
--- a/src/dragonflydyke/objects/store_http.py
+++ b/src/dragonflydyke/objects/store_http.py
@@ -145,6 +145,17 @@
         text = response.headers.get(self._era_header, "")
         return int(text) if text.isdecimal() else 0
 
+    def check_era(self, kind: str, name: str, version: int) -> None:
+        """Checks that the condition of a write can still hold.
+
+        Raises:
+            ConflictError: If the version was read before the store was restored
+                from a copy. The store may have issued its revision again for
+                another state of the object.
+        """
+        if model.find_era(version) < self.era:
+            raise model.ConflictError(kind, name, None, peer=self.peer)
+
     def close(self) -> None:
         """Closes the HTTP client."""
         self._http.close()
--- a/src/dragonflydyke/objects/watchers.py
+++ b/src/dragonflydyke/objects/watchers.py
@@ -4,7 +4,8 @@
 hundreds of nodes follows changes through them. A list is taken from a replica
 only if that has reached the current version of the store, which one
 linearizable read tells for all kinds. A watch from the version of such a list
-delivers every later change in order. After the store lost its history its
+delivers every later change in order, unless the store was restored from a copy
+meanwhile, which starts a new history. After the store lost its history its
 replicas may lag behind by more than the limits on changes allow, so watches are
 linearizable until they caught up.
 """
--- a/src/dragonflydyke/platform/store.py
+++ b/src/dragonflydyke/platform/store.py
@@ -67,17 +67,21 @@
             parameters |= _STALE_PARAMETERS
         while True:
             query = f"?{parse.urlencode(parameters)}" if parameters else ""
-            page = await self._read(_PATH + kind + query)
+            response = await self._read(_PATH + kind + query)
+            era = self._caller.find_era(response)
+            page = json.loads(response.body)
             items = page["items"]
-            found.extend(_decode(kind, item) for item in items)
-            versions.append(page["storeRevision"])
+            found.extend(_decode(kind, item, era) for item in items)
+            versions.append(model.combine_version(era, page["storeRevision"]))
             if not page.get("more") or not items:
                 return model.ObjectList(min(versions), tuple(found))
             parameters["after"] = items[-1]["metadata"]["name"]
 
     async def read_version(self, kind: str) -> int:
         """Returns the current version of the store, by reading a small kind."""
-        return (await self._read(_PATH + kind))["storeRevision"]
+        response = await self._read(_PATH + kind)
+        revision = json.loads(response.body)["storeRevision"]
+        return model.combine_version(self._caller.find_era(response), revision)
 
     async def watch(
         self,
@@ -90,10 +94,12 @@
         """Returns the changes after a version; waits up to `wait_s` for one.
 
         Raises:
-            HistoryLostError: If the store no longer has these changes.
+            HistoryLostError: If the store does not have these changes.
         """
-        wait_ms = int(wait_s * _MS_PER_S)
-        parameters = {"watch": since, "waitMs": wait_ms}
+        parameters: dict[str, object] = {
+            "watch": model.find_revision(since),
+            "waitMs": int(wait_s * _MS_PER_S),
+        }
         if consistency is model.ReadConsistency.STALE:
             parameters |= _STALE_PARAMETERS
         query = parse.urlencode(parameters)
@@ -104,15 +110,16 @@
             rejected_statuses=_REJECTED_STATUSES,
             wait_s=wait_s,
         )
-        if response.code == _GONE:
+        era = self._caller.find_era(response)
+        if response.code == _GONE or era != model.find_era(since):
             raise model.HistoryLostError(kind, since, peer=self._caller.peer)
         page = json.loads(response.body)
         newest: dict[str, model.StoredObject | None] = {}
         for event in page["events"]:
-            entry = _decode(kind, event["object"])
+            entry = _decode(kind, event["object"], era)
             newest[entry.name] = None if event["removed"] else entry
         return model.ObjectChanges(
-            page["storeRevision"],
+            model.combine_version(era, page["storeRevision"]),
             tuple(entry for entry in newest.values() if entry is not None),
             tuple(name for name, entry in newest.items() if entry is None),
         )
@@ -128,11 +135,14 @@
 
         Raises:
             RolloutChangedError: If the object was changed.
-            ConflictError: If the object was removed.
+            ConflictError: If the object was removed, or if the store was
+                restored from a copy since the object was read.
         """
         entry = stored.entry
+        self._caller.check_era(entry.kind, entry.name, entry.version)
+        revision = model.find_revision(entry.version)
         body = {
-            "metadata": {"name": entry.name, "rev": entry.version},
+            "metadata": {"name": entry.name, "rev": revision},
             "status": records.write_progress(progress),
         }
         response = await self._write(
@@ -141,13 +151,14 @@
             body,
         )
         peer = self._caller.peer
+        era = self._caller.find_era(response)
         if response.code == _CONFLICT:
-            current = _read_rollout(entry.kind, response.body)
+            current = _read_rollout(entry.kind, response.body, era)
             if current is not None:
                 raise controller.RolloutChangedError(current, peer=peer)
         if response.code != _OK:
             raise model.ConflictError(entry.kind, entry.name, None, peer=peer)
-        written = _decode(entry.kind, json.loads(response.body))
+        written = _decode(entry.kind, json.loads(response.body), era)
         return controller.StoredRollout(written, stored.order, progress)
 
     async def write_crash(self, report: quarantine.CrashReport) -> None:
@@ -206,20 +217,21 @@
             rejected_statuses=_REJECTED_STATUSES,
         )
 
-    async def _read(self, path: str) -> Any:
-        response = await self._caller.call(
+    async def _read(self, path: str) -> httpclient.HTTPResponse:
+        return await self._caller.call(
             store_http.StoreMethod.GET,
             path,
             expected_statuses=(_OK,),
             rejected_statuses=_REJECTED_STATUSES,
         )
-        return json.loads(response.body)
 
 
-def _read_rollout(kind: str, body: bytes) -> controller.StoredRollout | None:
+def _read_rollout(
+    kind: str, body: bytes, era: int
+) -> controller.StoredRollout | None:
     """Returns the rollout in a response, None if it cannot be decoded."""
     try:
-        return records.read_rollout(_decode(kind, json.loads(body)))
+        return records.read_rollout(_decode(kind, json.loads(body), era))
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         _LOGGER.warning("stored rollout cannot be decoded", error=repr(error))
         return None
@@ -229,12 +241,12 @@
     return parse.quote(name, safe="")
 
 
-def _decode(kind: str, item: Any) -> model.StoredObject:
+def _decode(kind: str, item: Any, era: int) -> model.StoredObject:
     metadata = item["metadata"]
     return model.StoredObject(
         kind=kind,
         name=metadata["name"],
-        version=metadata.get("rev", 0),
+        version=model.combine_version(era, metadata.get("rev", 0)),
         value=item.get("spec"),
         status=item.get("status"),
     )
--- a/tests/builders/store.py
+++ b/tests/builders/store.py
@@ -1,6 +1,8 @@
 """In-process stub of the platform's metadata store."""
 
 import asyncio
+import copy
+import dataclasses
 import json
 import re
 from typing import Any
@@ -13,31 +15,45 @@
 from tests.builders import skipping_loop
 
 _LOCAL = settings.Address("127.0.0.1", 0)
+_ERA_HEADER = "Store-Era"
 _PATH = re.compile(r"/api/objects/([^/]+)(?:/([^/]+))?(/status)?")
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoreCopy:
+    """State of a store stub at a point in time."""
+
+    era: int
+    revision: int
+    objects: dict[str, dict[str, dict[str, Any]]]
+
+
 class StoreStub:
     """Objects of the store stub and the faults that it injects.
 
     Attributes:
         objects: Objects by kind and name.
+        era: Number of the restorations from a copy, which responses state.
         revision: Revision of the store.
         oldest_revision: Oldest revision from which a watch can continue.
         rejection_status: Status with which all calls are rejected, 0 for none.
         reported_lag: Revisions by which watches report an older revision of the
             store, as a replica that lags behind does.
         replica_lag: Revisions by which replicas that serve stale lists lag.
+        replica: State that replicas serve to stale lists, None for the current.
         page_size: Maximum number of objects in a page of a list.
         calls: Received calls as method and path.
     """
 
     def __init__(self) -> None:
         self.objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self.era = 1
         self.revision = 1
         self.oldest_revision = 1
         self.rejection_status = 0
         self.reported_lag = 0
         self.replica_lag = 0
+        self.replica: StoreCopy | None = None
         self.page_size = 100
         self.calls: list[str] = []
         self._events: list[tuple[int, str, bool, dict[str, Any]]] = []
@@ -73,6 +89,19 @@
         """Drops the history of changes, so that watches must list again."""
         self.oldest_revision = self.revision + 1
 
+    def take_copy(self) -> StoreCopy:
+        """Returns the current state."""
+        return StoreCopy(self.era, self.revision, copy.deepcopy(self.objects))
+
+    def restore(self, state: StoreCopy) -> None:
+        """Returns to an earlier state; later revisions are issued again."""
+        self.era += 1
+        self.revision = state.revision
+        self.objects = copy.deepcopy(state.objects)
+        self._events = [
+            event for event in self._events if event[0] <= state.revision
+        ]
+
     async def _notify(
         self, kind: str, entry: dict[str, Any], *, removed: bool
     ) -> None:
@@ -91,7 +120,7 @@
                 )
         except TimeoutError:
             pass
-        if since < self.oldest_revision - 1:
+        if not self.oldest_revision - 1 <= since <= self.revision:
             return None
         return self._find_events(kind, since)
 
@@ -106,6 +135,7 @@
 class _StoreHandler(web.RequestHandler):
     def initialize(self, state: StoreStub) -> None:
         self._stub = state
+        self._era: int | None = None
 
     def prepare(self) -> None:
         self._stub.calls.append(f"{self.request.method} {self.request.uri}")
@@ -114,6 +144,7 @@
 
     async def get(self, kind: str, *rest: str) -> None:
         state = self._stub
+        is_stale = bool(self.get_query_argument("allowStale", ""))
         watch = self.get_query_argument("watch", "")
         if watch:
             wait_s = int(self.get_query_argument("waitMs")) / 1_000
@@ -125,10 +156,14 @@
             self._reply({"events": events, "storeRevision": reported})
             return
         after = self.get_query_argument("after", "")
-        revision = state.revision
-        if self.get_query_argument("allowStale", ""):
+        served = state.take_copy()
+        if is_stale and state.replica:
+            served = state.replica
+            self._era = served.era
+        revision = served.revision
+        if is_stale:
             revision -= state.replica_lag
-        found = sorted(state.objects.get(kind, {}).items())
+        found = sorted(served.objects.get(kind, {}).items())
         items = [
             entry
             for name, entry in found
@@ -179,8 +214,21 @@
             await state.store(kind, name, fields["spec"], fields["status"])
         )
 
+    def send_error(self, status_code: int = 500, **kwargs: Any) -> None:
+        """Responds without a body; tornado would drop the headers."""
+        del kwargs
+        self.set_status(status_code)
+        self._write_era()
+        self.finish()
+
+    def _write_era(self) -> None:
+        """States the era in which the call ends, or that of the replica."""
+        era = self._stub.era if self._era is None else self._era
+        self.set_header(_ERA_HEADER, str(era))
+
     def _reply(self, body: Any) -> None:
         self.set_header("Content-Type", "application/json")
+        self._write_era()
         self.finish(json.dumps(body))
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -278,7 +278,9 @@
             self.assertEqual(
                 {entry.name for entry in listed.objects}, set("abcd")
             )
-            self.assertEqual(listed.version, self.stub.revision)
+            self.assertEqual(
+                objects.find_revision(listed.version), self.stub.revision
+            )
 
     async def test_watches_are_exact_while_replicas_lag(self) -> None:
         """A node that starts after the history was lost sees only the lag."""
