Keep and repeat what a restored store lost of a rollout

Cause: a node replaced the progress that it knew only by an object of a higher revision. With versions that rise with a restore the conflict ends, but the roll-out goes back to the stage of the copy, reported evidence stays lost, and an order that is younger than the copy ends the roll-out.

The progress in force never goes back now: what the store has is merged into what the node knows, a stage that the store lacks is written again, what is reported follows from the stored reports instead of the node's memory, and an order that a restored store lacks is kept for 10 s.

On the code before, with the signature adapted, four of the seven tests of RestoredRolloutTest fail; the rollback after a restore fails before.

--- a/src/dragonflydyke/forwarding/controller.py
+++ b/src/dragonflydyke/forwarding/controller.py
@@ -27,6 +27,9 @@
 _MAX_WRITE_RETRY_S = 1.2
 # Impaired attempts are common, and each report notifies all nodes.
 _IMPAIRED_REPORT_INTERVAL_S = 1.5
+# Seconds for which an order that a restored store lacks is kept. The operator
+# writes it again.
+ORDER_RETURN_S = 10.0
 # Nodes report attempts without a failure only once the reports of other nodes
 # call for a rollback. They have this long to do so before it takes effect.
 _ROLLBACK_CONFIRMATION_S = 1.0
@@ -41,7 +44,8 @@
     Attributes:
         entry: Object in the store, for conditional writes.
         order: Rollout that the operator ordered.
-        progress: Shared progress, None before the first report of a node.
+        progress: Shared progress on this order, None before the first report
+            of a node.
     """
 
     entry: objects.StoredObject
@@ -84,50 +88,62 @@
 
     Attributes:
         stored: Newest state from the store.
+        progress: Progress in force, None before the first write. The store
+            may lack a part of it after it was restored from a copy.
         first_seen_s: Loop time at which this node first saw the order.
         write_delay_s: Seconds by which this node delays its writes.
         local_evidence: Attempts of this node by route.
-        reported_evidence: Local evidence that was written to the store.
         reported_s: Loop time of the last report.
         suspect_since_s: Loop time since which the evidence of all nodes calls
             for a rollback, None while it does not.
         is_suspended: Whether the local evidence alone calls for a rollback, so
             that this node suspends exposure to the new version.
         retry_at_s: Loop time before which this node does not write again.
+        missing_since_s: Loop time since which the store lacks the order, None
+            while it has it.
     """
 
     stored: StoredRollout
+    progress: rollouts.Progress | None
     first_seen_s: float
     write_delay_s: float
     local_evidence: dict[str, rollouts.RouteEvidence] = dataclasses.field(
         default_factory=dict
     )
-    reported_evidence: dict[str, rollouts.RouteEvidence] = dataclasses.field(
-        default_factory=dict
-    )
     reported_s: float = 0.0
     suspect_since_s: float | None = None
     is_suspended: bool = False
     retry_at_s: float = 0.0
+    missing_since_s: float | None = None
 
     @property
     def is_finished(self) -> bool:
         """Whether the rollout is completed or rolled back."""
-        progress = self.stored.progress
-        return (
-            progress is not None
-            and progress.version == self.stored.order.version
-            and progress.is_final
-        )
+        return self.progress is not None and self.progress.is_final
+
+    @property
+    def is_store_behind(self) -> bool:
+        """Whether the store lacks the stage in force."""
+        if self.progress is None:
+            return False
+        stored = self.stored.progress
+        return stored is None or stored.is_behind(self.progress)
+
+    def has_unreported_evidence(self, vm: str, now_s: float) -> bool:
+        """Returns whether this node should report its evidence.
 
-    def has_unreported_evidence(self, now_s: float) -> bool:
-        """Returns whether local evidence should be reported at a loop time."""
-        if self.local_evidence == self.reported_evidence:
+        Args:
+            vm: Name of this VM in the reports.
+            now_s: Current loop time.
+        """
+        stored = self.stored.progress
+        evidence = stored.evidence.get(vm, {}) if stored else {}
+        if not self.local_evidence or self.local_evidence == evidence:
             return False
         if self.suspect_since_s is not None:
             return True
         new = rollouts.sum_new_version(self.local_evidence)
-        reported = rollouts.sum_new_version(self.reported_evidence)
+        reported = rollouts.sum_new_version(evidence)
         if new.failed > reported.failed:
             return True
         is_due = now_s - self.reported_s >= _IMPAIRED_REPORT_INTERVAL_S
@@ -183,30 +199,60 @@
         self._rollouts: dict[str, _RolloutState] = {}
         self._baselines: dict[str, observers.VersionBaselines] = {}
 
-    def update(self, stored: list[StoredRollout], now_s: float) -> None:
-        """Replaces the rollouts with those stored; `now_s` is a loop time."""
+    def update(
+        self, stored: list[StoredRollout], now_s: float, version: int
+    ) -> None:
+        """Replaces the rollouts with those stored.
+
+        Args:
+            stored: All rollouts in the store.
+            now_s: Current loop time.
+            version: Version of the store.
+        """
         names = {entry.order.pool for entry in stored}
         for pool in self._rollouts.keys() - names:
-            del self._rollouts[pool]
+            self._remove(pool, now_s, version)
         for entry in stored:
             self._apply_stored(entry, now_s)
 
+    def _remove(self, pool: str, now_s: float, version: int) -> None:
+        """Removes a rollout, or marks it as lost by a restore of the store."""
+        state = self._rollouts[pool]
+        era = objects.find_era(state.stored.entry.version)
+        if era == objects.find_era(version):
+            del self._rollouts[pool]
+        elif state.missing_since_s is None:
+            state.missing_since_s = now_s
+            _LOGGER.warning("restored store lacks an order", pool=pool)
+
+    def _drop_missing(self, now_s: float) -> None:
+        for pool, state in list(self._rollouts.items()):
+            since_s = state.missing_since_s
+            if since_s is not None and now_s - since_s >= ORDER_RETURN_S:
+                del self._rollouts[pool]
+                _LOGGER.warning("order did not return", pool=pool)
+
     def _apply_stored(self, stored: StoredRollout, now_s: float) -> None:
         pool = stored.order.pool
         state = self._rollouts.get(pool)
         if state is None or state.stored.order != stored.order:
             delay_s = self._random.uniform(0.0, _MAX_WRITE_DELAY_S)
-            self._rollouts[pool] = _RolloutState(stored, now_s, delay_s)
+            self._rollouts[pool] = _RolloutState(
+                stored, stored.progress, now_s, delay_s
+            )
             self._log_rollout("rollout ordered", stored)
             return
         if stored.entry.version <= state.stored.entry.version:
             return
-        previous = state.stored.progress
+        previous = state.progress
         state.stored = stored
-        if previous is None or (
-            stored.progress is not None
-            and stored.progress.stage is not previous.stage
-        ):
+        state.missing_since_s = None
+        state.progress = rollouts.merge_progress(previous, stored.progress)
+        if state.is_store_behind:
+            # All nodes notice it at the same time.
+            state.retry_at_s = now_s + state.write_delay_s
+            self._log_rollout("restored store lacks a stage", stored)
+        elif previous is None or state.progress.stage is not previous.stage:
             self._log_rollout("roll-out stage", stored)
 
     def select_version_rule(
@@ -218,7 +264,7 @@
             return rollouts.VersionRule()
         return rollouts.select_version_rule(
             state.stored.order,
-            state.stored.progress,
+            state.progress,
             session,
             exposure_share=self._exposure.share,
             is_suspended=state.is_suspended,
@@ -282,8 +328,9 @@
             if not self._is_store_available():
                 continue
             now_s = asyncio.get_running_loop().time()
+            self._drop_missing(now_s)
             for state in list(self._rollouts.values()):
-                if now_s >= state.retry_at_s:
+                if state.missing_since_s is None and now_s >= state.retry_at_s:
                     await self._advance(state)
 
     async def _advance(self, state: _RolloutState) -> None:
@@ -298,10 +345,10 @@
         self, state: _RolloutState, now_s: float
     ) -> rollouts.Progress | None:
         order = state.stored.order
-        progress = state.stored.progress
+        progress = state.progress
         age_s = now_s - state.first_seen_s - state.write_delay_s
         due_stage = rollouts.find_due_stage(order, progress, age_s)
-        if progress is None or progress.version != order.version:
+        if progress is None:
             delay_s = min(
                 state.write_delay_s * _FIRST_WRITE_DELAY_FACTOR,
                 order.duration_s * _MAX_FIRST_WRITE_DELAY_SHARE,
@@ -310,10 +357,10 @@
                 return None
             return rollouts.Progress(order.version)
         if progress.is_final:
-            return None
+            return progress if state.is_store_behind else None
         evidence = dict(progress.evidence)
         has_unreported = state.has_unreported_evidence(
-            now_s
+            self._vm, now_s
         ) or self._is_traffic_report_due(state, progress, age_s)
         if has_unreported:
             evidence[self._vm] = dict(state.local_evidence)
@@ -330,7 +377,7 @@
                 now_s - state.suspect_since_s >= _ROLLBACK_CONFIRMATION_S
             )
             due_stage = rollouts.Stage.ROLLED_BACK if is_confirmed else None
-        if due_stage is None and not has_unreported:
+        if not (due_stage or has_unreported or state.is_store_behind):
             return None
         if state.local_evidence:
             # Every write includes all local evidence, even if not yet due.
@@ -401,7 +448,6 @@
             self._apply_stored(error.rollout, now_s)
             return False
         now_s = asyncio.get_running_loop().time()
-        state.reported_evidence = dict(progress.evidence.get(self._vm, {}))
         state.reported_s = now_s
         self._apply_stored(stored, now_s)
         return True
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -360,7 +360,7 @@
     ) -> None:
         del after_gap
         found = self._decoder.read_rollouts(view.objects.values())
-        self._rollout_controller.update(found, view.confirmed_s)
+        self._rollout_controller.update(found, view.confirmed_s, view.version)
         self._has_rollouts = True
 
     def _apply_crashes(
--- a/src/dragonflydyke/forwarding/rollouts.py
+++ b/src/dragonflydyke/forwarding/rollouts.py
@@ -122,6 +122,7 @@
 
 
 _FINAL_STAGES = frozenset((Stage.COMPLETED, Stage.ROLLED_BACK))
+_STAGE_ORDER = tuple(Stage)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -264,6 +265,15 @@
         """Whether the rollout is completed or rolled back."""
         return self.stage in _FINAL_STAGES
 
+    def is_behind(self, other: "Progress") -> bool:
+        """Returns whether this lacks a stage or a canary share of another."""
+        if self.is_final:
+            return False
+        own_rank = _STAGE_ORDER.index(self.stage)
+        if own_rank != _STAGE_ORDER.index(other.stage):
+            return own_rank < _STAGE_ORDER.index(other.stage)
+        return self.canary_share < other.canary_share
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class VersionRule:
@@ -321,6 +331,25 @@
     return VersionRule(avoided=order.version, is_forbidden=share == 0.0)
 
 
+def merge_progress(
+    known: Progress | None, stored: Progress | None
+) -> Progress | None:
+    """Returns the progress of a rollout, which never goes back.
+
+    A store that was restored from a copy may lack a stage that was in force,
+    or reports of nodes.
+
+    Args:
+        known: Progress that this node knows.
+        stored: Progress in the store, on the same order.
+    """
+    if known is None or stored is None:
+        return stored or known
+    newest = known if stored.is_behind(known) else stored
+    evidence = {**known.evidence, **stored.evidence}
+    return dataclasses.replace(newest, evidence=evidence)
+
+
 def find_canary_share(
     order: Order,
     limit: ExposureLimit,
--- a/src/dragonflydyke/objects/watchers.py
+++ b/src/dragonflydyke/objects/watchers.py
@@ -290,15 +290,20 @@
     Attributes:
         objects: Objects by name.
         confirmed_s: Loop time of the store's response that confirmed them.
+        version: Version of the store up to which they are complete.
     """
 
-    __slots__ = ("confirmed_s", "objects")
+    __slots__ = ("confirmed_s", "objects", "version")
 
     def __init__(
-        self, objects: Mapping[str, model.StoredObject], confirmed_s: float
+        self,
+        objects: Mapping[str, model.StoredObject],
+        confirmed_s: float,
+        version: int,
     ) -> None:
         self.objects = objects
         self.confirmed_s = confirmed_s
+        self.version = version
 
 
 class KindWatcher:
@@ -378,7 +383,7 @@
             self._objects[entry.name] = entry
         for name in changes.removed:
             self._objects.pop(name, None)
-        self._notify_listener(after_gap=False)
+        self._notify_listener(self._version, after_gap=False)
         await asyncio.sleep(self._timing.coalescing_delay_s)
 
     async def _list(self) -> None:
@@ -389,11 +394,12 @@
         self._record_reconnection()
         self._objects = {entry.name: entry for entry in listed.objects}
         self._version = listed.version
-        self._notify_listener(after_gap=after_gap)
+        self._notify_listener(listed.version, after_gap=after_gap)
 
-    def _notify_listener(self, *, after_gap: bool) -> None:
+    def _notify_listener(self, version: int, *, after_gap: bool) -> None:
         now_s = asyncio.get_running_loop().time()
-        self._listener(KindSnapshot(dict(self._objects), now_s), after_gap)
+        snapshot = KindSnapshot(dict(self._objects), now_s, version)
+        self._listener(snapshot, after_gap)
 
     def _record_reconnection(self) -> None:
         if self._is_disconnected:
--- a/src/dragonflydyke/platform/records.py
+++ b/src/dragonflydyke/platform/records.py
@@ -142,6 +142,9 @@
     )
     status = entry.status
     progress = _read_progress(status) if status else None
+    if progress is not None and progress.version != order.version:
+        # The status of an earlier order.
+        progress = None
     return controller.StoredRollout(entry, order, progress)
 
 
--- a/tests/builders/shared_objects.py
+++ b/tests/builders/shared_objects.py
@@ -68,6 +68,54 @@
         return build_stored_rollout(stored.order, progress, version)
 
 
+class ConditionalRolloutStore:
+    """A store with one rollout that checks the condition of each write.
+
+    Attributes:
+        is_ordered: Whether the store has the object of the rollout.
+        progress: Stored progress.
+        version: Version of the store and of the object.
+    """
+
+    def __init__(self, order: rollouts.Order) -> None:
+        self.is_ordered = True
+        self.progress: rollouts.Progress | None = None
+        self.version = objects.combine_version(1, 40)
+        self._order = order
+
+    @property
+    def stage(self) -> rollouts.Stage | None:
+        """Stored stage."""
+        return self.progress.stage if self.progress else None
+
+    def restore(self, progress: rollouts.Progress | None) -> None:
+        """Restores the store from a copy with an earlier progress."""
+        era = objects.find_era(self.version) + 1
+        self.version = objects.combine_version(era, 30)
+        self.progress = progress
+
+    def list_all(self) -> list[controller.StoredRollout]:
+        """Returns the stored rollouts."""
+        return [self._build_stored()] if self.is_ordered else []
+
+    async def write_progress(
+        self, stored: controller.StoredRollout, progress: rollouts.Progress
+    ) -> controller.StoredRollout:
+        """Stores the progress if the object is unchanged."""
+        if not self.is_ordered:
+            raise objects.ConflictError("rollouts", "x", None, peer="store")
+        if stored.entry.version != self.version:
+            raise controller.RolloutChangedError(
+                self._build_stored(), peer="store"
+            )
+        self.version += 1
+        self.progress = progress
+        return self._build_stored()
+
+    def _build_stored(self) -> controller.StoredRollout:
+        return build_stored_rollout(self._order, self.progress, self.version)
+
+
 class RecordingCrashStore:
     """A store of crash reports.
 
--- a/tests/test_forwarding_controller.py
+++ b/tests/test_forwarding_controller.py
@@ -39,7 +39,7 @@
         )
         order = rollouts.Order("engines", "v2", _DURATION_S)
         self.controller.update(
-            [shared_objects.build_stored_rollout(order)], self.loop.time()
+            [shared_objects.build_stored_rollout(order)], self.loop.time(), 1
         )
         task = asyncio.create_task(self.controller.run())
         self.addCleanup(task.cancel)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -3,10 +3,20 @@
 import asyncio
 import random
 
+from dragonflydyke import metrics
 from dragonflydyke.forwarding import controller, rollouts
 from dragonflydyke.objects import model as objects
 from dragonflydyke.objects import watchers
-from tests.builders import skipping_loop, store
+from tests.builders import (
+    forwarding,
+    shared_objects,
+    skipping_loop,
+    store,
+    virtual_loop,
+)
+
+_DURATION_S = 60.0
+_FAILED = rollouts.AttemptCounts(attempts=1, failed=1)
 
 
 class RestoredHistoryTest(store.StoreTestCase):
@@ -102,3 +112,116 @@
                 rollouts.Progress("v2", rollouts.Stage.ROLLED_BACK),
             )
         self.assertIsNone(self.stub.objects["rollouts"]["engines"]["status"])
+
+
+class RestoredRolloutTest(virtual_loop.VirtualTimeTestCase):
+    """Guards against rollouts that end, or go back, with a restore."""
+
+    async def asyncSetUp(self) -> None:
+        """Starts a controller on a rollout whose canary is in force."""
+        await super().asyncSetUp()
+        self.order = rollouts.Order("engines", "v2", _DURATION_S)
+        self.store = shared_objects.ConditionalRolloutStore(self.order)
+        self.controller = controller.RolloutController(
+            "vm1",
+            self.store,
+            metrics.Counters(),
+            random.Random(3),
+            rollouts.ExposureLimit(forwarding.EXPOSURE_SHARE, 30.0),
+            count_nodes=lambda: rollouts.MAX_REPORTING_NODES + 1,
+        )
+        self.list_rollouts()
+        self.addCleanup(asyncio.create_task(self.controller.run()).cancel)
+        while self.store.stage is not rollouts.Stage.CANARY:
+            await self.loop.advance(0.05)
+
+    def list_rollouts(self) -> None:
+        """Gives the controller what the store lists."""
+        self.controller.update(
+            self.store.list_all(), self.loop.time(), self.store.version
+        )
+
+    def record_failures(self, count: int) -> None:
+        """Records failed attempts at two servers of the new version."""
+        for number in range(count):
+            server = forwarding.build_server_entry(
+                f"new-{number % 2}", version="v2"
+            )
+            self.controller.record_attempts(server, "streams", _FAILED)
+
+    def count_exposed(self) -> int:
+        """Returns how many of 100 sessions use the new version."""
+        rules = [
+            self.controller.select_version_rule("engines", f"session {number}")
+            for number in range(100)
+        ]
+        return sum(rule.preferred == "v2" for rule in rules)
+
+    async def test_version_is_rolled_back_after_a_restore(self) -> None:
+        """Each write conflicted with the lower revision until the end."""
+        self.store.restore(rollouts.Progress("v2"))
+        self.list_rollouts()
+        self.record_failures(4)
+        await self.loop.advance(4.0)
+        self.assertIs(self.store.stage, rollouts.Stage.ROLLED_BACK)
+
+    async def test_stage_lost_by_a_restore_is_written_again(self) -> None:
+        """Sessions of the canary must not return to the old version."""
+        exposed = self.count_exposed()
+        self.assertGreater(exposed, 0)
+        for progress in (rollouts.Progress("v2"), None):
+            self.store.restore(progress)
+            self.list_rollouts()
+            self.assertEqual(self.count_exposed(), exposed)
+            await self.loop.advance(1.5)
+            self.assertIs(self.store.stage, rollouts.Stage.CANARY)
+
+    async def test_rollback_lost_by_a_restore_is_written_again(self) -> None:
+        """A version that was rolled back must not be used again."""
+        before = self.store.progress
+        self.record_failures(4)
+        await self.loop.advance(4.0)
+        self.assertIs(self.store.stage, rollouts.Stage.ROLLED_BACK)
+        self.store.restore(before)
+        self.list_rollouts()
+        self.assertEqual(self.count_exposed(), 0)
+        await self.loop.advance(1.5)
+        self.assertIs(self.store.stage, rollouts.Stage.ROLLED_BACK)
+
+    async def test_evidence_lost_by_a_restore_is_reported_again(self) -> None:
+        """A report that was once written was taken for stored for good."""
+        before = self.store.progress
+        self.record_failures(1)
+        await self.loop.advance(1.0)
+        self.assertIn("vm1", self.store.progress.evidence)
+        self.store.restore(before)
+        self.list_rollouts()
+        await self.loop.advance(1.0)
+        self.assertIn("vm1", self.store.progress.evidence)
+
+    async def test_order_lost_by_a_restore_is_kept_until_it_returns(
+        self,
+    ) -> None:
+        """The operator writes it again; the canary must not begin anew."""
+        exposed = self.count_exposed()
+        self.store.restore(None)
+        self.store.is_ordered = False
+        self.list_rollouts()
+        await self.loop.advance(2.0)
+        self.assertEqual(self.count_exposed(), exposed)
+        self.store.is_ordered = True
+        self.list_rollouts()
+        await self.loop.advance(1.5)
+        self.assertIs(self.store.stage, rollouts.Stage.CANARY)
+
+    async def test_order_that_does_not_return_is_dropped(self) -> None:
+        self.store.restore(None)
+        self.store.is_ordered = False
+        self.list_rollouts()
+        await self.loop.advance(controller.ORDER_RETURN_S + 1.0)
+        self.assertEqual(self.count_exposed(), 0)
+
+    async def test_removed_order_is_dropped_at_once(self) -> None:
+        self.store.is_ordered = False
+        self.list_rollouts()
+        self.assertEqual(self.count_exposed(), 0)
