Keep and repeat crash reports that a restored store lost

Callers saw: prompts that had been in quarantine were sent to engines again after a restore, and two more engines crashed with all their streams. Cause: a report that the store had listed once and lacks now counted as removed by a node whose time was over. A restored store lacks it because it was written after the copy. A node that had written its report also never wrote it again.

A report now counts as removed only if the store has listed it in its present era. In a new era a report is kept and counts as not stored until the store lists it or this node has written it there. What is to be written follows from the quarantine, so the reporter keeps no list of its own.

The new test fails on the code before (its signature adapted): no combination is left after the restore.

--- a/src/dragonflydyke/forwarding/crash_reports.py
+++ b/src/dragonflydyke/forwarding/crash_reports.py
@@ -22,8 +22,11 @@
 class CrashStore(Protocol):
     """Stores the crash reports of all nodes."""
 
-    async def write_crash(self, report: quarantine.CrashReport) -> None:
-        """Stores a report; does nothing if the store has it already.
+    async def write_crash(self, report: quarantine.CrashReport) -> int:
+        """Stores a report unless the store has it already.
+
+        Returns:
+            Era in which the store has the report.
 
         Raises:
             DragonflydykeError: If the write fails, or may not have happened.
@@ -43,7 +46,6 @@
     __slots__ = (
         "_counters",
         "_is_store_available",
-        "_pending",
         "_quarantine",
         "_random",
         "_removal_delay_s",
@@ -75,7 +77,6 @@
         self._random = source
         self._is_store_available = is_store_available
         self._removal_delay_s = source.uniform(0.0, _MAX_REMOVAL_DELAY_S)
-        self._pending: dict[str, quarantine.CrashReport] = {}
         self._wake = asyncio.Event()
 
     async def report(
@@ -108,7 +109,6 @@
             parts=sorted(parts),
         )
         self._quarantine.add(report, asyncio.get_running_loop().time())
-        self._pending[report.name] = report
         self._wake.set()
 
     async def run(self) -> None:
@@ -118,7 +118,7 @@
             if not self._is_store_available():
                 continue
             try:
-                await self._write_pending()
+                await self._write_unstored()
                 await self._remove_expired()
             except errors.DragonflydykeError as error:
                 self._counters.increment(f"crash.{error.code}")
@@ -127,7 +127,7 @@
     async def _wait(self) -> None:
         """Waits for a new report, or for the time of the next attempt."""
         delay_s = _POLL_INTERVAL_S
-        if self._pending:
+        if self._quarantine.list_unstored():
             delay_s = self._random.uniform(
                 _MIN_WRITE_RETRY_S, _MAX_WRITE_RETRY_S
             )
@@ -138,10 +138,10 @@
             return
         self._wake.clear()
 
-    async def _write_pending(self) -> None:
-        for name, report in list(self._pending.items()):
-            await self._store.write_crash(report)
-            del self._pending[name]
+    async def _write_unstored(self) -> None:
+        for report in self._quarantine.list_unstored():
+            era = await self._store.write_crash(report)
+            self._quarantine.record_written(report, era)
 
     async def _remove_expired(self) -> None:
         now_s = asyncio.get_running_loop().time()
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -368,7 +368,7 @@
     ) -> None:
         del after_gap
         found = self._decoder.read_crashes(view.objects.values())
-        self._quarantine.replace_stored(found, view.confirmed_s)
+        self._quarantine.replace_stored(found, view.confirmed_s, view.version)
         self._has_crashes = True
 
     def _describe_readiness(self) -> tuple[int, str]:
--- a/src/dragonflydyke/forwarding/quarantine.py
+++ b/src/dragonflydyke/forwarding/quarantine.py
@@ -15,6 +15,8 @@
 import itertools
 from collections.abc import Collection, Iterable
 
+from dragonflydyke.objects import model as objects
+
 # A part may become harmless with another version of the engines. Requests that
 # crash engines again are rejected again after two crashes.
 QUARANTINE_S = 600.0
@@ -62,46 +64,75 @@
     Attributes:
         report: The report.
         first_seen_s: Time at which this node received it.
-        is_stored: Whether the store had it.
+        listed_era: Era of the store in which it last listed the report, None
+            if it never did.
+        written_era: Era of the store in which this node wrote the report, None
+            if it did not.
         suspects: Parts with which no response was produced since.
     """
 
     report: CrashReport
     first_seen_s: float
-    is_stored: bool
     suspects: set[str]
+    listed_era: int | None = None
+    written_era: int | None = None
 
 
 class PromptQuarantine:
     """Crash reports of all nodes and the parts that they put in quarantine."""
 
-    __slots__ = ("_combinations", "_reports")
+    __slots__ = ("_combinations", "_era", "_reports")
 
     def __init__(self) -> None:
         """Creates a quarantine without reports."""
+        self._era = 0
         self._reports: dict[str, _ReportState] = {}
         self._combinations: dict[str, frozenset[frozenset[str]]] = {}
 
     def add(self, report: CrashReport, now_s: float) -> None:
         """Adds a report of this node; `now_s` is a loop time."""
-        if self._insert(report, now_s, is_stored=False):
+        if report.name not in self._reports:
+            self._insert(report, now_s)
             self._update_combinations()
 
     def replace_stored(
-        self, reports: Iterable[CrashReport], now_s: float
+        self, reports: Iterable[CrashReport], now_s: float, version: int
     ) -> None:
-        """Replaces the reports that the store has; `now_s` is a loop time.
+        """Replaces the reports that the store has.
+
+        Reports that the store does not have yet, or has lost as it was restored
+        from a copy, are kept and count as not stored.
 
-        Reports of this node that the store does not have yet are kept.
+        Args:
+            reports: All reports in the store.
+            now_s: Current loop time.
+            version: Version of the store.
         """
+        self._era = objects.find_era(version)
         stored = {report.name: report for report in reports}
-        for name, state in list(self._reports.items()):
-            if state.is_stored and name not in stored:
+        for name in self._reports.keys() - stored.keys():
+            if self._reports[name].listed_era == self._era:
                 del self._reports[name]
         for report in stored.values():
-            self._insert(report, now_s, is_stored=True)
+            if report.name not in self._reports:
+                self._insert(report, now_s)
+            self._reports[report.name].listed_era = self._era
         self._update_combinations()
 
+    def record_written(self, report: CrashReport, era: int) -> None:
+        """Records that this node wrote a report in an era of the store."""
+        state = self._reports.get(report.name)
+        if state is not None:
+            state.written_era = era
+
+    def list_unstored(self) -> list[CrashReport]:
+        """Returns the reports that the store does not have in its era."""
+        return [
+            state.report
+            for state in self._reports.values()
+            if self._era not in (state.listed_era, state.written_era)
+        ]
+
     def record_response(self, pool: str, parts: Collection[str]) -> None:
         """Records that an engine produced a response with some parts."""
         changed = False
@@ -138,19 +169,12 @@
         self._reports.pop(report.name, None)
         self._update_combinations()
 
-    def _insert(
-        self, report: CrashReport, now_s: float, *, is_stored: bool
-    ) -> bool:
-        state = self._reports.get(report.name)
-        if state is not None:
-            state.is_stored |= is_stored
-            return False
+    def _insert(self, report: CrashReport, now_s: float) -> None:
         self._reports[report.name] = _ReportState(
-            report, now_s, is_stored, set(report.parts)
+            report, now_s, set(report.parts)
         )
         while len(self._reports) > _MAX_REPORTS:
             del self._reports[next(iter(self._reports))]
-        return True
 
     def _update_combinations(self) -> None:
         by_pool: dict[str, list[_ReportState]] = {}
--- a/src/dragonflydyke/platform/store.py
+++ b/src/dragonflydyke/platform/store.py
@@ -161,15 +161,18 @@
         written = _decode(entry.kind, json.loads(response.body), era)
         return controller.StoredRollout(written, stored.order, progress)
 
-    async def write_crash(self, report: quarantine.CrashReport) -> None:
-        """Stores a crash report; does nothing if the store has it already."""
+    async def write_crash(self, report: quarantine.CrashReport) -> int:
+        """Stores a crash report unless the store has it already.
+
+        Returns:
+            Era in which the store has the report.
+        """
         body = {
             "metadata": {"name": report.name},
             "spec": records.write_crash(report),
         }
-        await self._write(
-            store_http.StoreMethod.POST, _PATH + records.KINDS.crashes, body
-        )
+        response = await self._create(records.KINDS.crashes, body)
+        return self._caller.find_era(response)
 
     async def remove_crash(self, report: quarantine.CrashReport) -> None:
         """Removes a crash report; does nothing if the store has none."""
@@ -178,13 +181,12 @@
     async def write_node(self, name: str, heartbeat: int) -> None:
         """Creates or replaces the entry of a node."""
         body = {"metadata": {"name": name}, "spec": {"heartbeat": heartbeat}}
-        path = f"{_PATH}{records.NODE_KIND}"
+        kind = records.NODE_KIND
         response = await self._write(
-            store_http.StoreMethod.PUT, f"{path}/{_quote(name)}", body
+            store_http.StoreMethod.PUT, f"{_PATH}{kind}/{_quote(name)}", body
         )
         if response.code == _NOT_FOUND:
-            # A conflict means that an earlier call was executed late.
-            await self._write(store_http.StoreMethod.POST, path, body)
+            await self._create(kind, body)
 
     async def list_nodes(self) -> tuple[model.StoredObject, ...]:
         """Returns the entries of all nodes, possibly some seconds old."""
@@ -197,13 +199,26 @@
         """Removes the entry of a node; does nothing if there is none."""
         await self._remove(f"{_PATH}{records.NODE_KIND}/{_quote(name)}")
 
+    async def _create(self, kind: str, body: Any) -> httpclient.HTTPResponse:
+        """Creates an object unless it exists, as an earlier call created it."""
+        return await self._write(
+            store_http.StoreMethod.POST,
+            _PATH + kind,
+            body,
+            (_OK, _CREATED, _CONFLICT),
+        )
+
     async def _write(
-        self, method: store_http.StoreMethod, path: str, body: Any
+        self,
+        method: store_http.StoreMethod,
+        path: str,
+        body: Any,
+        expected_statuses: tuple[int, ...] = (_OK, _CONFLICT, _NOT_FOUND),
     ) -> httpclient.HTTPResponse:
         return await self._caller.call(
             method,
             path,
-            expected_statuses=(_OK, _CREATED, _CONFLICT, _NOT_FOUND),
+            expected_statuses=expected_statuses,
             rejected_statuses=_REJECTED_STATUSES,
             headers=_JSON_HEADERS,
             body=json.dumps(body),
--- a/tests/builders/shared_objects.py
+++ b/tests/builders/shared_objects.py
@@ -122,18 +122,31 @@
     Attributes:
         reports: Stored reports by name.
         failures: Number of writes to fail from now on.
+        era: Era of the store.
     """
 
     def __init__(self) -> None:
         self.reports: dict[str, quarantine.CrashReport] = {}
         self.failures = 0
+        self.era = 1
 
-    async def write_crash(self, report: quarantine.CrashReport) -> None:
+    @property
+    def version(self) -> int:
+        """Version of the store."""
+        return objects.combine_version(self.era, len(self.reports))
+
+    async def write_crash(self, report: quarantine.CrashReport) -> int:
         """Stores a report."""
         if self.failures:
             self.failures -= 1
             raise objects.OutcomeUnknownError("lost", peer="store")
         self.reports[report.name] = report
+        return self.era
+
+    def restore(self) -> None:
+        """Restores the store from a copy without reports."""
+        self.reports.clear()
+        self.era += 1
 
     async def remove_crash(self, report: quarantine.CrashReport) -> None:
         """Removes a report."""
--- a/tests/test_forwarding_quarantine.py
+++ b/tests/test_forwarding_quarantine.py
@@ -16,6 +16,8 @@
 _POOL = "engines"
 _SOUND = "aaa:400,ccc:300,d1:100"
 _DEADLY_PART = "bbb"
+# Version of a store without eras.
+_VERSION = 7
 
 
 def _build_prompt(first: str, last: str) -> str:
@@ -78,10 +80,10 @@
         """Every node lost its own engines before all rejected the prompt."""
         self.add("aaa", "bbb", server="a")
         other = shared_objects.build_crash_report("aaa", "bbb", server="b")
-        self.prompts.replace_stored([other], 0.0)
+        self.prompts.replace_stored([other], 0.0, _VERSION)
         self.assertTrue(self.is_rejected("aaa", "bbb"))
         # The report of this node is not stored yet and must not get lost.
-        self.prompts.replace_stored([], 0.0)
+        self.prompts.replace_stored([], 0.0, _VERSION)
         self.add("aaa", "bbb", server="c")
         self.assertTrue(self.is_rejected("aaa", "bbb"))
 
@@ -112,12 +114,43 @@
     async def test_expired_reports_are_removed(self) -> None:
         report = shared_objects.build_crash_report("aaa")
         await self.store.write_crash(report)
-        self.prompts.replace_stored([report], self.loop.time())
+        self.prompts.replace_stored(
+            [report], self.loop.time(), self.store.version
+        )
         await self.loop.advance(quarantine.QUARANTINE_S - 1.0, step_s=1.0)
         self.assertIn(report.name, self.store.reports)
         await self.loop.advance(40.0, step_s=1.0)
         self.assertEqual(self.store.reports, {})
 
+    async def test_reports_lost_by_a_restore_are_written_again(self) -> None:
+        """The quarantine ended, and two more engines crashed on each pool."""
+        reports = [
+            shared_objects.build_crash_report("aaa", "bbb", server=server)
+            for server in "ab"
+        ]
+        for report in reports:
+            await self.store.write_crash(report)
+        self.list_reports()
+        self.store.restore()
+        self.list_reports()
+        parts = ["aaa", "bbb"]
+        self.assertIsNotNone(self.prompts.find_combination(_POOL, parts))
+        await self.loop.advance(2.0)
+        self.assertEqual(
+            set(self.store.reports), {report.name for report in reports}
+        )
+        # Another node removes the reports when their time is over.
+        self.list_reports()
+        self.store.reports.clear()
+        self.list_reports()
+        self.assertIsNone(self.prompts.find_combination(_POOL, parts))
+
+    def list_reports(self) -> None:
+        """Gives the quarantine what the store lists."""
+        self.prompts.replace_stored(
+            self.store.reports.values(), self.loop.time(), self.store.version
+        )
+
 
 class CrashingPromptTest(forwarding.ForwardingTestCase):
     """Replays requests of which one part crashes every engine.
@@ -187,7 +220,9 @@
             lambda: len(self.crash_store.reports) > 1
         )
         other = quarantine.PromptQuarantine()
-        other.replace_stored(self.crash_store.reports.values(), 0.0)
+        other.replace_stored(
+            self.crash_store.reports.values(), 0.0, self.crash_store.version
+        )
         parts = ["aaa", _DEADLY_PART]
         self.assertIsNotNone(other.find_combination(_POOL, parts))
 
