Count nodes whose entries a restored store lost

Callers could see: a server that names a limit gets more requests than it accepts after a restore. Cause: a node dropped the entries that a list lacks, and wrote its own again only a minute after its last write. A restored store lacks the entries that are younger than the copy; each node then takes the share of the missing ones.

A node that is missing from a list counts until its entry is as old as that of a node that is gone, and a node writes its entry within 4 s of a new era.

--- a/src/dragonflydyke/forwarding/registry.py
+++ b/src/dragonflydyke/forwarding/registry.py
@@ -1,7 +1,9 @@
 """Registry of the nodes in the store, which tells a node how many there are.
 
 Each node writes its entry again now and then. An entry that has not changed for
-longer than that, by the clock of the reader, belongs to a node that is gone.
+longer than that, by the clock of the reader, belongs to a node that is gone. An
+entry that is missing does not: a store that was restored from a copy lacks the
+entries that were written since, until their nodes write them again.
 """
 
 import asyncio
@@ -31,6 +33,10 @@
 class NodeStore(Protocol):
     """Stores the entries of the nodes."""
 
+    @property
+    def era(self) -> int:
+        """Newest known era of the store, which rises with each restore."""
+
     async def write_node(self, name: str, heartbeat: int) -> None:
         """Creates or replaces the entry of a node.
 
@@ -67,6 +73,7 @@
     __slots__ = (
         "_counters",
         "_entries",
+        "_era",
         "_heartbeat",
         "_is_store_available",
         "_limits",
@@ -105,6 +112,7 @@
         self._random = source
         self._is_store_available = is_store_available
         self._entries: dict[str, _Entry] = {}
+        self._era = 0
         self._heartbeat = 0
         self._write_after_s = 0.0
         self._list_after_s = 0.0
@@ -119,6 +127,7 @@
             await asyncio.sleep(_POLL_INTERVAL_S)
 
     async def _step(self, now_s: float) -> None:
+        self._follow_era(now_s)
         try:
             if now_s >= self._write_after_s:
                 await self._write(now_s)
@@ -131,6 +140,15 @@
             self._counters.increment(f"registry.{error.code}")
             _LOGGER.info("registry not updated", code=error.code)
 
+    def _follow_era(self, now_s: float) -> None:
+        """Plans a write if a restored store may lack this node's entry."""
+        if self._store.era == self._era:
+            return
+        self._era = self._store.era
+        if self._heartbeat:
+            delay_s = self._random.uniform(0.0, _MAX_START_DELAY_S)
+            self._write_after_s = now_s + delay_s
+
     def _is_list_due(self, now_s: float) -> bool:
         interval_s = _HEARTBEAT_INTERVAL_S
         if self._limits.has_limits:
@@ -150,9 +168,6 @@
     async def _list(self, now_s: float) -> None:
         listed = await self._store.list_nodes()
         self._listed_s = now_s
-        names = {entry.name for entry in listed}
-        for name in self._entries.keys() - names:
-            del self._entries[name]
         for stored in listed:
             entry = self._entries.get(stored.name)
             if entry is None or entry.version != stored.version:
--- a/src/dragonflydyke/platform/store.py
+++ b/src/dragonflydyke/platform/store.py
@@ -51,6 +51,11 @@
             era_header=_ERA_HEADER,
         )
 
+    @property
+    def era(self) -> int:
+        """Newest era that the store stated; it rises with each restore."""
+        return self._caller.era
+
     async def list_all(
         self, kind: str, *, consistency: model.ReadConsistency
     ) -> model.ObjectList:
--- a/tests/builders/shared_objects.py
+++ b/tests/builders/shared_objects.py
@@ -166,14 +166,21 @@
     """A store of the entries of the nodes.
 
     Attributes:
+        era: Era of the store.
         versions: Versions of the entries by name.
         is_rejecting: Whether all calls fail.
     """
 
     def __init__(self) -> None:
+        self.era = 1
         self.versions: dict[str, int] = {}
         self.is_rejecting = False
 
+    def restore(self) -> None:
+        """Restores the store from a copy without entries."""
+        self.era += 1
+        self.versions.clear()
+
     async def write_node(self, name: str, heartbeat: int) -> None:
         """Stores an entry."""
         self._check()
--- a/tests/test_forwarding_limits.py
+++ b/tests/test_forwarding_limits.py
@@ -196,6 +196,33 @@
         await self.loop.advance(11.0)
         self.assertEqual(self.read_positions(), [(1, 2)])
 
+    async def test_nodes_lost_by_a_restore_still_count(self) -> None:
+        """The others would send the share of a limit of the missing nodes."""
+        for name in ("n1", "n2", "n3"):
+            self.start_node(name)
+        await self.loop.advance(12.0)
+        self.store.restore()
+        server = forwarding.build_server_entry("a")
+        self.limits["n1"].record_response(server, 1.0)
+        for _ in range(60):
+            await self.loop.advance(0.25)
+            self.assertEqual(self.limits["n1"].position.nodes, 3)
+        self.assertEqual(set(self.store.versions), {"n1", "n2", "n3"})
+
+    async def test_list_without_the_lost_nodes_counts_them(self) -> None:
+        """The list came before the other nodes had registered again."""
+        for name in ("n1", "n2", "n3"):
+            self.start_node(name)
+        await self.loop.advance(12.0)
+        for name in ("n2", "n3"):
+            self.tasks[name].cancel()
+        self.store.restore()
+        server = forwarding.build_server_entry("a")
+        self.limits["n1"].record_response(server, 1.0)
+        await self.loop.advance(15.0)
+        self.assertEqual(set(self.store.versions), {"n1"})
+        self.assertEqual(self.limits["n1"].position.nodes, 3)
+
 
 class LimitedServerTest(forwarding.ForwardingTestCase):
     """Replays requests to servers that name a limit."""
