Keep a server draining that a restored store lists as before

Callers could see: requests reach a server that has announced to leave (DRAIN), as the copy of the store is older than the announcement. Cause: a node replaced what it knew of a server by each later list. The process of a server that drains does not come back into service, so a node remembers by name and start that it drains; a restarted process is a new one.

The new test fails on the code before: the server is listed as usable.

--- a/src/dragonflydyke/forwarding/directory.py
+++ b/src/dragonflydyke/forwarding/directory.py
@@ -10,6 +10,8 @@
 # Servers whose entries expired while the store was unavailable register again
 # within about two seconds of its recovery.
 RELISTING_GRACE_S = 2.0
+# Number of server processes whose draining is remembered.
+_MAX_DRAINING = 1_024
 
 _LOGGER = logs.get_logger("directory")
 
@@ -54,9 +56,16 @@
         updated_s: Time of the last update, None before the first.
     """
 
-    __slots__ = ("_by_pool", "_servers", "_unlisted_until_s", "updated_s")
+    __slots__ = (
+        "_by_pool",
+        "_draining",
+        "_servers",
+        "_unlisted_until_s",
+        "updated_s",
+    )
 
     def __init__(self) -> None:
+        self._draining: dict[tuple[str, int], None] = {}
         self._servers: dict[str, ServerEntry] = {}
         self._unlisted_until_s: dict[str, float] = {}
         self._by_pool: dict[str, tuple[ServerEntry, ...]] = {}
@@ -78,7 +87,9 @@
                 Servers missing from the list are then kept for
                 `RELISTING_GRACE_S`.
         """
-        listed = {server.name: server for server in servers}
+        listed = {
+            server.name: self._keep_draining(server) for server in servers
+        }
         self._unlisted_until_s = {
             name: until_s
             for name, until_s in self._unlisted_until_s.items()
@@ -131,6 +142,25 @@
         """Returns whether this process of the server accepts new requests."""
         return server in self._by_pool.get(server.pool, ())
 
+    def _keep_draining(self, server: ServerEntry) -> ServerEntry:
+        """Returns a server, draining if its process was seen draining before.
+
+        A server that drains stops in the end. A store that was restored from a
+        copy may list it as it was before.
+        """
+        process = (server.name, server.started_ms)
+        if server.is_draining:
+            self._draining[process] = None
+            if len(self._draining) > _MAX_DRAINING:
+                del self._draining[next(iter(self._draining))]
+            return server
+        if process not in self._draining or not server.started_ms:
+            return server
+        backend = dataclasses.replace(
+            server.backend, state=configuration.ServerState.LEAVING
+        )
+        return dataclasses.replace(server, backend=backend)
+
     def _index(self) -> None:
         found: dict[str, list[ServerEntry]] = {}
         for server in self._servers.values():
--- a/tests/builders/forwarding.py
+++ b/tests/builders/forwarding.py
@@ -264,6 +264,7 @@
     version: str = "v1",
     data_centre: str = DATA_CENTRE,
     state: configuration.ServerState = configuration.ServerState.ACTIVE,
+    started_ms: int = 0,
 ) -> directory.ServerEntry:
     """Returns a backend server on this machine."""
     return directory.ServerEntry(
@@ -278,6 +279,7 @@
         ),
         pool,
         version,
+        started_ms,
     )
 
 
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -200,6 +200,21 @@
         self.directory.update([draining], _NOW_S, after_outage=False)
         self.assertEqual(self.names(), [])
 
+    def test_draining_server_does_not_return_with_a_restored_store(
+        self,
+    ) -> None:
+        """The copy of the store was older than the start of the draining."""
+        active = forwarding.build_server_entry("a", started_ms=5)
+        draining = forwarding.build_server_entry(
+            "a", started_ms=5, state=configuration.ServerState.LEAVING
+        )
+        for servers in ([active], [draining], [], [active]):
+            self.directory.update(servers, _NOW_S, after_outage=True)
+        self.assertEqual(self.names(), [])
+        restarted = forwarding.build_server_entry("a", started_ms=6)
+        self.directory.update([restarted], _NOW_S, after_outage=True)
+        self.assertEqual(self.names(), ["a"])
+
     def test_removed_server_is_not_usable(self) -> None:
         self.directory.update([], _NOW_S, after_outage=False)
         self.assertEqual(self.names(), [])
