Order the versions of the product's platform by era, too

The object API of the product's own interface had the fault of: its client compared bare revisions, so that a list since a revision of before a restore skips changes, and an update under such a revision can replace another state. Its versions now combine the era that responses state with the revision; a list of another era raises HistoryLostError and an update of an older era ConflictError. The emulator of the platform can take a copy, return to it, and states its era.

test_restore_starts_a_new_era could not run before, as the emulator had no restore; without the era in the client it reads the restored object as version 1 after version 2.

--- a/src/dragonflydyke/emulator/platform.py
+++ b/src/dragonflydyke/emulator/platform.py
@@ -12,6 +12,7 @@
 
 from dragonflydyke import objects
 from dragonflydyke.emulator import serving, store
+from dragonflydyke.objects import client, model
 
 MAX_VALUE_BYTES = 1_000_000
 _MAX_WAIT_S = 60.0
@@ -86,6 +87,7 @@
     """
 
     __slots__ = (
+        "_copy",
         "_stale_store",
         "_viewer_addresses",
         "_vm_lists",
@@ -107,6 +109,7 @@
         self.read_limiter = _RateLimiter()
         self.write_limiter = _RateLimiter()
         self._stale_store: store.MemoryStore | None = None
+        self._copy = self.store.take_copy()
         # VM lists and the loop times at which they become visible, oldest
         # first.
         self._vm_lists: list[tuple[float, Any]] = [
@@ -121,8 +124,19 @@
         return self._stale_store or self.store
 
     def control(self, changes: Any) -> None:
-        """Changes the behaviour and notifies calls that wait for a change."""
-        serving.update_behaviour(self.behaviour, changes)
+        """Changes the behaviour and notifies calls that wait for a change.
+
+        Args:
+            changes: Fields of the behaviour. With `take_copy`, a copy of the
+                store is taken; with `restore`, the store returns to the newest
+                copy and enters a new era.
+        """
+        fields = dict(changes)
+        if fields.pop("take_copy", False):
+            self._copy = self.store.take_copy()
+        if fields.pop("restore", False):
+            self.store.restore(self._copy)
+        serving.update_behaviour(self.behaviour, fields)
         if not self.behaviour.stale_reads:
             self._stale_store = None
         elif self._stale_store is None:
@@ -197,6 +211,10 @@
 
     async def send_response(self, content: Any, status: int = 200) -> None:
         """Sends the response of a read, or of a write without effect."""
+        served = self.state.store
+        if self.request.method == "GET":
+            served = self.state.select_read_store()
+        self.set_header(client.ERA_HEADER, str(served.era))
         if self.state.behaviour.answer_delay_s:
             await asyncio.sleep(self.state.behaviour.answer_delay_s)
         self.write_json(content, status)
@@ -269,7 +287,7 @@
             raise web.HTTPError(
                 400, "send If-None-Match: * or If-Match: <version>"
             )
-        return int(version)
+        return model.combine_version(self.state.store.era, int(version))
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -294,11 +312,17 @@
         except ValueError as error:
             raise web.HTTPError(400, f"not a number: {error}") from error
         prefix = self.get_query_argument("prefix", "")
-        query = _ListQuery(kind, since, prefix, limit)
-        found = await self._watch(query, wait_s)
+        era = self.state.select_read_store().era
+        version = model.combine_version(era, since) if since else 0
+        query = _ListQuery(kind, version, prefix, limit)
+        try:
+            found = await self._watch(query, wait_s)
+        except model.HistoryLostError as error:
+            await self.send_response({"error": str(error)}, 410)
+            return
         await self.send_response(
             {
-                "version": found.version,
+                "version": model.find_revision(found.version),
                 "objects": [
                     _serialize_object(stored) for stored in found.objects
                 ],
@@ -367,7 +391,8 @@
             {
                 "behaviour": dataclasses.asdict(self.state.behaviour),
                 "calls": dict(self.state.calls),
-                "store_version": self.state.store.version,
+                "store_version": model.find_revision(self.state.store.version),
+                "store_era": self.state.store.era,
                 "waiting_watches": self.state.waiting_watches,
             }
         )
@@ -382,7 +407,7 @@
     return {
         "kind": stored.kind,
         "name": stored.name,
-        "version": stored.version,
+        "version": model.find_revision(stored.version),
         "value": stored.value,
     }
 
--- a/src/dragonflydyke/emulator/store.py
+++ b/src/dragonflydyke/emulator/store.py
@@ -1,5 +1,6 @@
 """In-memory object store with versions and optimistic concurrency."""
 
+import dataclasses
 from typing import Any
 
 from dragonflydyke.objects import model
@@ -7,10 +8,20 @@
 _PEER = "emulated platform"
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoreCopy:
+    """State of a store at a point in time."""
+
+    version: int
+    objects: dict[tuple[str, str], model.StoredObject]
+    deleted: dict[tuple[str, str], int]
+
+
 class MemoryStore:
     """Objects of the emulated platform.
 
-    The version is a counter of the whole store that each write increments.
+    Attributes:
+        version: Version of the whole store, which each write increments.
     """
 
     __slots__ = ("_deleted", "_objects", "version")
@@ -20,6 +31,30 @@
         self._objects: dict[tuple[str, str], model.StoredObject] = {}
         self._deleted: dict[tuple[str, str], int] = {}
 
+    @property
+    def era(self) -> int:
+        """Number of restorations from a copy."""
+        return model.find_era(self.version)
+
+    def take_copy(self) -> StoreCopy:
+        """Returns the current state."""
+        return StoreCopy(self.version, dict(self._objects), dict(self._deleted))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Returns to an earlier state; later revisions are issued again."""
+        era = self.era + 1
+        self.version = _change_era(copy.version, era)
+        self._objects = {
+            key: dataclasses.replace(
+                stored, version=_change_era(stored.version, era)
+            )
+            for key, stored in copy.objects.items()
+        }
+        self._deleted = {
+            key: _change_era(version, era)
+            for key, version in copy.deleted.items()
+        }
+
     def get(self, kind: str, name: str) -> model.StoredObject | None:
         """Returns an object, or None if it does not exist."""
         return self._objects.get((kind, name))
@@ -72,7 +107,13 @@
             since: Version after which changes are listed.
             prefix: Prefix of the names.
             limit: Maximum number of objects, 0 for all.
+
+        Raises:
+            HistoryLostError: If the store does not have the version.
         """
+        is_other_era = since and model.find_era(since) != self.era
+        if is_other_era or since > self.version:
+            raise model.HistoryLostError(kind, since, peer=_PEER)
         objects = [
             stored
             for (stored_kind, name), stored in self._objects.items()
@@ -101,3 +142,7 @@
         version = current.version if current else None
         if version != expected_version:
             raise model.ConflictError(kind, name, current, peer=_PEER)
+
+
+def _change_era(version: int, era: int) -> int:
+    return model.combine_version(era, model.find_revision(version))
--- a/src/dragonflydyke/objects/__init__.py
+++ b/src/dragonflydyke/objects/__init__.py
@@ -3,6 +3,7 @@
 from dragonflydyke.objects.client import ObjectClient, ObjectStore
 from dragonflydyke.objects.model import (
     ConflictError,
+    HistoryLostError,
     ListedVm,
     ObjectList,
     ObjectTooLargeError,
@@ -14,6 +15,7 @@
 
 __all__ = [
     "ConflictError",
+    "HistoryLostError",
     "ListedVm",
     "ObjectClient",
     "ObjectList",
--- a/src/dragonflydyke/objects/client.py
+++ b/src/dragonflydyke/objects/client.py
@@ -14,6 +14,7 @@
 _OK = 200
 _CONFLICT = 409
 _NOT_FOUND = 404
+_GONE = 410
 _TOO_LARGE = 413
 
 
@@ -39,7 +40,12 @@
     async def list(
         self, kind: str, *, since: int = 0, prefix: str = "", limit: int = 0
     ) -> model.ObjectList:
-        """Returns the objects of a kind that are newer than a version."""
+        """Returns the objects of a kind that are newer than a version.
+
+        Raises:
+            HistoryLostError: If the platform does not have the version, as it
+                was restored from a copy.
+        """
 
     async def list_vms(self) -> model.VmList:
         """Returns the platform's list of VMs."""
@@ -84,7 +90,7 @@
         )
         if response.code == _NOT_FOUND:
             return None
-        return _parse_object(json.loads(response.body))
+        return self._parse(response)
 
     async def create(
         self, kind: str, name: str, value: Any
@@ -109,10 +115,12 @@
             The object with its new version.
 
         Raises:
-            ConflictError: If the object does not have the given version.
+            ConflictError: If the object does not have the given version, which
+                it never has after the platform was restored from a copy.
             ObjectTooLargeError: If the value is too large for the platform.
         """
-        return await self._put(kind, name, value, {"If-Match": str(version)})
+        headers = self._build_condition(kind, name, version)
+        return await self._put(kind, name, value, headers)
 
     async def delete(self, kind: str, name: str, version: int) -> None:
         """Deletes an object; does nothing if it does not exist.
@@ -123,7 +131,7 @@
         response = await self._call(
             store_http.StoreMethod.DELETE,
             _path(kind, name),
-            {"If-Match": str(version)},
+            self._build_condition(kind, name, version),
         )
         if response.code == _CONFLICT:
             raise self._conflict(kind, name, response)
@@ -138,17 +146,31 @@
             since: Version of the store after which objects are listed.
             prefix: Prefix of the names.
             limit: Maximum number of objects, 0 for all.
+
+        Raises:
+            HistoryLostError: If the platform does not have the version, as it
+                was restored from a copy.
         """
         query = parse.urlencode(
-            {"since": since, "prefix": prefix, "limit": limit}
+            {
+                "since": model.find_revision(since),
+                "prefix": prefix,
+                "limit": limit,
+            }
         )
         path = f"/v1/objects/{parse.quote(kind, safe='')}?{query}"
-        body = json.loads(
-            (await self._call(store_http.StoreMethod.GET, path)).body
-        )
+        response = await self._call(store_http.StoreMethod.GET, path)
+        era = self._store_http.find_era(response)
+        if response.code == _GONE or (since and era != model.find_era(since)):
+            raise model.HistoryLostError(
+                kind, since, peer=self._store_http.peer
+            )
+        body = json.loads(response.body)
         return model.ObjectList(
-            version=body["version"],
-            objects=tuple(_parse_object(entry) for entry in body["objects"]),
+            version=model.combine_version(era, body["version"]),
+            objects=tuple(
+                _parse_object(entry, era) for entry in body["objects"]
+            ),
             deleted=tuple(body["deleted"]),
             complete=body["complete"],
         )
@@ -187,7 +209,13 @@
             raise model.ObjectTooLargeError(
                 kind, name, peer=self._store_http.peer
             )
-        return _parse_object(json.loads(response.body))
+        return self._parse(response)
+
+    def _build_condition(
+        self, kind: str, name: str, version: int
+    ) -> dict[str, str]:
+        self._store_http.check_era(kind, name, version)
+        return {"If-Match": str(model.find_revision(version))}
 
     async def _call(
         self,
@@ -199,16 +227,26 @@
         return await self._store_http.call(
             method,
             path,
-            expected_statuses=(_OK, _NOT_FOUND, _CONFLICT, _TOO_LARGE),
+            expected_statuses=(
+                _OK,
+                _NOT_FOUND,
+                _CONFLICT,
+                _GONE,
+                _TOO_LARGE,
+            ),
             headers=headers,
             body=body,
         )
 
+    def _parse(self, response: httpclient.HTTPResponse) -> model.StoredObject:
+        era = self._store_http.find_era(response)
+        return _parse_object(json.loads(response.body), era)
+
     def _conflict(
         self, kind: str, name: str, response: httpclient.HTTPResponse
     ) -> model.ConflictError:
         entry = json.loads(response.body)
-        present = _parse_object(entry) if entry else None
+        present = self._parse(response) if entry else None
         return model.ConflictError(
             kind, name, present, peer=self._store_http.peer
         )
@@ -220,10 +258,10 @@
     )
 
 
-def _parse_object(entry: dict[str, Any]) -> model.StoredObject:
+def _parse_object(entry: dict[str, Any], era: int) -> model.StoredObject:
     return model.StoredObject(
         kind=entry["kind"],
         name=entry["name"],
-        version=entry["version"],
+        version=model.combine_version(era, entry["version"]),
         value=entry["value"],
     )
--- a/tests/test_emulators.py
+++ b/tests/test_emulators.py
@@ -130,6 +130,23 @@
         await self.control(stale_reads=False)
         self.assertEqual(await self.objects.get("control", "a"), second)
 
+    async def test_restore_starts_a_new_era(self) -> None:
+        """The platform issues revisions of before the restore again."""
+        first = await self.objects.create("control", "a", 1)
+        await self.control(take_copy=True)
+        second = await self.objects.update("control", "a", 2, first.version)
+        await self.control(restore=True)
+        with self.assertRaises(objects.HistoryLostError):
+            await self.objects.list("control", since=second.version)
+        restored = await self.objects.get("control", "a")
+        self.assertEqual(restored.value, 1)
+        self.assertGreater(restored.version, second.version)
+        third = await self.objects.update("control", "a", 3, restored.version)
+        # The revisions of both are the same.
+        with self.assertRaises(objects.ConflictError):
+            await self.objects.update("control", "a", 4, second.version)
+        self.assertEqual(await self.objects.get("control", "a"), third)
+
     async def test_calls_over_the_rate_are_delayed(self) -> None:
         await self.control(writes_per_s=0.1)
         await self.objects.create("control", "a", 1)
