Write again what a restored platform lost of the control objects

Callers would see: after a restore of the platform no router serves, as each read counts as stale until the platform has issued as many versions again; with versions that rise with a restore, a confirmed change of the configuration is refused as a lower revision and serving ends all the same, a rollout that was stopped starts again, and sessions end whose key is lost.

A router that lists the platform after a restore compares it with what it has adopted (membership.restoration, no I/O) and writes again what is later: the configuration by its revision, a rollout by phase and step, the key ring merged. A change is rejected with platform_restored (503, not written) while the platform has an older revision than the router, so that no revision is issued twice. A revision with the same number and another change id is adopted.

--- a/src/dragonflydyke/membership/node.py
+++ b/src/dragonflydyke/membership/node.py
@@ -144,6 +144,7 @@
             check_transition=check_transition,
             announce=self._announce,
             adopt=self._adopt_written_revision,
+            find_revision=lambda: self.state.revision,
             counters=counters,
         )
         self._alive_vms: frozenset[str] = frozenset({settings.vm})
--- a/src/dragonflydyke/membership/poller.py
+++ b/src/dragonflydyke/membership/poller.py
@@ -1,10 +1,17 @@
 """Polling of the control objects and the VM list."""
 
 import asyncio
+import dataclasses
 from collections.abc import Awaitable, Callable
 
 from dragonflydyke import errors, logs, metrics, objects
-from dragonflydyke.membership import confirmations, keys, peer_reports, state
+from dragonflydyke.membership import (
+    confirmations,
+    keys,
+    peer_reports,
+    restoration,
+    state,
+)
 
 POLL_PERIOD_S = 1.0
 VM_LIST_PERIOD_S = 2.0
@@ -44,7 +51,8 @@
                 read.
             peer_tracker: Receives the VM list.
             key_ring_manager: Creates missing session keys.
-            counters: Receives `poll.<outcome>` and `poll_vms.<outcome>`.
+            counters: Receives `poll.<outcome>`, `poll_vms.<outcome>` and
+                `restored.written`.
         """
         self._objects = object_store
         self._state = state_store
@@ -76,9 +84,7 @@
         """Reads and adopts the control objects; returns whether it did."""
         started_s = asyncio.get_running_loop().time()
         try:
-            listed = await self._objects.list(
-                state.CONTROL_KIND, since=self._state.control_version
-            )
+            listed = await self._list()
         except errors.DragonflydykeError:
             self._counters.increment("poll.failed")
             self._record_reachability(False)
@@ -94,6 +100,46 @@
         await self._key_ring_manager.ensure_exists()
         return True
 
+    async def _list(self) -> objects.ObjectList:
+        """Lists the control objects that this router has not adopted."""
+        try:
+            return await self._objects.list(
+                state.CONTROL_KIND, since=self._state.control_version
+            )
+        except objects.HistoryLostError as error:
+            _logger.warning("platform was restored", error=str(error))
+        listed = await self._objects.list(state.CONTROL_KIND)
+        if await self._write_lost(listed):
+            listed = await self._objects.list(state.CONTROL_KIND)
+        present = {entry.name for entry in listed.objects}
+        deleted = tuple(sorted(self._state.stored.keys() - present))
+        return dataclasses.replace(listed, deleted=deleted)
+
+    async def _write_lost(self, listed: objects.ObjectList) -> bool:
+        """Writes what a restored platform lost; returns whether it lost any.
+
+        Raises:
+            DragonflydykeError: If a write fails. The next poll repeats it.
+        """
+        lost = restoration.find_lost_objects(
+            self._state.stored, {entry.name: entry for entry in listed.objects}
+        )
+        for entry in lost:
+            if entry.restored_version is None:
+                await self._objects.create(
+                    state.CONTROL_KIND, entry.name, entry.value
+                )
+            else:
+                await self._objects.update(
+                    state.CONTROL_KIND,
+                    entry.name,
+                    entry.value,
+                    entry.restored_version,
+                )
+            self._counters.increment("restored.written")
+            _logger.notice("lost control object written", object=entry.name)
+        return bool(lost)
+
     async def poll_vms(self) -> None:
         """Reads the VM list; a failed read keeps the previous list."""
         try:
--- a/src/dragonflydyke/membership/state.py
+++ b/src/dragonflydyke/membership/state.py
@@ -242,7 +242,11 @@
         revision = entry.value["revision"]
         if not isinstance(revision, int):
             raise ValueError("revision is not an integer")
-        if revision == self._revision:
+        adopted = self._objects.get(CONFIG_NAME)
+        is_same_change = adopted is not None and (
+            adopted.value.get("change_id") == entry.value.get("change_id")
+        )
+        if revision == self._revision and is_same_change:
             return
         self._document = self._parse(entry.value["document"])
         self._revision = revision
--- a/src/dragonflydyke/membership/writer.py
+++ b/src/dragonflydyke/membership/writer.py
@@ -43,6 +43,7 @@
         "_announcement_tracker",
         "_check_transition",
         "_counters",
+        "_find_revision",
         "_objects",
         "_own_name",
         "_parse",
@@ -63,6 +64,7 @@
         check_transition: CheckTransition,
         announce: Announce,
         adopt: Callable[[objects.StoredObject | None], Awaitable[None]],
+        find_revision: Callable[[], int],
         counters: metrics.Counters,
     ) -> None:
         """Creates a writer.
@@ -81,6 +83,7 @@
             announce: Sends an announcement to other VMs.
             adopt: Puts a written revision in force on this node. Called with
                 None if a later revision has already replaced it.
+            find_revision: Returns the revision in force on this node.
             counters: Receives `apply.<outcome>`.
         """
         self._own_name = own_name
@@ -92,6 +95,7 @@
         self._check_transition = check_transition
         self._announce = announce
         self._adopt = adopt
+        self._find_revision = find_revision
         self._counters = counters
         self._tasks: set[asyncio.Task[Any]] = set()
 
@@ -113,8 +117,9 @@
             The accepted change.
 
         Raises:
-            DragonflydykeError: `no_majority`, `revision_conflict` or
-                `platform_unavailable` if the change was not accepted;
+            DragonflydykeError: `no_majority`, `revision_conflict`,
+                `platform_restored` or `platform_unavailable` if the change was
+                not accepted;
                 `platform_outcome_unknown` or `router_leaving` if the outcome
                 is unknown; or any error of the validation.
         """
@@ -215,6 +220,7 @@
             raise self._no_majority_error("are alive")
         current = await self._read_current()
         current_revision = current.value["revision"] if current else 0
+        self._check_restored(current_revision)
         if base_revision not in (None, current_revision):
             raise changes.revision_conflict_error(current_revision)
         if current is not None:
@@ -458,6 +464,26 @@
                 "configuration change failed", error=repr(task.exception())
             )
 
+    def _check_restored(self, stored_revision: int) -> None:
+        """Checks that the platform has the revision in force on this node.
+
+        Raises:
+            DragonflydykeError: `platform_restored` (503) if the platform was
+                restored from a copy and has an older revision.
+        """
+        revision = self._find_revision()
+        if stored_revision >= revision:
+            return
+        raise errors.DragonflydykeError(
+            "platform_restored",
+            f"the platform was restored from a copy and has revision "
+            f"{stored_revision} instead of {revision}, which the routers write "
+            "again; the change was not written; apply it again",
+            step=errors.Step.APPLY_CONFIGURATION,
+            retry_after_s=_RETRY_AFTER_S,
+            status=503,
+        )
+
     def _no_majority_error(self, condition: str) -> errors.DragonflydykeError:
         return errors.DragonflydykeError(
             "no_majority",
--- a/src/dragonflydyke/rollouts/model.py
+++ b/src/dragonflydyke/rollouts/model.py
@@ -37,6 +37,14 @@
     fencing: int
     reason: str = ""
 
+    def is_behind(self, other: "RolloutState") -> bool:
+        """Returns whether another state of this rollout follows this one."""
+        if self.phase is not RolloutPhase.RUNNING:
+            return False
+        if other.phase is not RolloutPhase.RUNNING:
+            return True
+        return self.step < other.step
+
     def to_mapping(self) -> dict[str, Any]:
         """Returns the JSON value that the platform stores."""
         return {
