End a lease and raise its fencing tokens with a restore

Callers could see: after a restore of the platform two routers decide on a rollout and order engines, and engines that check fencing tokens reject every order of the true holder. Cause: the token was counted up from the lease object, which a restored platform has in an older state or not at all, so tokens are issued again; a missing lease was created at once although its holder may consider it valid for seconds; a holder whose condition matched a repeated revision kept its lease; and the driver started a rollout whose stop was lost before the routers had written it again.

The tokens of an era start above those of earlier eras; a lease whose token is of another era than the platform is lost to its holder; a lease that was observed before and is missing is created without a holder and acquired after its full duration; and the driver leaves a rollout alone while the platform is behind the state in force. A lease of before this change has a token of era 0 and is acquired anew once.

--- a/src/dragonflydyke/rollouts/driver.py
+++ b/src/dragonflydyke/rollouts/driver.py
@@ -32,6 +32,11 @@
     def sample(self, roll_out: str, version: str) -> decisions.VersionSample:
         """Returns the fleet-wide evidence on the new version of a rollout."""
 
+    def find_known_state(
+        self, roll_out: str
+    ) -> rollout_model.RolloutState | None:
+        """Returns the state of a rollout in force on this router, if any."""
+
 
 class EngineControl(Protocol):
     """Reads what engines have loaded and sends them orders."""
@@ -136,10 +141,18 @@
     async def _advance(self, roll_out: model.Rollout) -> None:
         name = f"rollout.{roll_out.name}"
         stored = await self._objects.get(CONTROL_KIND, name)
-        if stored is None:
+        state = None
+        if stored is not None:
+            state = rollout_model.parse_state(roll_out.name, stored.value)
+        known = self._view.find_known_state(roll_out.name)
+        if known is not None and (state is None or state.is_behind(known)):
+            # The platform was restored from a copy; the routers write the later
+            # state again.
+            self._counters.increment("roll_out.platform_behind")
+            return
+        if stored is None or state is None:
             await self._write(name, self._build_initial_state(roll_out), None)
             return
-        state = rollout_model.parse_state(roll_out.name, stored.value)
         sample = self._view.sample(roll_out.name, roll_out.to_version)
         decided = decisions.decide_next_state(
             roll_out, state, sample, int(time.time() * _MS_PER_S)
--- a/src/dragonflydyke/rollouts/lease.py
+++ b/src/dragonflydyke/rollouts/lease.py
@@ -6,12 +6,17 @@
 the object unchanged for the whole duration by its own clock. A lease holder
 that was paused therefore finds its lease expired before it acts, and its
 conditional writes fail.
+
+A lease ends when the platform is restored from a copy, which may lack it. The
+fencing tokens of a platform's era are above those of earlier eras, so that a
+lost token is not issued again.
 """
 
 import asyncio
 import dataclasses
 
 from dragonflydyke import errors, logs, metrics, objects
+from dragonflydyke.objects import model
 
 KIND = "leases"
 DURATION_S = 10.0
@@ -143,10 +148,7 @@
         now_s = asyncio.get_running_loop().time()
         stored = await self._objects.get(KIND, self._name)
         if stored is None:
-            created = await self._objects.create(
-                KIND, self._name, self._build_value(1)
-            )
-            self._record_held(created, now_s)
+            await self._create()
             return
         if self._observed is None or self._observed.version != stored.version:
             self._observed = _ObservedVersion(stored.version, now_s)
@@ -154,9 +156,25 @@
         if expired or stored.value["released"]:
             await self._take_over(stored)
 
+    async def _create(self) -> None:
+        """Creates the lease and acquires it, unless another may hold it.
+
+        A lease that was observed before is missing from a restored platform.
+        Its holder may consider it valid until it expires.
+        """
+        now_s = asyncio.get_running_loop().time()
+        is_lost = self._version > 0 or self._observed is not None
+        value = {"holder": "", "fencing": 0, "released": not is_lost}
+        created = await self._objects.create(KIND, self._name, value)
+        if is_lost:
+            self._observed = _ObservedVersion(created.version, now_s)
+        else:
+            await self._take_over(created)
+
     async def _take_over(self, stored: objects.StoredObject) -> None:
         started_at_s = asyncio.get_running_loop().time()
-        fencing = stored.value["fencing"] + 1
+        lowest = model.combine_version(model.find_era(stored.version), 1)
+        fencing = max(lowest, stored.value["fencing"] + 1)
         updated = await self._objects.update(
             KIND, self._name, self._build_value(fencing), stored.version
         )
@@ -177,14 +195,18 @@
     def _record_held(
         self, stored: objects.StoredObject, started_at_s: float
     ) -> None:
+        fencing = stored.value["fencing"]
+        if model.find_era(fencing) != model.find_era(stored.version):
+            self._record_loss("platform restored")
+            return
         if self._renewed_at_s is None:
             self._counters.increment("lease.acquired")
             _log.info(
                 "lease acquired",
                 lease=self._name,
-                fencing=stored.value["fencing"],
+                fencing=fencing,
             )
-        self._fencing_token = stored.value["fencing"]
+        self._fencing_token = fencing
         self._version = stored.version
         self._renewed_at_s = started_at_s
         self._observed = None
--- a/src/dragonflydyke/router/fleet.py
+++ b/src/dragonflydyke/router/fleet.py
@@ -109,6 +109,13 @@
         current = self._membership.state.current
         return current.document if current else None
 
+    def find_known_state(
+        self, roll_out: str
+    ) -> rollouts_model.RolloutState | None:
+        """Returns the state of a rollout in force on this router, if any."""
+        current = self._membership.state.current
+        return current.roll_outs.get(roll_out) if current else None
+
     def sample(self, roll_out: str, version: str) -> decisions.VersionSample:
         """Returns the counts of a version, summed over all routers.
 
--- a/tests/builders/objects.py
+++ b/tests/builders/objects.py
@@ -4,6 +4,7 @@
 
 from dragonflydyke import errors, objects
 from dragonflydyke.emulator import store
+from dragonflydyke.objects import model
 
 _PEER = "memory platform"
 
@@ -12,6 +13,8 @@
     """In-memory object API with faults, shared by several test nodes.
 
     Attributes:
+        ignores_eras: Whether conditions are compared by revision alone, as for
+            a caller that does not know yet that the platform was restored.
         available: Whether calls are executed; if False, all calls raise
             PlatformUnavailableError.
         responses_to_lose: Number of next writes that take effect but raise
@@ -24,6 +27,7 @@
 
     __slots__ = (
         "available",
+        "ignores_eras",
         "reads",
         "responses_to_lose",
         "store",
@@ -35,6 +39,7 @@
         self.store = store.MemoryStore()
         self.vms = vms or objects.VmList(0, ())
         self.available = True
+        self.ignores_eras = False
         self.responses_to_lose = 0
         self.writes = 0
         self.reads = 0
@@ -81,6 +86,9 @@
         self, kind: str, name: str, value: Any, expected: int | None
     ) -> objects.StoredObject:
         self._check_available(errors.Step.WRITE_PLATFORM)
+        if self.ignores_eras and expected is not None:
+            revision = model.find_revision(expected)
+            expected = model.combine_version(self.store.era, revision)
         stored = self.store.put(kind, name, value, expected)
         self.writes += 1
         self._lose_response()
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -6,6 +6,7 @@
 
 from dragonflydyke import errors, metrics
 from dragonflydyke.configuration import model
+from dragonflydyke.emulator import store
 from dragonflydyke.rollouts import counts, decisions, driver, lease, orders
 from dragonflydyke.rollouts import model as rollout_model
 from tests.builders import documents, objects, virtual_loop
@@ -216,11 +217,69 @@
         await self.first.release()
         self.assertTrue(await self.second.maintain())
 
+    async def test_fencing_tokens_rise_after_a_restore(self) -> None:
+        # Guards against engines that reject every order of the new holder, or
+        # execute one of an earlier holder.
+        copy = self.objects.store.take_copy()
+        await self.first.maintain()
+        await self.second.maintain()
+        await self.loop.advance(lease.DURATION_S)
+        await self.second.maintain()
+        token = self.second.fencing_token
+        self.objects.store.restore(copy)
+        third = self._build("vm-3")
+        for _ in range(30):
+            if await third.maintain():
+                break
+            await self.loop.advance(0.5)
+        self.assertGreater(third.fencing_token, token)
+
+    async def test_never_two_valid_holders_after_a_restore(self) -> None:
+        # Guards against a lease that is created anew while the holder of the
+        # lost one is still valid, and against the renewal of a lost lease.
+        for has_copy in (False, True):
+            self.objects.store = store.MemoryStore()
+            self.first = self._build("vm-1")
+            self.second = self._build("vm-2")
+            copy = self.objects.store.take_copy()
+            await self.first.maintain()
+            await self.second.maintain()
+            if has_copy:
+                copy = self.objects.store.take_copy()
+                await self.first.maintain()
+            tokens = {self.first.fencing_token}
+            self.objects.store.restore(copy)
+            for step in range(60):
+                await self.second.maintain()
+                if step % 3 == 2:
+                    await self.first.maintain()
+                held = [
+                    node.fencing_token
+                    for node in (self.first, self.second)
+                    if node.is_valid()
+                ]
+                self.assertLessEqual(len(held), 1)
+                tokens.update(held)
+                await self.loop.advance(0.5)
+            self.assertEqual(len(tokens), 2)
+
+    async def test_renewal_under_a_repeated_revision_ends_the_lease(
+        self,
+    ) -> None:
+        # Guards against a holder that keeps its token although the platform
+        # was restored, as the revision of its condition was issued again.
+        await self.first.maintain()
+        copy = self.objects.store.take_copy()
+        self.objects.store.restore(copy)
+        self.objects.ignores_eras = True
+        self.assertFalse(await self.first.maintain())
+
 
 class _View:
     def __init__(self, document: model.Document) -> None:
         self.configuration = document
         self.current = _GOOD
+        self.known: rollout_model.RolloutState | None = None
 
     def document(self) -> model.Document:
         return self.configuration
@@ -229,6 +288,10 @@
         del roll_out, version
         return self.current
 
+    def find_known_state(self, roll_out: str) -> rollout_model.RolloutState:
+        del roll_out
+        return self.known
+
 
 class _Engines:
     def __init__(self) -> None:
@@ -276,6 +339,22 @@
         self.assertIs(state.phase, rollout_model.RolloutPhase.STOPPED)
         self.assertEqual((state.decided_by, state.fencing), ("vm-2", 2))
 
+    async def test_stopped_rollout_that_a_restore_lost_is_not_started(
+        self,
+    ) -> None:
+        """Routers write the lost state again within seconds."""
+        self.view.known = dataclasses.replace(
+            _running(), phase=rollout_model.RolloutPhase.STOPPED
+        )
+        first = self._build("vm-1")
+        await first.run_round()
+        self.assertIsNone(
+            self.objects.store.get("control", "rollout.planner-v2")
+        )
+        self.view.known = None
+        await first.run_round()
+        self.assertIs(self._state().phase, rollout_model.RolloutPhase.RUNNING)
+
     async def test_changed_engines_are_ordered_first(self) -> None:
         """Guards against overload, and delayed changes, with many engines."""
         servers = [documents.build_engine(f"engine-{i}") for i in range(40)]
