Store the response of a call whose claim a restore lost

Callers would see: a call with an idempotency key that was running during a restore of the platform gets a 500, and its key makes the same call again. Cause: the response was stored only as an update of the claim that the router had created, so that a claim of an older version, or none, counted as a change by another router (invariant broken).

The response is now stored with the restored claim, or created if there is none. If the restored platform has the claim of a later call with the key, that one stays, the response is delivered and claim.superseded is counted. An abandoned claim that the copy still has is removed.

The three new tests fail on the code before with InvariantError. Open: a repeated call is made again if it comes after the restore and before the first one ends, or if the first one ended within the lost seconds.

--- a/src/dragonflydyke/idempotency/claims.py
+++ b/src/dragonflydyke/idempotency/claims.py
@@ -9,6 +9,7 @@
 
 from dragonflydyke import errors, logs, metrics, objects
 from dragonflydyke.idempotency import model
+from dragonflydyke.objects import model as objects_model
 
 CALLS_KIND = "calls"
 # Grace period after the timeout of the operation, in which the router that
@@ -26,6 +27,12 @@
 _log = logs.get_logger("idempotency.claims")
 
 
+def _is_of_later_era(stored: objects.StoredObject, claim: model.Claim) -> bool:
+    """Returns whether the platform was restored since a claim was stored."""
+    era = objects_model.find_era(stored.version)
+    return era > objects_model.find_era(claim.version)
+
+
 def _read_clock_ms() -> int:
     return int(time.time() * 1_000)
 
@@ -327,18 +334,58 @@
             await self._objects.update(
                 CALLS_KIND, claim.name, value, claim.version
             )
-        except objects.ConflictError as error:
-            # If the response to an earlier update was lost, the next update
-            # conflicts with it.
-            present = error.current
-            is_stored = (
-                present is not None
-                and present.value["nonce"] == claim.nonce
-                and present.value["state"] == "done"
-            )
-            errors.check_invariant(
-                is_stored, f"claim {claim.name} was changed by another router"
+        except objects.ConflictError:
+            await self._resolve_conflict(claim, value)
+
+    async def _resolve_conflict(
+        self, claim: model.Claim, value: dict[str, Any]
+    ) -> None:
+        """Stores a response whose update conflicted.
+
+        Either the response to an earlier update was lost, or the platform was
+        restored from a copy, which may have the claim, or not, or the claim of
+        a later call with the same key.
+
+        Raises:
+            InvariantError: If another router changed the claim otherwise.
+        """
+        present = await self._objects.get(CALLS_KIND, claim.name)
+        if present is None:
+            # No router removes the claim of another one.
+            await self._create_again(claim, value)
+            return
+        is_own = present.value["nonce"] == claim.nonce
+        if is_own and present.value["state"] == "done":
+            return
+        errors.check_invariant(
+            _is_of_later_era(present, claim),
+            f"claim {claim.name} was changed by another router",
+        )
+        if is_own:
+            claim.version = present.version
+            await self._objects.update(
+                CALLS_KIND, claim.name, value, claim.version
             )
+            return
+        self._counters.increment("claim.superseded")
+        _log.error(
+            "restored platform has the claim of a later call",
+            call=claim.name,
+            holder=present.value["holder"],
+        )
+
+    async def _create_again(
+        self, claim: model.Claim, value: dict[str, Any]
+    ) -> None:
+        try:
+            stored = await self._objects.create(CALLS_KIND, claim.name, value)
+        except objects.ConflictError as error:
+            # Repeats the write with what is stored now.
+            raise objects.OutcomeUnknownError(
+                f"claim {claim.name} was created meanwhile", peer=error.peer
+            ) from error
+        claim.version = stored.version
+        self._counters.increment("claim.restored")
 
     async def _delete(self, claim: model.Claim) -> None:
         try:
@@ -347,11 +394,19 @@
             # Either an earlier attempt deleted the claim, and the key may have
             # been claimed again; or an unconfirmed create took effect only now,
             # which `_remove_unconfirmed` handles.
-            present = error.current
+            present = error.current or await self._objects.get(
+                CALLS_KIND, claim.name
+            )
+            if present is None or present.value["nonce"] != claim.nonce:
+                return
+            if _is_of_later_era(present, claim):
+                claim.version = present.version
+                await self._objects.delete(
+                    CALLS_KIND, claim.name, claim.version
+                )
+                return
             errors.check_invariant(
-                present is None
-                or present.value["nonce"] != claim.nonce
-                or claim.has_unconfirmed_create,
+                claim.has_unconfirmed_create,
                 f"claim {claim.name} was changed while being abandoned",
             )
 
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -126,6 +126,50 @@
         self.assertEqual(error.execution, errors.Execution.UNKNOWN)
         self.assertIsNone(error.retry_after_s)
 
+    async def test_response_is_stored_after_a_restore(self) -> None:
+        """The call would be made again, as the platform lost its claim."""
+        for has_claim in (False, True):
+            with self.subTest(has_claim=has_claim):
+                self.platform = faulty_objects.SharedPlatform()
+                registry, other = self.build_registry(0), self.build_registry(1)
+                copy = self.platform.store.take_copy()
+                claim = await self.claim(registry)
+                if has_claim:
+                    copy = self.platform.store.take_copy()
+                await registry.start_dispatch(claim, self.loop.time() + 1)
+                self.platform.store.restore(copy)
+                is_stored = await self.run_for(
+                    registry.finish(claim, 201, "a/b", b"label")
+                )
+                self.assertTrue(is_stored)
+                replay = (await self.claim(other)).replay
+                self.assertEqual(replay.body, b"label")
+
+    async def test_claim_of_another_call_is_kept_after_a_restore(self) -> None:
+        """The response of the first call is delivered all the same."""
+        registry, other = self.build_registry(0), self.build_registry(1)
+        copy = self.platform.store.take_copy()
+        claim = await self.claim(registry)
+        await registry.start_dispatch(claim, self.loop.time() + 1)
+        self.platform.store.restore(copy)
+        second = await self.claim(other)
+        self.assertIsNone(second.replay)
+        await self.run_for(registry.finish(claim, 201, "a/b", b"first"))
+        self.assertEqual(self.counters.total("claim.superseded"), 1)
+        await other.start_dispatch(second, self.loop.time() + 1)
+        await self.run_for(other.finish(second, 201, "a/b", b"second"))
+        replay = (await self.claim(registry)).replay
+        self.assertEqual(replay.body, b"second")
+
+    async def test_abandoned_call_does_not_block_its_key_after_a_restore(
+        self,
+    ) -> None:
+        registry = self.build_registry(0)
+        claim = await self.claim(registry)
+        self.platform.store.restore(self.platform.store.take_copy())
+        self.assertTrue(await self.run_for(registry.abandon(claim)))
+        self.assertIsNone((await self.claim(registry)).replay)
+
     async def test_lost_response_to_create(self) -> None:
         self.platform.responses_to_lose = 1
         claim = await self.claim(self.build_registry(0))
