Reject events of an engine that are not JSON objects

Callers saw: the text of an error in the middle of their stream, where an engine answers the continuation of a broken stream with status 200 and an event that is not JSON. Cause: events are sent on unparsed, and only those with the field error were recognised. An event that does not begin a JSON object now ends the stream with answer_invalid.

--- a/src/dragonflydyke/gateway/relays.py
+++ b/src/dragonflydyke/gateway/relays.py
@@ -144,6 +144,14 @@
             return
 
     def _relay_event(self, data: bytes) -> None:
+        if not data.lstrip().startswith(b"{"):
+            # For example the text of an error where a stream is resumed.
+            raise self._attempt.build_error(
+                "answer_invalid",
+                "The engine sent an event that is not a JSON object; check the "
+                "engine.",
+                retry_after_s=_RETRY_AFTER_S,
+            )
         message = events.find_error(data)
         if message is not None:
             raise self._attempt.build_error(
