Count the pause of a stream from event to event

Cause: the timeout between events began anew with each chunk. The time that a resumable stream has waited for its server is now added up until an event with an id arrives. Time in which the client does not read is not counted, so slow clients do not look like stalled servers.

Streams that cannot be resumed still wait until their deadline.

--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -82,6 +82,7 @@
         "_services",
         "_state",
         "_target",
+        "_waited_s",
         "_writer",
         "event_count",
         "may_have_run",
@@ -105,6 +106,8 @@
         self._state = context.state
         self._exchange: connection.Exchange | None = None
         self._first_chunk: bytes | None = None
+        # Seconds spent waiting for the server since its last numbered event.
+        self._waited_s = 0.0
         self._observer: observers.AttemptObserver | None = None
         self._target = target
         self.server = target.server
@@ -358,6 +361,8 @@
         chunk, self._first_chunk = self._first_chunk, None
         if chunk is not None:
             return chunk
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
         try:
             async with asyncio.timeout(self._find_event_timeout_s()):
                 return await self._exchange.read_chunk()
@@ -365,6 +370,8 @@
             raise AttemptFailedError(
                 decisions.AttemptOutcome.LOST, "stream stalled"
             ) from error
+        finally:
+            self._waited_s += loop.time() - started_s
 
     def _record_event(self) -> None:
         self.event_count += 1
@@ -380,7 +387,14 @@
         )
 
     def _find_event_timeout_s(self) -> float | None:
-        """Returns the event timeout, or None if the stream cannot resume."""
+        """Returns the time left for the next event of a resumable stream.
+
+        Parts of events and comments are no progress. Time in which the client
+        does not read is not counted.
+
+        Returns:
+            The time in seconds, or None if the stream cannot resume.
+        """
         route = self._admitted.route
         may_resume = (
             self._state.response_started
@@ -390,7 +404,8 @@
         )
         if not may_resume or not route.max_event_gap_s:
             return None
-        return route.max_event_gap_s * _EVENT_TIMEOUT_GAPS
+        timeout_s = route.max_event_gap_s * _EVENT_TIMEOUT_GAPS
+        return max(0.0, timeout_s - self._waited_s)
 
     async def _relay_event(self, event: bytes) -> None:
         event_id = self._services.codec.read_event_id(event)
@@ -408,6 +423,7 @@
         await self._writer.write(event + b"\n\n")
         if event_id is not None:
             self._state.last_event_id = event_id
+            self._waited_s = 0.0
 
     def _start_response(self) -> None:
         if self._state.response_started:
