Repeat the recent claims of calls that a restore lost

Callers would see: a call with an idempotency key that is sent again after a restore of the platform runs a second time, although the first one is under way or done, as the platform lost its claim. Cause: only the platform knew of a claim.

A router now holds its claims of the last minute (200 at most) with their newest value and writes those that are missing when the control state in force is of a later era. A claim of another call with the same key stays.

test_lost_claims_are_repeated_after_a_restore cannot run on the code before; there test_claim_of_another_call_is_kept_after_a_restore shows the second claim that is granted. Open: the one or two seconds until the routers have noticed the restore, and routers that have ended.

--- a/src/dragonflydyke/idempotency/claims.py
+++ b/src/dragonflydyke/idempotency/claims.py
@@ -1,6 +1,7 @@
 """Registry of claims, which make non-idempotent calls run at most once."""
 
 import asyncio
+import dataclasses
 import random
 import secrets
 import time
@@ -15,6 +16,11 @@
 # Grace period after the timeout of the operation, in which the router that
 # holds the claim may still store the response.
 CLAIM_HOLDER_GRACE_S = 30.0
+# Seconds for which the claims of this router are held in memory, to be repeated
+# if a restore of the platform from an older copy loses them.
+HELD_S = 60.0
+# Together with the maximum size of a stored response this limits the memory.
+MAX_HELD_CLAIMS = 200
 _CREATE_ATTEMPTS = 3
 _CREATE_RETRY_DELAY_S = 0.05
 _MAX_RETRY_AFTER_S = 5.0
@@ -37,6 +43,15 @@
     return int(time.time() * 1_000)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _HeldClaim:
+    """A claim of this router with its newest value; `at_s` is a loop time."""
+
+    claim: model.Claim
+    value: dict[str, Any]
+    at_s: float
+
+
 class ClaimRegistry:
     """Claims calls in the platform, so that each is made at most once.
 
@@ -50,6 +65,8 @@
         "_background_tasks",
         "_clock_ms",
         "_counters",
+        "_era",
+        "_held",
         "_objects",
         "_random",
         "_vm_name",
@@ -78,6 +95,9 @@
         self._counters = counters
         self._clock_ms = clock_ms
         self._random = generator or random.Random()
+        self._era: int | None = None
+        # Oldest first.
+        self._held: dict[str, _HeldClaim] = {}
         self._background_tasks: set[asyncio.Task[None]] = set()
 
     async def claim(
@@ -124,6 +144,7 @@
             raise
         if existing is None:
             self._counters.increment("claim.created")
+            self._hold(claim, model.format_claim(claim, self._vm_name))
             return claim
         return self._evaluate_existing_claim(
             claim, existing.value, operation_timeout_s
@@ -186,6 +207,7 @@
         value = model.format_finished_call(
             claim, self._vm_name, status, content_type, body
         )
+        self._hold(claim, value)
         return await self._write_with_retries(lambda: self._store(claim, value))
 
     async def abandon(self, claim: model.Claim) -> bool:
@@ -204,6 +226,7 @@
             f"call {claim.name} was abandoned after it was finalized",
         )
         claim.is_finalized = True
+        self._held.pop(claim.name, None)
         self._counters.increment("claim.abandoned")
         if claim.has_unconfirmed_create:
             # If the create took effect after the delete, the claim would block
@@ -213,6 +236,29 @@
             )
         return await self._write_with_retries(lambda: self._delete(claim))
 
+    def follow_version(self, version: int) -> None:
+        """Repeats the claims if the platform was restored from a copy.
+
+        Args:
+            version: Version of the platform; call it with each newer one.
+        """
+        era = objects_model.find_era(version)
+        if self._era is not None and era > self._era:
+            self._start_background(self.repeat_claims())
+        self._era = era
+
+    async def repeat_claims(self) -> None:
+        """Writes the recent claims that a restore of the platform lost.
+
+        Returns after the first attempt for each; failed ones are retried in the
+        background.
+        """
+        self._drop_old()
+        for held in tuple(self._held.values()):
+            await self._write_with_retries(
+                lambda held=held: self._repeat(held.claim, held.value)
+            )
+
     def count_pending_writes(self) -> int:
         """Returns the number of writes in progress in the background."""
         return len(self._background_tasks)
@@ -226,6 +272,31 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _hold(self, claim: model.Claim, value: dict[str, Any]) -> None:
+        self._held.pop(claim.name, None)
+        now_s = asyncio.get_running_loop().time()
+        self._held[claim.name] = _HeldClaim(claim, value, now_s)
+        self._drop_old()
+
+    def _drop_old(self) -> None:
+        oldest_s = asyncio.get_running_loop().time() - HELD_S
+        while self._held:
+            name, held = next(iter(self._held.items()))
+            if held.at_s > oldest_s and len(self._held) <= MAX_HELD_CLAIMS:
+                return
+            del self._held[name]
+
+    async def _repeat(self, claim: model.Claim, value: dict[str, Any]) -> None:
+        present = await self._objects.get(CALLS_KIND, claim.name)
+        if present is None:
+            await self._create_again(claim, value)
+        elif present.value["nonce"] == claim.nonce:
+            claim.version = present.version
+            if present.value["state"] != value["state"] == "done":
+                await self._objects.update(
+                    CALLS_KIND, claim.name, value, claim.version
+                )
+
     async def _create(self, claim: model.Claim) -> objects.StoredObject | None:
         """Creates the object of the claim in the platform.
 
--- a/src/dragonflydyke/router/assembly.py
+++ b/src/dragonflydyke/router/assembly.py
@@ -263,6 +263,9 @@
                 ),
             ),
         )
+        self._membership.state.subscribe(
+            lambda control: self._claims.follow_version(control.control_version)
+        )
         self._replica_store = billing.ReplicaStore(
             self._objects, self._counters, node_count=self._count_routers
         )
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -145,6 +145,51 @@
                 replay = (await self.claim(other)).replay
                 self.assertEqual(replay.body, b"label")
 
+    async def test_lost_claims_are_repeated_after_a_restore(self) -> None:
+        """The same calls, sent again, would run a second time."""
+        registry, other = self.build_registry(0), self.build_registry(1)
+        copy = self.platform.store.take_copy()
+        claim = await self.claim(registry)
+        await registry.start_dispatch(claim, self.loop.time() + 1)
+        self.platform.store.restore(copy)
+        await self.run_for(registry.repeat_claims())
+        await self.check_claim_fails(other, "call_in_progress")
+        await self.run_for(registry.finish(claim, 201, "a/b", b"label"))
+        self.platform.store.restore(copy)
+        await self.run_for(registry.repeat_claims())
+        replay = (await self.claim(other)).replay
+        self.assertEqual(replay.body, b"label")
+
+    async def test_claims_are_repeated_in_a_later_era(self) -> None:
+        registry = self.build_registry(0)
+        copy = self.platform.store.take_copy()
+        registry.follow_version(self.platform.store.version)
+        await self.claim(registry)
+        self.platform.store.restore(copy)
+        registry.follow_version(self.platform.store.version)
+        await self.loop.advance(1.0)
+        found = await self.platform.list(claims.CALLS_KIND)
+        self.assertEqual(len(found.objects), 1)
+
+    async def test_repeated_claims_are_bounded(self) -> None:
+        registry = self.build_registry(0)
+        copy = self.platform.store.take_copy()
+        for number in range(claims.MAX_HELD_CLAIMS + 1):
+            claim = await registry.claim(
+                "a", "labels", "print", f"k{number}", "d", _TIMEOUT_S
+            )
+            if number % 2:
+                await registry.abandon(claim)
+        self.platform.store.restore(copy)
+        await registry.repeat_claims()
+        found = await self.platform.list(claims.CALLS_KIND)
+        self.assertEqual(len(found.objects), claims.MAX_HELD_CLAIMS // 2 + 1)
+        await self.loop.advance(claims.HELD_S + 1.0, step_s=1.0)
+        self.platform.store.restore(copy)
+        await registry.repeat_claims()
+        found = await self.platform.list(claims.CALLS_KIND)
+        self.assertEqual(found.objects, ())
+
     async def test_claim_of_another_call_is_kept_after_a_restore(self) -> None:
         """The response of the first call is delivered all the same."""
         registry, other = self.build_registry(0), self.build_registry(1)
