Keep the held claims in a module of their own

What is held is now decided without I/O in held_claims, a claim is looked up again after the read, and commands of the emulator take effect once the other fields are accepted.

--- a/src/dragonflydyke/emulator/platform.py
+++ b/src/dragonflydyke/emulator/platform.py
@@ -15,6 +15,9 @@
 from dragonflydyke.objects import client, model
 
 MAX_VALUE_BYTES = 1_000_000
+_TAKE_COPY = "take_copy"
+_RESTORE = "restore"
+_COMMANDS = (_TAKE_COPY, _RESTORE)
 _MAX_WAIT_S = 60.0
 _MS_PER_S = 1_000
 # Optional path prefix /as/<viewer>, which identifies the reader of the VM
@@ -131,12 +134,19 @@
                 store is taken; with `restore`, the store returns to the newest
                 copy and enters a new era.
         """
-        fields = dict(changes)
-        if fields.pop("take_copy", False):
+        commands = set()
+        if isinstance(changes, dict):
+            commands = {name for name in _COMMANDS if changes.get(name)}
+            changes = {
+                name: value
+                for name, value in changes.items()
+                if name not in _COMMANDS
+            }
+        serving.update_behaviour(self.behaviour, changes)
+        if _TAKE_COPY in commands:
             self._copy = self.store.take_copy()
-        if fields.pop("restore", False):
+        if _RESTORE in commands:
             self.store.restore(self._copy)
-        serving.update_behaviour(self.behaviour, fields)
         if not self.behaviour.stale_reads:
             self._stale_store = None
         elif self._stale_store is None:
--- a/src/dragonflydyke/idempotency/claims.py
+++ b/src/dragonflydyke/idempotency/claims.py
@@ -1,7 +1,6 @@
 """Registry of claims, which make non-idempotent calls run at most once."""
 
 import asyncio
-import dataclasses
 import random
 import secrets
 import time
@@ -9,18 +8,13 @@
 from typing import Any
 
 from dragonflydyke import errors, logs, metrics, objects
-from dragonflydyke.idempotency import model
+from dragonflydyke.idempotency import held_claims, model
 from dragonflydyke.objects import model as objects_model
 
 CALLS_KIND = "calls"
 # Grace period after the timeout of the operation, in which the router that
 # holds the claim may still store the response.
 CLAIM_HOLDER_GRACE_S = 30.0
-# Seconds for which the claims of this router are held in memory, to be repeated
-# if a restore of the platform from an older copy loses them.
-HELD_S = 60.0
-# Together with the maximum size of a stored response this limits the memory.
-MAX_HELD_CLAIMS = 200
 _CREATE_ATTEMPTS = 3
 _CREATE_RETRY_DELAY_S = 0.05
 _MAX_RETRY_AFTER_S = 5.0
@@ -43,15 +37,6 @@
     return int(time.time() * 1_000)
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class _HeldClaim:
-    """A claim of this router with its newest value; `at_s` is a loop time."""
-
-    claim: model.Claim
-    value: dict[str, Any]
-    at_s: float
-
-
 class ClaimRegistry:
     """Claims calls in the platform, so that each is made at most once.
 
@@ -96,8 +81,7 @@
         self._clock_ms = clock_ms
         self._random = generator or random.Random()
         self._era: int | None = None
-        # Oldest first.
-        self._held: dict[str, _HeldClaim] = {}
+        self._held = held_claims.HeldClaims()
         self._background_tasks: set[asyncio.Task[None]] = set()
 
     async def claim(
@@ -226,7 +210,7 @@
             f"call {claim.name} was abandoned after it was finalized",
         )
         claim.is_finalized = True
-        self._held.pop(claim.name, None)
+        self._held.discard(claim)
         self._counters.increment("claim.abandoned")
         if claim.has_unconfirmed_create:
             # If the create took effect after the delete, the claim would block
@@ -253,11 +237,9 @@
         Returns after the first attempt for each; failed ones are retried in the
         background.
         """
-        self._drop_old()
-        for held in tuple(self._held.values()):
-            await self._write_with_retries(
-                lambda held=held: self._repeat(held.claim, held.value)
-            )
+        now_s = asyncio.get_running_loop().time()
+        for name in self._held.list_names(now_s):
+            await self._write_with_retries(lambda name=name: self._repeat(name))
 
     def count_pending_writes(self) -> int:
         """Returns the number of writes in progress in the background."""
@@ -273,28 +255,23 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def _hold(self, claim: model.Claim, value: dict[str, Any]) -> None:
-        self._held.pop(claim.name, None)
         now_s = asyncio.get_running_loop().time()
-        self._held[claim.name] = _HeldClaim(claim, value, now_s)
-        self._drop_old()
-
-    def _drop_old(self) -> None:
-        oldest_s = asyncio.get_running_loop().time() - HELD_S
-        while self._held:
-            name, held = next(iter(self._held.items()))
-            if held.at_s > oldest_s and len(self._held) <= MAX_HELD_CLAIMS:
-                return
-            del self._held[name]
+        self._held.hold(claim, value, now_s)
 
-    async def _repeat(self, claim: model.Claim, value: dict[str, Any]) -> None:
-        present = await self._objects.get(CALLS_KIND, claim.name)
+    async def _repeat(self, name: str) -> None:
+        present = await self._objects.get(CALLS_KIND, name)
+        held = self._held.find(name)
+        if held is None:
+            # The call was abandoned meanwhile.
+            return
+        claim, value = held.claim, held.value
         if present is None:
             await self._create_again(claim, value)
         elif present.value["nonce"] == claim.nonce:
             claim.version = present.version
             if present.value["state"] != value["state"] == "done":
                 await self._objects.update(
-                    CALLS_KIND, claim.name, value, claim.version
+                    CALLS_KIND, name, value, claim.version
                 )
 
     async def _create(self, claim: model.Claim) -> objects.StoredObject | None:
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies
 
 from dragonflydyke import errors, metrics, objects
-from dragonflydyke.idempotency import claims, model
+from dragonflydyke.idempotency import claims, held_claims, model
 from tests.builders import faulty_objects, virtual_loop
 
 _TIMEOUT_S = 10.0
@@ -174,7 +174,7 @@
     async def test_repeated_claims_are_bounded(self) -> None:
         registry = self.build_registry(0)
         copy = self.platform.store.take_copy()
-        for number in range(claims.MAX_HELD_CLAIMS + 1):
+        for number in range(held_claims.MAX_HELD_CLAIMS + 1):
             claim = await registry.claim(
                 "a", "labels", "print", f"k{number}", "d", _TIMEOUT_S
             )
@@ -183,8 +183,10 @@
         self.platform.store.restore(copy)
         await registry.repeat_claims()
         found = await self.platform.list(claims.CALLS_KIND)
-        self.assertEqual(len(found.objects), claims.MAX_HELD_CLAIMS // 2 + 1)
-        await self.loop.advance(claims.HELD_S + 1.0, step_s=1.0)
+        self.assertEqual(
+            len(found.objects), held_claims.MAX_HELD_CLAIMS // 2 + 1
+        )
+        await self.loop.advance(held_claims.HELD_S + 1.0, step_s=1.0)
         self.platform.store.restore(copy)
         await registry.repeat_claims()
         found = await self.platform.list(claims.CALLS_KIND)
