Restore the store from copies in the forwarding soak

A soak now also restores its store every 2 to 8 s from a copy that is as old, while the other faults go on; what the operator and the servers wrote is written again.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -253,6 +253,7 @@
         request_log: Log of the requests of the soak.
         store_stub: Stub of the store.
         servers: Backend servers by name.
+        draining: Backend servers that leave, by name.
         nodes: Router processes.
         version: Newest version of the configuration.
     """
@@ -263,6 +264,7 @@
         self.request_log = request_log.RequestLog()
         self.store_stub = store.StoreStub()
         self.servers: dict[str, SoakServer] = {}
+        self.draining: dict[str, SoakServer] = {}
         self.nodes: list[RouterProcess] = []
         self.version = 0
         self._folder = folder
@@ -303,9 +305,42 @@
         self.servers[name] = server
         await self.store_stub.put("servers", name, server.describe())
 
+    async def announce_draining(self, server: SoakServer) -> None:
+        """Writes that a server leaves."""
+        self.draining[server.name] = server
+        await self.store_stub.put(
+            "servers", server.name, server.describe("draining")
+        )
+
+    async def remove_entry(self, name: str) -> None:
+        """Removes the entry of a server from the store, if it has one."""
+        self.draining.pop(name, None)
+        if name in self.store_stub.objects["servers"]:
+            await self.store_stub.remove("servers", name)
+
+    async def restore_store(self, state: store.StoreCopy) -> None:
+        """Restores the store from a copy.
+
+        The operator and the servers write again what they had written; entries
+        of servers that are gone expire.
+        """
+        self.store_stub.restore(state)
+        for name in self.store_stub.objects["servers"].keys() - (
+            self.servers.keys() | self.draining.keys()
+        ):
+            await self.remove_entry(name)
+        for name, server in list(self.servers.items()):
+            await self.store_stub.put("servers", name, server.describe())
+        for server in list(self.draining.values()):
+            await self.announce_draining(server)
+        await self._write_configuration()
+
     async def put_configuration(self) -> None:
         """Writes the next version, which has a route named after it."""
         self.version += 1
+        await self._write_configuration()
+
+    async def _write_configuration(self) -> None:
         await self.store_stub.put("config", "main", self._build_configuration())
 
     def _build_configuration(self) -> dict[str, Any]:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -14,6 +14,9 @@
 _MIN_FAULT_S = 0.2
 _MAX_FAULT_S = 3.0
 _MAX_LINK_DELAY_S = 0.2
+# Time between two restores of the store.
+_MIN_RESTORE_INTERVAL_S = 2.0
+_MAX_RESTORE_INTERVAL_S = 8.0
 # Time for which a draining server still serves requests.
 _DRAIN_S = 2.5
 _MAX_REPETITIONS = 3
@@ -33,10 +36,12 @@
         self,
         soak_deployment: deployment.SoakDeployment,
         source: random.Random,
+        restore_source: random.Random,
     ) -> None:
         self.counts: collections.Counter[str] = collections.Counter()
         self._deployment = soak_deployment
         self._random = source
+        self._restore_random = restore_source
         self._tasks: list[asyncio.Task[None]] = []
         self._is_stopped = False
         self._idle_nodes = list(soak_deployment.nodes)
@@ -46,6 +51,7 @@
         self._tasks = [
             asyncio.create_task(self._inject()) for _ in range(_INJECTORS)
         ]
+        self._tasks.append(asyncio.create_task(self._restore_repeatedly()))
 
     async def stop(self) -> None:
         """Waits until the active faults have ended and all nodes are ready."""
@@ -76,6 +82,17 @@
             self.counts[fault.__name__] += 1
             await fault()
 
+    async def _restore_repeatedly(self) -> None:
+        """Restores the store from copies of different ages."""
+        uniform = self._restore_random.uniform
+        while not self._is_stopped:
+            copy = self._deployment.store_stub.take_copy()
+            await asyncio.sleep(
+                uniform(_MIN_RESTORE_INTERVAL_S, _MAX_RESTORE_INTERVAL_S)
+            )
+            self.counts["restore_store"] += 1
+            await self._deployment.restore_store(copy)
+
     async def _wait_fault_duration(self) -> None:
         await asyncio.sleep(self._random.uniform(_MIN_FAULT_S, _MAX_FAULT_S))
 
@@ -187,7 +204,7 @@
             return
         await server.stop()
         await self._wait_fault_duration()
-        await self._deployment.store_stub.remove("servers", server.name)
+        await self._deployment.remove_entry(server.name)
         await self._deployment.add_server(server.pool)
 
     async def drain_server(self) -> None:
@@ -195,11 +212,10 @@
         server = self._unlist_server()
         if server is None:
             return
-        state = self._deployment.store_stub
-        await state.put("servers", server.name, server.describe("draining"))
+        await self._deployment.announce_draining(server)
         await self._deployment.add_server(server.pool)
         await asyncio.sleep(_DRAIN_S)
-        await state.remove("servers", server.name)
+        await self._deployment.remove_entry(server.name)
         await server.stop()
 
     def _unlist_server(self) -> deployment.SoakServer | None:
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -56,7 +56,10 @@
         await soak_deployment.start()
         load_generator = load.LoadGenerator(soak_deployment, source)
         injector = faults.FaultInjector(
-            soak_deployment, random.Random(seed + 1)
+            soak_deployment,
+            random.Random(seed + 1),
+            # Separate, so that the other faults of a seed stay the same.
+            random.Random(seed + 2),
         )
         load_generator.start()
         injector.start()
