Write control objects again only in a later era of the platform

Found in the last reading: a list that a lagging replica answers with 410 leads to a complete list of the same replica, and the routers would have tried to write what it lacks; only the conditions of the writes kept that without effect. Within an era nothing is lost, so that is now done only if the complete list is of a later era; an older list of the same era counts as a stale read, as before. The new test fails on the code before: one write too many.

--- a/src/dragonflydyke/membership/poller.py
+++ b/src/dragonflydyke/membership/poller.py
@@ -12,6 +12,7 @@
     restoration,
     state,
 )
+from dragonflydyke.objects import model
 
 POLL_PERIOD_S = 1.0
 VM_LIST_PERIOD_S = 2.0
@@ -107,9 +108,12 @@
                 state.CONTROL_KIND, since=self._state.control_version
             )
         except objects.HistoryLostError as error:
-            _logger.warning("platform was restored", error=str(error))
+            _logger.warning("control objects are listed anew", error=str(error))
         listed = await self._objects.list(state.CONTROL_KIND)
-        if await self._write_lost(listed):
+        # Within an era only the list of a replica can be older.
+        era = model.find_era(self._state.control_version)
+        is_restored = model.find_era(listed.version) > era
+        if is_restored and await self._write_lost(listed):
             listed = await self._objects.list(state.CONTROL_KIND)
         present = {entry.name for entry in listed.objects}
         deleted = tuple(sorted(self._state.stored.keys() - present))
--- a/src/dragonflydyke/membership/restoration.py
+++ b/src/dragonflydyke/membership/restoration.py
@@ -46,15 +46,16 @@
     lost = []
     for name, entry in known.items():
         present = restored.get(name)
-        value = _merge(name, entry.value, present.value if present else None)
-        if present is None or value != present.value:
+        restored_value = present.value if present else None
+        value = _merge(name, entry.value, restored_value)
+        if value is not None and value != restored_value:
             version = present.version if present else None
             lost.append(LostObject(name, value, version))
-    return [entry for entry in lost if entry.value is not None]
+    return lost
 
 
 def _merge(name: str, known: Any, restored: Any) -> Any:
-    """Returns the value that the platform should have, None for no object."""
+    """Returns the value that the platform should have, None without one."""
     try:
         if name == state.CONFIG_NAME:
             is_later = restored is None or (
--- a/tests/test_restored_platform.py
+++ b/tests/test_restored_platform.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from dragonflydyke import objects
+from dragonflydyke.emulator import store
 from dragonflydyke.membership import restoration
 from dragonflydyke.objects import model
 from tests import test_membership
@@ -82,6 +83,20 @@
                     current.roll_outs["next"].phase.value, "stopped"
                 )
 
+    async def test_older_list_of_the_same_era_repeats_nothing(self) -> None:
+        """A replica that lags behind does not have the version either."""
+        copy = self.fleet.platform.store.take_copy()
+        await self.apply_document("vm-0", {"n": 1})
+        await self.loop.advance(3.0)
+        writes = self.fleet.platform_access["vm-0"].writes
+        for access in self.fleet.platform_access.values():
+            access.store = store.MemoryStore()
+            access.store.restore(copy)
+            access.store.version = copy.version
+        await self.loop.advance(3.0)
+        self.assertEqual(self.revisions(), [2, 2, 2])
+        self.assertEqual(self.fleet.platform_access["vm-0"].writes, writes)
+
     async def test_session_keys_are_written_again(self) -> None:
         """Sessions signed with a lost key would end."""
         keys = self.read_control("keys")
