Report the outcome of a write before a restore as unknown

Callers (operators) saw: apply ends with revision_conflict, so that the change cannot take effect any more, although a router that had adopted it writes it again. Cause: a stored version later than the base of the change meant that another change came first; after a restore every version is later. If the platform is of a later era than the base, the outcome is now platform_outcome_unknown, as for a response that never came.

The new test fails on the code before with revision_conflict.

--- a/src/dragonflydyke/membership/changes.py
+++ b/src/dragonflydyke/membership/changes.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from dragonflydyke import errors, objects
+from dragonflydyke.objects import model
 from dragonflydyke.protocol import node_pb2
 
 _RETRY_AFTER_S = 5.0
@@ -79,6 +80,13 @@
     return version is not None and version > (base_version or 0)
 
 
+def is_of_later_era(version: int | None, base_version: int | None) -> bool:
+    """Returns whether the platform was restored since the base version."""
+    if version is None or base_version is None:
+        return False
+    return model.find_era(version) > model.find_era(base_version)
+
+
 def parse_change(stored: objects.StoredObject) -> AppliedChange:
     """Parses a stored revision.
 
--- a/src/dragonflydyke/membership/writer.py
+++ b/src/dragonflydyke/membership/writer.py
@@ -304,16 +304,7 @@
         )
         done, _ = await asyncio.wait((outcome,), timeout=_OUTCOME_WAIT_S)
         if not done:
-            raise errors.DragonflydykeError(
-                "platform_outcome_unknown",
-                f"the platform did not confirm the write of revision "
-                f"{proposal.change.revision}; read the configuration and "
-                f"compare its change_id with {proposal.change.change_id}",
-                step=errors.Step.APPLY_CONFIGURATION,
-                execution=errors.Execution.UNKNOWN,
-                retry_after_s=_RETRY_AFTER_S,
-                status=503,
-            )
+            raise _build_outcome_unknown_error(proposal)
         return outcome.result()
 
     async def _await_outcome(
@@ -349,6 +340,10 @@
         if await self._is_archived(proposal):
             return await self._finish(proposal, repeat_task, None)
         repeat_task.cancel()
+        if changes.is_of_later_era(version, proposal.base_version):
+            # A router that adopted the change may write it again. Its peers
+            # learn from the platform that it is not pending any more.
+            raise _build_outcome_unknown_error(proposal)
         self._resolve(proposal, written=False)
         raise changes.revision_conflict_error(
             current.value["revision"] if current else 0
@@ -495,5 +490,20 @@
         )
 
 
+def _build_outcome_unknown_error(
+    proposal: changes.Proposal,
+) -> errors.DragonflydykeError:
+    return errors.DragonflydykeError(
+        "platform_outcome_unknown",
+        f"the platform did not confirm the write of revision "
+        f"{proposal.change.revision}; read the configuration and "
+        f"compare its change_id with {proposal.change.change_id}",
+        step=errors.Step.APPLY_CONFIGURATION,
+        execution=errors.Execution.UNKNOWN,
+        retry_after_s=_RETRY_AFTER_S,
+        status=503,
+    )
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/test_restored_platform.py
+++ b/tests/test_restored_platform.py
@@ -54,6 +54,21 @@
         change = await self.apply_document("vm-1", {"n": 2})
         self.assertEqual(change.revision, 3)
 
+    async def test_outcome_of_a_write_is_unknown_after_a_restore(self) -> None:
+        """It was reported as a conflict, although routers may have it."""
+        copy = self.fleet.platform.store.take_copy()
+        access = self.fleet.platform_access["vm-0"]
+
+        def restore() -> None:
+            access.after_config_write = None
+            self.fleet.platform.store.restore(copy)
+            raise objects.OutcomeUnknownError("response lost", peer="platform")
+
+        access.after_config_write = restore
+        await self.assert_apply_rejected("platform_outcome_unknown", "vm-0")
+        await self.loop.advance(15.0)
+        self.assertEqual(self.fleet.serving_vms(), set(self.fleet.names))
+
     async def test_final_rollout_state_is_written_again(self) -> None:
         """A rollout that was stopped must not start again."""
         state = {
