--- a/src/dragonflydyke/idempotency/claims.py
+++ b/src/dragonflydyke/idempotency/claims.py
@@ -29,8 +29,7 @@
 
 def _is_of_later_era(stored: objects.StoredObject, claim: model.Claim) -> bool:
     """Returns whether the platform was restored since a claim was stored."""
-    era = objects_model.find_era(stored.version)
-    return era > objects_model.find_era(claim.version)
+    return objects_model.is_of_later_era(stored.version, claim.version)
 
 
 def _read_clock_ms() -> int:
--- a/src/dragonflydyke/membership/changes.py
+++ b/src/dragonflydyke/membership/changes.py
@@ -84,7 +84,7 @@
     """Returns whether the platform was restored since the base version."""
     if version is None or base_version is None:
         return False
-    return model.find_era(version) > model.find_era(base_version)
+    return model.is_of_later_era(version, base_version)
 
 
 def parse_change(stored: objects.StoredObject) -> AppliedChange:
--- a/src/dragonflydyke/membership/poller.py
+++ b/src/dragonflydyke/membership/poller.py
@@ -111,8 +111,9 @@
             _logger.warning("control objects are listed anew", error=str(error))
         listed = await self._objects.list(state.CONTROL_KIND)
         # Within an era only the list of a replica can be older.
-        era = model.find_era(self._state.control_version)
-        is_restored = model.find_era(listed.version) > era
+        is_restored = model.is_of_later_era(
+            listed.version, self._state.control_version
+        )
         if is_restored and await self._write_lost(listed):
             listed = await self._objects.list(state.CONTROL_KIND)
         present = {entry.name for entry in listed.objects}
--- a/src/dragonflydyke/objects/model.py
+++ b/src/dragonflydyke/objects/model.py
@@ -31,6 +31,11 @@
     return version & (1 << _REVISION_BITS) - 1
 
 
+def is_of_later_era(version: int, earlier: int) -> bool:
+    """Returns whether the store was restored between two versions."""
+    return find_era(version) > find_era(earlier)
+
+
 class ReadConsistency(enum.Enum):
     """Whether a replica of the store that lags behind may serve a read."""
 
