Log the age of the configuration that refuses a request

A silent watch, a replica that lags behind and a watcher that has ended looked alike: a refused request was logged without the version that refused it, and nothing told when the store last confirmed that version. `request ended` now has the version also of a refusal and `policy_age_s`, `store lost` has `confirmed_age_s`.

--- a/src/dragonflydyke/forwarding/execution.py
+++ b/src/dragonflydyke/forwarding/execution.py
@@ -1,6 +1,7 @@
 """Handles requests: admission, forwarding, rejection and logging."""
 
 import asyncio
+from collections.abc import Callable
 
 from dragonflydyke import errors, latencies, logs
 from dragonflydyke.forwarding import (
@@ -25,6 +26,8 @@
 
     Attributes:
         policy: Configuration in force, None before the first.
+        find_policy_age_s: Returns the seconds at a loop time since the store
+            last confirmed the configuration, None before it did.
         is_closing: Whether new requests are rejected, because the node stops
             before a long response could finish.
         latencies: Request durations by route and outcome.
@@ -33,6 +36,7 @@
     __slots__ = (
         "_budgets",
         "_services",
+        "find_policy_age_s",
         "is_closing",
         "latencies",
         "policy",
@@ -41,6 +45,7 @@
     def __init__(self, services: contexts.ForwardingServices) -> None:
         """Creates a forwarder without a policy, which rejects all requests."""
         self.policy: model.ForwardingPolicy | None = None
+        self.find_policy_age_s: Callable[[float], float | None] = lambda _: None
         self.is_closing = False
         self.latencies = latencies.LatencyHistograms()
         self._services = services
@@ -133,9 +138,18 @@
             request=request.details.request_id,
             route=admitted.route.name if admitted else "",
             pool=admitted.pool.name if admitted else "",
-            policy=admitted.policy_version if admitted else None,
+            policy=self._find_policy_version(admitted),
+            policy_age_s=self.find_policy_age_s(now_s),
             servers_age_s=self._services.directory.find_age_s(now_s),
             attempts=state.attempt_history,
             outcome=outcome,
             took_s=round(now_s - request.received_s, 4),
         )
+
+    def _find_policy_version(
+        self, admitted: decisions.AdmittedRequest | None
+    ) -> int | None:
+        """Returns the version that admitted a request, or that refused it."""
+        if admitted is not None:
+            return admitted.policy_version
+        return self.policy.version if self.policy else None
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -222,6 +222,7 @@
         self._is_draining = False
         self._stopped = asyncio.Event()
         self._watchers = self._build_watchers(store, kinds)
+        self._forwarder.find_policy_age_s = self._watchers[0].find_age_s
 
     def _build_services(
         self, codec: messages.HeaderCodec, report_codec: reports.ReportCodec
--- a/src/dragonflydyke/objects/watchers.py
+++ b/src/dragonflydyke/objects/watchers.py
@@ -307,7 +307,12 @@
 
 
 class KindWatcher:
-    """Follows the objects of a kind and notifies a listener of each change."""
+    """Follows the objects of a kind and notifies a listener of each change.
+
+    Attributes:
+        confirmed_s: Loop time of the store's last response on this kind, None
+            before the first.
+    """
 
     __slots__ = (
         "_counters",
@@ -319,6 +324,7 @@
         "_retry_gate",
         "_timing",
         "_version",
+        "confirmed_s",
     )
 
     def __init__(
@@ -351,6 +357,17 @@
         self._objects: dict[str, model.StoredObject] = {}
         self._version: int | None = None
         self._is_disconnected = False
+        self.confirmed_s: float | None = None
+
+    def find_age_s(self, now_s: float) -> float | None:
+        """Returns the seconds since the last response, None before the first.
+
+        Args:
+            now_s: Current loop time.
+        """
+        if self.confirmed_s is None:
+            return None
+        return round(now_s - self.confirmed_s, 2)
 
     async def run(self) -> None:
         """Follows the kind until cancelled."""
@@ -374,7 +391,7 @@
         changes = await self._retry_gate.call(
             lambda: self._reader.watch(self._kind, since, self._timing.wait_s)
         )
-        self._record_reconnection()
+        self._record_response()
         # A replica that lags behind may report an older version.
         self._version = max(since, changes.version)
         if not changes.written and not changes.removed:
@@ -391,7 +408,7 @@
             lambda: self._reader.list_all(self._kind)
         )
         after_gap = self._is_disconnected
-        self._record_reconnection()
+        self._record_response()
         self._objects = {entry.name: entry for entry in listed.objects}
         self._version = listed.version
         self._notify_listener(listed.version, after_gap=after_gap)
@@ -401,7 +418,8 @@
         snapshot = KindSnapshot(dict(self._objects), now_s, version)
         self._listener(snapshot, after_gap)
 
-    def _record_reconnection(self) -> None:
+    def _record_response(self) -> None:
+        self.confirmed_s = asyncio.get_running_loop().time()
         if self._is_disconnected:
             self._is_disconnected = False
             _LOGGER.notice("store regained", kind=self._kind)
@@ -410,7 +428,13 @@
         self._counters.increment(f"watch.{self._kind}.{error.code}")
         if not self._is_disconnected:
             _LOGGER.warning(
-                "store lost", kind=self._kind, code=error.code, error=str(error)
+                "store lost",
+                kind=self._kind,
+                code=error.code,
+                error=str(error),
+                confirmed_age_s=self.find_age_s(
+                    asyncio.get_running_loop().time()
+                ),
             )
         # Entries can expire while the store is unavailable, which the history
         # of changes does not show.
--- a/tests/builders/store.py
+++ b/tests/builders/store.py
@@ -43,6 +43,7 @@
         replica: State that replicas serve to stale lists, None for the current.
         page_size: Maximum number of objects in a page of a list.
         calls: Received calls as method and path.
+        open_watches: Number of watches that wait for a change.
     """
 
     def __init__(self) -> None:
@@ -56,6 +57,8 @@
         self.replica: StoreCopy | None = None
         self.page_size = 100
         self.calls: list[str] = []
+        self.open_watches = 0
+        self._silences = 0
         self._events: list[tuple[int, str, bool, dict[str, Any]]] = []
         self._changed = asyncio.Condition()
 
@@ -89,6 +92,10 @@
         """Drops the history of changes, so that watches must list again."""
         self.oldest_revision = self.revision + 1
 
+    def silence_watches(self) -> None:
+        """Leaves the open watches without a response; later ones work."""
+        self._silences += 1
+
     def take_copy(self) -> StoreCopy:
         """Returns the current state."""
         return StoreCopy(self.era, self.revision, copy.deepcopy(self.objects))
@@ -113,6 +120,8 @@
         self, kind: str, since: int, wait_s: float
     ) -> list[dict[str, Any]] | None:
         """Returns events after a revision, None if the history was dropped."""
+        silences = self._silences
+        self.open_watches += 1
         try:
             async with asyncio.timeout(wait_s), self._changed:
                 await self._changed.wait_for(
@@ -120,6 +129,10 @@
                 )
         except TimeoutError:
             pass
+        finally:
+            self.open_watches -= 1
+        if silences != self._silences:
+            await asyncio.Event().wait()
         if not self.oldest_revision - 1 <= since <= self.revision:
             return None
         return self._find_events(kind, since)
