Notice a silent watch before the limits on changes hold again

Callers saw 404 for a route, and got answers under an older version, up to 3.6 s after the change was confirmed.

Cause: connections that go silent are noticed by the timeout of the watch. It was the time after a fault in which no limit applies (3 s) plus the limit on a change (2 s). Both run at the same time, as a change can be confirmed in the moment of the fault, so a watch that had just begun was given up 1.6 s too late.

Fix: the longer of the two limits applies. The two tests that replay it (SilentWatchTest, WatchTimingTest) fail on the code before.

--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -74,9 +74,13 @@
 
     @property
     def watch_timing(self) -> watchers.WatchTiming:
-        """Timing of the watches that meets the limits of this deployment."""
+        """Timing of the watches that meets the limits of this deployment.
+
+        A change can be confirmed in the moment of a fault, so that the limit on
+        the change and the time after the fault run concurrently.
+        """
         return watchers.WatchTiming(
-            self.contact_s + min(self.drain_s, self.apply_s)
+            max(self.contact_s, min(self.drain_s, self.apply_s))
         )
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -396,7 +396,7 @@
 
     def test_watch_timing_meets_the_limits(self) -> None:
         """A silent watch is detected, and objects listed, within the limit."""
-        for notice_s in (5.0, 7.0):
+        for notice_s in (3.0, 4.0, 5.0, 7.0):
             timing = watchers.WatchTiming(notice_s)
             self.assertLessEqual(timing.wait_s + 1.0 + 0.4, notice_s)
             self.assertLess(timing.coalescing_delay_s, 1.0)
--- a/tests/test_silent_watches.py
+++ b/tests/test_silent_watches.py
@@ -1,7 +1,9 @@
 """Tests of watches of the store whose connection stops responding."""
 
 import asyncio
+import dataclasses
 import random
+import unittest
 from unittest import mock
 
 from dragonflydyke import settings
@@ -23,6 +25,8 @@
     drain_s=2.0,
     apply_s=2.0,
 )
+# The state of a test moves within this time, by the clock of its loop.
+_STEP_S = 0.1
 
 
 class RefusedRequestLogTest(forwarding.ForwardingTestCase):
@@ -80,6 +84,22 @@
             lambda: self.snapshot and set(self.snapshot.objects) == names
         )
 
+    async def test_change_is_in_force_once_a_calm_node_is_in_contact(
+        self,
+    ) -> None:
+        """The watch has just begun when its connection goes silent."""
+        await skipping_loop.wait_until(lambda: self.stub.open_watches)
+        self.stub.silence_watches()
+        silent_s = self.loop.time()
+        await self.stub.put("config", "second", {})
+        until_s = silent_s + _SETTINGS.contact_s
+        while self.loop.time() < until_s - _STEP_S:
+            self.loop.skip(_STEP_S)
+            # Lets the calls that became due complete.
+            await asyncio.sleep(_STEP_S / 10)
+        assert self.snapshot is not None
+        self.assertEqual(set(self.snapshot.objects), {"first", "second"})
+
     async def test_age_of_a_silent_watch_is_known(self) -> None:
         await skipping_loop.wait_until(lambda: self.stub.open_watches)
         self.stub.silence_watches()
@@ -87,3 +107,20 @@
         age_s = self.watcher.find_age_s(self.loop.time())
         assert age_s is not None
         self.assertGreaterEqual(age_s, 1.0)
+
+
+class WatchTimingTest(unittest.TestCase):
+    """Guards against limits that are added although they run concurrently."""
+
+    def test_longer_limit_applies(self) -> None:
+        cases = ((3.0, 2.0, 2.0, 3.0), (2.0, 4.0, 3.0, 3.0))
+        for contact_s, apply_s, drain_s, expected_s in cases:
+            with self.subTest(contact_s=contact_s):
+                values = dataclasses.replace(
+                    _SETTINGS,
+                    contact_s=contact_s,
+                    apply_s=apply_s,
+                    drain_s=drain_s,
+                )
+                delay_s = values.watch_timing.max_detection_delay_s
+                self.assertEqual(delay_s, expected_s)
