Trust replicas of the store only after they have shown a change

What callers could see: a node that starts beside replicas that lag behind refuses requests under a configuration that is seconds old.

Cause: a list of a replica passes if it has the version of a linearizable read. While nothing changes, a replica that lags has that version, too, and the watches that followed were not checked at all. A version below one that the node knew was dropped, though it proves a lag, and a lag was taken as over after 15 s.

Evidence: by reading, and two tests (tests/test_stale_replicas.py) that fail on the code before.

Why it works: a watch of the store that returns a change returns one that was just made; a replica that has it lags by less than the delay between two watches. What is left: replicas that begin to lag later, all at once and without a lost history.

Changed tests: test_changes_are_followed_through_stale_reads and test_watches_are_exact_after_lost_history expected a fixed pattern of calls; they now require linearizable watches until the replicas have shown a change and stale ones after it. test_watchers_of_a_node_read_the_version_once leaves out the watch of the test case's own watcher. ReplicaReader moved to a module of its own.

--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -28,7 +28,7 @@
     server_limits,
 )
 from dragonflydyke.objects import model as objects
-from dragonflydyke.objects import watchers
+from dragonflydyke.objects import replicas, watchers
 
 # The load balancer stops sending clients after two failed readiness checks, a
 # second apart, and clients then use their open connections a little longer.
@@ -123,7 +123,7 @@
 
 
 class NodeStore(
-    watchers.WatchableStore,
+    replicas.WatchableStore,
     controller.RolloutStore,
     crash_reports.CrashStore,
     registry.NodeStore,
@@ -256,7 +256,7 @@
         self, store: NodeStore, kinds: ObjectKinds
     ) -> list[watchers.KindWatcher]:
         timing = self._settings.watch_timing
-        reader = watchers.ReplicaReader(store, kinds.rollouts)
+        reader = replicas.ReplicaReader(store, kinds.rollouts)
         listeners = (
             (kinds.policies, self._apply_policy),
             (kinds.servers, self._apply_servers),
--- a/src/dragonflydyke/objects/watchers.py
+++ b/src/dragonflydyke/objects/watchers.py
@@ -1,23 +1,13 @@
-"""Watchers that follow all objects of a kind through lists and long polls.
-
-Stale reads cost the store much less than linearizable ones, so a fleet of
-hundreds of nodes follows changes through them. A list is taken from a replica
-only if that has reached the current version of the store, which one
-linearizable read tells for all kinds. A watch from the version of such a list
-delivers every later change in order, unless the store was restored from a copy
-meanwhile, which starts a new history. After the store lost its history its
-replicas may lag behind by more than the limits on changes allow, so watches are
-linearizable until they caught up.
-"""
+"""Watchers that follow all objects of a kind through lists and long polls."""
 
 import asyncio
 import dataclasses
 import random
 from collections.abc import Awaitable, Callable, Mapping
-from typing import Protocol, TypeVar
+from typing import TypeVar
 
 from dragonflydyke import errors, logs, metrics
-from dragonflydyke.objects import model
+from dragonflydyke.objects import model, replicas
 
 # Part of the detection delay that is not available to a watch: the timeout of a
 # call and the time of a list.
@@ -30,11 +20,6 @@
 # Rejected calls of many nodes are a load on a store in trouble, and changes may
 # take the detection delay to arrive after its return.
 _MAX_RETRY_DELAY_SHARE = 0.2
-# The watchers of a node list their kinds at about the same time, so that one
-# read of the store's version serves all of them.
-_VERSION_MAX_AGE_S = 0.5
-# Time for which replicas may lag behind after the store lost its history.
-_REPLICA_CATCH_UP_S = 15.0
 
 _LOGGER = logs.get_logger("store")
 
@@ -70,50 +55,6 @@
         return self.max_detection_delay_s * _MAX_RETRY_DELAY_SHARE
 
 
-class WatchableStore(Protocol):
-    """Store whose changes can be followed."""
-
-    async def list_all(
-        self, kind: str, *, consistency: model.ReadConsistency
-    ) -> model.ObjectList:
-        """Returns all objects of a kind.
-
-        Args:
-            kind: Kind of the objects.
-            consistency: Whether a replica that lags behind may respond.
-        """
-
-    async def read_version(self, kind: str) -> int:
-        """Returns the current version of the store, by reading a small kind."""
-
-    async def watch(
-        self,
-        kind: str,
-        since: int,
-        wait_s: float,
-        *,
-        consistency: model.ReadConsistency,
-    ) -> model.ObjectChanges:
-        """Returns the changes after a version, waiting until there is one.
-
-        Args:
-            kind: Kind of the objects.
-            since: Version of the store after which changes are returned.
-            wait_s: Seconds after which the store responds without changes.
-            consistency: Whether a replica that lags behind may respond.
-
-        Raises:
-            HistoryLostError: If the store no longer has these changes.
-        """
-
-    async def probe(self, kind: str) -> None:
-        """Sends a read of low cost to test whether the store responds.
-
-        Raises:
-            DragonflydykeError: If the store does not respond or rejects it.
-        """
-
-
 class StoreRetryGate:
     """Limits the calls of a node to an unavailable store to one at a time.
 
@@ -193,97 +134,6 @@
         self._next_delay_s = _MIN_RETRY_DELAY_S
 
 
-class ReplicaReader:
-    """Reads kinds from replicas of the store while they are current."""
-
-    __slots__ = (
-        "_lagging_until_s",
-        "_read_at_s",
-        "_smallest_kind",
-        "_store",
-        "_version",
-    )
-
-    def __init__(self, store: WatchableStore, smallest_kind: str) -> None:
-        """Creates a reader.
-
-        Args:
-            store: Store to read from.
-            smallest_kind: Kind with few objects, whose list tells the version
-                of the store.
-        """
-        self._store = store
-        self._smallest_kind = smallest_kind
-        self._version: asyncio.Future[int] | None = None
-        self._read_at_s = 0.0
-        self._lagging_until_s = 0.0
-
-    async def list_all(self, kind: str) -> model.ObjectList:
-        """Returns all current objects of a kind.
-
-        Raises:
-            DragonflydykeError: If the store does not respond or rejects a call.
-        """
-        version = await self._read_version()
-        listed = await self._store.list_all(
-            kind, consistency=model.ReadConsistency.STALE
-        )
-        if listed.version >= version:
-            return listed
-        self._record_lag()
-        return await self._store.list_all(
-            kind, consistency=model.ReadConsistency.LINEARIZABLE
-        )
-
-    async def watch(
-        self, kind: str, since: int, wait_s: float
-    ) -> model.ObjectChanges:
-        """Returns the changes after a version, waiting until there is one.
-
-        Args:
-            kind: Kind of the objects.
-            since: Version of the store after which changes are returned.
-            wait_s: Seconds after which the store responds without changes.
-
-        Raises:
-            HistoryLostError: If the store no longer has these changes.
-        """
-        is_lagging = asyncio.get_running_loop().time() < self._lagging_until_s
-        consistency = model.ReadConsistency.STALE
-        if is_lagging:
-            consistency = model.ReadConsistency.LINEARIZABLE
-        try:
-            return await self._store.watch(
-                kind, since, wait_s, consistency=consistency
-            )
-        except model.HistoryLostError:
-            self._record_lag()
-            raise
-
-    def _record_lag(self) -> None:
-        now_s = asyncio.get_running_loop().time()
-        if now_s >= self._lagging_until_s:
-            _LOGGER.notice("replicas of the store lag behind")
-        self._lagging_until_s = now_s + _REPLICA_CATCH_UP_S
-
-    async def _read_version(self) -> int:
-        now_s = asyncio.get_running_loop().time()
-        if (
-            self._version is None
-            or now_s - self._read_at_s > _VERSION_MAX_AGE_S
-        ):
-            self._read_at_s = now_s
-            self._version = asyncio.ensure_future(
-                self._store.read_version(self._smallest_kind)
-            )
-        try:
-            # Other watchers wait for the same read.
-            return await asyncio.shield(self._version)
-        except errors.DragonflydykeError:
-            self._version = None
-            raise
-
-
 class KindSnapshot:
     """Objects of a kind at a point in time.
 
@@ -329,7 +179,7 @@
 
     def __init__(
         self,
-        reader: ReplicaReader,
+        reader: replicas.ReplicaReader,
         kind: str,
         listener: Callable[[KindSnapshot, bool], None],
         counters: metrics.Counters,
