Trust replicas also after a version that was issued while a watch waited

A version that rose while a watch waited was issued in that time, which is shorter than the limits on changes, whatever object it belongs to.

--- a/src/dragonflydyke/objects/replicas.py
+++ b/src/dragonflydyke/objects/replicas.py
@@ -10,8 +10,9 @@
 A replica may lag behind by more than the limits on changes allow, above all
 after the store lost its history. If nothing changes meanwhile, such a replica
 has the same version as the store, so that an equal version proves nothing.
-Watches are therefore linearizable until one has returned a change, which the
-store has just made, and a replica has that change, too.
+Watches are therefore linearizable until one has returned a version that the
+store issued while it waited, and a replica has that version, too. The wait of a
+watch is shorter than the limits on changes.
 """
 
 import asyncio
@@ -162,17 +163,17 @@
     async def _watch_store(
         self, kind: str, since: int, wait_s: float
     ) -> model.ObjectChanges:
+        known_version = self._newest_version
         changes = await self._store.watch(
             kind, since, wait_s, consistency=model.ReadConsistency.LINEARIZABLE
         )
         self._record_version(changes.version)
-        has_changes = bool(changes.written or changes.removed)
-        if has_changes and not self._are_current:
+        if changes.version > known_version and not self._are_current:
             await self._check_replicas(changes.version)
         return changes
 
     async def _check_replicas(self, version: int) -> None:
-        """Checks whether replicas have the version of a change just made."""
+        """Checks whether replicas have a version that was issued just now."""
         try:
             listed = await self._store.list_all(
                 self._smallest_kind, consistency=model.ReadConsistency.STALE
