Find silent connections by probes and give up all watches with the first

Now connections to the store are probed (TCP keep-alive), one watch of a node polls often, and its failure, or that of any other call, gives up the others, which wait 15 s. A list that a replica lacks by a moment is read again after 50 ms before the replicas count as lagging.

Ruled out: long watches without a short one; a store that returns after it was silent may never answer a watch that it lost.

New tests: probes are set on each connection, and a rejected call ends the watches; both fail on the code before.

--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -34,6 +34,8 @@
 # second apart, and clients then use their open connections a little longer.
 _DEREGISTRATION_S = 2.6
 _STOP_MARGIN_S = 0.5
+# Time for a probe and the lists after a connection was lost.
+_RELIST_S = 0.5
 _OK = 200
 _UNAVAILABLE = 503
 
@@ -83,6 +85,14 @@
             max(self.contact_s, min(self.drain_s, self.apply_s))
         )
 
+    @property
+    def max_silence_s(self) -> float:
+        """Seconds after which a silent connection to the store is closed.
+
+        The store is then listed again before the limits apply.
+        """
+        return self.watch_timing.max_detection_delay_s - _RELIST_S
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ObjectKinds:
@@ -256,12 +266,17 @@
         self, store: NodeStore, kinds: ObjectKinds
     ) -> list[watchers.KindWatcher]:
         timing = self._settings.watch_timing
-        reader = replicas.ReplicaReader(store, kinds.rollouts)
+        long_timing = dataclasses.replace(timing, polls_often=False)
+        reader = replicas.ReplicaReader(
+            store,
+            kinds.rollouts,
+            min(self._settings.drain_s, self._settings.apply_s),
+        )
         listeners = (
-            (kinds.policies, self._apply_policy),
-            (kinds.servers, self._apply_servers),
-            (kinds.rollouts, self._apply_rollouts),
-            (kinds.crashes, self._apply_crashes),
+            (kinds.policies, self._apply_policy, timing),
+            (kinds.servers, self._apply_servers, long_timing),
+            (kinds.rollouts, self._apply_rollouts, long_timing),
+            (kinds.crashes, self._apply_crashes, long_timing),
         )
         return [
             watchers.KindWatcher(
@@ -270,9 +285,9 @@
                 listener,
                 self._counters,
                 self._retry_gate,
-                timing,
+                kind_timing,
             )
-            for kind, listener in listeners
+            for kind, listener, kind_timing in listeners
         ]
 
     @property
--- a/src/dragonflydyke/objects/replicas.py
+++ b/src/dragonflydyke/objects/replicas.py
@@ -11,8 +11,7 @@
 after the store lost its history. If nothing changes meanwhile, such a replica
 has the same version as the store, so that an equal version proves nothing.
 Watches are therefore linearizable until one has returned a version that the
-store issued while it waited, and a replica has that version, too. The wait of a
-watch is shorter than the limits on changes.
+store issued within the tolerated lag, and a replica has that version, too.
 """
 
 import asyncio
@@ -26,6 +25,9 @@
 _VERSION_MAX_AGE_S = 0.5
 # Replicas that are current differ from each other by less than this time.
 _REPLICA_TOLERANCE_S = 0.5
+_MAX_LAG_S = 2.0
+# Time in which a change reaches a replica that is current.
+_PROPAGATION_DELAY_S = 0.05
 
 _LOGGER = logs.get_logger("store")
 
@@ -79,6 +81,7 @@
 
     __slots__ = (
         "_are_current",
+        "_max_lag_s",
         "_newest_version",
         "_read_at_s",
         "_smallest_kind",
@@ -86,15 +89,23 @@
         "_version",
     )
 
-    def __init__(self, store: WatchableStore, smallest_kind: str) -> None:
+    def __init__(
+        self,
+        store: WatchableStore,
+        smallest_kind: str,
+        max_lag_s: float = _MAX_LAG_S,
+    ) -> None:
         """Creates a reader; replicas are not known to be current.
 
         Args:
             store: Store to read from.
             smallest_kind: Kind with few objects, whose list tells the version
                 of the store.
+            max_lag_s: Seconds by which a replica may lag behind and still count
+                as current.
         """
         self._store = store
+        self._max_lag_s = max_lag_s
         self._smallest_kind = smallest_kind
         self._version: asyncio.Future[int] | None = None
         self._read_at_s = 0.0
@@ -111,6 +122,12 @@
         listed = await self._store.list_all(
             kind, consistency=model.ReadConsistency.STALE
         )
+        if listed.version < version:
+            # The version may have been issued a moment ago.
+            await asyncio.sleep(_PROPAGATION_DELAY_S)
+            listed = await self._store.list_all(
+                kind, consistency=model.ReadConsistency.STALE
+            )
         if listed.version < version:
             self._record_lag(listed.version, version)
             listed = await self._store.list_all(
@@ -163,12 +180,19 @@
     async def _watch_store(
         self, kind: str, since: int, wait_s: float
     ) -> model.ObjectChanges:
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
         known_version = self._newest_version
         changes = await self._store.watch(
             kind, since, wait_s, consistency=model.ReadConsistency.LINEARIZABLE
         )
         self._record_version(changes.version)
-        if changes.version > known_version and not self._are_current:
+        is_new = changes.version > known_version
+        # The version was issued after the watch began, unless the watch has
+        # returned a change, which wakes it at once.
+        is_recent = loop.time() - started_s <= self._max_lag_s
+        has_changes = bool(changes.written or changes.removed)
+        if is_new and (is_recent or has_changes) and not self._are_current:
             await self._check_replicas(changes.version)
         return changes
 
--- a/src/dragonflydyke/objects/store_http.py
+++ b/src/dragonflydyke/objects/store_http.py
@@ -11,6 +11,7 @@
 _MAX_CONNECTIONS = 1_000
 _MAX_BODY_BYTES = 8_000_000
 _UNAVAILABLE = 503
+_MAX_SILENCE_S = 2.0
 
 _LOGGER = logs.get_logger("store")
 
@@ -52,6 +53,7 @@
         *,
         timeout_s: float,
         era_header: str,
+        max_silence_s: float = _MAX_SILENCE_S,
     ) -> None:
         """Creates a client without connections.
 
@@ -63,6 +65,8 @@
             timeout_s: Timeout of connecting and of a call, in seconds. The
                 `wait_s` of a call is added to the latter.
             era_header: Header in which responses state the era of the store.
+            max_silence_s: Seconds after which a connection that went silent
+                during a long poll is closed.
         """
         self.peer = peer
         self._era: int | None = None
@@ -72,10 +76,11 @@
         self._timeout_s = timeout_s
         self._http = simple_httpclient.SimpleAsyncHTTPClient(
             force_instance=True,
-            resolver=transport.AddressResolver(),
             max_clients=_MAX_CONNECTIONS,
             max_body_size=_MAX_BODY_BYTES,
         )
+        # The HTTP client has no parameter for it.
+        self._http.tcp_client = transport.ProbingTCPClient(max_silence_s)
 
     @property
     def era(self) -> int:
--- a/src/dragonflydyke/objects/watchers.py
+++ b/src/dragonflydyke/objects/watchers.py
@@ -1,4 +1,10 @@
-"""Watchers that follow all objects of a kind through lists and long polls."""
+"""Watchers that follow all objects of a kind through lists and long polls.
+
+A store that stops responding shows only in a call that times out. One watcher
+of a node therefore polls often, and when any call fails the long polls of all
+watchers are given up, as they may never end. Connections that alone go silent
+are closed by keep-alive probes.
+"""
 
 import asyncio
 import dataclasses
@@ -13,9 +19,12 @@
 # call and the time of a list.
 _CALL_MARGIN_S = 1.4
 _MIN_WAIT_S = 1.0
+# The store responds to a long poll after at most 30 s. Proxies between a node
+# and the store may close connections that were idle for half a minute.
+_LONG_WAIT_S = 15.0
 # Each change notifies all nodes. A delay before the next watch lets them read
 # several changes in quick succession together.
-_COALESCING_DELAY_SHARE = 0.1
+_COALESCING_DELAY_SHARE = 0.14
 _MIN_RETRY_DELAY_S = 0.1
 # Rejected calls of many nodes are a load on a store in trouble, and changes may
 # take the detection delay to arrive after its return.
@@ -33,15 +42,20 @@
 
     Attributes:
         max_detection_delay_s: Upper limit, in seconds, on the time from a
-            change to its detection, also when the connection of a watch
-            stops responding without being closed.
+            change to its detection, also when the store or the connection of
+            a watch stops responding without being closed.
+        polls_often: Whether the watch itself detects such a store in time;
+            other watches of the node are given up when this one fails.
     """
 
     max_detection_delay_s: float = 5.0
+    polls_often: bool = True
 
     @property
     def wait_s(self) -> float:
         """Seconds after which the store responds to a watch without changes."""
+        if not self.polls_often:
+            return _LONG_WAIT_S
         return max(_MIN_WAIT_S, self.max_detection_delay_s - _CALL_MARGIN_S)
 
     @property
@@ -64,6 +78,7 @@
     """
 
     __slots__ = (
+        "_interruption",
         "_is_unavailable",
         "_lock",
         "_max_delay_s",
@@ -88,6 +103,7 @@
         """
         self._max_delay_s = timing.max_retry_delay_s
         self._is_unavailable = False
+        self._interruption = asyncio.Event()
         self._lock = asyncio.Lock()
         self._random = jitter_source
         self._probe = probe
@@ -117,6 +133,37 @@
                 return await self._send(send)
         return await self._send(send)
 
+    async def poll(self, send: Callable[[], Awaitable[_Result]]) -> _Result:
+        """Sends a long poll, which is given up when another call fails.
+
+        Raises:
+            DragonflydykeError: Any error that the call raises, or
+                platform_unavailable if it was given up.
+        """
+        if self._is_unavailable:
+            return await self.call(send)
+        interruption = asyncio.ensure_future(self._interruption.wait())
+        response = asyncio.ensure_future(send())
+        response.add_done_callback(_discard_result)
+        try:
+            await asyncio.wait(
+                (response, interruption), return_when=asyncio.FIRST_COMPLETED
+            )
+        except asyncio.CancelledError:
+            response.cancel()
+            raise
+        finally:
+            interruption.cancel()
+        if not response.done():
+            # Its connection may be silent. It is left to its own timeout, since
+            # the HTTP client cannot withdraw it.
+            raise model.PlatformUnavailableError(
+                "long poll given up, as another call failed",
+                step=errors.Step.READ_PLATFORM,
+                peer="store",
+            )
+        return await self._send(lambda: response)
+
     async def _send(self, send: Callable[[], Awaitable[_Result]]) -> _Result:
         try:
             result = await send()
@@ -124,16 +171,27 @@
             self._record_success()
             raise
         except errors.DragonflydykeError:
-            self._is_unavailable = True
+            self._record_failure()
             raise
         self._record_success()
         return result
 
+    def _record_failure(self) -> None:
+        self._is_unavailable = True
+        self._interruption.set()
+        self._interruption = asyncio.Event()
+
     def _record_success(self) -> None:
         self._is_unavailable = False
         self._next_delay_s = _MIN_RETRY_DELAY_S
 
 
+def _discard_result(response: asyncio.Future[_Result]) -> None:
+    """Marks the error of a call that was given up as retrieved."""
+    if not response.cancelled():
+        response.exception()
+
+
 class KindSnapshot:
     """Objects of a kind at a point in time.
 
@@ -238,7 +296,7 @@
             await self._list()
             return
         since = self._version
-        changes = await self._retry_gate.call(
+        changes = await self._retry_gate.poll(
             lambda: self._reader.watch(self._kind, since, self._timing.wait_s)
         )
         self._record_response()
--- a/src/dragonflydyke/platform/main.py
+++ b/src/dragonflydyke/platform/main.py
@@ -14,7 +14,9 @@
     counters = metrics.Counters()
     router = node.Node(
         values,
-        store.PlatformStore(values.store_url, counters),
+        store.PlatformStore(
+            values.store_url, counters, max_silence_s=values.max_silence_s
+        ),
         records.KINDS,
         headers.HeaderCodec(),
         reports.ReportCodec(),
--- a/src/dragonflydyke/platform/store.py
+++ b/src/dragonflydyke/platform/store.py
@@ -13,6 +13,7 @@
 
 _PATH = "/api/objects/"
 _TIMEOUT_S = 1.0
+_MAX_SILENCE_S = 2.0
 _MS_PER_S = 1_000
 _OK = 200
 _CREATED = 201
@@ -36,12 +37,20 @@
 
     __slots__ = ("_caller",)
 
-    def __init__(self, base_url: str, counters: metrics.Counters) -> None:
+    def __init__(
+        self,
+        base_url: str,
+        counters: metrics.Counters,
+        *,
+        max_silence_s: float = _MAX_SILENCE_S,
+    ) -> None:
         """Creates a client.
 
         Args:
             base_url: URL of the store without a path.
             counters: Receives `platform.<method>.<outcome>`.
+            max_silence_s: Seconds after which a connection that went silent
+                during a long poll is closed.
         """
         self._caller = store_http.StoreHttpClient(
             base_url,
@@ -49,6 +58,7 @@
             counters,
             timeout_s=_TIMEOUT_S,
             era_header=_ERA_HEADER,
+            max_silence_s=max_silence_s,
         )
 
     @property
--- a/src/dragonflydyke/transport.py
+++ b/src/dragonflydyke/transport.py
@@ -5,7 +5,7 @@
 import socket
 from typing import Any
 
-from tornado import netutil, simple_httpclient
+from tornado import iostream, netutil, simple_httpclient, tcpclient
 
 # ECONNRESET, EPIPE and ETIMEDOUT are not listed because they also occur after a
 # request was sent.
@@ -18,6 +18,9 @@
     )
 )
 
+# Seconds from the last received byte to the first probe, and between probes.
+_PROBE_INTERVAL_S = 1
+
 
 def was_not_sent(error: Exception) -> bool:
     """Returns whether an HTTP request cannot have reached the server.
@@ -53,3 +56,33 @@
         if version == 4:
             return [(socket.AF_INET, (host, port))]
         return [(socket.AF_INET6, (host, port, 0, 0))]
+
+
+class ProbingTCPClient(tcpclient.TCPClient):
+    """Opens connections that the kernel closes when the peer goes silent.
+
+    A connection can stop working without a reset, for example when a gateway
+    drops its state. Only unanswered probes show that while nothing is sent.
+    """
+
+    def __init__(self, max_silence_s: float) -> None:
+        """Creates a client.
+
+        Args:
+            max_silence_s: Seconds after which a silent connection is closed, at
+                least 2; probes are sent once a second.
+        """
+        super().__init__(resolver=AddressResolver())
+        self._probe_count = max(1, int(max_silence_s) - _PROBE_INTERVAL_S)
+
+    async def connect(self, *args: Any, **options: Any) -> iostream.IOStream:
+        """Opens a connection; see `tcpclient.TCPClient.connect`."""
+        stream = await super().connect(*args, **options)
+        for option, value in (
+            (socket.TCP_KEEPIDLE, _PROBE_INTERVAL_S),
+            (socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S),
+            (socket.TCP_KEEPCNT, self._probe_count),
+        ):
+            stream.socket.setsockopt(socket.IPPROTO_TCP, option, value)
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        return stream
--- a/tests/builders/store.py
+++ b/tests/builders/store.py
@@ -277,11 +277,11 @@
         """Starts the store stub."""
         await super().asyncSetUp()
         self.stub = StoreStub()
-        server, port = start_store(self.stub)
+        server, self.port = start_store(self.stub)
         self.addAsyncCleanup(serving.stop_server, server)
         self.counters = metrics.Counters()
         self.store = store.PlatformStore(
-            f"http://127.0.0.1:{port}", self.counters
+            f"http://127.0.0.1:{self.port}", self.counters
         )
 
 
--- a/tests/test_silent_watches.py
+++ b/tests/test_silent_watches.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import dataclasses
+import functools
 import random
+import socket
 import unittest
 from unittest import mock
 
-from dragonflydyke import settings
+from tornado import iostream
+
+from dragonflydyke import settings, transport
 from dragonflydyke.forwarding import execution, node, rollouts
+from dragonflydyke.objects import model as objects
 from dragonflydyke.objects import replicas, watchers
 from tests.builders import forwarding, skipping_loop, store
 
@@ -55,60 +60,121 @@
     """
 
     async def asyncSetUp(self) -> None:
-        """Starts a watcher and waits for its first list."""
+        """Starts two watchers and waits for their first lists."""
         await super().asyncSetUp()
-        self.snapshot: watchers.KindSnapshot | None = None
+        self.names: dict[str, set[str]] = {}
         timing = _SETTINGS.watch_timing
         gate = watchers.StoreRetryGate(
             random.Random(3), lambda: self.store.probe("rollouts"), timing
         )
-        self.watcher = watchers.KindWatcher(
-            replicas.ReplicaReader(self.store, "rollouts"),
-            "config",
-            self.record,
-            self.counters,
-            gate,
-            timing,
-        )
-        await self.stub.put("config", "first", {})
-        self.addCleanup(asyncio.create_task(self.watcher.run()).cancel)
-        await self.wait_for({"first"})
-
-    def record(self, snapshot: watchers.KindSnapshot, gap: bool) -> None:
-        """Stores the newest snapshot."""
-        self.snapshot = snapshot
-
-    async def wait_for(self, names: set[str]) -> None:
-        """Waits until the newest snapshot has these names."""
+        reader = replicas.ReplicaReader(self.store, "rollouts")
+        long_timing = dataclasses.replace(timing, polls_often=False)
+        self.watchers = {
+            kind: watchers.KindWatcher(
+                reader,
+                kind,
+                functools.partial(self.record, kind),
+                self.counters,
+                gate,
+                kind_timing,
+            )
+            for kind, kind_timing in (
+                ("config", timing),
+                ("servers", long_timing),
+            )
+        }
+        for kind, watcher in self.watchers.items():
+            await self.stub.put(kind, "first", {})
+            self.addCleanup(asyncio.create_task(watcher.run()).cancel)
         await skipping_loop.wait_until(
-            lambda: self.snapshot and set(self.snapshot.objects) == names
+            lambda: len(self.names) == self.stub.open_watches == 2
         )
 
+    def record(
+        self, kind: str, snapshot: watchers.KindSnapshot, gap: bool
+    ) -> None:
+        """Stores the names in the newest snapshot."""
+        self.names[kind] = set(snapshot.objects)
+
     async def test_change_is_in_force_once_a_calm_node_is_in_contact(
         self,
     ) -> None:
-        """The watch has just begun when its connection goes silent."""
-        await skipping_loop.wait_until(lambda: self.stub.open_watches)
+        """The watches have just begun when the store goes silent on them.
+
+        The watch of the servers ends with that of the configuration.
+        """
         self.stub.silence_watches()
         silent_s = self.loop.time()
-        await self.stub.put("config", "second", {})
+        for kind in self.watchers:
+            await self.stub.put(kind, "second", {})
         until_s = silent_s + _SETTINGS.contact_s
         while self.loop.time() < until_s - _STEP_S:
             self.loop.skip(_STEP_S)
             # Lets the calls that became due complete.
             await asyncio.sleep(_STEP_S / 10)
-        assert self.snapshot is not None
-        self.assertEqual(set(self.snapshot.objects), {"first", "second"})
+        for kind in self.watchers:
+            with self.subTest(kind):
+                self.assertEqual(self.names[kind], {"first", "second"})
+
+    async def test_rejected_call_ends_the_watches(self) -> None:
+        """Entries can expire while the store is unavailable."""
+        self.stub.rejection_status = 503
+        await self.stub.put("config", "second", {})
+        error = "watch.config.platform_unavailable"
+        await skipping_loop.wait_until(lambda: self.counters.total(error))
+        self.stub.rejection_status = 0
+        del self.stub.objects["servers"]["first"]
+        await skipping_loop.wait_until(lambda: self.names["servers"] == set())
 
     async def test_age_of_a_silent_watch_is_known(self) -> None:
-        await skipping_loop.wait_until(lambda: self.stub.open_watches)
         self.stub.silence_watches()
         self.loop.skip(1.0)
-        age_s = self.watcher.find_age_s(self.loop.time())
+        age_s = self.watchers["config"].find_age_s(self.loop.time())
         assert age_s is not None
         self.assertGreaterEqual(age_s, 1.0)
 
 
+class SilentConnectionTest(store.StoreTestCase):
+    """Guards against long polls on connections that went silent.
+
+    The kernel closes a connection whose probes are not answered.
+    """
+
+    async def test_connections_to_the_store_are_probed(self) -> None:
+        for contact_s, limit_s in ((3.0, 2), (4.0, 3), (5.0, 4)):
+            values = dataclasses.replace(_SETTINGS, contact_s=contact_s)
+            client = transport.ProbingTCPClient(values.max_silence_s)
+            stream = await client.connect("127.0.0.1", self.port)
+            self.addCleanup(stream.close)
+            with self.subTest(contact_s=contact_s):
+                self.assertTrue(
+                    _read_option(stream, socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+                )
+                idle_s, interval_s, probes = (
+                    _read_option(stream, socket.IPPROTO_TCP, option)
+                    for option in (
+                        socket.TCP_KEEPIDLE,
+                        socket.TCP_KEEPINTVL,
+                        socket.TCP_KEEPCNT,
+                    )
+                )
+                self.assertEqual(idle_s + probes * interval_s, limit_s)
+
+    async def test_client_of_the_store_uses_probes(self) -> None:
+        with (
+            mock.patch.object(
+                transport.ProbingTCPClient, "connect", side_effect=OSError
+            ) as connect,
+            self.assertRaises(objects.PlatformUnavailableError),
+        ):
+            await self.store.read_version("rollouts")
+        connect.assert_called_once()
+
+
+def _read_option(stream: iostream.IOStream, level: int, option: int) -> int:
+    return stream.socket.getsockopt(level, option)
+
+
 class WatchTimingTest(unittest.TestCase):
     """Guards against limits that are added although they run concurrently."""
 
