Log what a lost request shares with its repetition

The log line of a lost response named only the shared parts of a prompt, so that a plain request could not be recognised. It now has a digest of caller, method, path and body.

--- a/src/dragonflydyke/forwarding/contexts.py
+++ b/src/dragonflydyke/forwarding/contexts.py
@@ -143,3 +143,8 @@
     writer: ResponseWriter
     retry_budget: retries.RetryBudget
     state: RequestState
+
+    def compute_fingerprint(self) -> str:
+        """Returns what this request shares with its repetition."""
+        account = self.admitted.account
+        return self.request.compute_fingerprint(account.name if account else "")
--- a/src/dragonflydyke/forwarding/messages.py
+++ b/src/dragonflydyke/forwarding/messages.py
@@ -1,10 +1,15 @@
 """Requests, dispatches and responses, independent of header names."""
 
 import dataclasses
+import hashlib
 from typing import Protocol
 
 from tornado import httputil
 
+_FINGERPRINT_BYTES = 12
+# Separates the fields of a fingerprint from each other.
+_LENGTH_BYTES = 8
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class PromptPart:
@@ -82,6 +87,23 @@
         """The path without the query."""
         return self.target.partition("?")[0]
 
+    def compute_fingerprint(self, account: str) -> str:
+        """Returns a digest of what a request and its repetition share.
+
+        Args:
+            account: Client account, empty for anonymous requests.
+        """
+        digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+        for field in (
+            account.encode(),
+            self.method.encode(),
+            self.target.encode(),
+            self.body,
+        ):
+            digest.update(len(field).to_bytes(_LENGTH_BYTES))
+            digest.update(field)
+        return digest.hexdigest()
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Dispatch:
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -431,6 +431,7 @@
             if started_s is not None
             else None,
             shared_parts=[part.part_id for part in details.shared_parts],
+            fingerprint=self._context.compute_fingerprint(),
         )
 
     def _was_server_stopped(
