Exclude a request that crashes servers whenever it comes again

Cause: the quarantine knew a request only by the shared parts of its prompt, and took as evidence only a response that had started. A request without a prompt has neither, so that nothing remembered it.

Crashes also came within calm seconds, and a single request ended a server, so that load is not the cause.

Fix: reports carry the digest of caller, method, path and body. At a plain server each request that was interrupted is reported; a crash is put down to the one with most crashes, a response clears a request, and two crashes exclude it on all nodes (503, request_quarantined).

The two tests that replay the load (CrashingCallTest) fail on the code before: 502 for each repetition instead of 503. The sound request of test_prompt_that_crashes_engines_is_sent_to_two_of_them has a body of its own now, as it would otherwise be the same request.

That a crashed server is looked for only by a refused connection is as before.

--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -74,6 +74,7 @@
 
     __slots__ = (
         "_admitted",
+        "_context",
         "_exchange",
         "_first_chunk",
         "_observer",
@@ -99,6 +100,7 @@
     ) -> None:
         """Creates an attempt without opening a connection."""
         self._services = services
+        self._context = context
         self._request = context.request
         self._admitted = context.admitted
         self._writer = context.writer
@@ -175,8 +177,14 @@
         return is_stream and succeeded and details.is_stream
 
     @property
-    def has_only_started(self) -> bool:
-        """Whether the response started, but not even one event arrived."""
+    def may_have_crashed(self) -> bool:
+        """Whether this attempt can be the one that ended its server.
+
+        An engine begins a response when the request begins to run, and a
+        request with events has run for a while. A plain server shows neither.
+        """
+        if self._admitted.route.kind is not model.RequestKind.STREAM:
+            return True
         return self.response_started_s is not None and not self.event_count
 
     def close(self) -> None:
@@ -301,6 +309,7 @@
         exchange = self._exchange
         assert exchange is not None
         response = await self._read_body()
+        self._record_production()
         if self._state.response_started:
             raise AttemptFailedError(
                 decisions.AttemptOutcome.FAILED, "response is not a stream"
@@ -381,10 +390,12 @@
             self._observer.record_event()
 
     def _record_production(self) -> None:
-        """Records that the prompt does not crash its engine."""
-        self._services.quarantine.record_response(
-            self.server.pool, self._request.details.shared_part_ids
-        )
+        """Records that the request does not crash its server."""
+        requests = self._services.quarantine
+        if requests.has_reports(self.server.pool):
+            requests.record_response(
+                self.server.pool, self._context.describe_content()
+            )
 
     def _find_event_timeout_s(self) -> float | None:
         """Returns the time left for the next event of a resumable stream.
--- a/src/dragonflydyke/forwarding/contexts.py
+++ b/src/dragonflydyke/forwarding/contexts.py
@@ -119,7 +119,7 @@
     rollout_controller: controller.RolloutController
     selector: selection.ServerSelector
     planner: planner.EscalationPlanner
-    quarantine: quarantine.PromptQuarantine
+    quarantine: quarantine.RequestQuarantine
     crash_reporter: crash_reports.CrashReporter
     server_limits: server_limits.ServerLimits
     counters: metrics.Counters
@@ -144,7 +144,10 @@
     retry_budget: retries.RetryBudget
     state: RequestState
 
-    def compute_fingerprint(self) -> str:
-        """Returns what this request shares with its repetition."""
+    def describe_content(self) -> quarantine.RequestContent:
+        """Returns what this request has in common with others."""
         account = self.admitted.account
-        return self.request.compute_fingerprint(account.name if account else "")
+        return quarantine.RequestContent(
+            self.request.compute_fingerprint(account.name if account else ""),
+            self.request.details.shared_part_ids,
+        )
--- a/src/dragonflydyke/forwarding/crash_reports.py
+++ b/src/dragonflydyke/forwarding/crash_reports.py
@@ -1,4 +1,4 @@
-"""Confirms crashes of engines and shares the reports through the store."""
+"""Confirms crashes of servers and shares the reports through the store."""
 
 import asyncio
 import random
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from dragonflydyke import errors, logs, metrics
-from dragonflydyke.forwarding import directory, messages, quarantine
+from dragonflydyke.forwarding import directory, quarantine
 
 # A VM whose process ended refuses a connection within a round trip.
 _CONFIRMATION_TIMEOUT_S = 0.2
@@ -41,7 +41,7 @@
 
 
 class CrashReporter:
-    """Reports requests that crash engines, to this node and to all others."""
+    """Reports requests that crash servers, to this node and to all others."""
 
     __slots__ = (
         "_counters",
@@ -55,7 +55,7 @@
 
     def __init__(
         self,
-        prompts: quarantine.PromptQuarantine,
+        requests: quarantine.RequestQuarantine,
         store: CrashStore,
         counters: metrics.Counters,
         source: random.Random,
@@ -64,14 +64,14 @@
         """Creates a reporter without reports.
 
         Args:
-            prompts: Quarantine that the reports lead to.
+            requests: Quarantine that the reports lead to.
             store: Stores the reports.
             counters: Receives `crash.<outcome>`.
             source: Random source that spreads the writes of the nodes.
             is_store_available: Returns whether the last read of the store
                 succeeded.
         """
-        self._quarantine = prompts
+        self._quarantine = requests
         self._store = store
         self._counters = counters
         self._random = source
@@ -80,33 +80,36 @@
         self._wake = asyncio.Event()
 
     async def report(
-        self, server: directory.ServerEntry, details: messages.RequestDetails
+        self,
+        server: directory.ServerEntry,
+        request_id: str,
+        content: quarantine.RequestContent,
     ) -> None:
-        """Reports a request if the engine that lost its response has ended.
+        """Reports a request if the server that lost its response has ended.
 
         Args:
-            server: The engine.
-            details: Details of a request whose response had started without
-                an event when it was lost.
+            server: The server.
+            request_id: Id of a request that may have ended it.
+            content: What the request has in common with others.
         """
-        parts = details.shared_part_ids
-        if not parts or not await _has_ended(server):
+        if not await _has_ended(server):
             return
         report = quarantine.CrashReport(
             server.pool,
-            details.request_id,
+            request_id,
             server.name,
             server.started_ms,
-            parts,
+            content,
         )
         self._counters.increment("crash.reported")
         _LOGGER.warning(
-            "engine crashed under a request",
-            request=details.request_id,
+            "server crashed under a request",
+            request=request_id,
             pool=server.pool,
             server=server.name,
             server_started_ms=server.started_ms,
-            parts=sorted(parts),
+            parts=sorted(content.parts),
+            fingerprint=content.fingerprint,
         )
         self._quarantine.add(report, asyncio.get_running_loop().time())
         self._wake.set()
@@ -150,11 +153,15 @@
         ):
             await self._store.remove_crash(report)
             self._quarantine.discard(report)
-            _LOGGER.notice("quarantine ended", parts=sorted(report.parts))
+            _LOGGER.notice(
+                "quarantine ended",
+                parts=sorted(report.content.parts),
+                fingerprint=report.content.fingerprint,
+            )
 
 
 async def _has_ended(server: directory.ServerEntry) -> bool:
-    """Returns whether the address of an engine refuses connections."""
+    """Returns whether the address of a server refuses connections."""
     host, _, port = server.address.rpartition(":")
     try:
         async with asyncio.timeout(_CONFIRMATION_TIMEOUT_S):
@@ -163,7 +170,7 @@
         return True
     except (TimeoutError, OSError) as error:
         _LOGGER.info(
-            "engine neither accepts nor refuses connections",
+            "server neither accepts nor refuses connections",
             server=server.name,
             error=repr(error),
         )
--- a/src/dragonflydyke/forwarding/decisions.py
+++ b/src/dragonflydyke/forwarding/decisions.py
@@ -168,13 +168,15 @@
     LOW_CONFIDENCE means that a response was discarded in favour of the largest
     model, FIRST_EVENT_TIMEOUT that a stream did not start while there was still
     time to try another server. QUARANTINED means that no attempt was made, as
-    the prompt crashes engines, LIMITED that none was made, as the servers limit
-    the requests that they accept.
+    the prompt crashes engines, REPETITION_QUARANTINED the same for a request
+    that crashed servers when it came before, LIMITED that none was made, as the
+    servers limit the requests that they accept.
     """
 
     DELIVERED = "delivered"
     NO_SERVER = "no_server"
     QUARANTINED = "quarantined"
+    REPETITION_QUARANTINED = "repetition_quarantined"
     LIMITED = "limited"
     NOT_RUN = "not_run"
     FAILED = "failed"
@@ -215,6 +217,7 @@
     AttemptOutcome.DEADLINE_EXCEEDED,
     AttemptOutcome.NO_SERVER,
     AttemptOutcome.QUARANTINED,
+    AttemptOutcome.REPETITION_QUARANTINED,
     AttemptOutcome.LIMITED,
 )
 # Limits the attempts of a request that every server rejects; more dispatches
@@ -303,6 +306,17 @@
             step=errors.Step.ROUTE,
             retry_after_s=quarantine.QUARANTINE_S,
         )
+    if (
+        outcome is AttemptOutcome.REPETITION_QUARANTINED
+        and not progress.may_have_run
+    ):
+        return build_rejection(
+            "request_quarantined",
+            "the same request crashed servers before",
+            _UNAVAILABLE,
+            step=errors.Step.ROUTE,
+            retry_after_s=quarantine.QUARANTINE_S,
+        )
     if outcome is AttemptOutcome.LIMITED and not progress.may_have_run:
         return build_rejection(
             "servers_limited",
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -210,7 +210,7 @@
             self._is_store_available,
             lambda: self._limits.position.nodes,
         )
-        self._quarantine = quarantine.PromptQuarantine()
+        self._quarantine = quarantine.RequestQuarantine()
         self._crash_reporter = crash_reports.CrashReporter(
             self._quarantine,
             store,
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -137,8 +137,9 @@
 
     async def _attempt(self) -> decisions.AttemptOutcome:
         """Makes one attempt and returns its outcome."""
-        if self._is_quarantined():
-            return decisions.AttemptOutcome.QUARANTINED
+        quarantined = self._find_quarantine()
+        if quarantined is not None:
+            return quarantined
         if not await self._await_slot():
             return decisions.AttemptOutcome.LIMITED
         servers = self._list_servers()
@@ -169,9 +170,11 @@
         finally:
             attempt.close()
             self._record_attempt(attempt, outcome, reason, servers)
-        if reason == failures.CONNECTION_LOST and attempt.has_only_started:
+        if reason == failures.CONNECTION_LOST and attempt.may_have_crashed:
             await self._services.crash_reporter.report(
-                attempt.server, self._context.request.details
+                attempt.server,
+                self._context.request.details.request_id,
+                self._context.describe_content(),
             )
         return outcome
 
@@ -199,20 +202,30 @@
                 return False
             await asyncio.sleep(max(delay_s, _MIN_SLOT_DELAY_S))
 
-    def _is_quarantined(self) -> bool:
-        details = self._context.request.details
-        found = self._services.quarantine.find_combination(
-            self._admitted.pool.name, details.shared_part_ids
-        )
-        if found is None:
-            return False
+    def _find_quarantine(self) -> decisions.AttemptOutcome | None:
+        """Returns why the request must not be sent to any server, or None."""
+        requests = self._services.quarantine
+        pool = self._admitted.pool.name
+        if not requests.has_reports(pool):
+            return None
+        content = self._context.describe_content()
+        if requests.excludes_repetition(pool, content.fingerprint):
+            self._services.counters.increment("crash.request_rejected")
+            self._log_quarantine(fingerprint=content.fingerprint)
+            return decisions.AttemptOutcome.REPETITION_QUARANTINED
+        parts = requests.find_combination(pool, content.parts)
+        if parts is None:
+            return None
         self._services.counters.increment("crash.prompt_rejected")
+        self._log_quarantine(parts=sorted(parts))
+        return decisions.AttemptOutcome.QUARANTINED
+
+    def _log_quarantine(self, **cause: object) -> None:
         _LOGGER.info(
-            "prompt is in quarantine",
-            request=details.request_id,
-            parts=sorted(found),
+            "request is in quarantine",
+            request=self._context.request.details.request_id,
+            **cause,
         )
-        return True
 
     async def _run_attempt(self, attempt: attempts.Attempt) -> None:
         """Sends the request, and delivers the response if it is good enough."""
@@ -431,7 +444,7 @@
             if started_s is not None
             else None,
             shared_parts=[part.part_id for part in details.shared_parts],
-            fingerprint=self._context.compute_fingerprint(),
+            fingerprint=self._context.describe_content().fingerprint,
         )
 
     def _was_server_stopped(
--- a/src/dragonflydyke/platform/records.py
+++ b/src/dragonflydyke/platform/records.py
@@ -210,7 +210,11 @@
         request_id=_require_text(spec["request"]),
         server=_require_text(spec["server"]),
         started_ms=int(_require_number(spec["startedMs"])),
-        parts=frozenset(_require_text(part) for part in spec["parts"]),
+        content=quarantine.RequestContent(
+            # Earlier versions of this program wrote no fingerprint.
+            spec.get("fingerprint", ""),
+            frozenset(_require_text(part) for part in spec["parts"]),
+        ),
     )
 
 
@@ -221,7 +225,8 @@
         "request": report.request_id,
         "server": report.server,
         "startedMs": report.started_ms,
-        "parts": sorted(report.parts),
+        "parts": sorted(report.content.parts),
+        "fingerprint": report.content.fingerprint,
     }
 
 
--- a/tests/builders/forwarding.py
+++ b/tests/builders/forwarding.py
@@ -324,7 +324,7 @@
             rollouts.ExposureLimit(EXPOSURE_SHARE),
         )
         self.crash_store = shared_objects.RecordingCrashStore()
-        self.quarantine = quarantine.PromptQuarantine()
+        self.quarantine = quarantine.RequestQuarantine()
         self.crash_reporter = crash_reports.CrashReporter(
             self.quarantine, self.crash_store, self.counters, source
         )
--- a/tests/builders/shared_objects.py
+++ b/tests/builders/shared_objects.py
@@ -154,14 +154,23 @@
 
 
 def build_crash_report(
-    *parts: str, server: str = "a", request_id: str = "r1"
+    *parts: str,
+    server: str = "a",
+    request_id: str = "r1",
+    fingerprint: str = "",
 ) -> quarantine.CrashReport:
     """Returns a report on a crash of an engine of pool `engines`."""
     return quarantine.CrashReport(
-        "engines", request_id, server, 1, frozenset(parts)
+        "engines", request_id, server, 1, build_content(*parts, fingerprint)
     )
 
 
+def build_content(*names: str) -> quarantine.RequestContent:
+    """Returns the content of a request; the last name is its fingerprint."""
+    *parts, fingerprint = names
+    return quarantine.RequestContent(fingerprint, frozenset(parts))
+
+
 class ListedNodes:
     """A store of the entries of the nodes.
 
--- a/tests/test_forwarding_quarantine.py
+++ b/tests/test_forwarding_quarantine.py
@@ -1,11 +1,12 @@
-"""Tests of the quarantine of prompts that crash engines."""
+"""Tests of the quarantine of requests that crash servers."""
 
 import asyncio
+import dataclasses
 import random
 import unittest
 
 from dragonflydyke import metrics
-from dragonflydyke.forwarding import crash_reports, quarantine
+from dragonflydyke.forwarding import crash_reports, model, quarantine
 from tests.builders import (
     forwarding,
     shared_objects,
@@ -28,25 +29,25 @@
     """Guards against too many crashes, and against rejected sound prompts."""
 
     def setUp(self) -> None:
-        self.prompts = quarantine.PromptQuarantine()
+        self.requests = quarantine.RequestQuarantine()
 
     def add(self, *parts: str, server: str, request_id: str = "r1") -> None:
         """Adds a report."""
         report = shared_objects.build_crash_report(
             *parts, server=server, request_id=request_id
         )
-        self.prompts.add(report, 0.0)
+        self.requests.add(report, 0.0)
 
     def is_rejected(self, *parts: str) -> bool:
         """Returns whether a prompt is rejected."""
-        return self.prompts.find_combination(_POOL, parts) is not None
+        return self.requests.find_combination(_POOL, parts) is not None
 
     def test_two_crashed_engines_put_a_prompt_in_quarantine(self) -> None:
         self.add("aaa", "bbb", server="a")
         self.assertFalse(self.is_rejected("aaa", "bbb"))
         self.add("aaa", "bbb", server="b")
         self.assertTrue(self.is_rejected("aaa", "bbb"))
-        self.assertIsNone(self.prompts.find_combination("other", ["aaa"]))
+        self.assertIsNone(self.requests.find_combination("other", ["aaa"]))
 
     def test_sound_prompts_with_some_of_the_parts_are_served(self) -> None:
         """A sound route was blocked by the first part of its prompts."""
@@ -69,9 +70,13 @@
     def test_part_of_a_later_response_is_not_the_cause(self) -> None:
         """Requests that share only a common first part looked alike."""
         self.add("aaa", "bbb", server="a")
-        self.prompts.record_response(_POOL, ["aaa", "ddd"])
+        self.requests.record_response(
+            _POOL, shared_objects.build_content("aaa", "ddd", "")
+        )
         self.add("aaa", "ccc", server="b", request_id="r2")
-        self.prompts.record_response(_POOL, ["aaa"])
+        self.requests.record_response(
+            _POOL, shared_objects.build_content("aaa", "")
+        )
         self.assertFalse(self.is_rejected("aaa", "ddd"))
         self.add("eee", "bbb", server="c", request_id="r3")
         self.assertTrue(self.is_rejected("fff", "bbb"))
@@ -80,33 +85,93 @@
         """Every node lost its own engines before all rejected the prompt."""
         self.add("aaa", "bbb", server="a")
         other = shared_objects.build_crash_report("aaa", "bbb", server="b")
-        self.prompts.replace_stored([other], 0.0, _VERSION)
+        self.requests.replace_stored([other], 0.0, _VERSION)
         self.assertTrue(self.is_rejected("aaa", "bbb"))
         # The report of this node is not stored yet and must not get lost.
-        self.prompts.replace_stored([], 0.0, _VERSION)
+        self.requests.replace_stored([], 0.0, _VERSION)
         self.add("aaa", "bbb", server="c")
         self.assertTrue(self.is_rejected("aaa", "bbb"))
 
     def test_quarantine_ends(self) -> None:
         self.add("aaa", "bbb", server="a")
         self.assertEqual(
-            self.prompts.list_expired(quarantine.QUARANTINE_S - 1.0), []
+            self.requests.list_expired(quarantine.QUARANTINE_S - 1.0), []
         )
-        (expired,) = self.prompts.list_expired(quarantine.QUARANTINE_S)
-        self.prompts.discard(expired)
+        (expired,) = self.requests.list_expired(quarantine.QUARANTINE_S)
+        self.requests.discard(expired)
         self.add("aaa", "bbb", server="b")
         self.assertFalse(self.is_rejected("aaa", "bbb"))
 
 
+class RepeatedRequestTest(unittest.TestCase):
+    """Guards against a request that crashes servers whenever it comes again."""
+
+    def setUp(self) -> None:
+        self.requests = quarantine.RequestQuarantine()
+
+    def add(self, fingerprint: str, *, server: str) -> None:
+        """Adds a report on a request without a prompt."""
+        report = shared_objects.build_crash_report(
+            server=server,
+            request_id=f"{server}-{fingerprint}",
+            fingerprint=fingerprint,
+        )
+        self.requests.add(report, 0.0)
+
+    def is_rejected(self, fingerprint: str) -> bool:
+        """Returns whether a request is rejected."""
+        return self.requests.excludes_repetition(_POOL, fingerprint)
+
+    def test_second_crash_excludes_the_request(self) -> None:
+        self.add("deadly", server="a")
+        self.assertFalse(self.is_rejected("deadly"))
+        self.add("deadly", server="b")
+        self.assertTrue(self.is_rejected("deadly"))
+        self.assertFalse(self.requests.excludes_repetition("other", "deadly"))
+
+    def test_requests_beside_it_are_served(self) -> None:
+        """A lookup that ran beside it twice crashed no server."""
+        for server in "abc":
+            self.add("deadly", server=server)
+        for server in "ab":
+            self.add("lookup", server=server)
+        self.assertTrue(self.is_rejected("deadly"))
+        self.assertFalse(self.is_rejected("lookup"))
+
+    def test_request_with_a_later_response_is_served(self) -> None:
+        self.add("lookup", server="a")
+        self.add("lookup", server="b")
+        self.requests.record_response(
+            _POOL, shared_objects.build_content("lookup")
+        )
+        self.assertFalse(self.is_rejected("lookup"))
+
+    def test_one_crash_of_several_repetitions_counts_once(self) -> None:
+        for request_id in ("r1", "r2"):
+            self.requests.add(
+                shared_objects.build_crash_report(
+                    request_id=request_id, fingerprint="deadly"
+                ),
+                0.0,
+            )
+        self.assertFalse(self.is_rejected("deadly"))
+
+    def test_reports_without_a_fingerprint_exclude_nothing(self) -> None:
+        """Nodes of an earlier version do not write it."""
+        self.add("", server="a")
+        self.add("", server="b")
+        self.assertFalse(self.is_rejected(""))
+
+
 class CrashReporterTest(virtual_loop.VirtualTimeTestCase):
     """Guards against reports that do not reach the store, or never leave it."""
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        self.prompts = quarantine.PromptQuarantine()
+        self.requests = quarantine.RequestQuarantine()
         self.store = shared_objects.RecordingCrashStore()
         self.reporter = crash_reports.CrashReporter(
-            self.prompts, self.store, metrics.Counters(), random.Random(3)
+            self.requests, self.store, metrics.Counters(), random.Random(3)
         )
         task = asyncio.create_task(self.reporter.run())
         self.addCleanup(task.cancel)
@@ -114,7 +179,7 @@
     async def test_expired_reports_are_removed(self) -> None:
         report = shared_objects.build_crash_report("aaa")
         await self.store.write_crash(report)
-        self.prompts.replace_stored(
+        self.requests.replace_stored(
             [report], self.loop.time(), self.store.version
         )
         await self.loop.advance(quarantine.QUARANTINE_S - 1.0, step_s=1.0)
@@ -134,7 +199,7 @@
         self.store.restore()
         self.list_reports()
         parts = ["aaa", "bbb"]
-        self.assertIsNotNone(self.prompts.find_combination(_POOL, parts))
+        self.assertIsNotNone(self.requests.find_combination(_POOL, parts))
         await self.loop.advance(2.0)
         self.assertEqual(
             set(self.store.reports), {report.name for report in reports}
@@ -143,11 +208,11 @@
         self.list_reports()
         self.store.reports.clear()
         self.list_reports()
-        self.assertIsNone(self.prompts.find_combination(_POOL, parts))
+        self.assertIsNone(self.requests.find_combination(_POOL, parts))
 
     def list_reports(self) -> None:
         """Gives the quarantine what the store lists."""
-        self.prompts.replace_stored(
+        self.requests.replace_stored(
             self.store.reports.values(), self.loop.time(), self.store.version
         )
 
@@ -211,7 +276,7 @@
             self.assertEqual(response.status, 503)
             self.assertIn("Retry-After", response.headers)
         self.assertEqual(len(self.crashed), 2)
-        response = await self.fetch(Prompt_Prefix=_SOUND)
+        response = await self.fetch(Prompt_Prefix=_SOUND, body=b"sound")
         self.assertEqual((response.status, response.is_complete), (200, True))
 
     async def test_crashes_are_shared_with_other_nodes(self) -> None:
@@ -219,7 +284,7 @@
         await skipping_loop.wait_until(
             lambda: len(self.crash_store.reports) > 1
         )
-        other = quarantine.PromptQuarantine()
+        other = quarantine.RequestQuarantine()
         other.replace_stored(
             self.crash_store.reports.values(), 0.0, self.crash_store.version
         )
@@ -262,3 +327,92 @@
         parts = ["aaa", _DEADLY_PART]
         self.assertIsNone(self.quarantine.find_combination(_POOL, parts))
         self.assertEqual(self.crash_store.reports, {})
+
+
+class CrashingCallTest(forwarding.ForwardingTestCase):
+    """Replays calls without a prompt of which one ends every server.
+
+    The server ends in the middle of the work, without any response, and other
+    calls that run there are interrupted.
+    """
+
+    _DEADLY_BODY = b"deadly"
+
+    async def asyncSetUp(self) -> None:
+        """Starts five plain servers and the reporter."""
+        await super().asyncSetUp()
+        self.route = forwarding.build_route(
+            kind=model.RequestKind.IDEMPOTENT,
+            resumable=False,
+            pools=(model.PoolShare("plain", 1.0),),
+        )
+        self.forwarder.policy = forwarding.build_policy(self.route)
+        self.crashed: list[str] = []
+        for name in "abcde":
+            await self.start_plain_server(name)
+        task = asyncio.create_task(self.crash_reporter.run())
+        self.addCleanup(task.cancel)
+
+    async def start_plain_server(self, name: str) -> None:
+        """Starts a server that ends under the deadly call."""
+
+        async def run(request, writer) -> None:
+            if request.body == self._DEADLY_BODY:
+                await self.servers[name].stop()
+                self.crashed.append(name)
+                forwarding.reset(writer)
+                return
+            forwarding.write_response(request, writer, b"done")
+            await writer.drain()
+
+        await self.start_server(name, run, pool="plain")
+
+    async def test_call_that_crashes_servers_is_sent_to_two_of_them(
+        self,
+    ) -> None:
+        """Each repetition took as many servers down as it had attempts."""
+        response = await self.fetch(body=self._DEADLY_BODY)
+        # The call may have run.
+        self.assertEqual(response.status, 502)
+        for number in range(3):
+            response = await self.fetch(
+                body=self._DEADLY_BODY, Attempt_Id=f"again{number}"
+            )
+            self.assertEqual(response.status, 503)
+            self.assertIn("Retry-After", response.headers)
+        self.assertEqual(len(self.crashed), 2)
+        response = await self.fetch(body=b"sound")
+        self.assertEqual((response.status, response.body), (200, b"done"))
+
+    async def test_call_that_may_run_once_is_sent_to_two_servers(self) -> None:
+        """It has one attempt, but comes again as another request."""
+        self.forwarder.policy = forwarding.build_policy(
+            dataclasses.replace(
+                self.route, kind=model.RequestKind.NON_IDEMPOTENT
+            )
+        )
+        statuses = []
+        for number in range(4):
+            response = await self.fetch(
+                body=self._DEADLY_BODY, Attempt_Id=f"r{number}"
+            )
+            statuses.append(response.status)
+        self.assertEqual(statuses, [502, 502, 503, 503])
+        self.assertEqual(len(self.crashed), 2)
+
+    async def test_crashes_under_a_call_are_shared_with_other_nodes(
+        self,
+    ) -> None:
+        """Each node lost servers of its own before all rejected the call."""
+        await self.fetch(body=self._DEADLY_BODY)
+        await skipping_loop.wait_until(
+            lambda: len(self.crash_store.reports) > 1
+        )
+        other = quarantine.RequestQuarantine()
+        other.replace_stored(
+            self.crash_store.reports.values(), 0.0, self.crash_store.version
+        )
+        (report, *_) = self.crash_store.reports.values()
+        self.assertTrue(
+            other.excludes_repetition("plain", report.content.fingerprint)
+        )
