Read the list of servers beside odd entries of other writers

Callers saw: after another writer had left one odd entry, a node that read the list kept the servers of before for good, or used an entry with an impossible port.

Cause: a response was parsed as a whole (nesting that is too deep and numbers of thousands of digits raise there), objects without metadata and infinite numbers raised errors that the decoder did not expect, and the task that follows a kind ended at an error that is not the project's own. Ports, slots, hosts and names were taken as they were.

Fix: documents are parsed with limits that replace the odd value only, each object is decoded by itself, fields are checked for their range, and an activity of a node that fails unexpectedly is logged and started again.

--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -26,6 +26,7 @@
     selection,
     server,
     server_limits,
+    supervision,
 )
 from dragonflydyke.objects import model as objects
 from dragonflydyke.objects import replicas, watchers
@@ -306,10 +307,14 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._start_shutdown)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
-        tasks = [loop.create_task(w.run()) for w in self._watchers]
-        tasks.append(loop.create_task(self._rollout_controller.run()))
-        tasks.append(loop.create_task(self._crash_reporter.run()))
-        tasks.append(loop.create_task(self._registry.run()))
+        activities = [watcher.run for watcher in self._watchers]
+        activities.append(self._rollout_controller.run)
+        activities.append(self._crash_reporter.run)
+        activities.append(self._registry.run)
+        tasks = [
+            loop.create_task(supervision.keep_running(run, self._counters))
+            for run in activities
+        ]
         self._server.listen(self._settings.front)
         _serve_text(self._settings.ready, self._describe_readiness)
         _serve_text(self._settings.metrics, self._describe_metrics)
--- a/src/dragonflydyke/objects/store_http.py
+++ b/src/dragonflydyke/objects/store_http.py
@@ -12,6 +12,7 @@
 _MAX_BODY_BYTES = 8_000_000
 _UNAVAILABLE = 503
 _MAX_SILENCE_S = 2.0
+_MAX_ERA_DIGITS = 18
 
 _LOGGER = logs.get_logger("store")
 
@@ -148,7 +149,8 @@
     def find_era(self, response: httpclient.HTTPResponse) -> int:
         """Returns the era that a response states, 0 without one."""
         text = response.headers.get(self._era_header, "")
-        return int(text) if text.isdecimal() else 0
+        is_number = text.isascii() and text.isdigit()
+        return int(text) if is_number and len(text) <= _MAX_ERA_DIGITS else 0
 
     def check_era(self, kind: str, name: str, version: int) -> None:
         """Checks that the condition of a write can still hold.
--- a/src/dragonflydyke/objects/watchers.py
+++ b/src/dragonflydyke/objects/watchers.py
@@ -278,7 +278,12 @@
         return round(now_s - self.confirmed_s, 2)
 
     async def run(self) -> None:
-        """Follows the kind until cancelled."""
+        """Follows the kind until cancelled.
+
+        May be called again after an error of the listener; the kind is then
+        listed again.
+        """
+        self._version = None
         while True:
             try:
                 await self._step()
--- a/src/dragonflydyke/platform/records.py
+++ b/src/dragonflydyke/platform/records.py
@@ -1,5 +1,8 @@
 """Decodes and encodes the objects of the platform's store."""
 
+import ipaddress
+import re
+import reprlib
 from collections.abc import Iterable
 from typing import Any
 
@@ -43,6 +46,24 @@
     "streaming": model.RequestKind.STREAM,
 }
 
+# Errors that an object of another writer can lead to.
+DECODING_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+# Integers up to this number are exact in JSON documents of all writers.
+_MAX_NUMBER = 2**53
+_MAX_PORT = 65_535
+_MAX_SLOTS = 100_000
+# Number of undecodable objects that are not logged again.
+_MAX_UNREADABLE = 1_024
+# Characters that a header can carry.
+_TOKEN_PATTERN = re.compile(r"[!-~]+")
+
 _LOGGER = logs.get_logger("store")
 
 
@@ -87,10 +108,12 @@
     def _read(self, entry: objects.StoredObject, read: Any) -> Any:
         try:
             return read(entry)
-        except (AttributeError, KeyError, TypeError, ValueError) as error:
+        except DECODING_ERRORS as error:
             # Logs each version of an entry once, as watches repeat entries.
             if self._unreadable.get(entry.name) != entry.version:
                 self._unreadable[entry.name] = entry.version
+                if len(self._unreadable) > _MAX_UNREADABLE:
+                    del self._unreadable[next(iter(self._unreadable))]
                 _LOGGER.warning(
                     "stored object cannot be decoded",
                     kind=entry.kind,
@@ -102,16 +125,18 @@
 
 def _read_server(entry: objects.StoredObject) -> directory.ServerEntry:
     spec = entry.value
-    host, _, port = _require_text(spec["address"]).rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"address {spec['address']!r}")
-    _require_number(spec["sequence"])
-    _require_number(spec["coldRemainingMs"])
+    address = _read_address(spec["address"])
+    if not _TOKEN_PATTERN.fullmatch(entry.name):
+        raise ValueError(f"name {reprlib.repr(entry.name)}")
+    require_number(spec["sequence"])
+    require_number(spec["coldRemainingMs"])
     models = spec.get("models", [])
-    if not isinstance(models, list):
-        raise TypeError("field models is not a list")
-    version = _require_text(spec["version"])
-    pool = _require_text(spec["service"])
+    if not isinstance(models, list) or not all(
+        isinstance(served, dict) for served in models
+    ):
+        raise TypeError("field models is not a list of models")
+    version = require_text(spec["version"])
+    pool = require_text(spec["service"])
     return directory.ServerEntry(
         backend=configuration.BackendServer(
             name=entry.name,
@@ -120,25 +145,38 @@
                 if models
                 else configuration.ServerKind.SERVICE
             ),
-            url=f"http://{host}:{port}",
-            data_centre=_require_text(spec["zone"]),
+            url=f"http://{address}",
+            data_centre=require_text(spec["zone"]),
             serves=(f"{pool}@{version}",),
-            slots=int(_require_number(spec["slots"])),
+            slots=_read_whole_number(spec["slots"], 1, _MAX_SLOTS),
             state=_STATES[spec["state"]],
         ),
         pool=pool,
         version=version,
-        started_ms=int(_require_number(spec.get("born", 0))),
+        started_ms=_read_whole_number(spec.get("born", 0), 0, _MAX_NUMBER),
     )
 
 
+def _read_address(value: Any) -> str:
+    """Returns `host:port`, where the host is an IP address."""
+    host, _, port = require_text(value).rpartition(":")
+    if host.startswith("[") and host.endswith("]"):
+        ipaddress.IPv6Address(host[1:-1])
+    else:
+        ipaddress.IPv4Address(host)
+    if not port.isascii() or not port.isdigit():
+        raise ValueError(f"port {reprlib.repr(port)}")
+    _read_whole_number(int(port), 1, _MAX_PORT)
+    return f"{host}:{int(port)}"
+
+
 def read_rollout(entry: objects.StoredObject) -> controller.StoredRollout:
     """Returns a rollout; raises KeyError, TypeError or ValueError."""
     spec = entry.value
     order = rollouts.Order(
-        pool=_require_text(spec["service"]),
-        version=_require_text(spec["target"]),
-        duration_s=float(_require_number(spec["rampS"])),
+        pool=require_text(spec["service"]),
+        version=require_text(spec["target"]),
+        duration_s=float(require_number(spec["rampS"])),
     )
     status = entry.status
     progress = _read_progress(status) if status else None
@@ -160,7 +198,7 @@
         version=status["target"],
         stage=stage,
         canary_share=float(
-            _require_number(router_status.get("canaryShare", 0.0))
+            require_number(router_status.get("canaryShare", 0.0))
         ),
         evidence={
             vm: {
@@ -206,18 +244,22 @@
 def _read_crash(entry: objects.StoredObject) -> quarantine.CrashReport:
     spec = entry.value
     return quarantine.CrashReport(
-        pool=_require_text(spec["pool"]),
-        request_id=_require_text(spec["request"]),
-        server=_require_text(spec["server"]),
-        started_ms=int(_require_number(spec["startedMs"])),
+        pool=require_text(spec["pool"]),
+        request_id=require_text(spec["request"]),
+        server=require_text(spec["server"]),
+        started_ms=int(require_number(spec["startedMs"])),
         content=quarantine.RequestContent(
             # Earlier versions of this program wrote no fingerprint.
-            spec.get("fingerprint", ""),
-            frozenset(_require_text(part) for part in spec["parts"]),
+            _read_fingerprint(spec.get("fingerprint", "")),
+            frozenset(require_text(part) for part in spec["parts"]),
         ),
     )
 
 
+def _read_fingerprint(value: Any) -> str:
+    return require_text(value) if value != "" else ""
+
+
 def write_crash(report: quarantine.CrashReport) -> dict[str, Any]:
     """Returns the stored value of a crash report."""
     return {
@@ -231,7 +273,9 @@
 
 
 def _read_counts(counts: Any) -> rollouts.AttemptCounts:
-    attempts, failed, impaired = counts
+    attempts, failed, impaired = (
+        _read_whole_number(count, 0, _MAX_NUMBER) for count in counts
+    )
     return rollouts.AttemptCounts(attempts, failed, impaired)
 
 
@@ -243,7 +287,7 @@
     spec = entry.value
     limits = spec["limits"]
     return model.ForwardingPolicy(
-        version=int(_require_number(spec["version"])),
+        version=int(require_number(spec["version"])),
         routes=tuple(_read_route(route) for route in spec["routes"]),
         pools=tuple(_read_pool(pool) for pool in spec["services"]),
         accounts=tuple(
@@ -285,13 +329,35 @@
     return model.Pool(spec["name"], has_engines=bool(spec.get("engine")))
 
 
-def _require_text(value: Any) -> str:
+def require_text(value: Any) -> str:
+    """Returns a non-empty text without surrogates.
+
+    Raises:
+        TypeError: If the value is something else.
+        ValueError: If the text cannot be encoded.
+    """
     if not isinstance(value, str) or not value:
-        raise TypeError(f"{value!r} is not a non-empty string")
+        raise TypeError(f"{reprlib.repr(value)} is not a non-empty string")
+    value.encode()
     return value
 
 
-def _require_number(value: Any) -> float:
+def require_number(value: Any) -> float:
+    """Returns a number that is finite and not too large.
+
+    Raises:
+        TypeError: If the value is not a number.
+        ValueError: If it is not in the range.
+    """
     if isinstance(value, bool) or not isinstance(value, int | float):
-        raise TypeError(f"{value!r} is not a number")
+        raise TypeError(f"{reprlib.repr(value)} is not a number")
+    if not -_MAX_NUMBER <= value <= _MAX_NUMBER:
+        raise ValueError(f"{reprlib.repr(value)} is out of range")
     return value
+
+
+def _read_whole_number(value: Any, minimum: int, maximum: int) -> int:
+    number = int(require_number(value))
+    if not minimum <= number <= maximum:
+        raise ValueError(f"{number} is not from {minimum} to {maximum}")
+    return number
--- a/src/dragonflydyke/platform/store.py
+++ b/src/dragonflydyke/platform/store.py
@@ -6,9 +6,9 @@
 
 from tornado import httpclient
 
-from dragonflydyke import logs, metrics
+from dragonflydyke import errors, logs, metrics
 from dragonflydyke.forwarding import controller, quarantine, rollouts
-from dragonflydyke.objects import model, store_http
+from dragonflydyke.objects import documents, model, store_http
 from dragonflydyke.platform import records
 
 _PATH = "/api/objects/"
@@ -84,18 +84,18 @@
             query = f"?{parse.urlencode(parameters)}" if parameters else ""
             response = await self._read(_PATH + kind + query)
             era = self._caller.find_era(response)
-            page = json.loads(response.body)
-            items = page["items"]
-            found.extend(_decode(kind, item, era) for item in items)
+            page = self._parse_page(response, "items")
+            entries = _decode_all(kind, page["items"], era)
+            found.extend(entries)
             versions.append(model.combine_version(era, page["storeRevision"]))
-            if not page.get("more") or not items:
+            if not page.get("more") or not entries:
                 return model.ObjectList(min(versions), tuple(found))
-            parameters["after"] = items[-1]["metadata"]["name"]
+            parameters["after"] = entries[-1].name
 
     async def read_version(self, kind: str) -> int:
         """Returns the current version of the store, by reading a small kind."""
         response = await self._read(_PATH + kind)
-        revision = json.loads(response.body)["storeRevision"]
+        revision = self._parse_page(response, "items")["storeRevision"]
         return model.combine_version(self._caller.find_era(response), revision)
 
     async def watch(
@@ -128,11 +128,12 @@
         era = self._caller.find_era(response)
         if response.code == _GONE or era != model.find_era(since):
             raise model.HistoryLostError(kind, since, peer=self._caller.peer)
-        page = json.loads(response.body)
+        page = self._parse_page(response, "events")
         newest: dict[str, model.StoredObject | None] = {}
         for event in page["events"]:
-            entry = _decode(kind, event["object"], era)
-            newest[entry.name] = None if event["removed"] else entry
+            entry = _decode_or_skip(kind, event.get("object"), era)
+            if entry is not None:
+                newest[entry.name] = None if event.get("removed") else entry
         return model.ObjectChanges(
             model.combine_version(era, page["storeRevision"]),
             tuple(entry for entry in newest.values() if entry is not None),
@@ -168,12 +169,14 @@
         peer = self._caller.peer
         era = self._caller.find_era(response)
         if response.code == _CONFLICT:
-            current = _read_rollout(entry.kind, response.body, era)
+            body = documents.parse_document(response.body, peer=peer)
+            current = _read_rollout(entry.kind, body, era)
             if current is not None:
                 raise controller.RolloutChangedError(current, peer=peer)
         if response.code != _OK:
             raise model.ConflictError(entry.kind, entry.name, None, peer=peer)
-        written = _decode(entry.kind, json.loads(response.body), era)
+        body = documents.parse_document(response.body, peer=peer)
+        written = _decode(entry.kind, body, era)
         return controller.StoredRollout(written, stored.order, progress)
 
     async def write_crash(self, report: quarantine.CrashReport) -> int:
@@ -214,6 +217,27 @@
         """Removes the entry of a node; does nothing if there is none."""
         await self._remove(f"{_PATH}{records.NODE_KIND}/{_quote(name)}")
 
+    def _parse_page(
+        self, response: httpclient.HTTPResponse, items_field: str
+    ) -> dict[str, Any]:
+        """Returns a page with a list of items and the store's revision.
+
+        Raises:
+            PlatformUnavailableError: If the response is something else.
+        """
+        page = documents.parse_document(response.body, peer=self._caller.peer)
+        if (
+            not isinstance(page, dict)
+            or not isinstance(page.get(items_field), list)
+            or not isinstance(page.get("storeRevision"), int)
+        ):
+            raise model.PlatformUnavailableError(
+                f"response has no {items_field} or no revision",
+                step=errors.Step.READ_PLATFORM,
+                peer=self._caller.peer,
+            )
+        return page
+
     async def _create(self, kind: str, body: Any) -> httpclient.HTTPResponse:
         """Creates an object unless it exists, as an earlier call created it."""
         return await self._write(
@@ -257,12 +281,12 @@
 
 
 def _read_rollout(
-    kind: str, body: bytes, era: int
+    kind: str, item: Any, era: int
 ) -> controller.StoredRollout | None:
     """Returns the rollout in a response, None if it cannot be decoded."""
     try:
-        return records.read_rollout(_decode(kind, json.loads(body), era))
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        return records.read_rollout(_decode(kind, item, era))
+    except records.DECODING_ERRORS as error:
         _LOGGER.warning("stored rollout cannot be decoded", error=repr(error))
         return None
 
@@ -271,12 +295,32 @@
     return parse.quote(name, safe="")
 
 
+def _decode_all(
+    kind: str, items: list[Any], era: int
+) -> list[model.StoredObject]:
+    """Returns the objects in a list, without those that are malformed."""
+    found = (_decode_or_skip(kind, item, era) for item in items)
+    return [entry for entry in found if entry is not None]
+
+
+def _decode_or_skip(
+    kind: str, item: Any, era: int
+) -> model.StoredObject | None:
+    try:
+        return _decode(kind, item, era)
+    except records.DECODING_ERRORS as error:
+        _LOGGER.info("stored object is malformed", kind=kind, error=repr(error))
+        return None
+
+
 def _decode(kind: str, item: Any, era: int) -> model.StoredObject:
     metadata = item["metadata"]
     return model.StoredObject(
         kind=kind,
-        name=metadata["name"],
-        version=model.combine_version(era, metadata.get("rev", 0)),
+        name=records.require_text(metadata["name"]),
+        version=model.combine_version(
+            era, int(records.require_number(metadata.get("rev", 0)))
+        ),
         value=item.get("spec"),
         status=item.get("status"),
     )
--- a/tests/builders/store.py
+++ b/tests/builders/store.py
@@ -43,6 +43,8 @@
         stuck_revision: Revision at which the replicas that serve stale reads
             stay, None if they follow the store.
         replica: State that replicas serve to stale lists, None for the current.
+        raw_items: Texts of items that other writers left in each list and each
+            set of events.
         page_size: Maximum number of objects in a page of a list.
         calls: Received calls as method and path.
         open_watches: Number of watches that wait for a change.
@@ -58,6 +60,7 @@
         self.replica_lag = 0
         self.stuck_revision: int | None = None
         self.replica: StoreCopy | None = None
+        self.raw_items: list[str] = []
         self.page_size = 100
         self.calls: list[str] = []
         self.open_watches = 0
@@ -258,7 +261,12 @@
     def _reply(self, body: Any) -> None:
         self.set_header("Content-Type", "application/json")
         self._write_era()
-        self.finish(json.dumps(body))
+        text = json.dumps(body)
+        for item in self._stub.raw_items:
+            text = text.replace('"items": [', f'"items": [{item}, ', 1)
+            event = f'{{"removed": false, "object": {item}}}'
+            text = text.replace('"events": [{', f'"events": [{event}, {{', 1)
+        self.finish(text.replace(", ]", "]"))
 
 
 def start_store(stub: StoreStub) -> tuple[httpserver.HTTPServer, int]:
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,161 @@
+"""Tests of entries that other writers left among those of the servers."""
+
+import asyncio
+import random
+import unittest
+
+from dragonflydyke import metrics
+from dragonflydyke.forwarding import supervision
+from dragonflydyke.objects import documents, replicas, watchers
+from dragonflydyke.objects import model as objects
+from dragonflydyke.platform import records
+from tests.builders import skipping_loop, store, virtual_loop
+
+_DEEP = "[" * 5_000 + "]" * 5_000
+_LONG_NUMBER = "9" * 6_000
+_ODD_FIELDS = {
+    "deep service": {"service": _DEEP},
+    "deep models": {"models": _DEEP},
+    "long number of slots": {"slots": _LONG_NUMBER},
+    "long sequence": {"sequence": _LONG_NUMBER},
+    "infinite start": {"born": "1e999"},
+    "infinite slots": {"slots": "Infinity"},
+    "no number of slots": {"slots": "NaN"},
+    "negative slots": {"slots": "-3"},
+    "no slots": {"slots": "0"},
+    "enormous slots": {"slots": "900000000"},
+    "port 0": {"address": '"10.0.0.9:0"'},
+    "port out of range": {"address": '"10.0.0.9:99999"'},
+    "port in another script": {"address": '"10.0.0.9:\\u0661\\u0662"'},
+    "no host": {"address": '":80"'},
+    "broken host": {"address": '"[::1:80"'},
+    "half of a character": {"zone": '"\\ud800"'},
+    "state of another kind": {"state": "[1]"},
+}
+
+
+def _write_item(name: str, fields: dict[str, str]) -> str:
+    """Returns the text of an item; the fields are JSON texts."""
+    spec = {
+        "service": '"engines"',
+        "address": '"10.0.0.9:8080"',
+        "zone": '"north"',
+        "version": '"v1"',
+        "slots": "64",
+        "state": '"ready"',
+        "coldRemainingMs": "0",
+        "sequence": "4",
+    } | fields
+    text = ", ".join(f'"{key}": {value}' for key, value in spec.items())
+    return f'{{"metadata": {{"name": "{name}", "rev": 1}}, "spec": {{{text}}}}}'
+
+
+_MALFORMED_ITEMS = {
+    "no metadata": "{}",
+    "no object": "3",
+    "no name": '{"metadata": {"rev": 1}}',
+    "name that is no text": '{"metadata": {"name": [1], "rev": 1}}',
+    "name for no header": _write_item("odd\\nname", {}),
+    "infinite revision": '{"metadata": {"name": "odd", "rev": 1e999}}',
+    "deep metadata": f'{{"metadata": {_DEEP}}}',
+}
+
+
+class OddEntryTest(store.StoreTestCase):
+    """Guards against an odd entry that hides the others or ends a watcher."""
+
+    async def asyncSetUp(self) -> None:
+        """Stores one sound server."""
+        await super().asyncSetUp()
+        self.decoder = records.RecordDecoder()
+        await self.stub.put("servers", "sound", store.build_server_spec())
+
+    async def check_servers(self, names: set[str]) -> None:
+        """Checks which servers are read from the store."""
+        listed = await self.store.list_all(
+            "servers", consistency=objects.ReadConsistency.LINEARIZABLE
+        )
+        servers = self.decoder.read_servers(listed.objects)
+        self.assertEqual({server.name for server in servers}, names)
+
+    async def test_entries_with_odd_fields_are_left_out(self) -> None:
+        for case, fields in _ODD_FIELDS.items():
+            with self.subTest(case):
+                self.stub.raw_items = [_write_item("odd", fields)]
+                await self.check_servers({"sound"})
+
+    async def test_malformed_entries_are_left_out(self) -> None:
+        for case, item in _MALFORMED_ITEMS.items():
+            with self.subTest(case):
+                self.stub.raw_items = [item]
+                await self.check_servers({"sound"})
+
+    async def test_watcher_follows_the_others_beside_odd_entries(self) -> None:
+        names: set[str] = set()
+
+        def record(snapshot: watchers.KindSnapshot, gap: bool) -> None:
+            servers = self.decoder.read_servers(snapshot.objects.values())
+            names.clear()
+            names.update(server.name for server in servers)
+
+        self.stub.raw_items = [
+            *_MALFORMED_ITEMS.values(),
+            *(_write_item("odd", fields) for fields in _ODD_FIELDS.values()),
+        ]
+        timing = watchers.WatchTiming(3.0)
+        watcher = watchers.KindWatcher(
+            replicas.ReplicaReader(self.store, "rollouts"),
+            "servers",
+            record,
+            self.counters,
+            watchers.StoreRetryGate(
+                random.Random(3), lambda: self.store.probe("rollouts"), timing
+            ),
+            timing,
+        )
+        self.addCleanup(asyncio.create_task(watcher.run()).cancel)
+        await skipping_loop.wait_until(lambda: names == {"sound"})
+        await self.stub.put("servers", "second", store.build_server_spec())
+        await skipping_loop.wait_until(lambda: names == {"sound", "second"})
+
+    async def test_page_of_odd_entries_does_not_end_a_list(self) -> None:
+        """The name of the last entry of a page selects the next page."""
+        self.stub.page_size = 1
+        self.stub.raw_items = ["{}"]
+        await self.stub.put("servers", "third", store.build_server_spec())
+        await self.check_servers({"sound", "third"})
+
+
+class DocumentTest(unittest.TestCase):
+    """Guards against documents that end the reader of a store."""
+
+    def test_brackets_in_texts_are_no_nesting(self) -> None:
+        body = ('{"a": "[{\\"", "deep": ' + _DEEP + ', "b": [[1]]}').encode()
+        parsed = documents.parse_document(body, peer="store")
+        self.assertEqual((parsed["a"], parsed["b"]), ('[{"', [[1]]))
+
+    def test_response_that_is_not_json_is_an_error_of_the_store(self) -> None:
+        for body in (b"", b"{", b"\xff", _DEEP.encode()[:-1]):
+            with (
+                self.subTest(body[:5]),
+                self.assertRaises(objects.PlatformUnavailableError),
+            ):
+                documents.parse_document(body, peer="store")
+
+
+class SupervisionTest(virtual_loop.VirtualTimeTestCase):
+    """Guards against a node that follows nothing any more."""
+
+    async def test_activity_that_failed_is_started_again(self) -> None:
+        starts = []
+
+        async def run() -> None:
+            starts.append(self.loop.time())
+            raise ValueError("unexpected")
+
+        counters = metrics.Counters()
+        task = asyncio.create_task(supervision.keep_running(run, counters))
+        self.addCleanup(task.cancel)
+        await self.loop.advance(supervision.RESTART_DELAY_S + 0.5)
+        self.assertEqual(len(starts), 2)
+        self.assertEqual(counters.total("activity.failed"), 2)
