Read the VM list beside odd entries

Entries are decoded one by one, and documents with the limits of the store's. The new test fails on the code before (RecursionError).

--- a/src/dragonflydyke/objects/client.py
+++ b/src/dragonflydyke/objects/client.py
@@ -1,13 +1,14 @@
 """HTTP client of the platform's object API."""
 
+import dataclasses
 import json
 from typing import Any, Protocol
 from urllib import parse
 
 from tornado import httpclient
 
-from dragonflydyke import metrics
-from dragonflydyke.objects import model, store_http
+from dragonflydyke import logs, metrics
+from dragonflydyke.objects import documents, model, store_http
 
 DEFAULT_TIMEOUT_S = 1.0
 ERA_HEADER = "Object-Store-Era"
@@ -17,6 +18,8 @@
 _GONE = 410
 _TOO_LARGE = 413
 
+_LOGGER = logs.get_logger("store")
+
 
 class ObjectStore(Protocol):
     """The platform's object API, as the routers require it."""
@@ -165,7 +168,7 @@
             raise model.HistoryLostError(
                 kind, since, peer=self._store_http.peer
             )
-        body = json.loads(response.body)
+        body = self._parse_document(response)
         return model.ObjectList(
             version=model.combine_version(era, body["version"]),
             objects=tuple(
@@ -177,20 +180,13 @@
 
     async def list_vms(self) -> model.VmList:
         """Returns the platform's list of VMs."""
-        body = json.loads(
-            (await self._call(store_http.StoreMethod.GET, "/v1/vms")).body
-        )
-        vms = tuple(
-            model.ListedVm(
-                name=entry["name"],
-                data_centre=entry["data_centre"],
-                role=entry["role"],
-                inner_address=entry["inner_address"],
-                state=entry["state"],
-            )
-            for entry in body["vms"]
+        response = await self._call(store_http.StoreMethod.GET, "/v1/vms")
+        body = self._parse_document(response)
+        vms = (_parse_vm(entry) for entry in body["vms"])
+        return model.VmList(
+            as_of_ms=body["as_of_ms"],
+            vms=tuple(vm for vm in vms if vm is not None),
         )
-        return model.VmList(as_of_ms=body["as_of_ms"], vms=vms)
 
     def close(self) -> None:
         """Closes the HTTP client."""
@@ -240,12 +236,17 @@
 
     def _parse(self, response: httpclient.HTTPResponse) -> model.StoredObject:
         era = self._store_http.find_era(response)
-        return _parse_object(json.loads(response.body), era)
+        return _parse_object(self._parse_document(response), era)
+
+    def _parse_document(self, response: httpclient.HTTPResponse) -> Any:
+        return documents.parse_document(
+            response.body, peer=self._store_http.peer
+        )
 
     def _conflict(
         self, kind: str, name: str, response: httpclient.HTTPResponse
     ) -> model.ConflictError:
-        entry = json.loads(response.body)
+        entry = self._parse_document(response)
         present = self._parse(response) if entry else None
         return model.ConflictError(
             kind, name, present, peer=self._store_http.peer
@@ -265,3 +266,15 @@
         version=model.combine_version(era, entry["version"]),
         value=entry["value"],
     )
+
+
+def _parse_vm(entry: Any) -> model.ListedVm | None:
+    """Returns a VM, None if its entry is malformed."""
+    fields = {}
+    for field in dataclasses.fields(model.ListedVm):
+        value = entry.get(field.name) if isinstance(entry, dict) else None
+        if not isinstance(value, str):
+            _LOGGER.warning("VM entry is malformed", field=field.name)
+            return None
+        fields[field.name] = value
+    return model.ListedVm(**fields)
--- a/tests/test_object_client.py
+++ b/tests/test_object_client.py
@@ -44,3 +44,34 @@
         await self.server.wait_closed()
         with self.assertRaises(objects.PlatformUnavailableError):
             await self.client.create("kind", "name", {})
+
+
+class OddVmTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a VM list that one odd entry makes unreadable."""
+
+    async def test_odd_vms_are_left_out(self) -> None:
+        sound = (
+            '{"name": "a", "data_centre": "north", "role": "entry",'
+            ' "inner_address": "10.0.0.1:1", "state": "live"}'
+        )
+        deep = "[" * 5_000 + "]" * 5_000
+        vms = f'[{deep}, {{"name": 3}}, {sound}, 4]'
+        body = f'{{"as_of_ms": 1, "vms": {vms}}}'.encode()
+
+        async def respond(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            writer.write(head.encode() + body)
+            writer.close()
+
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        client = objects.ObjectClient(
+            f"http://127.0.0.1:{port}", counters=metrics.Counters()
+        )
+        self.addCleanup(client.close)
+        listed = await client.list_vms()
+        self.assertEqual([vm.name for vm in listed.vms], ["a"])
