Answer the requests that the end of a stop interrupts

Callers whose request was still at a server when the grace ended got a closed connection, which tells nothing; servers went on for them.

Cause: at the end of the wait the node closed all connections. Requests that were accepted during a stop had the time of any other request, also where the node has less, and with a short grace the node accepted them until its end.

Evidence: StopTest fails on the code before (no bytes, IncompleteReadError).

Fix: a node that stops caps the time of a request by its own, leaves at least half of the grace to requests that it has accepted, and at the end responds with 502 (node_stopped), or 503 if the request has not run.

--- a/src/dragonflydyke/forwarding/decisions.py
+++ b/src/dragonflydyke/forwarding/decisions.py
@@ -62,6 +62,7 @@
     request: messages.IncomingRequest,
     *,
     is_closing: bool = False,
+    stop_s: float | None = None,
 ) -> AdmittedRequest:
     """Admits a request under the route, pool and account that match it.
 
@@ -69,6 +70,7 @@
         policy: Configuration in force, None before the first one was read.
         request: The request.
         is_closing: Whether the node stops before a long response could finish.
+        stop_s: Loop time at which the node stops, None if it does not.
 
     Raises:
         DragonflydykeError: If the request is rejected; it has not run.
@@ -103,11 +105,12 @@
     allowed_s = route.timeout_s
     if request.details.deadline_s is not None:
         allowed_s = min(allowed_s, request.details.deadline_s)
+    deadline_s = request.received_s + allowed_s
     return AdmittedRequest(
         route=route,
         pool=pool,
         account=account,
-        deadline_s=request.received_s + allowed_s,
+        deadline_s=deadline_s if stop_s is None else min(deadline_s, stop_s),
         policy_version=current_policy.version,
     )
 
@@ -116,12 +119,7 @@
     policy: model.ForwardingPolicy | None, *, is_closing: bool
 ) -> model.ForwardingPolicy:
     if is_closing:
-        raise build_rejection(
-            "node_closing",
-            "this node is shutting down; use another node",
-            _UNAVAILABLE,
-            retry_after_s=_CLOSING_RETRY_AFTER_S,
-        )
+        raise _build_closing_rejection()
     if policy is None:
         raise build_rejection(
             "not_configured",
@@ -132,6 +130,28 @@
     return policy
 
 
+def _build_closing_rejection() -> errors.DragonflydykeError:
+    return build_rejection(
+        "node_closing",
+        "this node is shutting down; use another node",
+        _UNAVAILABLE,
+        retry_after_s=_CLOSING_RETRY_AFTER_S,
+    )
+
+
+def build_stop_failure(*, may_have_run: bool) -> errors.DragonflydykeError:
+    """Returns the error of a request that the stop of the node interrupts."""
+    if not may_have_run:
+        return _build_closing_rejection()
+    return errors.DragonflydykeError(
+        "node_stopped",
+        "the node stopped before the response; the request may have run",
+        step=errors.Step.AWAIT_ANSWER,
+        execution=errors.Execution.UNKNOWN,
+        status=_BAD_GATEWAY,
+    )
+
+
 def _find_account(
     policy: model.ForwardingPolicy,
     route: model.Route,
@@ -185,6 +205,7 @@
     LOW_CONFIDENCE = "insufficient"
     FIRST_EVENT_TIMEOUT = "slow"
     CLIENT_DISCONNECTED = "client_gone"
+    NODE_STOPPED = "node_stopped"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/dragonflydyke/forwarding/execution.py
+++ b/src/dragonflydyke/forwarding/execution.py
@@ -30,6 +30,8 @@
             last confirmed the configuration, None before it did.
         is_closing: Whether new requests are rejected, because the node stops
             before a long response could finish.
+        stop_s: Loop time at which the node stops, None if it does not. Requests
+            have no time beyond it.
         latencies: Request durations by route and outcome.
     """
 
@@ -40,6 +42,7 @@
         "is_closing",
         "latencies",
         "policy",
+        "stop_s",
     )
 
     def __init__(self, services: contexts.ForwardingServices) -> None:
@@ -47,6 +50,7 @@
         self.policy: model.ForwardingPolicy | None = None
         self.find_policy_age_s: Callable[[float], float | None] = lambda _: None
         self.is_closing = False
+        self.stop_s: float | None = None
         self.latencies = latencies.LatencyHistograms()
         self._services = services
         self._budgets: dict[str, retries.RetryBudget] = {}
@@ -54,12 +58,19 @@
     async def forward(
         self, request: messages.IncomingRequest, writer: contexts.ResponseWriter
     ) -> None:
-        """Responds to a request in all cases unless the client disconnects."""
+        """Responds to a request in all cases unless the client disconnects.
+
+        A cancellation means that the node stops now; the client learns whether
+        the request may have run.
+        """
         state = contexts.RequestState()
         outcome = "delivered"
         try:
             admitted = decisions.admit(
-                self.policy, request, is_closing=self.is_closing
+                self.policy,
+                request,
+                is_closing=self.is_closing,
+                stop_s=self.stop_s,
             )
         except errors.DragonflydykeError as error:
             self._reject(request, writer, error)
@@ -73,6 +84,12 @@
         except contexts.ClientDisconnectedError:
             outcome = "client_gone"
             writer.abort()
+        except asyncio.CancelledError:
+            error = decisions.build_stop_failure(
+                may_have_run=state.may_have_run
+            )
+            outcome = error.code
+            self._fail(request, writer, state, error)
         self._log(request, admitted, state, outcome)
 
     async def _run(
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -35,6 +35,8 @@
 # second apart, and clients then use their open connections a little longer.
 _DEREGISTRATION_S = 2.6
 _STOP_MARGIN_S = 0.5
+# The rest of the time is left to requests that were accepted late.
+_MAX_DEREGISTRATION_SHARE = 0.5
 # Time for a probe and the lists after a connection was lost.
 _RELIST_S = 0.5
 _OK = 200
@@ -351,8 +353,12 @@
 
     async def _drain(self) -> None:
         loop = asyncio.get_running_loop()
-        until_s = loop.time() + self._settings.grace_s - _STOP_MARGIN_S
-        await asyncio.sleep(_DEREGISTRATION_S)
+        time_left_s = self._settings.grace_s - _STOP_MARGIN_S
+        until_s = loop.time() + time_left_s
+        self._forwarder.stop_s = until_s
+        await asyncio.sleep(
+            min(_DEREGISTRATION_S, time_left_s * _MAX_DEREGISTRATION_SHARE)
+        )
         self._forwarder.is_closing = True
         self._server.close_idle()
         await self._server.wait_idle(until_s)
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -28,6 +28,7 @@
     (
         decisions.AttemptOutcome.CLIENT_DISCONNECTED,
         decisions.AttemptOutcome.FIRST_EVENT_TIMEOUT,
+        decisions.AttemptOutcome.NODE_STOPPED,
     )
 )
 
@@ -167,6 +168,9 @@
         except contexts.ClientDisconnectedError:
             outcome = decisions.AttemptOutcome.CLIENT_DISCONNECTED
             raise
+        except asyncio.CancelledError:
+            outcome = decisions.AttemptOutcome.NODE_STOPPED
+            raise
         finally:
             attempt.close()
             self._record_attempt(attempt, outcome, reason, servers)
--- a/src/dragonflydyke/forwarding/server.py
+++ b/src/dragonflydyke/forwarding/server.py
@@ -19,6 +19,8 @@
 # is about to reuse.
 _IDLE_TIMEOUT_S = 60.0
 _BAD_REQUEST = 400
+# Responses to interrupted requests need no answer of any other process.
+_ABORT_TIMEOUT_S = 0.2
 
 _LOGGER = logs.get_logger("server")
 
@@ -250,7 +252,15 @@
             await asyncio.wait(self._tasks, timeout=timeout_s)
 
     async def stop(self) -> None:
-        """Stops accepting connections and closes those that are open."""
+        """Ends the requests in flight and closes all connections.
+
+        Their clients get a response, unless one has already started.
+        """
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks, timeout=_ABORT_TIMEOUT_S)
         self._server.stop()
         await self._server.close_all_connections()
 
--- /dev/null
+++ b/tests/test_forwarding_stop.py
@@ -0,0 +1,52 @@
+"""Tests of requests that a planned stop of a node interrupts."""
+
+import asyncio
+
+from dragonflydyke.forwarding import decisions, model
+from tests.builders import forwarding, skipping_loop
+
+
+class StopTest(forwarding.ForwardingTestCase):
+    """Guards against requests that end without a response at a stop."""
+
+    async def asyncSetUp(self) -> None:
+        """Starts a plain server that does not respond."""
+        await super().asyncSetUp()
+        self.forwarder.policy = forwarding.build_policy(
+            forwarding.build_route(
+                kind=model.RequestKind.NON_IDEMPOTENT,
+                resumable=False,
+                pools=(model.PoolShare("plain", 1.0),),
+            )
+        )
+        self.plain = await self.start_server("a", _hang, pool="plain")
+
+    async def test_request_that_may_have_run_gets_a_response(self) -> None:
+        """Callers cannot tell a lost connection from a lost request."""
+        reader, _ = await self.send()
+        await skipping_loop.wait_until(lambda: self.plain.received)
+        await self.server.stop()
+        response = await forwarding.read_response(reader)
+        self.assertEqual((response.status, response.is_complete), (502, True))
+        self.assertEqual(response.body, b"node_stopped\n")
+        await skipping_loop.wait_until(lambda: self.plain.cancelled)
+
+    async def test_server_gets_no_more_time_than_the_node_has(self) -> None:
+        """A server would go on for a caller that gets no response."""
+        self.forwarder.stop_s = self.loop.time() + 1.0
+        await self.send()
+        await skipping_loop.wait_until(lambda: self.plain.received)
+        (request,) = self.plain.received
+        self.assertLessEqual(int(request.headers["Deadline-Ms"]), 1_000)
+
+    def test_stop_says_whether_a_request_may_have_run(self) -> None:
+        for may_have_run, status in ((True, 502), (False, 503)):
+            with self.subTest(may_have_run=may_have_run):
+                error = decisions.build_stop_failure(may_have_run=may_have_run)
+                self.assertEqual(error.status, status)
+
+
+async def _hang(
+    request: forwarding.ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    await asyncio.Event().wait()
