Honour what servers say of themselves in their responses

Callers got responses of a server that wanted none of their requests: 4 of 30 within a pause of 4 s, and a server that leaves stayed in use until the store said so.

Cause: only the limit of a server was read, and kept in a place of its own.

Now the adapter decodes limit, leaving and pause, and one component answers whether a server may get a request, and when. Leaving makes a server draining in the directory, for its process, also while the store lists it as active. After a pause requests return one in 0.1 s. A pause is no failure.

--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -70,6 +70,7 @@
         was_sent: Whether the request may have reached the server.
         response_started_s: Loop time at which its response started, or None.
         event_count: Events that it received.
+        stated_pause: Whether the server rejected it and asked for a pause.
     """
 
     __slots__ = (
@@ -89,6 +90,7 @@
         "may_have_run",
         "response_started_s",
         "server",
+        "stated_pause",
         "was_sent",
     )
 
@@ -117,6 +119,7 @@
         self.was_sent = False
         self.response_started_s: float | None = None
         self.event_count = 0
+        self.stated_pause = False
 
     async def start(self) -> messages.ResponseDetails:
         """Sends the request and waits for the start of the response.
@@ -284,9 +287,8 @@
         )
         self.response_started_s = asyncio.get_running_loop().time()
         if details.request_id == self._request.details.request_id:
-            self._services.server_limits.record_response(
-                self.server, details.server_limit_per_s
-            )
+            self._services.statements.record_response(self.server, details)
+            self.stated_pause = details.pause_s is not None
         if not details.not_run and self._observer is not None:
             self._observer.record_response_start()
         if details.not_run:
--- a/src/dragonflydyke/forwarding/contexts.py
+++ b/src/dragonflydyke/forwarding/contexts.py
@@ -17,7 +17,7 @@
     planner,
     quarantine,
     selection,
-    server_limits,
+    server_statements,
 )
 from dragonflydyke.routing import retries
 
@@ -72,6 +72,8 @@
             attempt succeeds.
         escalated: Whether the request was sent to the largest model.
         fell_back: Whether the request returned to the smallest model.
+        retry_after_s: Seconds until a server accepts a request, None if none of
+            them said so.
         attempt_history: Server, outcome and reason of each attempt, for the
             log.
     """
@@ -86,6 +88,7 @@
     server_failure: "BufferedResponse | None" = None
     escalated: bool = False
     fell_back: bool = False
+    retry_after_s: float | None = None
     attempt_history: list[str] = dataclasses.field(default_factory=list)
 
     def describe_cascade(self) -> cascade.CascadeState:
@@ -121,7 +124,7 @@
     planner: planner.EscalationPlanner
     quarantine: quarantine.RequestQuarantine
     crash_reporter: crash_reports.CrashReporter
-    server_limits: server_limits.ServerLimits
+    statements: server_statements.ServerStatements
     counters: metrics.Counters
     tcp_client: tcpclient.TCPClient
 
--- a/src/dragonflydyke/forwarding/decisions.py
+++ b/src/dragonflydyke/forwarding/decisions.py
@@ -183,7 +183,8 @@
     """Outcome of an attempt at a server.
 
     The values are log fields and counter names. NO_SERVER means that no attempt
-    was made, as the pool has no usable server. LOST means that the response was
+    was made, as the pool has no usable server, SERVERS_LEAVE the same because
+    all that it has are leaving. LOST means that the response was
     lost or not valid, FAILED that the server itself returned an error.
     LOW_CONFIDENCE means that a response was discarded in favour of the largest
     model, FIRST_EVENT_TIMEOUT that a stream did not start while there was still
@@ -195,6 +196,7 @@
 
     DELIVERED = "delivered"
     NO_SERVER = "no_server"
+    SERVERS_LEAVE = "servers_leave"
     QUARANTINED = "quarantined"
     REPETITION_QUARANTINED = "repetition_quarantined"
     LIMITED = "limited"
@@ -218,12 +220,15 @@
         dispatches: All attempts, including those at unreachable servers.
         may_have_run: Whether any of them may have run.
         remaining_s: Seconds until the deadline.
+        retry_after_s: Seconds until a server accepts a request, None if none of
+            them said so.
     """
 
     attempts: int
     dispatches: int
     may_have_run: bool
     remaining_s: float
+    retry_after_s: float | None = None
 
 
 class NextStep(enum.Enum):
@@ -237,6 +242,7 @@
 _FINAL_OUTCOMES = (
     AttemptOutcome.DEADLINE_EXCEEDED,
     AttemptOutcome.NO_SERVER,
+    AttemptOutcome.SERVERS_LEAVE,
     AttemptOutcome.QUARANTINED,
     AttemptOutcome.REPETITION_QUARANTINED,
     AttemptOutcome.LIMITED,
@@ -341,10 +347,12 @@
     if outcome is AttemptOutcome.LIMITED and not progress.may_have_run:
         return build_rejection(
             "servers_limited",
-            "all servers limit the requests that they accept",
+            "all servers limit the requests that they accept, or pause",
             _UNAVAILABLE,
             step=errors.Step.ROUTE,
-            retry_after_s=_LIMITED_RETRY_AFTER_S,
+            retry_after_s=max(
+                _LIMITED_RETRY_AFTER_S, progress.retry_after_s or 0.0
+            ),
         )
     if not progress.may_have_run:
         return build_rejection(
--- a/src/dragonflydyke/forwarding/directory.py
+++ b/src/dragonflydyke/forwarding/directory.py
@@ -1,7 +1,7 @@
 """Directory of the backend servers that the store lists."""
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from urllib import parse
 
 from dragonflydyke import logs
@@ -43,6 +43,11 @@
         """Address of the server as `host:port`."""
         return parse.urlsplit(self.backend.url).netloc
 
+    @property
+    def process(self) -> tuple[str, int]:
+        """Identity of one process of the server."""
+        return self.name, self.started_ms
+
     @property
     def is_draining(self) -> bool:
         """Whether the server accepts no new requests."""
@@ -104,6 +109,7 @@
                 )
             if name in self._unlisted_until_s:
                 listed[name] = server
+        self._forget_unidentified(listed)
         self._log_changes(listed)
         self._servers = listed
         self._index()
@@ -130,6 +136,35 @@
             return None
         return round(now_s - self.updated_s, 2)
 
+    def record_leaving(self, server: ServerEntry) -> bool:
+        """Records that a server said that it leaves; it is draining from now.
+
+        This also holds while the store still lists it as active.
+
+        Returns:
+            Whether this was not known.
+        """
+        if self.is_leaving(server):
+            return False
+        self._remember_draining(server.process)
+        _LOGGER.notice("server leaves", server=server.name)
+        listed = self._servers.get(server.name)
+        if listed is not None:
+            self._servers[server.name] = self._keep_draining(listed)
+            self._index()
+        return True
+
+    def is_leaving(self, server: ServerEntry) -> bool:
+        """Returns whether this process of a server is known to leave."""
+        return server.process in self._draining
+
+    def has_leaving(self, pool: str) -> bool:
+        """Returns whether any listed server of a pool leaves."""
+        return any(
+            server.is_draining and server.pool == pool
+            for server in self._servers.values()
+        )
+
     def list_all(self) -> tuple[ServerEntry, ...]:
         """Returns all servers, including those that accept no requests."""
         return tuple(self._servers.values())
@@ -148,19 +183,34 @@
         A server that drains stops in the end. A store that was restored from a
         copy may list it as it was before.
         """
-        process = (server.name, server.started_ms)
         if server.is_draining:
-            self._draining[process] = None
-            if len(self._draining) > _MAX_DRAINING:
-                del self._draining[next(iter(self._draining))]
+            self._remember_draining(server.process)
             return server
-        if process not in self._draining or not server.started_ms:
+        if server.process not in self._draining:
             return server
         backend = dataclasses.replace(
             server.backend, state=configuration.ServerState.LEAVING
         )
         return dataclasses.replace(server, backend=backend)
 
+    def _remember_draining(self, process: tuple[str, int]) -> None:
+        self._draining[process] = None
+        if len(self._draining) > _MAX_DRAINING:
+            del self._draining[next(iter(self._draining))]
+
+    def _forget_unidentified(self, listed: Collection[str]) -> None:
+        """Forgets servers without a start time that are not listed any more.
+
+        Another process under the same name cannot be told from such a server.
+        """
+        gone = [
+            process
+            for process in self._draining
+            if not process[1] and process[0] not in listed
+        ]
+        for process in gone:
+            del self._draining[process]
+
     def _index(self) -> None:
         found: dict[str, list[ServerEntry]] = {}
         for server in self._servers.values():
--- a/src/dragonflydyke/forwarding/messages.py
+++ b/src/dragonflydyke/forwarding/messages.py
@@ -142,6 +142,9 @@
         confidence: Confidence that the model reports, 0..1, or None.
         server_limit_per_s: Requests a second that the server accepts from all
             nodes together, None if it names no limit.
+        server_leaves: Whether the server accepts no further requests.
+        pause_s: Seconds for which the server wants no requests of this node,
+            None if it does not say so.
     """
 
     request_id: str
@@ -151,6 +154,8 @@
     has_content_encoding: bool = False
     confidence: float | None = None
     server_limit_per_s: float | None = None
+    server_leaves: bool = False
+    pause_s: float | None = None
 
 
 class HeaderCodec(Protocol):
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -26,6 +26,7 @@
     selection,
     server,
     server_limits,
+    server_statements,
     supervision,
 )
 from dragonflydyke.objects import model as objects
@@ -166,6 +167,7 @@
         "_rollout_controller",
         "_server",
         "_settings",
+        "_statements",
         "_stopped",
         "_watchers",
     )
@@ -222,6 +224,9 @@
             self._is_store_available,
         )
         self._limits = server_limits.ServerLimits()
+        self._statements = server_statements.ServerStatements(
+            self._directory, self._limits, counters
+        )
         self._registry = registry.NodeRegistry(
             values.vm,
             store,
@@ -257,7 +262,7 @@
             ),
             quarantine=self._quarantine,
             crash_reporter=self._crash_reporter,
-            server_limits=self._limits,
+            statements=self._statements,
             counters=self._counters,
             tcp_client=tcpclient.TCPClient(transport.AddressResolver()),
         )
@@ -384,7 +389,7 @@
         self._directory.update(
             servers, view.confirmed_s, after_outage=after_gap
         )
-        self._limits.retain(self._directory.list_all())
+        self._statements.retain(self._directory.list_all())
 
     def _apply_rollouts(
         self, view: watchers.KindSnapshot, after_gap: bool
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -96,6 +96,7 @@
             dispatches=self._state.dispatches,
             may_have_run=self._state.may_have_run,
             remaining_s=self._admitted.deadline_s - _now_s(),
+            retry_after_s=self._state.retry_after_s,
         )
 
     def _decide_next(
@@ -148,12 +149,8 @@
         if target is None:
             # Other requests may have used the last slots while reports of
             # engines were read.
-            return (
-                decisions.AttemptOutcome.LIMITED
-                if servers
-                else decisions.AttemptOutcome.NO_SERVER
-            )
-        self._services.server_limits.record_start(target.server)
+            return self._explain_no_target(servers)
+        self._services.statements.record_start(target.server)
         attempt = attempts.Attempt(self._services, self._context, target)
         self._state.dispatches += 1
         self._services.selector.record_start(self._profile, target.server)
@@ -182,19 +179,28 @@
             )
         return outcome
 
+    def _explain_no_target(
+        self, servers: tuple[directory.ServerEntry, ...]
+    ) -> decisions.AttemptOutcome:
+        if servers:
+            return decisions.AttemptOutcome.LIMITED
+        if self._services.directory.has_leaving(self._admitted.pool.name):
+            return decisions.AttemptOutcome.SERVERS_LEAVE
+        return decisions.AttemptOutcome.NO_SERVER
+
     async def _await_slot(self) -> bool:
-        """Waits until the servers' limits allow a request to one of them.
+        """Waits until the servers allow a request to one of them.
 
         Returns:
             Whether they do, or whether there is no server at all.
         """
-        limits = self._services.server_limits
+        statements = self._services.statements
         while True:
             servers = self._list_servers()
-            if not servers or limits.list_allowed(servers):
+            if not servers or statements.list_allowed(servers):
                 return True
             now_s = _now_s()
-            delay_s = limits.find_delay_s(servers)
+            delay_s = statements.find_delay_s(servers)
             wait_s = decisions.find_slot_wait_s(
                 self._admitted.route,
                 elapsed_s=now_s - self._context.request.received_s,
@@ -203,6 +209,13 @@
             )
             if delay_s > wait_s or self._context.writer.is_closed:
                 self._services.counters.increment("limit.exceeded")
+                self._state.retry_after_s = delay_s
+                _LOGGER.info(
+                    "no server accepts a request yet",
+                    request=self._context.request.details.request_id,
+                    servers=len(servers),
+                    delay_s=round(delay_s, 3),
+                )
                 return False
             await asyncio.sleep(max(delay_s, _MIN_SLOT_DELAY_S))
 
@@ -310,22 +323,22 @@
         self, servers: tuple[directory.ServerEntry, ...]
     ) -> tuple[directory.ServerEntry, ...]:
         failed = self._state.failed_servers
-        servers = self._services.server_limits.list_allowed(servers)
+        servers = self._services.statements.list_allowed(servers)
         return tuple(s for s in servers if s.name not in failed) or servers
 
     async def _select_target(
         self, servers: tuple[directory.ServerEntry, ...]
     ) -> attempts.AttemptTarget | None:
-        limits = self._services.server_limits
+        statements = self._services.statements
         plan, self._plan = self._plan, None
         state = self._describe_cascade()
         if plan is None and state.needs_largest_model and servers:
             plan = await self._read_plan(servers)
         # Another request may have used the slot while reports were read.
-        if plan is not None and limits.allows(plan.server):
+        if plan is not None and statements.allows(plan.server):
             self._log_plan(plan, len(servers))
             return self._build_target(plan.server, plan.prefix_source)
-        selected = self._select_server(limits.list_allowed(servers))
+        selected = self._select_server(statements.list_allowed(servers))
         return self._build_target(selected.server) if selected else None
 
     def _build_target(
@@ -427,7 +440,7 @@
             self._profile,
             server,
             _now_s(),
-            failed=_classify_failure(outcome),
+            failed=None if attempt.stated_pause else _classify_failure(outcome),
             peers=servers,
         )
         if ejected:
--- a/tests/builders/forwarding.py
+++ b/tests/builders/forwarding.py
@@ -27,6 +27,7 @@
     selection,
     server,
     server_limits,
+    server_statements,
 )
 from dragonflydyke.platform import headers
 from dragonflydyke.platform import reports as platform_reports
@@ -330,6 +331,9 @@
         )
         self.time_of_day_s = 1_000_000.0
         self.limits = server_limits.ServerLimits(lambda: self.time_of_day_s)
+        self.statements = server_statements.ServerStatements(
+            self.directory, self.limits, self.counters
+        )
         codec = headers.HeaderCodec()
         self.forwarder = execution.Forwarder(
             contexts.ForwardingServices(
@@ -346,7 +350,7 @@
                 ),
                 quarantine=self.quarantine,
                 crash_reporter=self.crash_reporter,
-                server_limits=self.limits,
+                statements=self.statements,
                 counters=self.counters,
                 tcp_client=tcpclient.TCPClient(transport.AddressResolver()),
             )
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import os
 import pathlib
 import random
@@ -34,8 +35,17 @@
 _STOP_MARGIN_S = 10.0
 
 
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
 class SoakServer:
-    """A backend server behind a proxy; logs the requests that it runs."""
+    """A backend server behind a proxy; logs the requests that it runs.
+
+    Attributes:
+        leaves: Whether it says that it leaves.
+        paused_until_s: Loop time until which it rejects requests and says so.
+    """
 
     def __init__(
         self,
@@ -50,6 +60,8 @@
         self._random = source
         self._server = forwarding.ScriptedServer(name, self._run)
         self.proxy: proxy.FaultProxy | None = None
+        self.leaves = False
+        self.paused_until_s = 0.0
 
     async def start(self) -> None:
         """Starts the server and its proxy."""
@@ -81,6 +93,9 @@
             )
             return
         draw = self._random.random()
+        self._check_statements(request)
+        if self._reject_in_pause(request, writer):
+            return
         if draw < _REJECTION_SHARE:
             forwarding.write_response(
                 request, writer, b"", status="503 Full", Not_Executed="1"
@@ -90,7 +105,9 @@
         self._check_headers(request)
         self._request_log.record_run(request_id, self.name)
         if draw < _REJECTION_SHARE + _FAILURE_SHARE:
-            forwarding.write_response(request, writer, b"bad", status="500 Bad")
+            forwarding.write_response(
+                request, writer, b"bad", status="500 Bad", **self._say(request)
+            )
         elif self.pool == "engines":
             resets = draw > 1.0 - _RESET_SHARE
             await self._stream(request, writer, request_id, resets=resets)
@@ -99,9 +116,52 @@
             if draw > 1.0 - _RESET_SHARE:
                 forwarding.reset(writer)
                 return
-            forwarding.write_response(request, writer, request_id.encode())
+            forwarding.write_response(
+                request, writer, request_id.encode(), **self._say(request)
+            )
         await writer.drain()
 
+    def _find_vm(self, request: forwarding.ReceivedRequest) -> str:
+        record = self._request_log.records.get(request.headers["Attempt-Id"])
+        return record.vm if record else ""
+
+    def _check_statements(self, request: forwarding.ReceivedRequest) -> None:
+        self._request_log.statements.check_arrival(
+            self.name, self._find_vm(request), _now_s()
+        )
+
+    def _reject_in_pause(
+        self,
+        request: forwarding.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Rejects a request during a pause; returns whether it did."""
+        now_s = _now_s()
+        if now_s >= self.paused_until_s:
+            return False
+        self._request_log.statements.record(
+            self.name, self._find_vm(request), now_s, self.paused_until_s
+        )
+        remaining_s = self.paused_until_s - now_s
+        forwarding.write_response(
+            request,
+            writer,
+            b"",
+            status="503 Paused",
+            Not_Executed="1",
+            Retry_After=f"{remaining_s:.3f}",
+        )
+        return True
+
+    def _say(self, request: forwarding.ReceivedRequest) -> dict[str, str]:
+        """Returns the headers in which the server says that it leaves."""
+        if not self.leaves:
+            return {}
+        self._request_log.statements.record(
+            self.name, self._find_vm(request), _now_s(), math.inf
+        )
+        return {"Server_Leaving": "1"}
+
     def _check_headers(self, request: forwarding.ReceivedRequest) -> None:
         if request.headers.get("Tenant") != ACCOUNT:
             self._request_log.report_violation(
@@ -120,7 +180,7 @@
         *,
         resets: bool,
     ) -> None:
-        forwarding.write_stream_start(request, writer)
+        forwarding.write_stream_start(request, writer, **self._say(request))
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, EVENTS + 1):
             event = f"id: {number}\ndata: {request_id}\n\n"
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -37,11 +37,13 @@
         soak_deployment: deployment.SoakDeployment,
         source: random.Random,
         restore_source: random.Random,
+        pause_source: random.Random,
     ) -> None:
         self.counts: collections.Counter[str] = collections.Counter()
         self._deployment = soak_deployment
         self._random = source
         self._restore_random = restore_source
+        self._pause_random = pause_source
         self._tasks: list[asyncio.Task[None]] = []
         self._is_stopped = False
         self._idle_nodes = list(soak_deployment.nodes)
@@ -52,6 +54,7 @@
             asyncio.create_task(self._inject()) for _ in range(_INJECTORS)
         ]
         self._tasks.append(asyncio.create_task(self._restore_repeatedly()))
+        self._tasks.append(asyncio.create_task(self._pause_repeatedly()))
 
     async def stop(self) -> None:
         """Waits until the active faults have ended and all nodes are ready."""
@@ -93,6 +96,18 @@
             self.counts["restore_store"] += 1
             await self._deployment.restore_store(copy)
 
+    async def _pause_repeatedly(self) -> None:
+        """Lets servers ask for pauses, one after the other."""
+        uniform = self._pause_random.uniform
+        while not self._is_stopped:
+            await asyncio.sleep(uniform(0.0, _MAX_FAULT_S))
+            servers = list(self._deployment.servers.values())
+            server = self._pause_random.choice(servers)
+            duration_s = uniform(_MIN_FAULT_S, _MAX_FAULT_S)
+            self.counts["pause_server"] += 1
+            now_s = asyncio.get_running_loop().time()
+            server.paused_until_s = now_s + duration_s
+
     async def _wait_fault_duration(self) -> None:
         await asyncio.sleep(self._random.uniform(_MIN_FAULT_S, _MAX_FAULT_S))
 
@@ -102,8 +117,14 @@
             return None
         node = self._random.choice(self._idle_nodes)
         self._idle_nodes.remove(node)
+        self._deployment.request_log.statements.forget_vm(node.vm)
         return node
 
+    def _release_node(self, node: deployment.RouterProcess) -> None:
+        # The node may have missed what servers said meanwhile.
+        self._deployment.request_log.statements.forget_vm(node.vm)
+        self._idle_nodes.append(node)
+
     async def kill_node(self) -> None:
         """Kills a node and restarts it."""
         node = self._reserve_node()
@@ -112,7 +133,7 @@
         await node.kill()
         await asyncio.sleep(self._random.uniform(0.0, _MIN_FAULT_S))
         await node.start()
-        self._idle_nodes.append(node)
+        self._release_node(node)
 
     async def stop_node(self) -> None:
         """Stops a node gracefully after reload signals and restarts it."""
@@ -134,7 +155,7 @@
                     f"{node.vm} exited with code {code}"
                 )
         await node.start()
-        self._idle_nodes.append(node)
+        self._release_node(node)
 
     async def pause_node(self) -> None:
         """Suspends the process of a node and resumes it."""
@@ -144,7 +165,7 @@
         node.send_signal(signal.SIGSTOP)
         await self._wait_fault_duration()
         node.send_signal(signal.SIGCONT)
-        self._idle_nodes.append(node)
+        self._release_node(node)
 
     async def reload_node(self) -> None:
         """Sends several reload signals to a node."""
@@ -165,7 +186,10 @@
         """Delays, drops, isolates or resets the link to one server."""
         server = self._random.choice(list(self._deployment.servers.values()))
         assert server.proxy is not None
+        statements = self._deployment.request_log.statements
+        statements.forget_server(server.name)
         await self._disturb(server.proxy)
+        statements.forget_server(server.name)
 
     async def _disturb(self, link: proxy.FaultProxy) -> None:
         faults = link.faults
@@ -212,6 +236,7 @@
         server = self._unlist_server()
         if server is None:
             return
+        server.leaves = True
         await self._deployment.announce_draining(server)
         await self._deployment.add_server(server.pool)
         await asyncio.sleep(_DRAIN_S)
--- a/tests/soak/request_log.py
+++ b/tests/soak/request_log.py
@@ -3,7 +3,12 @@
 import collections
 import dataclasses
 import enum
+from collections.abc import Callable
 
+# Requests that may cross a statement of their server on the way, and the time
+# for which they may.
+_CROSSING_REQUESTS = 2
+_CROSSING_S = 0.5
 REJECTION_STATUSES = frozenset((408, 421, 429, 503))
 # Statuses that the router must not return for a valid request.
 _CLIENT_ERROR_STATUSES = frozenset((400, 401, 404, 413))
@@ -36,6 +41,60 @@
     status: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class Statement:
+    """Time in which a server wants no requests of a node, as loop times."""
+
+    begin_s: float
+    end_s: float
+    arrivals: int = 0
+
+
+class StatementLog:
+    """What servers said to nodes, and the requests that ignore it.
+
+    A statement is forgotten when the node or the link is disturbed, as the node
+    may not know it then.
+    """
+
+    def __init__(self, report_violation: Callable[[str], None]) -> None:
+        self._report_violation = report_violation
+        self._statements: dict[tuple[str, str], Statement] = {}
+
+    def record(self, server: str, vm: str, now_s: float, end_s: float) -> None:
+        """Records that a server wants no requests of a node until a time."""
+        key = (server, vm)
+        present = self._statements.get(key)
+        if present is None or present.end_s < now_s:
+            self._statements[key] = Statement(now_s + _CROSSING_S, end_s)
+        else:
+            present.end_s = max(present.end_s, end_s)
+
+    def check_arrival(self, server: str, vm: str, now_s: float) -> None:
+        """Checks that a request may reach a server now."""
+        statement = self._statements.get((server, vm))
+        if statement is None:
+            return
+        if not statement.begin_s <= now_s <= statement.end_s:
+            return
+        statement.arrivals += 1
+        if statement.arrivals > _CROSSING_REQUESTS:
+            self._report_violation(
+                f"{server} got {statement.arrivals} requests of {vm} though it"
+                " wants none"
+            )
+
+    def forget_vm(self, vm: str) -> None:
+        """Forgets what a node was told."""
+        for key in [key for key in self._statements if key[1] == vm]:
+            del self._statements[key]
+
+    def forget_server(self, server: str) -> None:
+        """Forgets what a server said."""
+        for key in [key for key in self._statements if key[0] == server]:
+            del self._statements[key]
+
+
 class RequestLog:
     """Records attempts and violations of the invariants.
 
@@ -44,12 +103,14 @@
         violations: One sentence for each violated invariant.
         outcomes: Number of attempts by kind and status; status 0 means that
             there was no complete response.
+        statements: What servers said to nodes.
     """
 
     def __init__(self) -> None:
         self.records: dict[str, RequestRecord] = {}
         self.violations: list[str] = []
         self.outcomes: collections.Counter[str] = collections.Counter()
+        self.statements = StatementLog(self.report_violation)
 
     def record_sent(
         self,
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -60,6 +60,7 @@
             random.Random(seed + 1),
             # Separate, so that the other faults of a seed stay the same.
             random.Random(seed + 2),
+            random.Random(seed + 3),
         )
         load_generator.start()
         injector.start()
