--- a/src/dragonflydyke/forwarding/decisions.py
+++ b/src/dragonflydyke/forwarding/decisions.py
@@ -92,16 +92,7 @@
         raise build_rejection(
             "no_request_id", "the request has no request id", _BAD_REQUEST
         )
-    pool = current_policy.pools.get(
-        route.select_pool(request.details.request_id)
-    )
-    if pool is None:
-        raise build_rejection(
-            "no_pool",
-            "the route refers to an unknown pool",
-            _UNAVAILABLE,
-            retry_after_s=_NO_CAPACITY_RETRY_AFTER_S,
-        )
+    pool = _find_pool(current_policy, route, request)
     allowed_s = route.timeout_s
     if request.details.deadline_s is not None:
         allowed_s = min(allowed_s, request.details.deadline_s)
@@ -165,6 +156,22 @@
     return account
 
 
+def _find_pool(
+    policy: model.ForwardingPolicy,
+    route: model.Route,
+    request: messages.IncomingRequest,
+) -> model.Pool:
+    pool = policy.pools.get(route.select_pool(request.details.request_id))
+    if pool is None:
+        raise build_rejection(
+            "no_pool",
+            "the route refers to an unknown pool",
+            _UNAVAILABLE,
+            retry_after_s=_NO_CAPACITY_RETRY_AFTER_S,
+        )
+    return pool
+
+
 def build_rejection(
     code: str,
     message: str,
@@ -321,47 +328,12 @@
     outcome: AttemptOutcome, progress: RequestProgress
 ) -> errors.DragonflydykeError:
     """Returns the error of a request without a complete response."""
+    if not progress.may_have_run:
+        return _build_unserved_rejection(outcome, progress)
     is_past_deadline = (
         outcome is AttemptOutcome.DEADLINE_EXCEEDED
         or progress.remaining_s < MIN_ATTEMPT_S
     )
-    if outcome is AttemptOutcome.QUARANTINED and not progress.may_have_run:
-        return build_rejection(
-            "prompt_quarantined",
-            "the prompt has parts that crash engines",
-            _UNAVAILABLE,
-            step=errors.Step.ROUTE,
-            retry_after_s=quarantine.QUARANTINE_S,
-        )
-    if (
-        outcome is AttemptOutcome.REPETITION_QUARANTINED
-        and not progress.may_have_run
-    ):
-        return build_rejection(
-            "request_quarantined",
-            "the same request crashed servers before",
-            _UNAVAILABLE,
-            step=errors.Step.ROUTE,
-            retry_after_s=quarantine.QUARANTINE_S,
-        )
-    if outcome is AttemptOutcome.LIMITED and not progress.may_have_run:
-        return build_rejection(
-            "servers_limited",
-            "all servers limit the requests that they accept, or pause",
-            _UNAVAILABLE,
-            step=errors.Step.ROUTE,
-            retry_after_s=max(
-                _LIMITED_RETRY_AFTER_S, progress.retry_after_s or 0.0
-            ),
-        )
-    if not progress.may_have_run:
-        return build_rejection(
-            "no_server_took_it",
-            f"no server accepted the request ({outcome})",
-            _UNAVAILABLE,
-            step=errors.Step.ROUTE,
-            retry_after_s=_NO_CAPACITY_RETRY_AFTER_S,
-        )
     return errors.DragonflydykeError(
         "deadline_exceeded" if is_past_deadline else "attempts_failed",
         f"no complete response; the request may have run ({outcome})",
@@ -369,3 +341,33 @@
         execution=errors.Execution.UNKNOWN,
         status=_GATEWAY_TIMEOUT if is_past_deadline else _BAD_GATEWAY,
     )
+
+
+def _build_unserved_rejection(
+    outcome: AttemptOutcome, progress: RequestProgress
+) -> errors.DragonflydykeError:
+    """Returns the error of a request that no server has run."""
+    code = "no_server_took_it"
+    message = f"no server accepted the request ({outcome})"
+    retry_after_s = _NO_CAPACITY_RETRY_AFTER_S
+    if outcome is AttemptOutcome.QUARANTINED:
+        code = "prompt_quarantined"
+        message = "the prompt has parts that crash engines"
+        retry_after_s = quarantine.QUARANTINE_S
+    elif outcome is AttemptOutcome.REPETITION_QUARANTINED:
+        code = "request_quarantined"
+        message = "the same request crashed servers before"
+        retry_after_s = quarantine.QUARANTINE_S
+    elif outcome is AttemptOutcome.LIMITED:
+        code = "servers_limited"
+        message = "all servers limit the requests that they accept, or pause"
+        retry_after_s = max(
+            _LIMITED_RETRY_AFTER_S, progress.retry_after_s or 0.0
+        )
+    return build_rejection(
+        code,
+        message,
+        _UNAVAILABLE,
+        step=errors.Step.ROUTE,
+        retry_after_s=retry_after_s,
+    )
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -15,7 +15,7 @@
     escalation,
     messages,
     selection,
-    urgency,
+    targets,
 )
 
 _OUTCOMES_WITHOUT_FAILURE = frozenset(
@@ -32,9 +32,6 @@
     )
 )
 
-# Slots depend on the time of day, which differs slightly from the loop's time.
-_MIN_SLOT_DELAY_S = 0.005
-
 _LOGGER = logs.get_logger("forwarding")
 
 
@@ -44,10 +41,10 @@
     __slots__ = (
         "_admitted",
         "_context",
-        "_plan",
         "_profile",
         "_services",
         "_state",
+        "_targets",
     )
 
     def __init__(
@@ -63,7 +60,7 @@
         self._profile = selection.build_profile(
             context.request, context.admitted
         )
-        self._plan: escalation.EscalationPlan | None = None
+        self._targets = targets.TargetSelector(services, context, self._profile)
 
     async def run(self) -> None:
         """Makes attempts until a response is delivered to the client.
@@ -142,14 +139,14 @@
         quarantined = self._find_quarantine()
         if quarantined is not None:
             return quarantined
-        if not await self._await_slot():
+        if not await self._targets.await_slot():
             return decisions.AttemptOutcome.LIMITED
-        servers = self._list_servers()
-        target = await self._select_target(servers)
+        servers = self._targets.list_servers()
+        target = await self._targets.select_target(servers)
         if target is None:
             # Other requests may have used the last slots while reports of
             # engines were read.
-            return self._explain_no_target(servers)
+            return self._targets.explain_no_target(servers)
         self._services.statements.record_start(target.server)
         attempt = attempts.Attempt(self._services, self._context, target)
         self._state.dispatches += 1
@@ -179,46 +176,6 @@
             )
         return outcome
 
-    def _explain_no_target(
-        self, servers: tuple[directory.ServerEntry, ...]
-    ) -> decisions.AttemptOutcome:
-        if servers:
-            return decisions.AttemptOutcome.LIMITED
-        if self._services.directory.has_leaving(self._admitted.pool.name):
-            return decisions.AttemptOutcome.SERVERS_LEAVE
-        return decisions.AttemptOutcome.NO_SERVER
-
-    async def _await_slot(self) -> bool:
-        """Waits until the servers allow a request to one of them.
-
-        Returns:
-            Whether they do, or whether there is no server at all.
-        """
-        statements = self._services.statements
-        while True:
-            servers = self._list_servers()
-            if not servers or statements.list_allowed(servers):
-                return True
-            now_s = _now_s()
-            delay_s = statements.find_delay_s(servers)
-            wait_s = decisions.find_slot_wait_s(
-                self._admitted.route,
-                elapsed_s=now_s - self._context.request.received_s,
-                remaining_s=self._admitted.deadline_s - now_s,
-                started=self._state.response_started,
-            )
-            if delay_s > wait_s or self._context.writer.is_closed:
-                self._services.counters.increment("limit.exceeded")
-                self._state.retry_after_s = delay_s
-                _LOGGER.info(
-                    "no server accepts a request yet",
-                    request=self._context.request.details.request_id,
-                    servers=len(servers),
-                    delay_s=round(delay_s, 3),
-                )
-                return False
-            await asyncio.sleep(max(delay_s, _MIN_SLOT_DELAY_S))
-
     def _find_quarantine(self) -> decisions.AttemptOutcome | None:
         """Returns why the request must not be sent to any server, or None."""
         requests = self._services.quarantine
@@ -249,8 +206,8 @@
         details = await attempt.start()
         if attempt.is_event_stream(details) and self._should_escalate(details):
             await attempt.await_first_bytes()
-            self._plan = await self._plan_escalation(details)
-            if self._plan is not None:
+            self._targets.plan = await self._plan_escalation(details)
+            if self._targets.plan is not None:
                 raise attempts.AttemptFailedError(
                     decisions.AttemptOutcome.LOW_CONFIDENCE,
                     f"confidence {details.confidence:.2f}",
@@ -263,7 +220,7 @@
             and not self._state.response_started
             and not cascade.is_acceptable(
                 self._admitted.route,
-                self._describe_cascade(),
+                self._state.describe_cascade(),
                 details.confidence,
             )
         )
@@ -280,7 +237,7 @@
         if not retry_budget.try_spend():
             self._log_no_escalation(details, None, "no retry budget")
             return None
-        plan = await self._read_plan(self._list_servers())
+        plan = await self._targets.read_plan(self._targets.list_servers())
         route = self._admitted.route
         elapsed_s = _now_s() - self._context.request.received_s
         if plan is None:
@@ -309,112 +266,6 @@
             first_event_s=round(plan.first_event_s, 3) if plan else None,
         )
 
-    async def _read_plan(
-        self, servers: tuple[directory.ServerEntry, ...]
-    ) -> escalation.EscalationPlan | None:
-        """Returns the best engine for the largest model, None if unknown."""
-        return await self._services.planner.plan(
-            self._profile,
-            self._admitted.route.models[-1],
-            self._list_candidates(servers),
-        )
-
-    def _list_candidates(
-        self, servers: tuple[directory.ServerEntry, ...]
-    ) -> tuple[directory.ServerEntry, ...]:
-        failed = self._state.failed_servers
-        servers = self._services.statements.list_allowed(servers)
-        return tuple(s for s in servers if s.name not in failed) or servers
-
-    async def _select_target(
-        self, servers: tuple[directory.ServerEntry, ...]
-    ) -> attempts.AttemptTarget | None:
-        statements = self._services.statements
-        plan, self._plan = self._plan, None
-        state = self._describe_cascade()
-        if plan is None and state.needs_largest_model and servers:
-            plan = await self._read_plan(servers)
-        # Another request may have used the slot while reports were read.
-        if plan is not None and statements.allows(plan.server):
-            self._log_plan(plan, len(servers))
-            return self._build_target(plan.server, plan.prefix_source)
-        selected = self._select_server(statements.list_allowed(servers))
-        return self._build_target(selected.server) if selected else None
-
-    def _build_target(
-        self,
-        server: directory.ServerEntry,
-        prefix_source: directory.ServerEntry | None = None,
-    ) -> attempts.AttemptTarget:
-        state = self._describe_cascade()
-        wants_any_model = self._context.request.details.wants_any_model
-        model_name = ""
-        if wants_any_model:
-            model_name = cascade.select_model(self._admitted.route, state)
-        return attempts.AttemptTarget(
-            server,
-            model_name,
-            urgency.select_urgency(
-                self._admitted,
-                uses_cascade=bool(model_name),
-                is_escalated=state.needs_largest_model,
-                prompt_tokens=self._profile.prompt_tokens,
-            ),
-            prefix_source,
-        )
-
-    def _describe_cascade(self) -> cascade.CascadeState:
-        return cascade.CascadeState(
-            attempts=self._state.attempts + 1,
-            fell_back=self._state.fell_back,
-            escalated=self._state.escalated,
-        )
-
-    def _log_plan(
-        self, plan: escalation.EscalationPlan, usable_count: int
-    ) -> None:
-        _LOGGER.info(
-            "attempt",
-            request=self._context.request.details.request_id,
-            server=plan.server.name,
-            version=plan.server.version,
-            cost_s=round(plan.first_event_s, 3),
-            has_beginning=plan.prefix_source is None,
-            in_progress=plan.queued,
-            usable=usable_count,
-            servers_age_s=self._services.directory.find_age_s(_now_s()),
-        )
-
-    def _select_server(
-        self, servers: tuple[directory.ServerEntry, ...]
-    ) -> selection.SelectedServer | None:
-        now_s = _now_s()
-        selected = self._services.selector.select_server(
-            self._profile, servers, now_s, self._state.failed_servers
-        )
-        _LOGGER.info(
-            "attempt",
-            request=self._context.request.details.request_id,
-            server=selected.server.name if selected else "",
-            version=selected.server.version if selected else "",
-            cost_s=round(selected.cost_s, 3) if selected else None,
-            has_beginning=selected.is_affinity_target if selected else None,
-            in_progress=selected.in_flight if selected else None,
-            usable=len(servers),
-            servers_age_s=self._services.directory.find_age_s(now_s),
-        )
-        return selected
-
-    def _list_servers(self) -> tuple[directory.ServerEntry, ...]:
-        self._services.directory.expire(_now_s())
-        pool = self._admitted.pool.name
-        details = self._context.request.details
-        rule = self._services.rollout_controller.select_version_rule(
-            pool, details.session or details.request_id
-        )
-        servers = self._services.directory.list_usable(pool)
-        return selection.filter_versions(rule, servers)
-
     def _record_attempt(
         self,
         attempt: attempts.Attempt,
@@ -492,7 +343,7 @@
         ):
             failed = self._state.failed_servers
             self._state.fell_back = all(
-                server.name in failed for server in self._list_servers()
+                server.name in failed for server in self._targets.list_servers()
             )
 
 
