Honour statements of servers in the product's own interface, too

Routers of the product's own interface sent requests to a backend server that had asked for a pause or had said that it leaves.

The pool of servers keeps both for the responses of all attempts. Its servers come from the configuration, which does not tell one process from the next, so that leaving holds for a minute after each response that says so. The headers are read in one place, which the adapter of the platform uses, too; the pauses moved to routing for the same reason (imports change, no behaviour). The emulators of engines and services say both.

test_server_that_said_it_leaves_gets_no_requests and test_server_that_pauses_gets_no_requests need the new method; test_pause_of_a_service_is_kept fails without it: two requests instead of one. Not done: a call that is rejected with 503 is not repeated at another server there, as before.

--- a/src/dragonflydyke/emulator/engine_model.py
+++ b/src/dragonflydyke/emulator/engine_model.py
@@ -29,7 +29,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class EngineBehaviour(faults.LimitedFaults):
+class EngineBehaviour(faults.StatingFaults):
     """Speed, limits and faults, which can be changed at run time.
 
     For the fields that count requests, -1 means all requests.
--- a/src/dragonflydyke/emulator/service.py
+++ b/src/dragonflydyke/emulator/service.py
@@ -19,7 +19,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class ServiceBehaviour(faults.LimitedFaults):
+class ServiceBehaviour(faults.StatingFaults):
     """Delays and faults, which can be changed at run time.
 
     For the fields that count requests, -1 means all requests.
--- a/src/dragonflydyke/emulator/serving.py
+++ b/src/dragonflydyke/emulator/serving.py
@@ -9,6 +9,7 @@
 from tornado import httpserver, netutil, web
 
 from dragonflydyke import settings
+from dragonflydyke.emulator import faults
 
 _INTERNAL_ERROR = 500
 # Value of a counting field that stands for all requests.
@@ -17,7 +18,25 @@
 
 
 class JsonHandler(web.RequestHandler):
-    """Base class of handlers with JSON bodies and abortable connections."""
+    """Base class of handlers with JSON bodies and abortable connections.
+
+    Attributes:
+        state: State of the emulator, set by `initialize` of the subclasses. If
+            its behaviour has statements, all responses carry them.
+    """
+
+    state: Any = None
+
+    def set_default_headers(self) -> None:
+        """Sets the statements; Tornado calls this for errors, too."""
+        behaviour = getattr(self.state, "behaviour", None)
+        if isinstance(behaviour, faults.StatingFaults):
+            for name, value in behaviour.build_statements().items():
+                self.set_header(name, value)
+
+    def prepare(self) -> None:
+        """Sets the statements, which are not known at the construction."""
+        self.set_default_headers()
 
     def write_json(self, content: Any, status: int = 200) -> None:
         """Writes a JSON response."""
--- a/src/dragonflydyke/forwarding/server_statements.py
+++ b/src/dragonflydyke/forwarding/server_statements.py
@@ -15,8 +15,8 @@
     directory,
     messages,
     server_limits,
-    server_pauses,
 )
+from dragonflydyke.routing import server_pauses
 
 
 class ServerStatements:
@@ -55,23 +55,23 @@
             self._counters.increment("statement.leaving")
         if details.pause_s is not None:
             self._counters.increment("statement.pause")
-            self._pauses.record(server, details.pause_s, _now_s())
+            self._pauses.record(server.process, details.pause_s, _now_s())
 
     def record_start(self, server: directory.ServerEntry) -> None:
         """Records that a request is sent to a server."""
         self.limits.record_start(server)
-        self._pauses.record_start(server, _now_s())
+        self._pauses.record_start(server.process, _now_s())
 
     def retain(self, servers: Sequence[directory.ServerEntry]) -> None:
         """Drops the statements of server processes that are not listed."""
         self.limits.retain(servers)
-        self._pauses.retain(servers)
+        self._pauses.retain([server.process for server in servers])
 
     def allows(self, server: directory.ServerEntry) -> bool:
         """Returns whether this node may send a request to a server now."""
         return (
             not self._directory.is_leaving(server)
-            and not self._pauses.find_delay_s(server, _now_s())
+            and not self._pauses.find_delay_s(server.process, _now_s())
             and self.limits.allows(server)
         )
 
@@ -91,7 +91,7 @@
         limit_s = 0.0
         if not self.limits.allows(server):
             limit_s = self.limits.find_delay_s((server,))
-        return max(limit_s, self._pauses.find_delay_s(server, _now_s()))
+        return max(limit_s, self._pauses.find_delay_s(server.process, _now_s()))
 
 
 def _now_s() -> float:
--- a/src/dragonflydyke/gateway/attempts.py
+++ b/src/dragonflydyke/gateway/attempts.py
@@ -6,6 +6,7 @@
 from typing import TypeVar
 
 from dragonflydyke import errors
+from dragonflydyke.backends import statements
 from dragonflydyke.configuration import model
 from dragonflydyke.gateway import accounting, events, services
 from dragonflydyke.gateway.response_writer import ClientDisconnectedError
@@ -182,6 +183,13 @@
             peer=self._server.name,
             execution=errors.Execution.UNKNOWN,
         )
+        self._services.pool.record_statement(
+            self._server,
+            leaves=statements.says_leaving(self._response.headers),
+            pause_s=statements.find_pause_s(
+                self._response.status, self._response.headers
+            ),
+        )
         return self._response
 
     async def resume(
--- a/src/dragonflydyke/platform/headers.py
+++ b/src/dragonflydyke/platform/headers.py
@@ -1,10 +1,8 @@
 """Headers of the platform's requests and responses."""
 
-import math
-
 from tornado import httputil
 
-from dragonflydyke import logs
+from dragonflydyke.backends import statements
 from dragonflydyke.forwarding import messages
 
 REQUEST_ID = "Attempt-Id"
@@ -25,10 +23,6 @@
 CONFIDENCE = "Confidence"
 # Requests a second that a server accepts from all nodes together.
 SERVER_LIMIT = "Server-Limit"
-# Present in all responses of a server that accepts no further requests.
-SERVER_LEAVING = "Server-Leaving"
-# In a rejection, the seconds for which the server wants no requests.
-RETRY_AFTER = "Retry-After"
 SESSION = "Session"
 # Address of an engine from which the server may fetch a cached prefix.
 PREFIX_SOURCE = "Kv-Fetch"
@@ -39,9 +33,6 @@
 _MS_PER_S = 1_000
 # The address belongs to another server, which did not run the request.
 _MISDIRECTED = 421
-_UNAVAILABLE = 503
-
-_LOGGER = logs.get_logger("headers")
 
 # Headers that apply to a single connection or to the framing of a body.
 _HOP_BY_HOP = (
@@ -138,9 +129,11 @@
             is_stream=content_type.startswith(_EVENT_STREAM),
             has_content_encoding="Content-Encoding" in headers,
             confidence=_read_count(confidence) / 100 if confidence else None,
-            server_limit_per_s=_read_limit(headers.get(SERVER_LIMIT, "")),
-            server_leaves=headers.get(SERVER_LEAVING, "").strip() == "1",
-            pause_s=_read_pause(status, headers.get(RETRY_AFTER)),
+            server_limit_per_s=statements.parse_quantity(
+                headers.get(SERVER_LIMIT, "")
+            ),
+            server_leaves=statements.says_leaving(headers),
+            pause_s=statements.find_pause_s(status, headers),
         )
 
     def write_response(
@@ -157,7 +150,7 @@
         if request_id:
             headers[REQUEST_ID] = request_id
         if retry_after_s is not None:
-            headers[RETRY_AFTER] = f"{retry_after_s:.3f}"
+            headers["Retry-After"] = f"{retry_after_s:.3f}"
         return headers
 
     def read_event_id(self, event: bytes) -> int | None:
@@ -193,25 +186,6 @@
         return 0
 
 
-def _read_pause(status: int, text: str | None) -> float | None:
-    """Returns the pause in a rejection, None without a valid one."""
-    if status != _UNAVAILABLE or text is None:
-        return None
-    pause_s = _read_limit(text)
-    if pause_s is None:
-        _LOGGER.info("pause of a server cannot be read", value=text[:40])
-    return pause_s
-
-
-def _read_limit(text: str) -> float | None:
-    """Returns a number, None if the text is not a number of 0 or more."""
-    try:
-        limit = float(text)
-    except ValueError:
-        return None
-    return limit if math.isfinite(limit) and limit >= 0 else None
-
-
 def _read_counts(text: str | None) -> tuple[int, int]:
     first, _, second = (text or "").partition(",")
     return _read_count(first), _read_count(second)
--- a/src/dragonflydyke/forwarding/server_pauses.py
+++ b/src/dragonflydyke/routing/server_pauses.py
@@ -7,10 +7,9 @@
 """
 
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Collection
 
 from dragonflydyke import logs
-from dragonflydyke.forwarding import directory
 
 # A server that needs more time than this has gone for the callers of today.
 MAX_PAUSE_S = 600.0
@@ -30,7 +29,11 @@
 
 
 class ServerPauses:
-    """Pauses of server processes; all times are loop times in seconds."""
+    """Pauses of server processes; all times are loop times in seconds.
+
+    A process is known by the name of its server and the Unix time of its start
+    in milliseconds, 0 if that is unknown.
+    """
 
     __slots__ = ("_pauses",)
 
@@ -39,47 +42,44 @@
         self._pauses: dict[tuple[str, int], _PauseState] = {}
 
     def record(
-        self, server: directory.ServerEntry, pause_s: float, now_s: float
+        self, process: tuple[str, int], pause_s: float, now_s: float
     ) -> None:
         """Records that a server wants no requests for some seconds."""
         if pause_s > MAX_PAUSE_S:
             _LOGGER.warning(
                 "pause of a server is limited",
-                server=server.name,
+                server=process[0],
                 pause_s=pause_s,
                 limit_s=MAX_PAUSE_S,
             )
         until_s = now_s + min(pause_s, MAX_PAUSE_S)
-        state = self._pauses.get(server.process)
+        state = self._pauses.get(process)
         if state is not None and state.until_s >= until_s:
             return
-        self._pauses[server.process] = _PauseState(until_s)
+        self._pauses[process] = _PauseState(until_s)
         _LOGGER.notice(
-            "server pauses", server=server.name, pause_s=round(pause_s, 3)
+            "server pauses", server=process[0], pause_s=round(pause_s, 3)
         )
 
-    def find_delay_s(
-        self, server: directory.ServerEntry, now_s: float
-    ) -> float:
+    def find_delay_s(self, process: tuple[str, int], now_s: float) -> float:
         """Returns the seconds until a server may get a request, 0 for now."""
-        state = self._pauses.get(server.process)
+        state = self._pauses.get(process)
         if state is None:
             return 0.0
         if now_s >= state.until_s + _RETURN_PERIOD_S:
-            del self._pauses[server.process]
-            _LOGGER.notice("pause of a server is over", server=server.name)
+            del self._pauses[process]
+            _LOGGER.notice("pause of a server is over", server=process[0])
             return 0.0
         next_s = state.until_s + state.returned * _RETURN_INTERVAL_S
         return max(0.0, next_s - now_s)
 
-    def record_start(self, server: directory.ServerEntry, now_s: float) -> None:
+    def record_start(self, process: tuple[str, int], now_s: float) -> None:
         """Records that a request is sent to a server."""
-        state = self._pauses.get(server.process)
+        state = self._pauses.get(process)
         if state is not None and now_s >= state.until_s:
             state.returned += 1
 
-    def retain(self, servers: Sequence[directory.ServerEntry]) -> None:
+    def retain(self, processes: Collection[tuple[str, int]]) -> None:
         """Drops the pauses of server processes that are not listed."""
-        listed = {server.process for server in servers}
-        for process in self._pauses.keys() - listed:
+        for process in self._pauses.keys() - set(processes):
             del self._pauses[process]
--- a/src/dragonflydyke/routing/servers.py
+++ b/src/dragonflydyke/routing/servers.py
@@ -15,6 +15,7 @@
     polling,
     selection,
     server_attempts,
+    server_pauses,
     strategies,
 )
 
@@ -28,6 +29,9 @@
 _MIN_LATENCY_S = 0.05
 # Hedging earlier would spend the hedge budget on normal variation of latency.
 _HEDGE_FACTOR = 1.5
+# The configuration does not tell one process of a server from the next, so a
+# server that said that it leaves is tried again after this time.
+_LEAVING_MEMORY_S = 60.0
 _MIN_RETRY_AFTER_S = 0.5
 _MAX_RETRY_AFTER_S = 30.0
 
@@ -53,9 +57,11 @@
         "_counters",
         "_data_centre",
         "_distances",
+        "_leaving_until_s",
         "_leaving_vms",
         "_loads",
         "_outliers",
+        "_pauses",
         "_random",
         "_schedule",
         "_strategy",
@@ -90,6 +96,9 @@
         self._schedule = polling.LoadReportSchedule()
         self._outliers = outliers.OutlierDetector()
         self._leaving_vms: frozenset[str] = frozenset()
+        # Loop times until which servers that said so count as leaving.
+        self._leaving_until_s: dict[str, float] = {}
+        self._pauses = server_pauses.ServerPauses()
         self._baseline_latencies_s: dict[str, float] = {}
         self._subsets: dict[str, _Subset] = {}
         self._distances: dict[str, int] = {data_centre: 0}
@@ -99,6 +108,31 @@
         """Sets the VMs whose backend servers receive no new work."""
         self._leaving_vms = frozenset(names)
 
+    def record_statement(
+        self,
+        server: model.BackendServer,
+        *,
+        leaves: bool,
+        pause_s: float | None,
+    ) -> None:
+        """Records what a server said of itself in a response.
+
+        Args:
+            server: The server.
+            leaves: Whether it accepts no further requests.
+            pause_s: Seconds for which it wants no requests, None if it did not
+                say so.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if leaves:
+            if now_s >= self._leaving_until_s.get(server.name, 0.0):
+                self._counters.increment("statement.leaving")
+                _LOGGER.notice("server leaves", server=server.name)
+            self._leaving_until_s[server.name] = now_s + _LEAVING_MEMORY_S
+        if pause_s is not None:
+            self._counters.increment("statement.pause")
+            self._pauses.record((server.name, 0), pause_s, now_s)
+
     def set_vm_count(self, count: int) -> None:
         """Sets the number of nodes that share the servers."""
         self._loads.set_vm_count(count)
@@ -243,10 +277,12 @@
         candidates: Sequence[model.BackendServer],
         exclude: Collection[str],
     ) -> model.BackendServer | None:
+        now_s = asyncio.get_running_loop().time()
         usable = [
             server
             for server in candidates
-            if not self._is_leaving(server) and server.name not in exclude
+            if self._accepts_requests(server, now_s)
+            and server.name not in exclude
         ]
         if not usable:
             return None
@@ -353,6 +389,9 @@
         errors.check_invariant(
             not self._is_leaving(server), f"{server.name} is leaving"
         )
+        self._pauses.record_start(
+            (server.name, 0), asyncio.get_running_loop().time()
+        )
         oversubscription = self._loads.start_request(server, long=long)
         return server_attempts.ServerAttempt(
             self,
@@ -419,7 +458,11 @@
         exclude: Collection[str],
     ) -> list[model.BackendServer]:
         now_s = asyncio.get_running_loop().time()
-        remaining = [s for s in candidates if not self._is_leaving(s)]
+        remaining = [
+            server
+            for server in candidates
+            if self._accepts_requests(server, now_s)
+        ]
         names = [server.name for server in remaining]
         ejected = self._outliers.find_ejected(names, now_s)
         usable = [
@@ -435,6 +478,16 @@
         ]
         return sampled or usable
 
+    def _accepts_requests(
+        self, server: model.BackendServer, now_s: float
+    ) -> bool:
+        """Returns whether a server accepts requests as far as it says so."""
+        return (
+            not self._is_leaving(server)
+            and now_s >= self._leaving_until_s.get(server.name, 0.0)
+            and not self._pauses.find_delay_s((server.name, 0), now_s)
+        )
+
     def _is_leaving(self, server: model.BackendServer) -> bool:
         if server.state is model.ServerState.LEAVING:
             return True
--- a/tests/test_emulators.py
+++ b/tests/test_emulators.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from dragonflydyke import backends, errors, metrics, objects
+from dragonflydyke.backends import statements
 from dragonflydyke.configuration import model
 from dragonflydyke.emulator import (
     engine_model,
@@ -319,6 +320,20 @@
                 self.assertEqual(actual_status, status)
                 self.assertEqual(state.executions, [expected] * executed)
 
+    async def test_responses_carry_statements_of_the_server(self) -> None:
+        """Routers would be tested with servers that say nothing."""
+        server = await self.start(service.build_application())
+        changes = {"leaving": True, "pause_s": 1.5, "fail_before": 1}
+        await self.call(server, "POST", "/control", changes)
+        for status, pause_s in ((503, 1.5), (200, None)):
+            request = backends.BackendRequest(server, "POST", "/print", {}, b"")
+            async with await self.open(request) as response:
+                self.assertEqual(response.status, status)
+                self.assertTrue(statements.says_leaving(response.headers))
+                self.assertEqual(
+                    statements.find_pause_s(status, response.headers), pause_s
+                )
+
     async def test_ratings_and_weights(self) -> None:
         server = await self.start(service.build_application(rating=True))
         ratings = []
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -417,6 +417,18 @@
             PRINT_PATH, body="{}", headers={"Idempotency-Key": "k"}
         )
 
+    async def test_pause_of_a_service_is_kept(self) -> None:
+        """The next call went to the server that had asked for a pause."""
+        rejection = gateway.ScriptedResponse([b"busy"], status=503)
+        rejection.headers["Retry-After"] = "4"
+        self.services.backends.responses = [rejection]
+        self.assertEqual((await self.print_label()).code, 503)
+        response = await self.fetch(
+            PRINT_PATH, body="{}", headers={"Idempotency-Key": "other"}
+        )
+        self.assertEqual(response.code, 503)
+        self.assertEqual(len(self.services.backends.requests), 1)
+
     async def test_same_key_replays_response(self) -> None:
         self.script_responses([b"printed"])
         for _ in range(2):
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -245,6 +245,30 @@
             self.pool.start_attempt(candidates[0])
         self.assertEqual(self.select_names(candidates), {"engine-1"})
 
+    async def test_server_that_said_it_leaves_gets_no_requests(self) -> None:
+        candidates = self.build("cartago-a", "cartago-b")
+        self.pool.record_statement(candidates[0], leaves=True, pause_s=None)
+        self.assertEqual(self.select_names(candidates), {"engine-1"})
+        # The configuration does not tell whether it started again.
+        await self.loop.advance(61.0, step_s=1.0)
+        self.assertEqual(self.select_names(candidates), {"engine-0"})
+
+    async def test_server_that_pauses_gets_no_requests(self) -> None:
+        candidates = self.build("cartago-a", "cartago-b")
+        self.pool.record_statement(candidates[0], leaves=False, pause_s=4.0)
+        self.assertEqual(self.select_names(candidates), {"engine-1"})
+        await self.loop.advance(3.9)
+        self.assertEqual(self.select_names(candidates), {"engine-1"})
+        await self.loop.advance(0.2)
+        self.assertEqual(self.select_names(candidates), {"engine-0"})
+        for _ in range(4):
+            # Requests return one after the other.
+            attempt = self.pool.start_attempt(candidates[0])
+            attempt.finish(routing.AttemptOutcome.COMPLETED)
+        self.assertEqual(self.select_names(candidates), {"engine-1"})
+        await self.loop.advance(1.0)
+        self.assertEqual(self.select_names(candidates), {"engine-0"})
+
     async def test_baselines_use_neither_distance_nor_ejection(self) -> None:
         # Guards against baseline strategies that benefit from the features that
         # they are compared with.
--- a/tests/test_server_statements.py
+++ b/tests/test_server_statements.py
@@ -6,8 +6,9 @@
 import hypothesis
 from hypothesis import strategies
 
-from dragonflydyke.forwarding import directory, messages, model, server_pauses
+from dragonflydyke.forwarding import directory, messages, model
 from dragonflydyke.platform import headers
+from dragonflydyke.routing import server_pauses
 from tests.builders import forwarding
 
 _PAUSE_S = 4.0
@@ -190,7 +191,7 @@
 
     def test_absurd_pause_ends(self) -> None:
         pauses = server_pauses.ServerPauses()
-        server = forwarding.build_server_entry("a")
+        server = forwarding.build_server_entry("a").process
         pauses.record(server, 1e9, 0.0)
         self.assertGreater(pauses.find_delay_s(server, 599.0), 0.0)
         self.assertEqual(pauses.find_delay_s(server, 602.0), 0.0)
@@ -221,7 +222,7 @@
         self, steps: list[tuple[str, int, float]]
     ) -> None:
         pauses = server_pauses.ServerPauses()
-        servers = [forwarding.build_server_entry(str(n)) for n in range(3)]
+        servers = [(str(number), 1) for number in range(3)]
         ends = dict.fromkeys(range(3), 0.0)
         now_s = 0.0
         for step, number, seconds in steps:
