Bound the memory of responses that never end over all requests

Cause: only the size of a single response was bounded (16 MB), and each is held until it is complete.

--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -78,6 +78,7 @@
         "_context",
         "_exchange",
         "_first_chunk",
+        "_held_bytes",
         "_observer",
         "_request",
         "_retry_budget",
@@ -110,6 +111,7 @@
         self._state = context.state
         self._exchange: connection.Exchange | None = None
         self._first_chunk: bytes | None = None
+        self._held_bytes = 0
         # Seconds spent waiting for the server since its last numbered event.
         self._waited_s = 0.0
         self._observer: observers.AttemptObserver | None = None
@@ -192,6 +194,8 @@
 
     def close(self) -> None:
         """Closes the connection, which cancels the request at the server."""
+        self._services.response_memory.release(self._held_bytes)
+        self._held_bytes = 0
         if self._exchange is not None:
             self._exchange.close_now()
 
@@ -328,19 +332,27 @@
         exchange = self._exchange
         assert exchange is not None
         parts = []
-        size = 0
         async for chunk in exchange.read_chunks():
+            self._hold(len(chunk))
             parts.append(chunk)
-            size += len(chunk)
-            if size > _MAX_RESPONSE_BYTES:
-                raise AttemptFailedError(
-                    decisions.AttemptOutcome.LOST, "response too large"
-                )
         headers = self._services.codec.write_response(exchange.headers)
         return contexts.BufferedResponse(
             exchange.status, headers, b"".join(parts)
         )
 
+    def _hold(self, size: int) -> None:
+        """Accounts for a part of a response that is held until its end."""
+        memory = self._services.response_memory
+        if (
+            self._held_bytes + size > _MAX_RESPONSE_BYTES
+            or not memory.try_reserve(self._held_bytes, size)
+        ):
+            self._services.counters.increment("response.too_large")
+            raise AttemptFailedError(
+                decisions.AttemptOutcome.LOST, "response too large"
+            )
+        self._held_bytes += size
+
     async def _relay_events(self) -> None:
         splitter = events.EventSplitter()
         while (chunk := await self._read_chunk()) is not None:
--- a/src/dragonflydyke/forwarding/contexts.py
+++ b/src/dragonflydyke/forwarding/contexts.py
@@ -16,6 +16,7 @@
     messages,
     planner,
     quarantine,
+    response_memory,
     selection,
     server_statements,
 )
@@ -125,6 +126,7 @@
     quarantine: quarantine.RequestQuarantine
     crash_reporter: crash_reports.CrashReporter
     statements: server_statements.ServerStatements
+    response_memory: response_memory.ResponseMemory
     counters: metrics.Counters
     tcp_client: tcpclient.TCPClient
 
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -22,6 +22,7 @@
     quarantine,
     registry,
     reports,
+    response_memory,
     rollouts,
     selection,
     server,
@@ -263,6 +264,7 @@
             quarantine=self._quarantine,
             crash_reporter=self._crash_reporter,
             statements=self._statements,
+            response_memory=response_memory.ResponseMemory(),
             counters=self._counters,
             tcp_client=tcpclient.TCPClient(transport.AddressResolver()),
         )
--- a/tests/builders/forwarding.py
+++ b/tests/builders/forwarding.py
@@ -23,6 +23,7 @@
     planner,
     quarantine,
     reports,
+    response_memory,
     rollouts,
     selection,
     server,
@@ -334,6 +335,7 @@
         self.statements = server_statements.ServerStatements(
             self.directory, self.limits, self.counters
         )
+        self.response_memory = response_memory.ResponseMemory()
         codec = headers.HeaderCodec()
         self.forwarder = execution.Forwarder(
             contexts.ForwardingServices(
@@ -351,6 +353,7 @@
                 quarantine=self.quarantine,
                 crash_reporter=self.crash_reporter,
                 statements=self.statements,
+                response_memory=self.response_memory,
                 counters=self.counters,
                 tcp_client=tcpclient.TCPClient(transport.AddressResolver()),
             )
