--- a/tests/builders/forwarding.py
+++ b/tests/builders/forwarding.py
@@ -245,6 +245,15 @@
     return model.Route(**(values | fields))
 
 
+def build_plain_route(
+    kind: model.RequestKind = model.RequestKind.IDEMPOTENT,
+) -> model.Route:
+    """Returns a route of calls to the pool `plain`, which has no engines."""
+    return build_route(
+        kind=kind, resumable=False, pools=(model.PoolShare("plain", 1.0),)
+    )
+
+
 def build_policy(
     *routes: model.Route, version: int = 1
 ) -> model.ForwardingPolicy:
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -23,11 +23,7 @@
         """Starts a server whose signed responses never end."""
         await super().asyncSetUp()
         self.forwarder.policy = forwarding.build_policy(
-            forwarding.build_route(
-                kind=model.RequestKind.NON_IDEMPOTENT,
-                resumable=False,
-                pools=(model.PoolShare("plain", 1.0),),
-            )
+            forwarding.build_plain_route(model.RequestKind.NON_IDEMPOTENT)
         )
 
     async def test_memory_is_bounded_over_all_responses(self) -> None:
--- a/tests/test_forwarding_quarantine.py
+++ b/tests/test_forwarding_quarantine.py
@@ -1,7 +1,6 @@
 """Tests of the quarantine of requests that crash servers."""
 
 import asyncio
-import dataclasses
 import random
 import unittest
 
@@ -341,12 +340,9 @@
     async def asyncSetUp(self) -> None:
         """Starts five plain servers and the reporter."""
         await super().asyncSetUp()
-        self.route = forwarding.build_route(
-            kind=model.RequestKind.IDEMPOTENT,
-            resumable=False,
-            pools=(model.PoolShare("plain", 1.0),),
+        self.forwarder.policy = forwarding.build_policy(
+            forwarding.build_plain_route()
         )
-        self.forwarder.policy = forwarding.build_policy(self.route)
         self.crashed: list[str] = []
         for name in "abcde":
             await self.start_plain_server(name)
@@ -387,9 +383,7 @@
     async def test_call_that_may_run_once_is_sent_to_two_servers(self) -> None:
         """It has one attempt, but comes again as another request."""
         self.forwarder.policy = forwarding.build_policy(
-            dataclasses.replace(
-                self.route, kind=model.RequestKind.NON_IDEMPOTENT
-            )
+            forwarding.build_plain_route(model.RequestKind.NON_IDEMPOTENT)
         )
         statuses = []
         for number in range(4):
--- a/tests/test_forwarding_stop.py
+++ b/tests/test_forwarding_stop.py
@@ -13,11 +13,7 @@
         """Starts a plain server that does not respond."""
         await super().asyncSetUp()
         self.forwarder.policy = forwarding.build_policy(
-            forwarding.build_route(
-                kind=model.RequestKind.NON_IDEMPOTENT,
-                resumable=False,
-                pools=(model.PoolShare("plain", 1.0),),
-            )
+            forwarding.build_plain_route(model.RequestKind.NON_IDEMPOTENT)
         )
         self.plain = await self.start_server("a", _hang, pool="plain")
 
--- a/tests/test_server_statements.py
+++ b/tests/test_server_statements.py
@@ -6,7 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from dragonflydyke.forwarding import directory, messages, model
+from dragonflydyke.forwarding import directory, messages
 from dragonflydyke.platform import headers
 from dragonflydyke.routing import server_pauses
 from tests.builders import forwarding
@@ -44,11 +44,7 @@
         """Sets the configuration."""
         await super().asyncSetUp()
         self.forwarder.policy = forwarding.build_policy(
-            forwarding.build_route(
-                kind=model.RequestKind.IDEMPOTENT,
-                resumable=False,
-                pools=(model.PoolShare("plain", 1.0),),
-            )
+            forwarding.build_plain_route()
         )
 
     async def start_plain(
