--- a/src/dragonflydyke/objects/store_http.py
+++ b/src/dragonflydyke/objects/store_http.py
@@ -11,7 +11,7 @@
 _MAX_CONNECTIONS = 1_000
 _MAX_BODY_BYTES = 8_000_000
 _UNAVAILABLE = 503
-_MAX_SILENCE_S = 2.0
+DEFAULT_MAX_SILENCE_S = 2.0
 _MAX_ERA_DIGITS = 18
 
 _LOGGER = logs.get_logger("store")
@@ -54,7 +54,7 @@
         *,
         timeout_s: float,
         era_header: str,
-        max_silence_s: float = _MAX_SILENCE_S,
+        max_silence_s: float = DEFAULT_MAX_SILENCE_S,
     ) -> None:
         """Creates a client without connections.
 
--- a/src/dragonflydyke/platform/store.py
+++ b/src/dragonflydyke/platform/store.py
@@ -13,7 +13,6 @@
 
 _PATH = "/api/objects/"
 _TIMEOUT_S = 1.0
-_MAX_SILENCE_S = 2.0
 _MS_PER_S = 1_000
 _OK = 200
 _CREATED = 201
@@ -42,7 +41,7 @@
         base_url: str,
         counters: metrics.Counters,
         *,
-        max_silence_s: float = _MAX_SILENCE_S,
+        max_silence_s: float = store_http.DEFAULT_MAX_SILENCE_S,
     ) -> None:
         """Creates a client.
 
