Review: a lapsed entry makes nodes forget what a runner limits

Cause: ServerLimits.retain drops the limit of a runner process once its entry is missing from the store, and the entry of a live runner may come back.

--- a/review/standins/runners.py
+++ b/review/standins/runners.py
@@ -21,6 +21,7 @@
         version: Version of the runner.
         status: Status of its answer, 0 if there was none.
         has_run: Whether the runner worked on it.
+        names_limit: Whether its answer names a limit.
     """
 
     at_s: float
@@ -30,6 +31,7 @@
     version: str
     status: int = 0
     has_run: bool = False
+    names_limit: bool = False
 
 
 Behaviour = Callable[
@@ -44,6 +46,7 @@
         name: Id of the runner.
         behave: Answers a request instead, if it returns True.
         extra_headers: Headers of all answers.
+        work_s: Seconds for which it works on a request.
     """
 
     def __init__(
@@ -63,7 +66,7 @@
         self.extra_headers: dict[str, str] = {}
         self._zone = zone
         self._arrivals = arrivals
-        self._work_s = work_s
+        self.work_s = work_s
         self._born = int(time.time() * 1_000)
         self._sequence = 0
         self._address = ""
@@ -108,7 +111,7 @@
         ):
             return True
         arrival.has_run = True
-        await asyncio.sleep(self._work_s)
+        await asyncio.sleep(self.work_s)
         body = f"answer to {request_id}".encode()
         self.answer(writer, arrival, 200, body)
         return True
@@ -123,6 +126,7 @@
     ) -> None:
         """Answers a request; underscores in header names are hyphens."""
         arrival.status = status
+        arrival.names_limit = "Server-Limit" in self.extra_headers
         named = {name.replace("_", "-"): headers[name] for name in headers}
         self._answer(writer, arrival.request_id, status, body, named)
 
