--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,7 +13,7 @@
 _NODES = 3
 _RATE_PER_S = 40.0
 _ORDER_S = 1.0
-_RAMP_S = 24.0
+_RAMP_S = 16.0
 _LOST_FOR_S = 4.5
 # Largest share of the store's answers that the site file lets be lost.
 _MAX_LOST_SHARE = 0.35
