Limit the age of what a node knows of the store

Cause: everything that a node reads comes from replicas once they were found to be current, so that nothing can contradict them. A response without changes was taken as proof that nothing had changed. Ruled out: a change that arrives and is not applied (it is applied as it arrives); the wait of the watch (each response of the replica is sound, only old). Fix: at an interval of 0.35 of the smallest limit a node reads the version of the store, linearizable, and each kind has to be complete up to it; one that is not reads its changes beside the long poll, from the store itself if the replica cannot show the version. This bounds the age for every kind, so that the configuration needs no shorter watch than the others. The age in the logs is the time up to which all changes are known. The test of the timing compared the wait of the short watch with the limit; it now compares the interval of the checks with the same limit.

--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -30,8 +30,8 @@
     server_statements,
     supervision,
 )
+from dragonflydyke.objects import freshness, replicas, watchers
 from dragonflydyke.objects import model as objects
-from dragonflydyke.objects import replicas, watchers
 
 # The load balancer stops sending clients after two failed readiness checks, a
 # second apart, and clients then use their open connections a little longer.
@@ -79,6 +79,11 @@
     drain_s: float
     apply_s: float
 
+    @property
+    def max_age_s(self) -> float:
+        """Seconds within which every change in the store takes effect."""
+        return min(self.drain_s, self.apply_s)
+
     @property
     def watch_timing(self) -> watchers.WatchTiming:
         """Timing of the watches that meets the limits of this deployment.
@@ -86,9 +91,7 @@
         A change can be confirmed in the moment of a fault, so that the limit on
         the change and the time after the fault run concurrently.
         """
-        return watchers.WatchTiming(
-            max(self.contact_s, min(self.drain_s, self.apply_s))
-        )
+        return watchers.WatchTiming(max(self.contact_s, self.max_age_s))
 
     @property
     def max_silence_s(self) -> float:
@@ -156,6 +159,7 @@
         "_decoder",
         "_directory",
         "_forwarder",
+        "_freshness",
         "_has_crashes",
         "_has_rollouts",
         "_is_draining",
@@ -244,7 +248,15 @@
         self._server = server.ForwardingServer(self._forwarder, codec)
         self._is_draining = False
         self._stopped = asyncio.Event()
-        self._watchers = self._build_watchers(store, kinds)
+        reader = replicas.ReplicaReader(store, kinds.rollouts, values.max_age_s)
+        self._watchers = self._build_watchers(reader, kinds)
+        self._freshness = freshness.FreshnessMonitor(
+            reader,
+            self._watchers,
+            self._retry_gate,
+            values.max_age_s,
+            self._random,
+        )
         self._forwarder.find_policy_age_s = self._watchers[0].find_age_s
 
     def _build_services(
@@ -273,20 +285,13 @@
         return not self._retry_gate.is_unavailable
 
     def _build_watchers(
-        self, store: NodeStore, kinds: ObjectKinds
+        self, reader: replicas.ReplicaReader, kinds: ObjectKinds
     ) -> list[watchers.KindWatcher]:
-        timing = self._settings.watch_timing
-        long_timing = dataclasses.replace(timing, polls_often=False)
-        reader = replicas.ReplicaReader(
-            store,
-            kinds.rollouts,
-            min(self._settings.drain_s, self._settings.apply_s),
-        )
         listeners = (
-            (kinds.policies, self._apply_policy, timing),
-            (kinds.servers, self._apply_servers, long_timing),
-            (kinds.rollouts, self._apply_rollouts, long_timing),
-            (kinds.crashes, self._apply_crashes, long_timing),
+            (kinds.policies, self._apply_policy),
+            (kinds.servers, self._apply_servers),
+            (kinds.rollouts, self._apply_rollouts),
+            (kinds.crashes, self._apply_crashes),
         )
         return [
             watchers.KindWatcher(
@@ -295,9 +300,9 @@
                 listener,
                 self._counters,
                 self._retry_gate,
-                kind_timing,
+                self._settings.watch_timing,
             )
-            for kind, listener, kind_timing in listeners
+            for kind, listener in listeners
         ]
 
     @property
@@ -317,6 +322,7 @@
         loop.add_signal_handler(signal.SIGTERM, self._start_shutdown)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
         activities = [watcher.run for watcher in self._watchers]
+        activities.append(self._freshness.run)
         activities.append(self._rollout_controller.run)
         activities.append(self._crash_reporter.run)
         activities.append(self._registry.run)
--- a/src/dragonflydyke/objects/replicas.py
+++ b/src/dragonflydyke/objects/replicas.py
@@ -12,6 +12,8 @@
 has the same version as the store, so that an equal version proves nothing.
 Watches are therefore linearizable until one has returned a version that the
 store issued within the tolerated lag, and a replica has that version, too.
+Replicas that fall behind later withhold the changes themselves. That shows only
+in a version of the store from another source, see `freshness`.
 """
 
 import asyncio
@@ -136,6 +138,60 @@
         self._record_version(listed.version)
         return listed
 
+    async def read_version(self) -> int:
+        """Returns the version that the store has now.
+
+        Raises:
+            DragonflydykeError: If the store does not respond or rejects a call.
+        """
+        return await self._store.read_version(self._smallest_kind)
+
+    async def record_store_version(self, version: int) -> None:
+        """Records a version that the store issued a moment ago.
+
+        If it is new, it can show that replicas have become current.
+        """
+        is_new = version > self._newest_version
+        self._record_version(version)
+        if is_new and not self._are_current:
+            await self._check_replicas(version)
+
+    async def read_changes(
+        self, kind: str, since: int, version: int
+    ) -> model.ObjectChanges:
+        """Returns the changes after a version, without waiting for any.
+
+        Args:
+            kind: Kind of the objects.
+            since: Version of the store after which changes are returned.
+            version: Version that the store had. The changes are complete at
+                least up to it.
+
+        Raises:
+            HistoryLostError: If the store no longer has these changes.
+        """
+        try:
+            changes = await self._watch_now(
+                kind, since, model.ReadConsistency.STALE
+            )
+            if changes.version < version:
+                self._record_lag(changes.version, version)
+                changes = await self._watch_now(
+                    kind, since, model.ReadConsistency.LINEARIZABLE
+                )
+        except model.HistoryLostError:
+            self._are_current = False
+            raise
+        self._record_version(changes.version)
+        return changes
+
+    async def _watch_now(
+        self, kind: str, since: int, consistency: model.ReadConsistency
+    ) -> model.ObjectChanges:
+        return await self._store.watch(
+            kind, since, 0.0, consistency=consistency
+        )
+
     async def watch(
         self, kind: str, since: int, wait_s: float
     ) -> model.ObjectChanges:
@@ -210,6 +266,8 @@
             _LOGGER.info("replicas of the store are current", version=version)
 
     def _record_lag(self, version: int, known_version: int) -> None:
+        if not self._are_current:
+            return
         self._are_current = False
         _LOGGER.notice(
             "replicas of the store lag behind",
--- a/src/dragonflydyke/objects/watchers.py
+++ b/src/dragonflydyke/objects/watchers.py
@@ -1,9 +1,12 @@
 """Watchers that follow all objects of a kind through lists and long polls.
 
-A store that stops responding shows only in a call that times out. One watcher
-of a node therefore polls often, and when any call fails the long polls of all
-watchers are given up, as they may never end. Connections that alone go silent
-are closed by keep-alive probes.
+A store that stops responding shows only in a call that times out. When any call
+of a node fails, the long polls of all its watchers are given up, as they may
+never end. Connections that alone go silent are closed by keep-alive probes.
+
+A long poll that does not end looks the same whether nothing has changed, its
+response was lost, or a replica that lags behind serves it. `freshness` finds
+out which, and lets a watcher catch up beside its long poll.
 """
 
 import asyncio
@@ -15,10 +18,6 @@
 from dragonflydyke import errors, logs, metrics
 from dragonflydyke.objects import model, replicas
 
-# Part of the detection delay that is not available to a watch: the timeout of a
-# call and the time of a list.
-_CALL_MARGIN_S = 1.4
-_MIN_WAIT_S = 1.0
 # The store responds to a long poll after at most 30 s. Proxies between a node
 # and the store may close connections that were idle for half a minute.
 _LONG_WAIT_S = 15.0
@@ -42,21 +41,10 @@
 
     Attributes:
         max_detection_delay_s: Upper limit, in seconds, on the time from a
-            change to its detection, also when the store or the connection of
-            a watch stops responding without being closed.
-        polls_often: Whether the watch itself detects such a store in time;
-            other watches of the node are given up when this one fails.
+            change to its detection after the store was unavailable.
     """
 
     max_detection_delay_s: float = 5.0
-    polls_often: bool = True
-
-    @property
-    def wait_s(self) -> float:
-        """Seconds after which the store responds to a watch without changes."""
-        if not self.polls_often:
-            return _LONG_WAIT_S
-        return max(_MIN_WAIT_S, self.max_detection_delay_s - _CALL_MARGIN_S)
 
     @property
     def coalescing_delay_s(self) -> float:
@@ -133,27 +121,44 @@
                 return await self._send(send)
         return await self._send(send)
 
-    async def poll(self, send: Callable[[], Awaitable[_Result]]) -> _Result:
+    async def poll(
+        self,
+        send: Callable[[], Awaitable[_Result]],
+        overtaken: asyncio.Event,
+    ) -> _Result | None:
         """Sends a long poll, which is given up when another call fails.
 
+        Args:
+            send: Sends the long poll.
+            overtaken: Set when the response is of no use any more.
+
+        Returns:
+            The response, or None if the long poll was overtaken.
+
         Raises:
             DragonflydykeError: Any error that the call raises, or
                 platform_unavailable if it was given up.
         """
         if self._is_unavailable:
             return await self.call(send)
-        interruption = asyncio.ensure_future(self._interruption.wait())
         response = asyncio.ensure_future(send())
         response.add_done_callback(_discard_result)
+        ends = [
+            asyncio.ensure_future(event.wait())
+            for event in (self._interruption, overtaken)
+        ]
         try:
             await asyncio.wait(
-                (response, interruption), return_when=asyncio.FIRST_COMPLETED
+                (response, *ends), return_when=asyncio.FIRST_COMPLETED
             )
         except asyncio.CancelledError:
             response.cancel()
             raise
         finally:
-            interruption.cancel()
+            for end in ends:
+                end.cancel()
+        if not response.done() and overtaken.is_set():
+            return None
         if not response.done():
             # Its connection may be silent. It is left to its own timeout, since
             # the HTTP client cannot withdraw it.
@@ -218,21 +223,28 @@
     """Follows the objects of a kind and notifies a listener of each change.
 
     Attributes:
-        confirmed_s: Loop time of the store's last response on this kind, None
-            before the first.
+        changed_version: Version of the store at or after the newest known
+            change of the kind.
+        confirmed_s: Loop time up to which all changes are known, None before
+            the first list.
+        kind: Kind of the objects.
+        version: Version of the store up to which the objects are complete, None
+            while they have to be listed.
     """
 
     __slots__ = (
         "_counters",
         "_is_disconnected",
-        "_kind",
         "_listener",
         "_objects",
+        "_overtaken",
         "_reader",
         "_retry_gate",
         "_timing",
-        "_version",
+        "changed_version",
         "confirmed_s",
+        "kind",
+        "version",
     )
 
     def __init__(
@@ -259,19 +271,24 @@
         self._retry_gate = retry_gate
         self._timing = timing
         self._reader = reader
-        self._kind = kind
         self._listener = listener
         self._counters = counters
         self._objects: dict[str, model.StoredObject] = {}
-        self._version: int | None = None
         self._is_disconnected = False
+        self._overtaken = asyncio.Event()
+        self.changed_version = 0
         self.confirmed_s: float | None = None
+        self.kind = kind
+        self.version: int | None = None
 
     def find_age_s(self, now_s: float) -> float | None:
-        """Returns the seconds since the last response, None before the first.
+        """Returns the age of what is known, None before the first list.
 
         Args:
             now_s: Current loop time.
+
+        Returns:
+            Seconds since the time up to which all changes are known.
         """
         if self.confirmed_s is None:
             return None
@@ -283,47 +300,116 @@
         May be called again after an error of the listener; the kind is then
         listed again.
         """
-        self._version = None
+        self.version = None
         while True:
             try:
                 await self._step()
             except errors.DragonflydykeError as error:
                 self._record_failure(error)
 
+    async def catch_up(self, version: int, read_s: float) -> bool:
+        """Reads the changes up to a version of the store, beside the long poll.
+
+        Args:
+            version: Version that the store had.
+            read_s: Loop time at which it had that version, or a later one.
+
+        Returns:
+            Whether the objects are now complete up to the version.
+
+        Raises:
+            DragonflydykeError: If the store does not respond or rejects a call.
+        """
+        since = self.version
+        if since is not None and since < version:
+            await self._read_changes(since, version)
+        if self.version is None or self.version < version:
+            return False
+        self._confirm(read_s)
+        return True
+
+    async def _read_changes(self, since: int, version: int) -> None:
+        try:
+            changes = await self._retry_gate.call(
+                lambda: self._reader.read_changes(self.kind, since, version)
+            )
+        except model.HistoryLostError as error:
+            self._record_failure(error)
+            self._overtaken.set()
+            return
+        if self._apply(changes, since):
+            _LOGGER.notice(
+                "watch missed a change",
+                kind=self.kind,
+                since=since,
+                version=changes.version,
+                confirmed_age_s=self._find_current_age_s(),
+            )
+            self._overtaken.set()
+
     async def _step(self) -> None:
         if self._retry_gate.is_unavailable:
             # Lists instead of watching: a long poll would block the retry gate
             # for the other watchers of this node, and entries can expire while
             # the store is unavailable.
-            self._version = None
+            self.version = None
             self._is_disconnected = True
-        if self._version is None:
+        if self.version is None:
             await self._list()
             return
-        since = self._version
+        since = self.version
+        self._overtaken.clear()
         changes = await self._retry_gate.poll(
-            lambda: self._reader.watch(self._kind, since, self._timing.wait_s)
+            lambda: self._reader.watch(self.kind, since, _LONG_WAIT_S),
+            self._overtaken,
         )
+        if changes is None:
+            return
         self._record_response()
+        if self._apply(changes, since):
+            await asyncio.sleep(self._timing.coalescing_delay_s)
+
+    def _apply(self, changes: model.ObjectChanges, since: int) -> bool:
+        """Applies the changes after a version.
+
+        Returns:
+            Whether there were changes that are not known yet.
+        """
+        if self.version is None:
+            return False
+        is_overtaken = since != self.version
+        if is_overtaken and changes.version <= self.version:
+            return False
         # A replica that lags behind may report an older version.
-        self._version = max(since, changes.version)
+        self.version = max(self.version, changes.version)
         if not changes.written and not changes.removed:
-            return
+            return False
         for entry in changes.written:
             self._objects[entry.name] = entry
         for name in changes.removed:
             self._objects.pop(name, None)
-        self._notify_listener(self._version, after_gap=False)
-        await asyncio.sleep(self._timing.coalescing_delay_s)
+        self._record_change(changes)
+        self._notify_listener(self.version, after_gap=False)
+        return True
+
+    def _record_change(self, changes: model.ObjectChanges) -> None:
+        versions = [entry.version for entry in changes.written]
+        if changes.removed:
+            versions.append(changes.version)
+        self.changed_version = max(self.changed_version, *versions)
 
     async def _list(self) -> None:
+        started_s = asyncio.get_running_loop().time()
         listed = await self._retry_gate.call(
-            lambda: self._reader.list_all(self._kind)
+            lambda: self._reader.list_all(self.kind)
         )
         after_gap = self._is_disconnected
         self._record_response()
+        self._confirm(started_s)
         self._objects = {entry.name: entry for entry in listed.objects}
-        self._version = listed.version
+        self.version = listed.version
+        # The list does not tell when the newest object was removed.
+        self.changed_version = listed.version
         self._notify_listener(listed.version, after_gap=after_gap)
 
     def _notify_listener(self, version: int, *, after_gap: bool) -> None:
@@ -331,25 +417,29 @@
         snapshot = KindSnapshot(dict(self._objects), now_s, version)
         self._listener(snapshot, after_gap)
 
+    def _confirm(self, read_s: float) -> None:
+        if self.confirmed_s is None or self.confirmed_s < read_s:
+            self.confirmed_s = read_s
+
+    def _find_current_age_s(self) -> float | None:
+        return self.find_age_s(asyncio.get_running_loop().time())
+
     def _record_response(self) -> None:
-        self.confirmed_s = asyncio.get_running_loop().time()
         if self._is_disconnected:
             self._is_disconnected = False
-            _LOGGER.notice("store regained", kind=self._kind)
+            _LOGGER.notice("store regained", kind=self.kind)
 
     def _record_failure(self, error: errors.DragonflydykeError) -> None:
-        self._counters.increment(f"watch.{self._kind}.{error.code}")
+        self._counters.increment(f"watch.{self.kind}.{error.code}")
         if not self._is_disconnected:
             _LOGGER.warning(
                 "store lost",
-                kind=self._kind,
+                kind=self.kind,
                 code=error.code,
                 error=str(error),
-                confirmed_age_s=self.find_age_s(
-                    asyncio.get_running_loop().time()
-                ),
+                confirmed_age_s=self._find_current_age_s(),
             )
         # Entries can expire while the store is unavailable, which the history
         # of changes does not show.
         self._is_disconnected = True
-        self._version = None
+        self.version = None
--- a/tests/builders/store.py
+++ b/tests/builders/store.py
@@ -1,6 +1,7 @@
 """In-process stub of the platform's metadata store."""
 
 import asyncio
+import collections
 import copy
 import dataclasses
 import json
@@ -64,7 +65,7 @@
         self.page_size = 100
         self.calls: list[str] = []
         self.open_watches = 0
-        self._silences = 0
+        self._silences: collections.Counter[str] = collections.Counter()
         self._events: list[tuple[int, str, bool, dict[str, Any]]] = []
         self._changed = asyncio.Condition()
 
@@ -98,9 +99,13 @@
         """Drops the history of changes, so that watches must list again."""
         self.oldest_revision = self.revision + 1
 
-    def silence_watches(self) -> None:
-        """Leaves the open watches without a response; later ones work."""
-        self._silences += 1
+    def silence_watches(self, *kinds: str) -> None:
+        """Leaves open watches without a response; later ones work.
+
+        Args:
+            *kinds: Kinds whose watches are concerned, all if none is named.
+        """
+        self._silences.update(kinds or self.objects)
 
     def take_copy(self) -> StoreCopy:
         """Returns the current state."""
@@ -132,7 +137,7 @@
         self, kind: str, since: int, wait_s: float, *, is_stale: bool
     ) -> list[dict[str, Any]] | None:
         """Returns events after a revision, None if the history was dropped."""
-        silences = self._silences
+        silences = self._silences[kind]
         self.open_watches += 1
         try:
             async with asyncio.timeout(wait_s), self._changed:
@@ -143,7 +148,7 @@
             pass
         finally:
             self.open_watches -= 1
-        if silences != self._silences:
+        if silences != self._silences[kind]:
             await asyncio.Event().wait()
         if not self.oldest_revision - 1 <= since <= self.revision:
             return None
--- /dev/null
+++ b/tests/test_freshness.py
@@ -0,0 +1,124 @@
+"""Tests of the limit on the age of what a node knows of the store."""
+
+import asyncio
+
+from dragonflydyke.objects import watchers
+from tests.builders import skipping_loop, store, watched_kinds
+
+# The smallest limits of the deployments: a configuration, and a server that
+# drains, take effect within this time.
+_MAX_AGE_S = 2.0
+_CONTACT_S = 3.0
+# The state of a test moves within this time, by the clock of its loop.
+_STEP_S = 0.1
+
+
+class WatchedStoreTestCase(store.StoreTestCase):
+    """Test case with the watchers of a node whose replicas are current."""
+
+    async def asyncSetUp(self) -> None:
+        """Starts the watchers and makes a change that the replicas show."""
+        await super().asyncSetUp()
+        self.watched = watched_kinds.WatchedKinds(
+            self.store,
+            self.counters,
+            watchers.WatchTiming(_CONTACT_S),
+            _MAX_AGE_S,
+        )
+        for kind in watched_kinds.KINDS:
+            await self.stub.put(kind, "first", {})
+        self.watched.start(self.addCleanup)
+        await skipping_loop.wait_until(
+            lambda: len(self.watched.names) == len(watched_kinds.KINDS)
+        )
+        for kind in watched_kinds.KINDS:
+            await self.stub.put(kind, "second", {})
+            await self.wait_for(kind, {"first", "second"})
+        await self.pass_time(_STEP_S)
+
+    async def wait_for(self, kind: str, names: set[str]) -> None:
+        """Waits until a kind has these names, and its next watch has begun."""
+        await skipping_loop.wait_until(
+            lambda: self.watched.names[kind] == names
+        )
+        self.loop.skip(_CONTACT_S * 0.14)
+        await skipping_loop.wait_until(
+            lambda: self.stub.open_watches >= len(watched_kinds.KINDS)
+        )
+
+    async def pass_time(self, seconds: float) -> None:
+        """Advances the clock in steps that let calls complete."""
+        until_s = self.loop.time() + seconds
+        while self.loop.time() < until_s:
+            self.loop.skip(_STEP_S)
+            await asyncio.sleep(_STEP_S / 10)
+
+    async def check_changes_take_effect(self) -> None:
+        """Checks that a change of each kind takes effect within the limit."""
+        for kind in watched_kinds.KINDS:
+            await self.stub.put(kind, "third", {})
+            await self.stub.remove(kind, "first")
+        await self.pass_time(_MAX_AGE_S - 2 * _STEP_S)
+        for kind in watched_kinds.KINDS:
+            with self.subTest(kind):
+                self.assertEqual(self.watched.names[kind], {"second", "third"})
+
+
+class LaggingReplicaTest(WatchedStoreTestCase):
+    """Guards against replicas that withhold changes once they were current.
+
+    A configuration, a draining server and an order of a rollout were hidden
+    from all nodes for as long as the replicas lagged.
+    """
+
+    async def test_change_beside_lagging_replicas_takes_effect(self) -> None:
+        self.stub.stuck_revision = self.stub.revision
+        await self.check_changes_take_effect()
+
+    async def test_replicas_are_used_again_once_they_are_current(self) -> None:
+        """Linearizable watches cost ten times as much."""
+        self.stub.stuck_revision = self.stub.revision
+        await self.check_changes_take_effect()
+        self.stub.stuck_revision = None
+        for name in ("fourth", "fifth", "sixth"):
+            await self.stub.put("config", name, {})
+            await self.pass_time(_MAX_AGE_S)
+        self.stub.calls.clear()
+        await self.stub.put("config", "seventh", {})
+        await self.pass_time(_STEP_S)
+        watches = [
+            call
+            for call in self.stub.calls
+            if "config?watch" in call and "waitMs=0" not in call
+        ]
+        self.assertFalse([c for c in watches if "allowStale" not in c])
+
+    async def test_age_grows_until_it_is_proved(self) -> None:
+        """A response of a replica does not prove that nothing has changed."""
+        watcher = self.watched.watchers["config"]
+        self.stub.stuck_revision = self.stub.revision
+        self.stub.rejection_status = 503
+        confirmed_s = watcher.confirmed_s
+        await self.pass_time(_MAX_AGE_S)
+        self.assertEqual(watcher.confirmed_s, confirmed_s)
+        self.stub.rejection_status = 0
+        await self.pass_time(_MAX_AGE_S)
+        self.assertNotEqual(watcher.confirmed_s, confirmed_s)
+
+
+class UnchangedStoreTest(WatchedStoreTestCase):
+    """Guards against checks that cost more than they need to."""
+
+    async def test_check_without_changes_is_one_call(self) -> None:
+        await self.pass_time(2 * _MAX_AGE_S)
+        self.stub.calls.clear()
+        await self.watched.monitor.check()
+        self.assertEqual(self.stub.calls, ["GET /api/objects/rollouts"])
+
+    async def test_change_that_a_watch_delivers_is_not_read_again(self) -> None:
+        await self.pass_time(2 * _MAX_AGE_S)
+        await self.stub.put("config", "third", {})
+        await self.wait_for("config", {"first", "second", "third"})
+        self.stub.calls.clear()
+        await self.watched.monitor.check()
+        self.assertFalse([c for c in self.stub.calls if "config" in c])
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,8 +12,8 @@
 
 from dragonflydyke import settings
 from dragonflydyke.forwarding import controller, model, quarantine, rollouts
+from dragonflydyke.objects import freshness, replicas, watchers
 from dragonflydyke.objects import model as objects
-from dragonflydyke.objects import replicas, watchers
 from dragonflydyke.platform import process, records
 from tests.builders import shared_objects, skipping_loop, store
 
@@ -414,10 +414,11 @@
         self.assertFalse(self.retry_gate.is_unavailable)
 
     def test_watch_timing_meets_the_limits(self) -> None:
-        """A silent watch is detected, and objects listed, within the limit."""
+        """A silent store is detected, and objects listed, within the limit."""
         for notice_s in (3.0, 4.0, 5.0, 7.0):
             timing = watchers.WatchTiming(notice_s)
-            self.assertLessEqual(timing.wait_s + 1.0 + 0.4, notice_s)
+            interval_s = freshness.find_check_interval_s(notice_s)
+            self.assertLessEqual(interval_s + 1.0 + 0.4, notice_s)
             self.assertLess(timing.coalescing_delay_s, 1.0)
             # One retry, and a list after it, fit into the limit.
             self.assertLess(timing.max_retry_delay_s + 1.4, notice_s)
--- a/tests/test_silent_watches.py
+++ b/tests/test_silent_watches.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import dataclasses
-import functools
-import random
 import socket
 import unittest
 from unittest import mock
@@ -13,8 +11,7 @@
 from dragonflydyke import settings, transport
 from dragonflydyke.forwarding import execution, node, rollouts
 from dragonflydyke.objects import model as objects
-from dragonflydyke.objects import replicas, watchers
-from tests.builders import forwarding, skipping_loop, store
+from tests.builders import forwarding, skipping_loop, store, watched_kinds
 
 _ADDRESS = settings.Address("127.0.0.1", 0)
 _SETTINGS = node.NodeSettings(
@@ -60,49 +57,27 @@
     """
 
     async def asyncSetUp(self) -> None:
-        """Starts two watchers and waits for their first lists."""
+        """Starts the watchers and waits for their first lists."""
         await super().asyncSetUp()
-        self.names: dict[str, set[str]] = {}
-        timing = _SETTINGS.watch_timing
-        gate = watchers.StoreRetryGate(
-            random.Random(3), lambda: self.store.probe("rollouts"), timing
+        watched = watched_kinds.WatchedKinds(
+            self.store,
+            self.counters,
+            _SETTINGS.watch_timing,
+            _SETTINGS.max_age_s,
         )
-        reader = replicas.ReplicaReader(self.store, "rollouts")
-        long_timing = dataclasses.replace(timing, polls_often=False)
-        self.watchers = {
-            kind: watchers.KindWatcher(
-                reader,
-                kind,
-                functools.partial(self.record, kind),
-                self.counters,
-                gate,
-                kind_timing,
-            )
-            for kind, kind_timing in (
-                ("config", timing),
-                ("servers", long_timing),
-            )
-        }
-        for kind, watcher in self.watchers.items():
+        self.names = watched.names
+        self.watchers = watched.watchers
+        for kind in self.watchers:
             await self.stub.put(kind, "first", {})
-            self.addCleanup(asyncio.create_task(watcher.run()).cancel)
+        watched.start(self.addCleanup)
         await skipping_loop.wait_until(
-            lambda: len(self.names) == self.stub.open_watches == 2
+            lambda: len(self.names) == self.stub.open_watches == 4
         )
 
-    def record(
-        self, kind: str, snapshot: watchers.KindSnapshot, gap: bool
-    ) -> None:
-        """Stores the names in the newest snapshot."""
-        self.names[kind] = set(snapshot.objects)
-
     async def test_change_is_in_force_once_a_calm_node_is_in_contact(
         self,
     ) -> None:
-        """The watches have just begun when the store goes silent on them.
-
-        The watch of the servers ends with that of the configuration.
-        """
+        """The watches have just begun when the store goes silent on them."""
         self.stub.silence_watches()
         silent_s = self.loop.time()
         for kind in self.watchers:
