--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -122,3 +122,42 @@
         self.stub.calls.clear()
         await self.watched.monitor.check()
         self.assertFalse([c for c in self.stub.calls if "config" in c])
+
+
+class LostResponseTest(WatchedStoreTestCase):
+    """Guards against changes whose response to a watch was lost.
+
+    An order of a rollout was unknown to all nodes for up to 16 s. The
+    connection of the watch is sound, so that no probe shows the loss.
+    """
+
+    async def test_change_in_a_lost_response_takes_effect(self) -> None:
+        for kind in watched_kinds.KINDS:
+            with self.subTest(kind):
+                self.stub.silence_watches(kind)
+                await self.stub.put(kind, "third", {})
+                await self.pass_time(_MAX_AGE_S - 2 * _STEP_S)
+                names = self.watched.names[kind]
+                self.assertEqual(names, {"first", "second", "third"})
+
+    async def test_watch_is_open_again_after_a_lost_response(self) -> None:
+        """Later changes would otherwise arrive late, too."""
+        self.stub.silence_watches("rollouts")
+        await self.stub.put("rollouts", "third", {})
+        await self.pass_time(2 * _MAX_AGE_S)
+        await self.stub.remove("rollouts", "first")
+        await asyncio.sleep(_STEP_S)
+        names = self.watched.names["rollouts"]
+        self.assertEqual(names, {"second", "third"})
+
+    async def test_response_that_was_overtaken_is_ignored(self) -> None:
+        """An object that was removed meanwhile would return."""
+        watcher = self.watched.watchers["servers"]
+        since = watcher.version
+        assert since is not None
+        await self.stub.put("servers", "third", {})
+        late = await self.watched.reader.read_changes("servers", since, since)
+        await self.stub.remove("servers", "third")
+        await self.pass_time(_MAX_AGE_S)
+        watcher._apply(late, since)
+        self.assertEqual(self.watched.names["servers"], {"first", "second"})
