Read the version of the store once for a group of nodes

Cause: the check of costs each node a linearizable read within the smallest limit, and on a large fleet the version of the store rises all the time (entries of nodes, rollouts), so that each check also reads every kind. Ruled out: checks at longer intervals (the limit is 2 to 4 s); a heartbeat object that all nodes watch (a constant lag can't be told from none without a common clock); gRPC between the nodes (about 10 MB of memory each, which is priced). Change: nodes ask the ones before them in a group of up to 64 by UDP; one reads for all. The answer has the age of the read by a clock that counts suspended time, and the newest change of each kind, so that other kinds cause no calls. Without a recent answer a node reads the store itself; a peer that does not answer is left out for 2 to 60 s. Nodes find each other through the registry, whose first entry is created without the rejected replacement before it.

--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -30,7 +30,7 @@
     server_statements,
     supervision,
 )
-from dragonflydyke.objects import freshness, replicas, watchers
+from dragonflydyke.objects import freshness, peer_groups, replicas, watchers
 from dragonflydyke.objects import model as objects
 
 # The load balancer stops sending clients after two failed readiness checks, a
@@ -57,6 +57,7 @@
         front: Address for clients.
         ready: Address for readiness checks.
         metrics: Address for metrics.
+        peers: Address for datagrams of other nodes.
         store_url: URL of the store without a path.
         grace_s: Seconds between SIGTERM and SIGKILL.
         exposure: Limit on the requests during a rollout that a bad version may
@@ -72,6 +73,7 @@
     front: settings.Address
     ready: settings.Address
     metrics: settings.Address
+    peers: settings.Address
     store_url: str
     grace_s: float
     exposure: rollouts.ExposureLimit
@@ -232,10 +234,13 @@
         self._statements = server_statements.ServerStatements(
             self._directory, self._limits, counters
         )
+        group = peer_groups.PeerGroup()
         self._registry = registry.NodeRegistry(
             values.vm,
+            values.peers,
             store,
             self._limits,
+            group,
             counters,
             self._random,
             self._is_store_available,
@@ -256,6 +261,7 @@
             self._retry_gate,
             values.max_age_s,
             self._random,
+            group,
         )
         self._forwarder.find_policy_age_s = self._watchers[0].find_age_s
 
@@ -330,6 +336,7 @@
             loop.create_task(supervision.keep_running(run, self._counters))
             for run in activities
         ]
+        await self._freshness.open(self._settings.peers)
         self._server.listen(self._settings.front)
         _serve_text(self._settings.ready, self._describe_readiness)
         _serve_text(self._settings.metrics, self._describe_metrics)
@@ -343,6 +350,7 @@
         await self._stopped.wait()
         for task in tasks:
             task.cancel()
+        self._freshness.close()
         await self._server.stop()
         _LOGGER.notice("stopped")
 
--- a/src/dragonflydyke/forwarding/registry.py
+++ b/src/dragonflydyke/forwarding/registry.py
@@ -4,6 +4,8 @@
 longer than that, by the clock of the reader, belongs to a node that is gone. An
 entry that is missing does not: a store that was restored from a copy lacks the
 entries that were written since, until their nodes write them again.
+
+The entries also hold the addresses at which nodes answer each other.
 """
 
 import asyncio
@@ -13,9 +15,9 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from dragonflydyke import errors, logs, metrics
+from dragonflydyke import errors, logs, metrics, settings
 from dragonflydyke.forwarding import server_limits
-from dragonflydyke.objects import model as objects
+from dragonflydyke.objects import peer_groups
 
 # All nodes start at about the same time; their first writes are spread.
 _MAX_START_DELAY_S = 4.0
@@ -30,6 +32,21 @@
 _LOGGER = logs.get_logger("registry")
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ListedNode:
+    """Entry of a node in the store.
+
+    Attributes:
+        name: Unique name of the node.
+        version: Version of the entry.
+        address: Address for peers, None if the entry does not state one.
+    """
+
+    name: str
+    version: int
+    address: settings.Address | None
+
+
 class NodeStore(Protocol):
     """Stores the entries of the nodes."""
 
@@ -37,14 +54,21 @@
     def era(self) -> int:
         """Newest known era of the store, which rises with each restore."""
 
-    async def write_node(self, name: str, heartbeat: int) -> None:
+    async def write_node(
+        self, name: str, heartbeat: int, address: settings.Address
+    ) -> None:
         """Creates or replaces the entry of a node.
 
+        Args:
+            name: Unique name of the node.
+            heartbeat: Number that differs from that of the entry before.
+            address: Address of the node for peers.
+
         Raises:
             DragonflydykeError: If the write fails, or may not have happened.
         """
 
-    async def list_nodes(self) -> tuple[objects.StoredObject, ...]:
+    async def list_nodes(self) -> tuple[ListedNode, ...]:
         """Returns the entries of all nodes, possibly some seconds old.
 
         Raises:
@@ -61,9 +85,9 @@
 
 @dataclasses.dataclass(slots=True)
 class _Entry:
-    """Version of an entry, and the loop time at which it was first seen."""
+    """Newest entry of a node, and the loop time at which it was first seen."""
 
-    version: int
+    node: ListedNode
     changed_s: float
 
 
@@ -72,8 +96,10 @@
 
     __slots__ = (
         "_counters",
+        "_address",
         "_entries",
         "_era",
+        "_group",
         "_heartbeat",
         "_is_store_available",
         "_limits",
@@ -81,6 +107,7 @@
         "_listed_s",
         "_name",
         "_random",
+        "_settled_s",
         "_store",
         "_write_after_s",
     )
@@ -88,8 +115,10 @@
     def __init__(
         self,
         name: str,
+        address: settings.Address,
         store: NodeStore,
         limits: server_limits.ServerLimits,
+        group: peer_groups.PeerGroup,
         counters: metrics.Counters,
         source: random.Random,
         is_store_available: Callable[[], bool] = lambda: True,
@@ -98,14 +127,18 @@
 
         Args:
             name: Unique name of this node.
+            address: Address of this node for peers.
             store: Stores the entries.
             limits: Receives the position of this node.
+            group: Receives the addresses of the nodes.
             counters: Receives `registry.<error code>`.
             source: Random source that spreads the writes of the nodes.
             is_store_available: Returns whether the last read of the store
                 succeeded.
         """
         self._name = name
+        self._address = address
+        self._group = group
         self._store = store
         self._limits = limits
         self._counters = counters
@@ -117,6 +150,7 @@
         self._write_after_s = 0.0
         self._list_after_s = 0.0
         self._listed_s = -math.inf
+        self._settled_s = math.inf
 
     async def run(self) -> None:
         """Writes and lists entries until cancelled."""
@@ -153,36 +187,54 @@
         interval_s = _HEARTBEAT_INTERVAL_S
         if self._limits.has_limits:
             interval_s = _LIST_INTERVAL_S
+        if self._listed_s < self._settled_s <= now_s:
+            interval_s = 0.0
         return (
             now_s >= self._list_after_s and now_s - self._listed_s >= interval_s
         )
 
     async def _write(self, now_s: float) -> None:
         self._heartbeat += 1
-        await self._store.write_node(self._name, self._heartbeat)
-        if self._heartbeat == 1:
+        await self._store.write_node(self._name, self._heartbeat, self._address)
+        if math.isinf(self._settled_s):
             # The other nodes that start now register within this time.
-            self._list_after_s = now_s + _MAX_START_DELAY_S + _POLL_INTERVAL_S
+            self._settled_s = now_s + _MAX_START_DELAY_S + _POLL_INTERVAL_S
         self._write_after_s = now_s + _HEARTBEAT_INTERVAL_S
 
     async def _list(self, now_s: float) -> None:
         listed = await self._store.list_nodes()
         self._listed_s = now_s
-        for stored in listed:
-            entry = self._entries.get(stored.name)
-            if entry is None or entry.version != stored.version:
-                self._entries[stored.name] = _Entry(stored.version, now_s)
-        self._update_position(now_s)
+        for node in listed:
+            entry = self._entries.get(node.name)
+            if entry is None or entry.node.version != node.version:
+                self._entries[node.name] = _Entry(node, now_s)
+        self._update_group(now_s)
+        if now_s >= self._settled_s:
+            # An earlier list lacks nodes that start at the same time.
+            self._update_position(now_s)
         await self._remove_stale(now_s)
 
+    def _list_current(self, now_s: float) -> list[ListedNode]:
+        """Returns the nodes that are not gone."""
+        return [
+            entry.node
+            for entry in self._entries.values()
+            if now_s - entry.changed_s < _EXPIRY_S
+        ]
+
+    def _update_group(self, now_s: float) -> None:
+        self._group.replace(
+            self._name,
+            {
+                node.name: node.address
+                for node in self._list_current(now_s)
+                if node.address is not None
+            },
+        )
+
     def _update_position(self, now_s: float) -> None:
         names = sorted(
-            {
-                name
-                for name, entry in self._entries.items()
-                if now_s - entry.changed_s < _EXPIRY_S
-            }
-            | {self._name}
+            {node.name for node in self._list_current(now_s)} | {self._name}
         )
         position = server_limits.FleetPosition(
             names.index(self._name), len(names)
--- a/src/dragonflydyke/objects/freshness.py
+++ b/src/dragonflydyke/objects/freshness.py
@@ -6,18 +6,28 @@
 store had a moment ago, and each kind of objects has to be complete up to it. A
 kind that is not catches up through a call of its own, so that the age of what
 the node knows is limited for all kinds by one rule.
+
+One node of a group reads the store for the others, which ask it. A peer also
+tells the newest change of each kind, so that changes of one kind cause no calls
+for the others. Without a recent answer of a peer, a node reads the store.
 """
 
 import asyncio
+import math
 import random
 from collections.abc import Sequence
 
-from dragonflydyke import errors, logs
-from dragonflydyke.objects import replicas, watchers
+from dragonflydyke import errors, logs, settings
+from dragonflydyke.objects import peer_groups, peer_links, replicas, watchers
 
-# Share of the limit on the age that passes between two checks. The rest is left
-# to the calls that a kind needs in order to catch up.
+# Parts of the limit on the age. The sum of the interval between two checks, the
+# age of a peer's answer and two timeouts leaves a quarter of the limit to the
+# calls that a kind needs in order to catch up.
 _CHECK_INTERVAL_SHARE = 0.35
+_SHARED_AGE_SHARE = 0.2
+_PEER_TIMEOUT_SHARE = 0.1
+# Checks after which a node that nobody asked any more stops reading for others.
+_READER_CHECKS = 3
 # The nodes of a fleet start together; their checks are spread.
 _MIN_JITTER = 0.9
 
@@ -37,10 +47,15 @@
     """Limits the age of what the watchers of a node know."""
 
     __slots__ = (
-        "_interval_s",
+        "_asked_s",
+        "_group",
+        "_link",
+        "_lock",
+        "_max_age_s",
         "_random",
         "_reader",
         "_retry_gate",
+        "_state",
         "_watchers",
     )
 
@@ -51,6 +66,7 @@
         retry_gate: watchers.StoreRetryGate,
         max_age_s: float,
         source: random.Random,
+        group: peer_groups.PeerGroup | None = None,
     ) -> None:
         """Creates a monitor.
 
@@ -61,37 +77,128 @@
                 of a node.
             max_age_s: Seconds within which a change takes effect.
             source: Random source that spreads the checks of the nodes.
+            group: Peers to ask, None to read the store always.
         """
         self._reader = reader
         self._watchers = tuple(kind_watchers)
         self._retry_gate = retry_gate
-        self._interval_s = find_check_interval_s(max_age_s)
+        self._max_age_s = max_age_s
         self._random = source
+        self._group = group or peer_groups.PeerGroup()
+        self._link = peer_links.PeerLink(self._provide)
+        self._lock = asyncio.Lock()
+        self._state: peer_links.StoreState | None = None
+        self._asked_s = -math.inf
+
+    async def open(self, address: settings.Address) -> None:
+        """Starts to ask and to answer peers.
+
+        Args:
+            address: Address of this node for datagrams.
+        """
+        await self._link.open(address)
+
+    def close(self) -> None:
+        """Stops to ask and to answer peers."""
+        self._link.close()
 
     async def run(self) -> None:
         """Checks the watchers until cancelled."""
         while True:
+            interval_s = find_check_interval_s(self._max_age_s)
+            if self._reads_for_peers():
+                interval_s = self._max_age_s * _SHARED_AGE_SHARE
             jitter = self._random.uniform(_MIN_JITTER, 1.0)
-            await asyncio.sleep(self._interval_s * jitter)
+            await asyncio.sleep(interval_s * jitter)
             # The watchers list their kinds once the store is available.
             if not self._retry_gate.is_unavailable:
                 await self._check_or_log()
 
+    async def check(self) -> None:
+        """Lets all kinds catch up with a recent state of the store.
+
+        Raises:
+            DragonflydykeError: If the store does not respond or rejects a call.
+        """
+        async with self._lock:
+            state = None
+            if not self._reads_for_peers():
+                state = await self._ask_peers()
+            if state is None:
+                state = await self._read_store()
+            await self._catch_up(state)
+
     async def _check_or_log(self) -> None:
         try:
             await self.check()
         except errors.DragonflydykeError as error:
             _LOGGER.info("store state not checked", code=error.code)
 
-    async def check(self) -> None:
-        """Lets all kinds catch up with the current version of the store.
-
-        Raises:
-            DragonflydykeError: If the store does not respond or rejects a call.
-        """
-        read_s = asyncio.get_running_loop().time()
+    def _reads_for_peers(self) -> bool:
+        """Returns whether peers have asked this node lately."""
+        period_s = find_check_interval_s(self._max_age_s) * _READER_CHECKS
+        return asyncio.get_running_loop().time() - self._asked_s < period_s
+
+    def _is_recent(self, state: peer_links.StoreState | None) -> bool:
+        """Returns whether a state may be passed on, or used if passed on."""
+        if state is None:
+            return False
+        age_s = peer_links.find_uptime_s() - state.read_s
+        return age_s <= self._max_age_s * _SHARED_AGE_SHARE
+
+    async def _ask_peers(self) -> peer_links.StoreState | None:
+        """Returns the first recent answer of a peer, None without one."""
+        loop = asyncio.get_running_loop()
+        timeout_s = self._max_age_s * _PEER_TIMEOUT_SHARE
+        for address in self._group.list_candidates(loop.time()):
+            state = await self._link.ask(address, timeout_s)
+            if self._is_recent(state):
+                self._group.record_answer(address)
+                return state
+            self._group.record_failure(address, loop.time())
+        return None
+
+    async def _read_store(self) -> peer_links.StoreState:
+        read_s = peer_links.find_uptime_s()
         version = await self._retry_gate.call(self._reader.read_version)
-        await self._reader.record_store_version(version)
-        await asyncio.gather(
-            *(watcher.catch_up(version, read_s) for watcher in self._watchers)
+        return peer_links.StoreState(read_s, version, {})
+
+    async def _catch_up(self, state: peer_links.StoreState) -> None:
+        await self._reader.record_store_version(state.version)
+        age_s = peer_links.find_uptime_s() - state.read_s
+        read_s = asyncio.get_running_loop().time() - age_s
+        are_complete = await asyncio.gather(
+            *(
+                watcher.catch_up(
+                    state.kind_versions.get(watcher.kind, state.version), read_s
+                )
+                for watcher in self._watchers
+            )
         )
+        if all(are_complete):
+            self._state = peer_links.StoreState(
+                state.read_s,
+                state.version,
+                {
+                    watcher.kind: watcher.changed_version
+                    for watcher in self._watchers
+                },
+            )
+
+    async def _provide(self) -> peer_links.StoreState | None:
+        """Returns a recent state for a peer, None if there is none."""
+        self._asked_s = asyncio.get_running_loop().time()
+        if not self._is_recent(self._state):
+            await self._refresh_or_log()
+        return self._state if self._is_recent(self._state) else None
+
+    async def _refresh_or_log(self) -> None:
+        """Reads the store unless another task has just done so."""
+        if self._retry_gate.is_unavailable:
+            return
+        try:
+            async with self._lock:
+                if not self._is_recent(self._state):
+                    await self._catch_up(await self._read_store())
+        except errors.DragonflydykeError as error:
+            _LOGGER.info("store state not read for a peer", code=error.code)
--- a/src/dragonflydyke/objects/watchers.py
+++ b/src/dragonflydyke/objects/watchers.py
@@ -235,6 +235,7 @@
     __slots__ = (
         "_counters",
         "_is_disconnected",
+        "_is_watching",
         "_listener",
         "_objects",
         "_overtaken",
@@ -263,7 +264,8 @@
             kind: Kind of objects.
             listener: Called after each change with a snapshot and with whether
                 the store was unavailable, or changes were missed, before it.
-            counters: Receives `watch.<kind>.<error code>`.
+            counters: Receives `watch.<kind>.<error code>` and
+                `watch.<kind>.overtaken`.
             retry_gate: Gate of the calls to the store, shared by the watchers
                 of a node.
             timing: Timing of the watches.
@@ -275,6 +277,7 @@
         self._counters = counters
         self._objects: dict[str, model.StoredObject] = {}
         self._is_disconnected = False
+        self._is_watching = False
         self._overtaken = asyncio.Event()
         self.changed_version = 0
         self.confirmed_s: float | None = None
@@ -337,15 +340,19 @@
             self._record_failure(error)
             self._overtaken.set()
             return
-        if self._apply(changes, since):
+        age_s = self._find_current_age_s()
+        if not self._apply(changes, since):
+            return
+        self._overtaken.set()
+        if self._is_watching:
+            self._counters.increment(f"watch.{self.kind}.overtaken")
             _LOGGER.notice(
                 "watch missed a change",
                 kind=self.kind,
                 since=since,
                 version=changes.version,
-                confirmed_age_s=self._find_current_age_s(),
+                confirmed_age_s=age_s,
             )
-            self._overtaken.set()
 
     async def _step(self) -> None:
         if self._retry_gate.is_unavailable:
@@ -359,10 +366,14 @@
             return
         since = self.version
         self._overtaken.clear()
-        changes = await self._retry_gate.poll(
-            lambda: self._reader.watch(self.kind, since, _LONG_WAIT_S),
-            self._overtaken,
-        )
+        self._is_watching = True
+        try:
+            changes = await self._retry_gate.poll(
+                lambda: self._reader.watch(self.kind, since, _LONG_WAIT_S),
+                self._overtaken,
+            )
+        finally:
+            self._is_watching = False
         if changes is None:
             return
         self._record_response()
--- a/src/dragonflydyke/platform/process.py
+++ b/src/dragonflydyke/platform/process.py
@@ -11,6 +11,7 @@
 SETTINGS_VARIABLE = "DRAGONFLYDYKE_CONFIG"
 # Must equal the port in deploy/system.toml.
 _METRICS_PORT = 7340
+_PEER_PORT = 7341
 # Defaults for limits that a deployment does not state.
 _GRACE_S = 8.0
 _EXPOSURE_SHARE = 0.1
@@ -39,6 +40,7 @@
         front=_read_address(fields, "front"),
         ready=_read_address(fields, "ready"),
         metrics=settings.Address(host, _METRICS_PORT),
+        peers=settings.Address(host, _PEER_PORT),
         store_url="http://" + _read_field(fields, "platform.address", str),
         grace_s=_read_limit(fields, "graceS", _GRACE_S),
         exposure=rollouts.ExposureLimit(
--- a/src/dragonflydyke/platform/store.py
+++ b/src/dragonflydyke/platform/store.py
@@ -6,8 +6,13 @@
 
 from tornado import httpclient
 
-from dragonflydyke import errors, logs, metrics
-from dragonflydyke.forwarding import controller, quarantine, rollouts
+from dragonflydyke import errors, logs, metrics, settings
+from dragonflydyke.forwarding import (
+    controller,
+    quarantine,
+    registry,
+    rollouts,
+)
 from dragonflydyke.objects import documents, model, store_http
 from dragonflydyke.platform import records
 
@@ -195,22 +200,35 @@
         """Removes a crash report; does nothing if the store has none."""
         await self._remove(f"{_PATH}{records.KINDS.crashes}/{report.name}")
 
-    async def write_node(self, name: str, heartbeat: int) -> None:
+    async def write_node(
+        self, name: str, heartbeat: int, address: settings.Address
+    ) -> None:
         """Creates or replaces the entry of a node."""
-        body = {"metadata": {"name": name}, "spec": {"heartbeat": heartbeat}}
+        spec = {"heartbeat": heartbeat, "address": str(address)}
+        body = {"metadata": {"name": name}, "spec": spec}
         kind = records.NODE_KIND
+        if heartbeat == 1:
+            # Mostly there is no entry yet, and each rejected call is priced.
+            response = await self._create(kind, body)
+            if response.code != _CONFLICT:
+                return
         response = await self._write(
             store_http.StoreMethod.PUT, f"{_PATH}{kind}/{_quote(name)}", body
         )
         if response.code == _NOT_FOUND:
             await self._create(kind, body)
 
-    async def list_nodes(self) -> tuple[model.StoredObject, ...]:
+    async def list_nodes(self) -> tuple[registry.ListedNode, ...]:
         """Returns the entries of all nodes, possibly some seconds old."""
         listed = await self.list_all(
             records.NODE_KIND, consistency=model.ReadConsistency.STALE
         )
-        return listed.objects
+        return tuple(
+            registry.ListedNode(
+                entry.name, entry.version, _read_peer_address(entry.value)
+            )
+            for entry in listed.objects
+        )
 
     async def remove_node(self, name: str) -> None:
         """Removes the entry of a node; does nothing if there is none."""
@@ -290,6 +308,16 @@
         return None
 
 
+def _read_peer_address(spec: Any) -> settings.Address | None:
+    """Returns the address of a node, None if its entry states none."""
+    text = spec.get("address") if isinstance(spec, dict) else None
+    try:
+        return settings.parse_address(text) if isinstance(text, str) else None
+    except ValueError as error:
+        _LOGGER.info("address of a node is malformed", error=str(error))
+        return None
+
+
 def _quote(name: str) -> str:
     return parse.quote(name, safe="")
 
--- a/tests/builders/shared_objects.py
+++ b/tests/builders/shared_objects.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from dragonflydyke import errors
-from dragonflydyke.forwarding import controller, quarantine, rollouts
+from dragonflydyke import errors, settings
+from dragonflydyke.forwarding import controller, quarantine, registry, rollouts
 from dragonflydyke.objects import model as objects
 
 
@@ -177,12 +177,14 @@
     Attributes:
         era: Era of the store.
         versions: Versions of the entries by name.
+        addresses: Addresses in the entries by name.
         is_rejecting: Whether all calls fail.
     """
 
     def __init__(self) -> None:
         self.era = 1
         self.versions: dict[str, int] = {}
+        self.addresses: dict[str, settings.Address] = {}
         self.is_rejecting = False
 
     def restore(self) -> None:
@@ -190,16 +192,19 @@
         self.era += 1
         self.versions.clear()
 
-    async def write_node(self, name: str, heartbeat: int) -> None:
+    async def write_node(
+        self, name: str, heartbeat: int, address: settings.Address
+    ) -> None:
         """Stores an entry."""
         self._check()
         self.versions[name] = heartbeat
+        self.addresses[name] = address
 
-    async def list_nodes(self) -> tuple[objects.StoredObject, ...]:
+    async def list_nodes(self) -> tuple[registry.ListedNode, ...]:
         """Returns all entries."""
         self._check()
         return tuple(
-            objects.StoredObject("nodes", name, version, {})
+            registry.ListedNode(name, version, self.addresses[name])
             for name, version in self.versions.items()
         )
 
--- a/tests/builders/watched_kinds.py
+++ b/tests/builders/watched_kinds.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from dragonflydyke import metrics
-from dragonflydyke.objects import freshness, replicas, watchers
+from dragonflydyke.objects import freshness, peer_groups, replicas, watchers
 from dragonflydyke.platform import store
 
 KINDS = ("config", "servers", "rollouts", "enginecrashes")
@@ -30,6 +30,7 @@
         counters: metrics.Counters,
         timing: watchers.WatchTiming,
         max_age_s: float,
+        group: peer_groups.PeerGroup | None = None,
     ) -> None:
         self.names: dict[str, set[str]] = {}
         self.reader = replicas.ReplicaReader(client, "rollouts", max_age_s)
@@ -53,6 +54,7 @@
             self.retry_gate,
             max_age_s,
             random.Random(_SEED),
+            group,
         )
 
     def start(self, add_cleanup: Callable[..., object]) -> None:
--- a/tests/test_forwarding_limits.py
+++ b/tests/test_forwarding_limits.py
@@ -5,8 +5,9 @@
 import random
 import unittest
 
-from dragonflydyke import metrics
+from dragonflydyke import metrics, settings
 from dragonflydyke.forwarding import registry, server_limits
+from dragonflydyke.objects import peer_groups
 from tests.builders import (
     forwarding,
     shared_objects,
@@ -136,16 +137,20 @@
         await super().asyncSetUp()
         self.store = shared_objects.ListedNodes()
         self.limits: dict[str, server_limits.ServerLimits] = {}
+        self.groups: dict[str, peer_groups.PeerGroup] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
 
     def start_node(self, name: str) -> None:
         """Starts the registry of a node."""
         limits = server_limits.ServerLimits(lambda: 0.0)
         self.limits[name] = limits
+        self.groups[name] = peer_groups.PeerGroup()
         node = registry.NodeRegistry(
             name,
+            settings.Address(name, 1),
             self.store,
             limits,
+            self.groups[name],
             metrics.Counters(),
             random.Random(name),
         )
@@ -163,6 +168,25 @@
         await self.loop.advance(12.0)
         self.assertEqual(self.read_positions(), [(0, 3), (1, 3), (2, 3)])
 
+    async def test_nodes_that_start_together_know_their_peers(self) -> None:
+        for name in ("n1", "n2", "n3"):
+            self.start_node(name)
+        await self.loop.advance(12.0)
+        found = [
+            [str(peer) for peer in self.groups[name].list_candidates(0.0)]
+            for name in ("n1", "n2", "n3")
+        ]
+        self.assertEqual(found, [[], ["n1:1"], ["n1:1", "n2:1"]])
+
+    async def test_node_that_starts_later_knows_its_peers_at_once(self) -> None:
+        """It would read the store itself as long as it knows no peers."""
+        self.start_node("n1")
+        await self.loop.advance(12.0)
+        self.start_node("n2")
+        await self.loop.advance(4.1)
+        (peer,) = self.groups["n2"].list_candidates(0.0)
+        self.assertEqual(str(peer), "n1:1")
+
     async def test_node_that_is_gone_is_not_counted(self) -> None:
         for name in ("n1", "n2"):
             self.start_node(name)
@@ -192,7 +216,7 @@
         await self.loop.advance(12.0)
         server = forwarding.build_server_entry("a")
         self.limits["n1"].record_response(server, 1.0)
-        await self.store.write_node("n0", 1)
+        await self.store.write_node("n0", 1, settings.Address("n0", 1))
         await self.loop.advance(11.0)
         self.assertEqual(self.read_positions(), [(1, 2)])
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -178,17 +178,27 @@
         self.assertEqual(await self.read_crashes(), [])
 
     async def test_nodes_are_registered_and_removed(self) -> None:
-        await self.store.write_node("n/1", 1)
+        address = settings.Address("10.0.0.1", 7341)
+        await self.store.write_node("n/1", 1, address)
         (entry,) = await self.store.list_nodes()
-        await self.store.write_node("n/1", 2)
+        await self.store.write_node("n/1", 2, address)
         (replaced,) = await self.store.list_nodes()
         self.assertEqual((entry.name, replaced.name), ("n/1", "n/1"))
+        self.assertEqual(replaced.address, address)
         # The version tells that the node is alive.
         self.assertGreater(replaced.version, entry.version)
         await self.store.remove_node("n/1")
         await self.store.remove_node("n/1")
         self.assertEqual(await self.store.list_nodes(), ())
 
+    async def test_node_without_a_sound_address_is_listed(self) -> None:
+        """Nodes of an earlier release state no address, but count."""
+        for name, address in (("a", None), ("b", 7), ("c", "c"), ("d", "d:x")):
+            await self.stub.put(records.NODE_KIND, name, {"address": address})
+        listed = await self.store.list_nodes()
+        self.assertEqual([node.name for node in listed], list("abcd"))
+        self.assertEqual({node.address for node in listed}, {None})
+
     async def read_crashes(self) -> list[quarantine.CrashReport]:
         """Returns the crash reports in the store."""
         listed = await self.store.list_all(
--- a/tests/test_silent_watches.py
+++ b/tests/test_silent_watches.py
@@ -20,6 +20,7 @@
     front=_ADDRESS,
     ready=_ADDRESS,
     metrics=_ADDRESS,
+    peers=_ADDRESS,
     store_url="",
     grace_s=8.0,
     exposure=rollouts.ExposureLimit(0.1),
