Free responses that were given up, and account for all that are held

Cause: the task of an attempt, the traceback of its error and the frame that awaits it form a cycle, which keeps the parts of the body until the garbage collector gets to it. The account of held bytes said 0 meanwhile. Also found: unfinished events, error responses kept during retries, and responses that a client is still reading were in no account. Fix: the frame forgets the task; a body owns its parts and frees them on release; all that is held counts until the client has it. Parts are passed on without a joined copy.

--- a/src/dragonflydyke/backends/connection.py
+++ b/src/dragonflydyke/backends/connection.py
@@ -97,7 +97,12 @@
         if not self.chunks.full():
             self.chunks.put_nowait(chunk)
             return None
-        return asyncio.ensure_future(self.chunks.put(chunk))
+        return asyncio.ensure_future(self._queue(chunk))
+
+    async def _queue(self, chunk: bytes) -> None:
+        await self.chunks.put(chunk)
+        if self._is_closed:
+            self._discard_chunks()
 
     def finish(self) -> None:
         """Records whether the response is complete."""
@@ -129,6 +134,9 @@
     def close(self) -> None:
         """Discards the chunks that were not consumed."""
         self._is_closed = True
+        self._discard_chunks()
+
+    def _discard_chunks(self) -> None:
         while not self.chunks.empty():
             self.chunks.get_nowait()
 
--- a/src/dragonflydyke/backends/events.py
+++ b/src/dragonflydyke/backends/events.py
@@ -54,6 +54,11 @@
         """Whether part of an event was received but not its end."""
         return bool(self._incomplete_event)
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """Size of the incomplete event."""
+        return len(self._incomplete_event)
+
     def discard_incomplete_event(self) -> None:
         """Discards an incomplete event, before the stream is resumed."""
         self._incomplete_event = b""
--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -13,6 +13,7 @@
     messages,
     model,
     observers,
+    response_memory,
 )
 
 # A server in the same region accepts connections within milliseconds. A server
@@ -78,11 +79,13 @@
         "_context",
         "_exchange",
         "_first_chunk",
-        "_held_bytes",
+        "_event_memory",
+        "_held_body",
         "_observer",
         "_request",
         "_retry_budget",
         "_services",
+        "_splitter",
         "_state",
         "_target",
         "_waited_s",
@@ -111,7 +114,11 @@
         self._state = context.state
         self._exchange: connection.Exchange | None = None
         self._first_chunk: bytes | None = None
-        self._held_bytes = 0
+        self._held_body = response_memory.HeldBody(services.response_memory)
+        self._event_memory = response_memory.Reservation(
+            services.response_memory
+        )
+        self._splitter = events.EventSplitter()
         # Seconds spent waiting for the server since its last numbered event.
         self._waited_s = 0.0
         self._observer: observers.AttemptObserver | None = None
@@ -194,8 +201,10 @@
 
     def close(self) -> None:
         """Closes the connection, which cancels the request at the server."""
-        self._services.response_memory.release(self._held_bytes)
-        self._held_bytes = 0
+        self._held_body.release()
+        self._event_memory.release()
+        self._splitter.discard_incomplete_event()
+        self._first_chunk = None
         if self._exchange is not None:
             self._exchange.close_now()
 
@@ -321,7 +330,7 @@
                 decisions.AttemptOutcome.FAILED, "response is not a stream"
             )
         if exchange.status >= _FIRST_SERVER_ERROR_STATUS:
-            self._state.server_failure = response
+            self._state.keep_failure(response)
             outcome = decisions.AttemptOutcome.FAILED
             if exchange.status == _GATEWAY_TIMEOUT:
                 outcome = decisions.AttemptOutcome.DEADLINE_EXCEEDED
@@ -331,35 +340,31 @@
     async def _read_body(self) -> contexts.BufferedResponse:
         exchange = self._exchange
         assert exchange is not None
-        parts = []
         async for chunk in exchange.read_chunks():
-            self._hold(len(chunk))
-            parts.append(chunk)
+            is_short = self._held_body.size + len(chunk) <= _MAX_RESPONSE_BYTES
+            if not is_short or not self._held_body.append(chunk):
+                raise self._build_size_error()
         headers = self._services.codec.write_response(exchange.headers)
-        return contexts.BufferedResponse(
-            exchange.status, headers, b"".join(parts)
+        body = self._held_body
+        self._held_body = response_memory.HeldBody(
+            self._services.response_memory
         )
+        return contexts.BufferedResponse(exchange.status, headers, body)
 
-    def _hold(self, size: int) -> None:
-        """Accounts for a part of a response that is held until its end."""
-        memory = self._services.response_memory
-        if (
-            self._held_bytes + size > _MAX_RESPONSE_BYTES
-            or not memory.try_reserve(self._held_bytes, size)
-        ):
-            self._services.counters.increment("response.too_large")
-            raise AttemptFailedError(
-                decisions.AttemptOutcome.LOST, "response too large"
-            )
-        self._held_bytes += size
+    def _build_size_error(self) -> AttemptFailedError:
+        self._services.counters.increment("response.too_large")
+        return AttemptFailedError(
+            decisions.AttemptOutcome.LOST, "response too large"
+        )
 
     async def _relay_events(self) -> None:
-        splitter = events.EventSplitter()
         while (chunk := await self._read_chunk()) is not None:
-            for event in splitter.feed(chunk):
+            for event in self._splitter.feed(chunk):
                 self._record_event()
                 await self._relay_event(event)
-        if splitter.has_incomplete_event:
+            if not self._event_memory.resize(self._splitter.incomplete_bytes):
+                raise self._build_size_error()
+        if self._splitter.has_incomplete_event:
             raise AttemptFailedError(
                 decisions.AttemptOutcome.LOST, "torn event"
             )
--- a/src/dragonflydyke/forwarding/contexts.py
+++ b/src/dragonflydyke/forwarding/contexts.py
@@ -1,7 +1,8 @@
 """State and components that the attempts of a request share."""
 
+import asyncio
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from tornado import httputil, tcpclient
@@ -34,9 +35,17 @@
         """Sets the function to call when the client closes its connection."""
 
     def send_response(
-        self, status: int, headers: httputil.HTTPHeaders, body: bytes
-    ) -> None:
-        """Sends a complete response."""
+        self,
+        status: int,
+        headers: httputil.HTTPHeaders,
+        parts: Sequence[bytes],
+    ) -> asyncio.Future[None]:
+        """Sends a complete response.
+
+        Returns:
+            A future that is done once the response was passed on, or once the
+            connection was closed.
+        """
 
     def start(self, status: int, headers: httputil.HTTPHeaders) -> None:
         """Sends status and headers of a response of unknown length."""
@@ -92,6 +101,22 @@
     retry_after_s: float | None = None
     attempt_history: list[str] = dataclasses.field(default_factory=list)
 
+    def keep_failure(self, response: "BufferedResponse") -> None:
+        """Keeps an error response in place of an earlier one."""
+        self.discard_failure()
+        self.server_failure = response
+
+    def take_failure(self) -> "BufferedResponse | None":
+        """Returns the error response that was kept, if any, to deliver it."""
+        response, self.server_failure = self.server_failure, None
+        return response
+
+    def discard_failure(self) -> None:
+        """Frees the error response that was kept, if any."""
+        response = self.take_failure()
+        if response is not None:
+            response.discard()
+
     def describe_cascade(self) -> cascade.CascadeState:
         """Returns the input of the cascade, including the current attempt."""
         return cascade.CascadeState(
@@ -103,15 +128,22 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class BufferedResponse:
-    """A complete response."""
+    """A complete response of a server."""
 
     status: int
     headers: httputil.HTTPHeaders
-    body: bytes
+    body: response_memory.HeldBody
 
     def send(self, reply: ResponseWriter) -> None:
-        """Sends the response to the client."""
-        reply.send_response(self.status, self.headers, self.body)
+        """Sends the response; its memory is held until the client has it."""
+        written = reply.send_response(
+            self.status, self.headers, self.body.take_parts()
+        )
+        written.add_done_callback(lambda _: self.body.release())
+
+    def discard(self) -> None:
+        """Frees the response, which is not delivered."""
+        self.body.release()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/dragonflydyke/forwarding/execution.py
+++ b/src/dragonflydyke/forwarding/execution.py
@@ -90,6 +90,8 @@
             )
             outcome = error.code
             self._fail(request, writer, state, error)
+        finally:
+            state.discard_failure()
         self._log(request, admitted, state, outcome)
 
     async def _run(
@@ -122,7 +124,7 @@
             request.details.request_id, error.retry_after_s
         )
         body = (error.code + "\n").encode()
-        contexts.BufferedResponse(error.status, headers, body).send(writer)
+        writer.send_response(error.status, headers, (body,))
 
     def _fail(
         self,
--- a/src/dragonflydyke/forwarding/response_memory.py
+++ b/src/dragonflydyke/forwarding/response_memory.py
@@ -1,4 +1,4 @@
-"""Limits the memory of responses that are held until they are complete; no I/O.
+"""Limits the memory of the responses that a node holds; no I/O.
 
 Designed for servers whose responses never end, many at the same time. A
 response is delivered only when it is complete, so that each of them would be
@@ -25,22 +25,76 @@
         """Creates an account without responses."""
         self.used_bytes = 0
 
-    def try_reserve(self, held_bytes: int, more_bytes: int) -> bool:
-        """Reserves memory for a part of a response.
 
-        Args:
-            held_bytes: Bytes that the response holds already.
-            more_bytes: Size of the part.
+class Reservation:
+    """Memory of one response.
+
+    Attributes:
+        size: Bytes that are reserved.
+    """
+
+    __slots__ = ("_memory", "size")
+
+    def __init__(self, memory: ResponseMemory) -> None:
+        """Creates an empty reservation."""
+        self._memory = memory
+        self.size = 0
+
+    def resize(self, size: int) -> bool:
+        """Changes the number of reserved bytes.
 
         Returns:
-            Whether the part may be held.
+            Whether the response may hold so many; nothing changes otherwise.
         """
-        is_short = held_bytes + more_bytes <= GUARANTEED_BYTES
-        if not is_short and self.used_bytes + more_bytes > MAX_TOTAL_BYTES:
+        more_bytes = size - self.size
+        has_room = self._memory.used_bytes + more_bytes <= MAX_TOTAL_BYTES
+        if more_bytes > 0 and size > GUARANTEED_BYTES and not has_room:
             return False
-        self.used_bytes += more_bytes
+        self._memory.used_bytes += more_bytes
+        self.size = size
         return True
 
-    def release(self, held_bytes: int) -> None:
-        """Releases the memory of a response."""
-        self.used_bytes -= held_bytes
+    def release(self) -> None:
+        """Releases all reserved bytes."""
+        self.resize(0)
+
+
+class HeldBody:
+    """Body of a response that is held until it is complete.
+
+    It owns the parts, so that they are freed when it is released, and not when
+    the last reference to the task or the traceback that received them is.
+    """
+
+    __slots__ = ("_parts", "_reservation")
+
+    def __init__(self, memory: ResponseMemory) -> None:
+        """Creates an empty body."""
+        self._parts: list[bytes] = []
+        self._reservation = Reservation(memory)
+
+    @property
+    def size(self) -> int:
+        """Bytes that are held."""
+        return self._reservation.size
+
+    def append(self, part: bytes) -> bool:
+        """Holds a part unless there is no memory for it.
+
+        Returns:
+            Whether the part is held.
+        """
+        if not self._reservation.resize(self.size + len(part)):
+            return False
+        self._parts.append(part)
+        return True
+
+    def take_parts(self) -> list[bytes]:
+        """Returns the parts, which stay reserved until the body is released."""
+        parts, self._parts = self._parts, []
+        return parts
+
+    def release(self) -> None:
+        """Frees the parts and their memory."""
+        self._parts = []
+        self._reservation.release()
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -79,11 +79,9 @@
                 self._services.counters.increment(f"retry.{outcome}")
                 self._update_cascade_state(outcome)
                 continue
-            if (
-                self._state.server_failure is not None
-                and not self._state.response_started
-            ):
-                self._state.server_failure.send(self._context.writer)
+            failure = self._state.take_failure()
+            if failure is not None and not self._state.response_started:
+                failure.send(self._context.writer)
                 return
             raise decisions.build_failure(outcome, progress)
 
@@ -369,6 +367,10 @@
         raise
     finally:
         writer.set_close_callback(None)
+        # The traceback of an error refers to this frame. Together with the task
+        # it would be a cycle, which keeps all that the attempt has read until a
+        # run of the garbage collector.
+        del task
 
 
 def _classify_failure(outcome: decisions.AttemptOutcome) -> bool | None:
--- a/src/dragonflydyke/forwarding/server.py
+++ b/src/dragonflydyke/forwarding/server.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import http
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
-from tornado import httpserver, httputil, iostream, netutil
+from tornado import http1connection, httpserver, httputil, iostream, netutil
 
 from dragonflydyke import logs, settings
 from dragonflydyke.forwarding import contexts, execution, messages
@@ -32,7 +32,7 @@
 
     def __init__(
         self,
-        connection: httputil.HTTPConnection,
+        connection: http1connection.HTTP1Connection,
         is_draining: Callable[[], bool],
     ) -> None:
         self._connection = connection
@@ -48,19 +48,24 @@
             callback()
 
     def send_response(
-        self, status: int, headers: httputil.HTTPHeaders, body: bytes
-    ) -> None:
-        """Sends a complete response."""
-        if self.is_closed:
-            return
-        headers[_HEADER_LENGTH] = str(len(body))
-        self._write_start(status, headers, body)
-        self._connection.finish()
+        self,
+        status: int,
+        headers: httputil.HTTPHeaders,
+        parts: Sequence[bytes],
+    ) -> asyncio.Future[None]:
+        """Sends a complete response; see `contexts.ResponseWriter`."""
+        if not self.is_closed:
+            headers[_HEADER_LENGTH] = str(sum(len(part) for part in parts))
+            self._write_start(status, headers)
+            for part in parts:
+                self._connection.write(part)
+            self._connection.finish()
+        return self._flush()
 
     def start(self, status: int, headers: httputil.HTTPHeaders) -> None:
         """Sends status and headers of a response of unknown length."""
         headers.pop(_HEADER_LENGTH, None)
-        self._write_start(status, headers, None)
+        self._write_start(status, headers)
 
     async def write(self, chunk: bytes) -> None:
         """Sends a part of the body and waits until the client accepts it.
@@ -82,16 +87,24 @@
         """Closes the connection, so that the response is incomplete."""
         self._connection.close()
 
-    def _write_start(
-        self, status: int, headers: httputil.HTTPHeaders, body: bytes | None
-    ) -> None:
+    def _write_start(self, status: int, headers: httputil.HTTPHeaders) -> None:
         if self._is_draining():
             headers[_HEADER_CONNECTION] = "close"
         reason = http.HTTPStatus(status).phrase if status in _PHRASES else "-"
         start_line = httputil.ResponseStartLine("HTTP/1.1", status, reason)
-        future = self._connection.write_headers(start_line, headers, body)
-        # A closed connection is reported by the close callback.
-        future.add_done_callback(lambda done: done.exception())
+        self._connection.write_headers(start_line, headers)
+
+    def _flush(self) -> asyncio.Future[None]:
+        """Returns a future that is done once all is written, or closed.
+
+        A future of the connection is not: it completes with an earlier write.
+        """
+        try:
+            return self._connection.stream.write(b"")
+        except iostream.StreamClosedError:
+            closed = asyncio.get_running_loop().create_future()
+            closed.set_result(None)
+            return closed
 
     def _record_close(self) -> None:
         self.is_closed = True
@@ -118,7 +131,7 @@
         self,
         server: "ForwardingServer",
         owner: object,
-        connection: httputil.HTTPConnection,
+        connection: http1connection.HTTP1Connection,
     ) -> None:
         self._server = server
         self._owner = owner
@@ -199,6 +212,7 @@
     ) -> httputil.HTTPMessageDelegate:
         """Returns the reader of the next request on a connection."""
         self._idle[server_conn] = request_conn
+        assert isinstance(request_conn, http1connection.HTTP1Connection)
         return _RequestReader(self, server_conn, request_conn)
 
     def record_request_start(self, server_conn: object) -> None:
@@ -211,7 +225,7 @@
 
     def start_forwarding(
         self,
-        connection: httputil.HTTPConnection,
+        connection: http1connection.HTTP1Connection,
         start_line: httputil.RequestStartLine,
         headers: httputil.HTTPHeaders,
         body: bytes,
@@ -223,7 +237,8 @@
         except ValueError as error:
             _LOGGER.info("request headers cannot be parsed", error=str(error))
             rejection = self._codec.write_rejection("", None)
-            writer.send_response(_BAD_REQUEST, rejection, f"{error}\n".encode())
+            body = f"{error}\n".encode()
+            writer.send_response(_BAD_REQUEST, rejection, (body,))
             return
         request = messages.IncomingRequest(
             method=start_line.method,
