Let a planned stop wait until responses are written

Cause: the task of a request ended when its response was handed to the connection. The stop waits for tasks and then closes the connections, which discards the rest. Ruled out: the grace (7.5 s are left to requests) and the drain before it (2.6 s). Fix: the task ends when all is written or the connection is closed.

--- a/src/dragonflydyke/forwarding/server.py
+++ b/src/dragonflydyke/forwarding/server.py
@@ -1,6 +1,7 @@
 """HTTP server for the clients of forwarded requests."""
 
 import asyncio
+import contextlib
 import http
 from collections.abc import Callable, Sequence
 
@@ -87,6 +88,11 @@
         """Closes the connection, so that the response is incomplete."""
         self._connection.close()
 
+    async def wait_written(self) -> None:
+        """Waits until all is written, or until the connection is closed."""
+        with contextlib.suppress(iostream.StreamClosedError):
+            await self._flush()
+
     def _write_start(self, status: int, headers: httputil.HTTPHeaders) -> None:
         if self._is_draining():
             headers[_HEADER_CONNECTION] = "close"
@@ -198,7 +204,7 @@
 
     @property
     def active(self) -> int:
-        """Number of requests in flight."""
+        """Number of requests whose responses are not written completely."""
         return len(self._tasks)
 
     def listen(self, address: settings.Address) -> int:
@@ -249,10 +255,22 @@
             received_s=asyncio.get_running_loop().time(),
             details=details,
         )
-        task = asyncio.create_task(self._forwarder.forward(request, writer))
+        task = asyncio.create_task(self._forward(request, writer))
         self._tasks.add(task)
         task.add_done_callback(self._finish_task)
 
+    async def _forward(
+        self,
+        request: messages.IncomingRequest,
+        writer: ConnectionResponseWriter,
+    ) -> None:
+        """Forwards a request, which ends when its response is written.
+
+        A stop would otherwise cut a response that the client still receives.
+        """
+        await self._forwarder.forward(request, writer)
+        await writer.wait_written()
+
     def close_idle(self) -> None:
         """Closes the connections on which no request has started."""
         for connection in list(self._idle.values()):
--- a/tests/test_forwarding_stop.py
+++ b/tests/test_forwarding_stop.py
@@ -5,6 +5,12 @@
 from dragonflydyke.forwarding import decisions, model
 from tests.builders import forwarding, skipping_loop
 
+# More than the kernel holds of a connection.
+_LARGE_BYTES = 12_000_000
+# Time in which a server that does not wait would end.
+_PAUSE_S = 0.2
+_TIMEOUT_S = 10.0
+
 
 class StopTest(forwarding.ForwardingTestCase):
     """Guards against requests that end without a response at a stop."""
@@ -27,6 +33,28 @@
         self.assertEqual(response.body, b"node_stopped\n")
         await skipping_loop.wait_until(lambda: self.plain.cancelled)
 
+    async def test_response_that_a_client_still_reads_is_not_cut(self) -> None:
+        """The rest was discarded with the connection, seconds too early."""
+        self.plain.script = _send_large
+        reader, writer = await self.send()
+        writer.transport.pause_reading()
+        await skipping_loop.wait_until(self.count_received)
+        await asyncio.sleep(_PAUSE_S)
+        stop = asyncio.create_task(self.stop())
+        await asyncio.sleep(_PAUSE_S)
+        self.assertFalse(stop.done())
+        writer.transport.resume_reading()
+        response = await forwarding.read_response(reader)
+        self.assertTrue(response.is_complete)
+        self.assertGreaterEqual(len(response.body), _LARGE_BYTES)
+        async with asyncio.timeout(_TIMEOUT_S):
+            await stop
+
+    async def stop(self) -> None:
+        """Stops the server as a node does at the end of a drain."""
+        await self.server.wait_idle(self.loop.time() + 60.0)
+        await self.server.stop()
+
     async def test_server_gets_no_more_time_than_the_node_has(self) -> None:
         """A server would go on for a caller that gets no response."""
         self.forwarder.stop_s = self.loop.time() + 1.0
@@ -42,6 +70,13 @@
                 self.assertEqual(error.status, status)
 
 
+async def _send_large(
+    request: forwarding.ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    forwarding.write_response(request, writer, b"y" * _LARGE_BYTES)
+    await writer.drain()
+
+
 async def _hang(
     request: forwarding.ReceivedRequest, writer: asyncio.StreamWriter
 ) -> None:
