Keep what a server said while its entry is missing

Cause: each node dropped limits and pauses of processes that the list did not have, and sent one request before it heard the limit again. A process without a start time is dropped at once, since another may have its name. The test of the limit that ends with its server now names the processes to retain.

--- a/src/dragonflydyke/forwarding/server_limits.py
+++ b/src/dragonflydyke/forwarding/server_limits.py
@@ -12,7 +12,7 @@
 import dataclasses
 import math
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from dragonflydyke import logs
 from dragonflydyke.forwarding import directory, model
@@ -98,10 +98,9 @@
             nodes=self.position.nodes,
         )
 
-    def retain(self, servers: Sequence[directory.ServerEntry]) -> None:
-        """Drops the limits of server processes that are not listed."""
-        listed = {(server.name, server.started_ms) for server in servers}
-        for process in self._limits.keys() - listed:
+    def retain(self, processes: Collection[tuple[str, int]]) -> None:
+        """Drops the limits of all other server processes."""
+        for process in self._limits.keys() - set(processes):
             del self._limits[process]
 
     def list_allowed(
--- a/src/dragonflydyke/forwarding/server_statements.py
+++ b/src/dragonflydyke/forwarding/server_statements.py
@@ -18,6 +18,9 @@
 )
 from dragonflydyke.routing import server_pauses
 
+# Time after which a server process whose entry is missing counts as gone.
+_LAPSE_S = server_pauses.MAX_PAUSE_S
+
 
 class ServerStatements:
     """Statements of all servers.
@@ -26,7 +29,7 @@
         limits: Limits on the requests of all nodes.
     """
 
-    __slots__ = ("_counters", "_directory", "_pauses", "limits")
+    __slots__ = ("_counters", "_directory", "_listed_s", "_pauses", "limits")
 
     def __init__(
         self,
@@ -44,6 +47,8 @@
         self._directory = servers
         self._counters = counters
         self._pauses = server_pauses.ServerPauses()
+        # Loop time of the newest list with each process.
+        self._listed_s: dict[tuple[str, int], float] = {}
         self.limits = limits
 
     def record_response(
@@ -63,9 +68,26 @@
         self._pauses.record_start(server.process, _now_s())
 
     def retain(self, servers: Sequence[directory.ServerEntry]) -> None:
-        """Drops the statements of server processes that are not listed."""
-        self.limits.retain(servers)
-        self._pauses.retain([server.process for server in servers])
+        """Drops the statements of server processes that are gone.
+
+        The entry of a server that cannot reach the store lapses, and returns
+        with the same process. What that has said still holds then.
+
+        Args:
+            servers: The listed servers.
+        """
+        now_s = _now_s()
+        self._listed_s.update((server.process, now_s) for server in servers)
+        listed = {server.process for server in servers}
+        for process, listed_s in list(self._listed_s.items()):
+            if process in listed:
+                continue
+            # Another process under the same name cannot be told from it.
+            is_unidentified = not process[1]
+            if is_unidentified or now_s - listed_s >= _LAPSE_S:
+                del self._listed_s[process]
+        self.limits.retain(self._listed_s.keys())
+        self._pauses.retain(self._listed_s.keys())
 
     def allows(self, server: directory.ServerEntry) -> bool:
         """Returns whether this node may send a request to a server now."""
--- a/src/dragonflydyke/routing/server_pauses.py
+++ b/src/dragonflydyke/routing/server_pauses.py
@@ -80,6 +80,6 @@
             state.returned += 1
 
     def retain(self, processes: Collection[tuple[str, int]]) -> None:
-        """Drops the pauses of server processes that are not listed."""
+        """Drops the pauses of all other server processes."""
         for process in self._pauses.keys() - set(processes):
             del self._pauses[process]
--- a/tests/test_forwarding_limits.py
+++ b/tests/test_forwarding_limits.py
@@ -116,7 +116,7 @@
         self.assertTrue(self.limits.allows(self.server))
 
     def test_limit_ends_with_its_server(self) -> None:
-        self.limits.retain([self.server])
+        self.limits.retain([self.server.process])
         self.assertTrue(self.limits.has_limits)
         self.limits.retain([])
         self.assertFalse(self.limits.has_limits)
--- a/tests/test_server_statements.py
+++ b/tests/test_server_statements.py
@@ -161,6 +161,66 @@
         self.assertEqual(self.counters.total("server.ejected"), 0)
 
 
+class LapsedEntryTest(forwarding.ForwardingTestCase):
+    """Guards against statements that are forgotten with a lapsed entry.
+
+    A server that could not reach the store for 5 s got 9 requests in 4 s where
+    its limit allowed 6, as each node sent one before it heard the limit again.
+    """
+
+    def list_servers(self, *servers: directory.ServerEntry) -> None:
+        """Takes over a list of servers, as a node does."""
+        self.directory.update(servers, self.loop.time(), after_outage=False)
+        self.statements.retain(self.directory.list_all())
+
+    def say(self, server: directory.ServerEntry, **statement: object) -> None:
+        """Records a response of a server."""
+        details = messages.ResponseDetails("r1", True, False, **statement)
+        self.statements.record_response(server, details)
+
+    async def test_statements_hold_when_the_entry_returns(self) -> None:
+        server = forwarding.build_server_entry("a", started_ms=1)
+        for statement in (
+            {"server_limit_per_s": 0.2},
+            {"pause_s": 20.0},
+            {"server_leaves": True},
+        ):
+            with self.subTest(str(statement)):
+                self.list_servers(server)
+                self.say(server, **statement)
+                self.list_servers()
+                self.loop.skip(5.0)
+                self.list_servers(server)
+                self.assertFalse(self.statements.allows(server))
+
+    async def test_next_process_is_not_held_to_them(self) -> None:
+        server = forwarding.build_server_entry("a", started_ms=1)
+        self.list_servers(server)
+        self.say(server, server_limit_per_s=0.2, pause_s=20.0)
+        successor = forwarding.build_server_entry("a", started_ms=2)
+        self.list_servers(successor)
+        self.assertTrue(self.statements.allows(successor))
+
+    async def test_server_without_a_start_time_may_be_another(self) -> None:
+        server = forwarding.build_server_entry("a")
+        self.list_servers(server)
+        self.say(server, server_limit_per_s=0.2, pause_s=20.0)
+        self.list_servers()
+        self.list_servers(server)
+        self.assertTrue(self.statements.allows(server))
+
+    async def test_statements_of_a_server_that_is_gone_are_dropped(
+        self,
+    ) -> None:
+        """Addresses and names are new each time, so that they would pile up."""
+        server = forwarding.build_server_entry("a", started_ms=1)
+        self.list_servers(server)
+        self.say(server, server_limit_per_s=0.2)
+        self.loop.skip(server_pauses.MAX_PAUSE_S)
+        self.list_servers()
+        self.assertFalse(self.limits.has_limits)
+
+
 class PauseHeaderTest(unittest.TestCase):
     """Guards against pauses that follow from a malformed header."""
 
