--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -226,6 +226,7 @@
         await self.check_change_takes_effect()
 
     async def test_node_whose_peer_is_gone_reads_the_store(self) -> None:
+        """The links between nodes go silent, see deploy/days/severed.toml."""
         self.nodes[0].monitor.close()
         self.stub.stuck_revision = self.stub.revision
         await self.check_change_takes_effect()
--- a/tests/test_silent_watches.py
+++ b/tests/test_silent_watches.py
@@ -78,7 +78,10 @@
     async def test_change_is_in_force_once_a_calm_node_is_in_contact(
         self,
     ) -> None:
-        """The watches have just begun when the store goes silent on them."""
+        """The watches have just begun when the store goes silent on them.
+
+        See deploy/days/unanswered.toml.
+        """
         self.stub.silence_watches()
         silent_s = self.loop.time()
         for kind in self.watchers:
