Let the soak hold replicas back and lose responses to watches

Both are knowledge that a node cannot see to be old. The stub of the store does not let replicas be ahead of a restored store.

--- a/src/dragonflydyke/objects/freshness.py
+++ b/src/dragonflydyke/objects/freshness.py
@@ -91,7 +91,7 @@
         self._asked_s = -math.inf
 
     async def open(self, address: settings.Address) -> None:
-        """Starts to ask and to answer peers.
+        """Starts asking and answering peers.
 
         Args:
             address: Address of this node for datagrams.
@@ -99,7 +99,7 @@
         await self._link.open(address)
 
     def close(self) -> None:
-        """Stops to ask and to answer peers."""
+        """Stops asking and answering peers."""
         self._link.close()
 
     async def run(self) -> None:
@@ -140,7 +140,7 @@
         return asyncio.get_running_loop().time() - self._asked_s < period_s
 
     def _is_recent(self, state: peer_links.StoreState | None) -> bool:
-        """Returns whether a state may be passed on, or used if passed on."""
+        """Returns whether a state is recent enough to be shared by peers."""
         if state is None:
             return False
         age_s = peer_links.find_uptime_s() - state.read_s
@@ -164,6 +164,7 @@
         return peer_links.StoreState(read_s, version, {})
 
     async def _catch_up(self, state: peer_links.StoreState) -> None:
+        """Lets all kinds catch up, and keeps what is then known for peers."""
         await self._reader.record_store_version(state.version)
         age_s = peer_links.find_uptime_s() - state.read_s
         read_s = asyncio.get_running_loop().time() - age_s
--- a/src/dragonflydyke/objects/peer_links.py
+++ b/src/dragonflydyke/objects/peer_links.py
@@ -62,6 +62,16 @@
 class PeerLink(asyncio.DatagramProtocol):
     """Asks peers for the state of the store, and answers them."""
 
+    __slots__ = (
+        "_errors",
+        "_find_time",
+        "_numbers",
+        "_pending",
+        "_provide",
+        "_tasks",
+        "_transport",
+    )
+
     def __init__(
         self,
         provide: StateProvider,
--- a/tests/builders/store.py
+++ b/tests/builders/store.py
@@ -130,7 +130,8 @@
     def find_replica_revision(self, *, is_stale: bool) -> int:
         """Returns the revision of the replica that serves a read."""
         if is_stale and self.stuck_revision is not None:
-            return self.stuck_revision
+            # A restore may have taken the store back behind it.
+            return min(self.stuck_revision, self.revision)
         return self.revision
 
     async def wait_events(
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -20,6 +20,8 @@
 # Time for which a draining server still serves requests.
 _DRAIN_S = 2.5
 _MAX_REPETITIONS = 3
+# Share of the faults of reads in which responses are lost.
+_LOST_RESPONSE_SHARE = 0.5
 _MIN_POOL_SERVERS = 2
 
 Fault = Callable[[], Awaitable[None]]
@@ -38,12 +40,14 @@
         source: random.Random,
         restore_source: random.Random,
         pause_source: random.Random,
+        read_source: random.Random,
     ) -> None:
         self.counts: collections.Counter[str] = collections.Counter()
         self._deployment = soak_deployment
         self._random = source
         self._restore_random = restore_source
         self._pause_random = pause_source
+        self._read_random = read_source
         self._tasks: list[asyncio.Task[None]] = []
         self._is_stopped = False
         self._idle_nodes = list(soak_deployment.nodes)
@@ -55,6 +59,7 @@
         ]
         self._tasks.append(asyncio.create_task(self._restore_repeatedly()))
         self._tasks.append(asyncio.create_task(self._pause_repeatedly()))
+        self._tasks.append(asyncio.create_task(self._hide_changes_repeatedly()))
 
     async def stop(self) -> None:
         """Waits until the active faults have ended and all nodes are ready."""
@@ -108,6 +113,22 @@
             now_s = asyncio.get_running_loop().time()
             server.paused_until_s = now_s + duration_s
 
+    async def _hide_changes_repeatedly(self) -> None:
+        """Lets replicas lag, or loses the responses to open watches."""
+        uniform = self._read_random.uniform
+        stub = self._deployment.store_stub
+        while not self._is_stopped:
+            await asyncio.sleep(uniform(0.0, _MAX_FAULT_S))
+            if self._read_random.random() < _LOST_RESPONSE_SHARE:
+                self.counts["lose_watches"] += 1
+                kinds = sorted(stub.objects)
+                stub.silence_watches(self._read_random.choice(kinds))
+                continue
+            self.counts["hold_replicas"] += 1
+            stub.stuck_revision = stub.revision
+            await asyncio.sleep(uniform(_MIN_FAULT_S, _MAX_FAULT_S))
+            stub.stuck_revision = None
+
     async def _wait_fault_duration(self) -> None:
         await asyncio.sleep(self._random.uniform(_MIN_FAULT_S, _MAX_FAULT_S))
 
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -61,6 +61,7 @@
             # Separate, so that the other faults of a seed stay the same.
             random.Random(seed + 2),
             random.Random(seed + 3),
+            random.Random(seed + 4),
         )
         load_generator.start()
         injector.start()
