List a kind again if its listener fails while it catches up

Callers would be served by what a node knew before a change until the next change of the same kind. Cause: catching up advances the version of the kind before its listener is called. An unexpected error of the listener ends the monitor, which is started again, but the change counts as known. The watch itself lists the kind again after such an error. Evidence: the new test times out before and passes now.

--- a/src/dragonflydyke/objects/watchers.py
+++ b/src/dragonflydyke/objects/watchers.py
@@ -341,7 +341,14 @@
             self._overtaken.set()
             return
         age_s = self._find_current_age_s()
-        if not self._apply(changes, since):
+        try:
+            has_changes = self._apply(changes, since)
+        except Exception:
+            # The listener may lack the changes, so the kind is listed again.
+            self.version = None
+            self._overtaken.set()
+            raise
+        if not has_changes:
             return
         self._overtaken.set()
         if self._is_watching:
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -106,6 +106,31 @@
         self.assertNotEqual(watcher.confirmed_s, confirmed_s)
 
 
+class FailingListenerTest(WatchedStoreTestCase):
+    """Guards against changes that count as known although nobody has them."""
+
+    async def test_kind_is_listed_again_after_an_error(self) -> None:
+        watcher = self.watched.watchers["servers"]
+        listen = watcher._listener
+        failures = iter((True,))
+
+        def fail_once(snapshot: watchers.KindSnapshot, gap: bool) -> None:
+            if next(failures, False):
+                raise ValueError("unexpected")
+            listen(snapshot, gap)
+
+        watcher._listener = fail_once
+        self.stub.silence_watches("servers")
+        await self.stub.put("servers", "third", {})
+        with self.assertRaises(ValueError):
+            await self.watched.monitor.check()
+        names = {"first", "second", "third"}
+        async with asyncio.timeout(_MAX_AGE_S):
+            await skipping_loop.wait_until(
+                lambda: self.watched.names["servers"] == names
+            )
+
+
 class UnchangedStoreTest(WatchedStoreTestCase):
     """Guards against checks that cost more than they need to."""
 
