Share the way in which two tests let time pass

A factor that repeated the coalescing delay of the watches is read from their timing. Assertions and bounds are unchanged. Also read and left: the two watches of ReplicaReader share the shape of their call, but differ in what they do with an old version.

--- a/tests/builders/skipping_loop.py
+++ b/tests/builders/skipping_loop.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 
 _POLL_S = 0.001
+# Step in which `pass_time` advances the clock.
+_STEP_S = 0.1
 
 
 class SkippingLoop(asyncio.SelectorEventLoop):
@@ -41,6 +43,18 @@
         assert isinstance(loop, SkippingLoop)
         self.loop = loop
 
+    async def pass_time(self, seconds: float, pause_s: float) -> None:
+        """Advances the clock in steps that let calls complete.
+
+        Args:
+            seconds: Time by the clock of the loop.
+            pause_s: Real time that a step leaves to the calls.
+        """
+        until_s = self.loop.time() + seconds
+        while self.loop.time() < until_s:
+            self.loop.skip(_STEP_S)
+            await asyncio.sleep(pause_s)
+
 
 async def wait_until(condition: Callable[[], object]) -> None:
     """Polls a condition, for state without an event, until it holds."""
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -8,7 +8,7 @@
 # The smallest limits of the deployments: a configuration, and a server that
 # drains, take effect within this time.
 _MAX_AGE_S = 2.0
-_CONTACT_S = 3.0
+_TIMING = watchers.WatchTiming(3.0)
 # The state of a test moves within this time, by the clock of its loop.
 _STEP_S = 0.1
 
@@ -22,7 +22,7 @@
         self.watched = watched_kinds.WatchedKinds(
             self.store,
             self.counters,
-            watchers.WatchTiming(_CONTACT_S),
+            _TIMING,
             _MAX_AGE_S,
         )
         for kind in watched_kinds.KINDS:
@@ -41,17 +41,16 @@
         await skipping_loop.wait_until(
             lambda: self.watched.names[kind] == names
         )
-        self.loop.skip(_CONTACT_S * 0.14)
+        self.loop.skip(_TIMING.coalescing_delay_s)
         await skipping_loop.wait_until(
             lambda: self.stub.open_watches >= len(watched_kinds.KINDS)
         )
 
-    async def pass_time(self, seconds: float) -> None:
-        """Advances the clock in steps that let calls complete."""
-        until_s = self.loop.time() + seconds
-        while self.loop.time() < until_s:
-            self.loop.skip(_STEP_S)
-            await asyncio.sleep(_STEP_S / 10)
+    async def pass_time(
+        self, seconds: float, pause_s: float = _STEP_S / 10
+    ) -> None:
+        """Advances the clock; see `SkippingTestCase`."""
+        await super().pass_time(seconds, pause_s)
 
     async def check_changes_take_effect(self) -> None:
         """Checks that a change of each kind takes effect within the limit."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,6 +1,5 @@
 """Tests of nodes that share what one of them read from the store."""
 
-import asyncio
 import socket
 import unittest
 
@@ -180,12 +179,11 @@
             await self.stub.put(kind, "second", {})
         await self.pass_time(2 * _MAX_AGE_S)
 
-    async def pass_time(self, seconds: float) -> None:
-        """Advances the clock in steps that let calls complete."""
-        until_s = self.loop.time() + seconds
-        while self.loop.time() < until_s:
-            self.loop.skip(_STEP_S)
-            await asyncio.sleep(_STEP_S / 4)
+    async def pass_time(
+        self, seconds: float, pause_s: float = _STEP_S / 4
+    ) -> None:
+        """Advances the clock; see `SkippingTestCase`."""
+        await super().pass_time(seconds, pause_s)
 
     def count_reads(self) -> int:
         """Returns the reads of the version since the calls were cleared."""
