Wait until routers know their peers before a test of replicas

Cause: a router is ready before it has reports of its peers, and the test began the outage at once. A bill that finds no peer for 2 s is released with bill.held_alone, and the router that holds it alone is killed: the loss that docs/INVARIANTS.md states.

Ruled out: recovery of the replicas (all bills with bill.copies.held were written), a conflict of the two replica holders.

A bill that is held alone is logged.

--- a/harness/deployment.py
+++ b/harness/deployment.py
@@ -23,6 +23,7 @@
 )
 _READY_TIMEOUT_S = 60.0
 _POLL_S = 0.05
+_PRINTED_LOG_CHARACTERS = 4_000
 _LOOPBACK = "127.0.0.1"
 
 
@@ -161,6 +162,11 @@
         """Returns the logs of all processes by process name."""
         return {p.name: p.read_log() for p in self._started}
 
+    def print_logs(self) -> None:
+        """Prints the end of each log; they are deleted with the directory."""
+        for name, log in self.read_logs().items():
+            print("log of", name, log[-_PRINTED_LOG_CHARACTERS:], flush=True)
+
     def add_router_flags(self, *flags: str) -> None:
         """Adds flags of routers that are started after this call."""
         self._options.router_flags = (*self._options.router_flags, *flags)
@@ -277,6 +283,25 @@
         """Waits until a router accepts requests."""
         await self.wait_for_status(f"{router.admin_url}/health/ready", 200)
 
+    async def wait_until_connected(self) -> None:
+        """Waits until each router has reports of all the others.
+
+        A router is ready before; until then it has no peers that could hold
+        replicas of its bills.
+
+        Raises:
+            TimeoutError: If a report is missing; the logs are printed.
+        """
+        try:
+            async with asyncio.timeout(_READY_TIMEOUT_S):
+                for router in self.routers.values():
+                    while not await self.has_all_reports(router):
+                        await asyncio.sleep(_POLL_S)
+        except TimeoutError:
+            print("status of", router.vm, await self.read_status(router))
+            self.print_logs()
+            raise
+
     async def wait_for_status(self, url: str, status: int) -> None:
         """Waits until a GET request to a URL returns a status."""
         async with asyncio.timeout(_READY_TIMEOUT_S):
@@ -326,6 +351,21 @@
         )
         return response.json()["bills"]
 
+    async def read_status(self, router: RunningRouter) -> dict[str, Any]:
+        """Returns the status of a router and of the VMs that it knows."""
+        response = await self.http.call(
+            "GET",
+            f"{router.admin_url}/v1/status",
+            headers=build_operator_headers(),
+        )
+        return response.json()
+
+    async def has_all_reports(self, router: RunningRouter) -> bool:
+        """Returns whether a router has a report of each router that serves."""
+        status = await self.read_status(router)
+        states = [row["state"] for row in status["vms"]]
+        return states == ["serving"] * len(self.routers)
+
     async def check_ledger(self, router: RunningRouter) -> dict[str, Any]:
         """Returns the gaps and duplicates that `bills --check` reports."""
         response = await self.http.call(
--- a/src/dragonflydyke/billing/writer.py
+++ b/src/dragonflydyke/billing/writer.py
@@ -153,6 +153,7 @@
             if pending.durable.done():
                 return pending.durable.result()
             self._counters.increment("bill.held_alone")
+            _log.warning("bill has no replicas yet", bill_id=bill.bill_id)
             return Durability.LOCAL_ONLY
 
     def pending_count(self) -> int:
--- a/tests/builders/live.py
+++ b/tests/builders/live.py
@@ -60,6 +60,7 @@
         cls.callers = recording_client.RecordingClient()
         try:
             await cls.running.start()
+            await cls.running.wait_until_connected()
         except BaseException:
             await cls.running.stop()
             raise
