Keep rollouts going if one stored state is malformed

Any error of one rollout skipped the rollouts after it and the orders to engines.

Cause: parse_state raised KeyError, TypeError or ValueError, and RolloutDriver caught only the errors of the product, for the whole round.

Now parse_state raises roll_out_malformed; each rollout is advanced by itself, its error is counted and logged once; an unexpected error of a round is logged with its traceback and the next round follows. A round ends when the lease does, so that many rollouts do not wait one after the other for a platform that is away.

The two new tests had five errors (four subtests) before the change and pass after it; tests.test_rollouts, test_restored_platform and test_membership: 59 passed.

--- a/src/dragonflydyke/membership/restoration.py
+++ b/src/dragonflydyke/membership/restoration.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from dragonflydyke import objects
+from dragonflydyke import errors, objects
 from dragonflydyke.membership import state
 from dragonflydyke.rollouts import model as rollouts_model
 from dragonflydyke.sessions import tokens
@@ -66,7 +66,7 @@
             return _merge_keys(known, restored)
         if name.startswith(state.ROLLOUT_PREFIX):
             return _merge_rollout(name, known, restored)
-    except (KeyError, TypeError, ValueError):
+    except (errors.DragonflydykeError, KeyError, TypeError, ValueError):
         # The state store logs objects that cannot be parsed.
         return restored
     return restored
--- a/src/dragonflydyke/rollouts/driver.py
+++ b/src/dragonflydyke/rollouts/driver.py
@@ -68,6 +68,7 @@
         "_counters",
         "_engine_checks",
         "_engines",
+        "_last_errors",
         "_lease",
         "_next_maintenance_at_s",
         "_objects",
@@ -92,6 +93,8 @@
         self._engines = engines
         self._counters = counters
         self._engine_checks: dict[str, _EngineCheck] = {}
+        # Codes of the last errors by rollout, so that each is logged once.
+        self._last_errors: dict[str, str] = {}
         self._next_maintenance_at_s = 0.0
         self._task: asyncio.Task[None] | None = None
 
@@ -117,7 +120,9 @@
         if document is None:
             return
         for roll_out in document.roll_outs:
-            await self._advance(roll_out)
+            if not self._lease.is_valid():
+                return
+            await self._try_advance(roll_out)
         await self._send_due_orders(document)
 
     async def _run(self) -> None:
@@ -126,8 +131,30 @@
                 await self.run_round()
             except errors.DragonflydykeError as error:
                 self._counters.increment(f"roll_out.error.{error.code}")
+            except Exception:
+                # An unexpected error in one round must not end all rollouts.
+                self._counters.increment("roll_out.fault")
+                _log.exception("unexpected error in a round of the driver")
             await asyncio.sleep(ROUND_INTERVAL_S)
 
+    async def _try_advance(self, roll_out: model.Rollout) -> None:
+        """Advances a rollout; an error does not concern the others."""
+        try:
+            await self._advance(roll_out)
+        except errors.DragonflydykeError as error:
+            self._counters.increment(f"roll_out.error.{error.code}")
+            if self._last_errors.get(roll_out.name) == error.code:
+                return
+            self._last_errors[roll_out.name] = error.code
+            _log.warning(
+                "rollout cannot advance",
+                roll_out=roll_out.name,
+                code=error.code,
+                cause=error.message,
+            )
+        else:
+            self._last_errors.pop(roll_out.name, None)
+
     async def _maintain_lease(self) -> bool:
         """Returns whether the lease is held; reads or renews it when due."""
         now_s = asyncio.get_running_loop().time()
--- a/src/dragonflydyke/rollouts/model.py
+++ b/src/dragonflydyke/rollouts/model.py
@@ -5,6 +5,8 @@
 from collections.abc import Mapping
 from typing import Any
 
+from dragonflydyke import errors
+
 
 class RolloutPhase(enum.Enum):
     """Phase of a rollout; STOPPED and FINISHED are final."""
@@ -65,15 +67,23 @@
         value: Value that `RolloutState.to_mapping` returned.
 
     Raises:
-        KeyError: If a field is missing.
-        ValueError: If the phase is unknown.
+        DragonflydykeError: `roll_out_malformed` if a field is missing or not
+            valid.
     """
-    return RolloutState(
-        name=name,
-        phase=RolloutPhase(value["state"]),
-        step=int(value["step"]),
-        since_ms=int(value["since_ms"]),
-        decided_by=value["decided_by"],
-        fencing=int(value["fencing"]),
-        reason=value.get("reason", ""),
-    )
+    try:
+        return RolloutState(
+            name=name,
+            phase=RolloutPhase(value["state"]),
+            step=int(value["step"]),
+            since_ms=int(value["since_ms"]),
+            decided_by=value["decided_by"],
+            fencing=int(value["fencing"]),
+            reason=value.get("reason", ""),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise errors.DragonflydykeError(
+            "roll_out_malformed",
+            f"the stored state of rollout {name} cannot be parsed: {error!r}",
+            step=errors.Step.ROLL_OUT,
+            status=503,
+        ) from error
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -355,6 +355,39 @@
         await first.run_round()
         self.assertIs(self._state().phase, rollout_model.RolloutPhase.RUNNING)
 
+    async def test_malformed_state_stops_no_other_rollout(self) -> None:
+        # Guards against a stored state that ends the work of the lease holder
+        # for all rollouts and engines.
+        other = dataclasses.replace(_ROLL_OUT, name="other")
+        self.view.configuration = documents.build_document(
+            roll_outs=(other, _ROLL_OUT)
+        )
+        without_step = _running().to_mapping() | {"step": None}
+        for value in ({}, [], {"state": "paused"}, without_step):
+            with self.subTest(value=value):
+                self.objects = objects.InMemoryObjectStore()
+                self.engines = _Engines()
+                await self.objects.create("control", "rollout.other", value)
+                started = self._build("vm-1")
+                started.start()
+                await self.loop.advance(2.0 * driver.ROUND_INTERVAL_S)
+                self.assertIs(
+                    self._state().phase, rollout_model.RolloutPhase.RUNNING
+                )
+                self.assertNotEqual(self.engines.sent, [])
+                await started.stop()
+
+    async def test_unexpected_error_does_not_end_the_rounds(self) -> None:
+        # Guards against rollouts that stand still until the router restarts.
+        started = self._build("vm-1")
+        configuration, self.view.configuration = self.view.configuration, 0
+        started.start()
+        await self.loop.advance(driver.ROUND_INTERVAL_S)
+        self.view.configuration = configuration
+        await self.loop.advance(2.0 * driver.ROUND_INTERVAL_S)
+        self.assertIs(self._state().phase, rollout_model.RolloutPhase.RUNNING)
+        await started.stop()
+
     async def test_changed_engines_are_ordered_first(self) -> None:
         """Guards against overload, and delayed changes, with many engines."""
         servers = [documents.build_engine(f"engine-{i}") for i in range(40)]
