Forget servers and accounts that are not in use

The test found a fourth table, that of the outlier detector, besides the three of the issue.

CapacityQueue drops the finish tags when nobody waits: no account is ahead of another then, so the order of service does not change. LoadTracker, LoadReportSchedule and OutlierDetector keep the servers that the poller names, and a server with requests in progress.

--- a/src/dragonflydyke/routing/capacity_queue.py
+++ b/src/dragonflydyke/routing/capacity_queue.py
@@ -134,6 +134,11 @@
             asyncio.get_running_loop().call_soon(self.notify)
         else:
             del self._queues[key]
+        if not self._queues:
+            # Nobody waits, so no account is ahead of another. The tags of
+            # accounts that are gone would stay for good.
+            self._last_finish_tags.clear()
+            self._virtual_time = 0.0
 
 
 async def _wait_for_load_change(queued: _QueuedRequest, until_s: float) -> None:
--- a/src/dragonflydyke/routing/loads.py
+++ b/src/dragonflydyke/routing/loads.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import math
+from collections.abc import Collection
 
 from dragonflydyke import errors
 from dragonflydyke.configuration import model
@@ -108,6 +109,14 @@
         """Sets which share of all nodes has the server in its subset, 0..1."""
         self._subset_shares[server] = share
 
+    def drop_unused(self, used: Collection[str]) -> None:
+        """Forgets servers that are not in use and have no requests."""
+        for name in [name for name in self._loads if name not in used]:
+            if not self._loads[name].in_progress:
+                del self._loads[name]
+        for name in [name for name in self._subset_shares if name not in used]:
+            del self._subset_shares[name]
+
     def count_in_progress(self, server: str) -> int:
         """Returns this node's number of requests in progress at a server."""
         load = self._loads.get(server)
--- a/src/dragonflydyke/routing/outliers.py
+++ b/src/dragonflydyke/routing/outliers.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import statistics
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 _SMOOTHING = 0.2
 _MIN_SAMPLES = 5
@@ -91,6 +91,10 @@
         self._eject(health, now_s)
         return True
 
+    def retain(self, servers: Collection[str]) -> None:
+        """Forgets all other servers."""
+        self._health = {n: h for n, h in self._health.items() if n in servers}
+
     def find_ejected(
         self, servers: Iterable[str], now_s: float
     ) -> frozenset[str]:
--- a/src/dragonflydyke/routing/polling.py
+++ b/src/dragonflydyke/routing/polling.py
@@ -52,6 +52,7 @@
             idle_limit: Maximum number of servers without requests.
         """
         now_s = asyncio.get_running_loop().time()
+        self._drop_unused(servers)
         due = [
             server
             for server in servers
@@ -71,3 +72,7 @@
 
     def _get_times(self, server: model.BackendServer) -> _ServerTimes:
         return self._times.setdefault(server.name, _ServerTimes())
+
+    def _drop_unused(self, servers: Sequence[model.BackendServer]) -> None:
+        names = {server.name for server in servers}
+        self._times = {n: t for n, t in self._times.items() if n in names}
--- a/src/dragonflydyke/routing/servers.py
+++ b/src/dragonflydyke/routing/servers.py
@@ -356,6 +356,9 @@
             servers: All servers that this node uses.
             idle_limit: Maximum number of servers without requests.
         """
+        names = {server.name for server in servers}
+        self._loads.drop_unused(names)
+        self._outliers.retain(names)
         return self._schedule.select_due(servers, idle_limit)
 
     def record_load_report(
--- a/tests/test_capacity_queue.py
+++ b/tests/test_capacity_queue.py
@@ -6,7 +6,13 @@
 
 from dragonflydyke import metrics, routing
 from dragonflydyke.configuration import model
-from tests.builders import documents, gateway, virtual_loop
+from dragonflydyke.routing import capacity_queue
+from tests.builders import (
+    documents,
+    gateway,
+    memory_growth,
+    virtual_loop,
+)
 from tests.builders.gateway_case import GatewayTestCase
 
 LONG = model.RequestClass(
@@ -94,6 +100,21 @@
         await asyncio.gather(*tasks)
         self.assertIn("b", order[:2])
 
+    async def test_accounts_without_requests_use_no_memory(self) -> None:
+        # Guards against memory that grows with each account that ever waited.
+        await self.fill()
+        queue = capacity_queue.CapacityQueue(self.counters)
+        with memory_growth.measure() as growth:
+            for number in range(5_000):
+                await queue.wait(
+                    "engine-1",
+                    f"account-{number:060}",
+                    1,
+                    lambda: queue.count_queued() > 0,
+                    self.loop.time(),
+                )
+        self.assertLess(growth.size_bytes, 100_000)
+
     async def test_cancelled_wait_does_not_block_the_queue(self) -> None:
         # Guards against a client that disconnects while its request is queued,
         # whose entry then blocks the requests behind it.
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -12,7 +12,12 @@
 from dragonflydyke.rollouts import model as rollouts
 from dragonflydyke.routing import outliers, servers
 from dragonflydyke.sessions import model as sessions
-from tests.builders import documents, gateway, virtual_loop
+from tests.builders import (
+    documents,
+    gateway,
+    memory_growth,
+    virtual_loop,
+)
 
 STOP = model.StopCondition(min_samples=4, min_rating=0.5, max_error_share=0.3)
 STEPS = (model.RolloutStep(0.05, 60.0), model.RolloutStep(0.5, 60.0))
@@ -336,6 +341,19 @@
         third = [s.name for s in self.pool.select_servers_to_poll(engines, 2)]
         self.assertEqual(["engine-30", "engine-31"], third)
 
+    async def test_servers_that_are_gone_use_no_memory(self) -> None:
+        # Guards against memory that grows with each server that ever was.
+        with memory_growth.measure() as growth:
+            for number in range(2_000):
+                engine = documents.build_engine(f"engine-{number:060}")
+                self.pool.select_server([engine])
+                self.pool.select_servers_to_poll([engine], 1)
+                self.pool.record_load_report(engine.name, 1, 0)
+                attempt = self.pool.start_attempt(engine)
+                attempt.finish(routing.AttemptOutcome.COMPLETED)
+            self.pool.select_servers_to_poll([], 1)
+        self.assertLess(growth.size_bytes, 100_000)
+
     async def test_subset_size_is_limited(self) -> None:
         # Guards against a subset without servers in other data centres, and
         # against nodes that all use the same servers.
