Report a suspension of a rollout only while it lasts

With such reports the holder stops the rollout.

Cause: the flag in the reported counts was set and never reset.

It is reset when the configuration differs from that of the suspension. Each new control state asks for this, as a router without requests for the version would not check otherwise. The newest samples are judged by the new condition, so a version that does not meet it stays suspended.

--- a/src/dragonflydyke/rollouts/counts.py
+++ b/src/dragonflydyke/rollouts/counts.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import itertools
+from collections.abc import Iterable
 from typing import TypeVar
 
 from dragonflydyke.configuration import model
@@ -120,6 +121,8 @@
         count = self._counts.get(key)
         if count is None:
             return False
+        if self._suspended.pop(roll_out.name, None) is not None:
+            count.restrained = False
         sample_state = (roll_out, count.requests + count.ratings)
         if self._last_checked.get(roll_out.name) == sample_state:
             return False
@@ -131,6 +134,15 @@
         count.restrained = True
         return True
 
+    def apply_configuration(self, roll_outs: Iterable[model.Rollout]) -> None:
+        """Ends the suspensions of rollouts that are configured differently.
+
+        Other nodes count the reported suspensions, also while this node has
+        no requests that would check them.
+        """
+        for roll_out in roll_outs:
+            self.is_suspended(roll_out)
+
     def _get_or_create_count(self, roll_out: str, version: str) -> VersionCount:
         key = (roll_out, version)
         if key not in self._counts:
--- a/src/dragonflydyke/router/assembly.py
+++ b/src/dragonflydyke/router/assembly.py
@@ -266,6 +266,11 @@
         self._membership.state.subscribe(
             lambda control: self._claims.follow_version(control.control_version)
         )
+        self._membership.state.subscribe(
+            lambda control: self._version_counts.apply_configuration(
+                control.document.roll_outs
+            )
+        )
         self._replica_store = billing.ReplicaStore(
             self._objects, self._counters, node_count=self._count_routers
         )
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -456,3 +456,20 @@
         self.assertTrue(local_counts.is_suspended(ROLL_OUT))
         expected = counts.VersionCount("r", "v2", 0, 0, 4, 1_700, True)
         self.assertEqual(local_counts.list_counts(), (expected,))
+
+    async def test_changed_configuration_ends_the_suspension(self) -> None:
+        # Guards against a rollout that is stopped for suspensions that nodes
+        # still report from before it was configured again.
+        local_counts = counts.VersionCounts()
+        for _ in range(4):
+            local_counts.record_rating("r", "v2", 0.4)
+        self.assertTrue(local_counts.is_suspended(ROLL_OUT))
+        stop = dataclasses.replace(ROLL_OUT.stop, min_rating=0.3)
+        changed = dataclasses.replace(ROLL_OUT, stop=stop)
+        local_counts.apply_configuration((changed,))
+        (reported,) = local_counts.list_counts()
+        self.assertFalse(reported.restrained)
+        self.assertFalse(local_counts.is_suspended(changed))
+        local_counts.apply_configuration((ROLL_OUT,))
+        (reported,) = local_counts.list_counts()
+        self.assertTrue(reported.restrained)
