Report a connect timeout as an unreachable server

Cause: one handler for both times. The shorter of the two is known, so the error follows from it. The forwarding program decides as before, as it treats both as not run; only its log differs. The product's own interface sets no connect timeout.

--- a/src/dragonflydyke/backends/connection.py
+++ b/src/dragonflydyke/backends/connection.py
@@ -241,6 +241,10 @@
                 timeout=datetime.timedelta(seconds=remaining_s),
             )
         except TimeoutError as error:
+            if remaining_s == self._connect_timeout_s:
+                raise failures.build_unreachable_error(
+                    self._peer, f"no connection within {remaining_s} s"
+                ) from error
             raise self._build_deadline_error(
                 errors.Step.CONNECT, errors.Execution.NOT_RUN
             ) from error
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -5,10 +5,22 @@
 import socket
 from collections.abc import Awaitable, Callable
 
+from tornado import netutil, tcpclient
+
 from dragonflydyke import backends, errors
+from dragonflydyke.backends import connection
 from dragonflydyke.emulator import service
 from tests.builders import documents, emulators, skipping_loop
 
+_CONNECT_TIMEOUT_S = 0.5
+
+
+class _SilentResolver(netutil.Resolver):
+    """Never answers, as a host that drops all packets."""
+
+    async def resolve(self, *_: object, **__: object) -> list[object]:
+        return await asyncio.get_running_loop().create_future()
+
 
 class BackendTestCase(emulators.EngineTestCase):
     """Base class that reads streams and checks errors."""
@@ -205,6 +217,24 @@
         await skipping
         self.assertEqual(error.code, "backend_deadline_exceeded")
 
+    async def test_connect_timeout_is_not_the_deadline(self) -> None:
+        # Guards against a deadline error, which tells the client to allow more
+        # time, for a server that accepts no connection.
+        client = tcpclient.TCPClient(resolver=_SilentResolver())
+        self.addCleanup(client.close)
+        exchange = connection.Exchange(
+            self.chat(),
+            self.loop.time() + emulators.LONG_TIMEOUT_S,
+            connect_timeout_s=_CONNECT_TIMEOUT_S,
+        )
+        connecting = asyncio.create_task(exchange.connect(client))
+        await asyncio.sleep(0)
+        self.loop.skip(_CONNECT_TIMEOUT_S)
+        with self.assertRaises(errors.DragonflydykeError) as caught:
+            await connecting
+        self.assertEqual(caught.exception.code, "backend_unreachable")
+        self.assertIs(caught.exception.execution, errors.Execution.NOT_RUN)
+
     async def test_exceeded_before_connecting(self) -> None:
         request = self.chat()
         with self.assertRaises(errors.DragonflydykeError) as caught:
