Check the store before a use if the process was suspended

A request that came first was served on what the node knew before: a revoked key was accepted, a server that drains got a request or a retry, until the check of the store, which is due every 0.35 of the limit, had ended.

Cause: the age of what a node knows was limited by a timer alone. Now the monitor knows by when its timer should have fired, or its check should have ended; later than that, each admission and each attempt waits for one shared check, at most for a tenth of the limit, as requests are served while the store is away. A check that begins late counts as overdue until it ends. Ruled out: the age of the watches as the sign, because it grows in an outage of the store as well, and requests must not wait there.

The server of the node is built after the monitor now, which it needs.

--- a/src/dragonflydyke/forwarding/contexts.py
+++ b/src/dragonflydyke/forwarding/contexts.py
@@ -24,6 +24,13 @@
 from dragonflydyke.routing import retries
 
 
+class StoreKnowledge(Protocol):
+    """What this node knows of the store: configuration, servers, rollouts."""
+
+    async def refresh_if_overdue(self) -> None:
+        """Brings it up to date if the process was suspended; may wait."""
+
+
 class ResponseWriter(Protocol):
     """Writes the response to a client."""
 
@@ -150,6 +157,7 @@
 class ForwardingServices:
     """Components that all requests of a node share."""
 
+    store_knowledge: StoreKnowledge
     codec: messages.HeaderCodec
     directory: directory.Directory
     rollout_controller: controller.RolloutController
--- a/src/dragonflydyke/forwarding/execution.py
+++ b/src/dragonflydyke/forwarding/execution.py
@@ -66,12 +66,7 @@
         state = contexts.RequestState()
         outcome = "delivered"
         try:
-            admitted = decisions.admit(
-                self.policy,
-                request,
-                is_closing=self.is_closing,
-                stop_s=self.stop_s,
-            )
+            admitted = await self._admit(request)
         except errors.DragonflydykeError as error:
             self._reject(request, writer, error)
             self._log(request, None, state, error.code)
@@ -94,6 +89,25 @@
             state.discard_failure()
         self._log(request, admitted, state, outcome)
 
+    async def _admit(
+        self, request: messages.IncomingRequest
+    ) -> decisions.AdmittedRequest:
+        """Admits a request under a configuration that is up to date.
+
+        Raises:
+            DragonflydykeError: If the request is rejected; it has not run.
+        """
+        try:
+            await self._services.store_knowledge.refresh_if_overdue()
+        except asyncio.CancelledError:
+            raise decisions.build_stop_failure(may_have_run=False) from None
+        return decisions.admit(
+            self.policy,
+            request,
+            is_closing=self.is_closing,
+            stop_s=self.stop_s,
+        )
+
     async def _run(
         self,
         request: messages.IncomingRequest,
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -247,12 +247,6 @@
         )
         self._has_rollouts = False
         self._has_crashes = False
-        self._forwarder = execution.Forwarder(
-            self._build_services(codec, report_codec)
-        )
-        self._server = server.ForwardingServer(self._forwarder, codec)
-        self._is_draining = False
-        self._stopped = asyncio.Event()
         reader = replicas.ReplicaReader(store, kinds.rollouts, values.max_age_s)
         self._watchers = self._build_watchers(reader, kinds)
         self._freshness = freshness.FreshnessMonitor(
@@ -263,13 +257,20 @@
             self._random,
             group,
         )
+        self._forwarder = execution.Forwarder(
+            self._build_services(codec, report_codec)
+        )
         self._forwarder.find_policy_age_s = self._watchers[0].find_age_s
+        self._server = server.ForwardingServer(self._forwarder, codec)
+        self._is_draining = False
+        self._stopped = asyncio.Event()
 
     def _build_services(
         self, codec: messages.HeaderCodec, report_codec: reports.ReportCodec
     ) -> contexts.ForwardingServices:
         data_centre = self._settings.data_centre
         return contexts.ForwardingServices(
+            store_knowledge=self._freshness,
             codec=codec,
             directory=self._directory,
             rollout_controller=self._rollout_controller,
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -134,6 +134,7 @@
 
     async def _attempt(self) -> decisions.AttemptOutcome:
         """Makes one attempt and returns its outcome."""
+        await self._services.store_knowledge.refresh_if_overdue()
         quarantined = self._find_quarantine()
         if quarantined is not None:
             return quarantined
--- a/src/dragonflydyke/objects/freshness.py
+++ b/src/dragonflydyke/objects/freshness.py
@@ -26,6 +26,10 @@
 _CHECK_INTERVAL_SHARE = 0.35
 _SHARED_AGE_SHARE = 0.2
 _PEER_TIMEOUT_SHARE = 0.1
+# A timer that is later than this was delayed with the whole process.
+_MAX_TIMER_DELAY_SHARE = 0.1
+# Requests wait this long for an overdue check, as the store may be away.
+_MAX_WAIT_SHARE = 0.1
 # Checks after which a node that nobody asked any more stops reading for others.
 _READER_CHECKS = 3
 # The nodes of a fleet start together; their checks are spread.
@@ -48,12 +52,14 @@
 
     __slots__ = (
         "_asked_s",
+        "_expected_s",
         "_group",
         "_link",
         "_lock",
         "_max_age_s",
         "_random",
         "_reader",
+        "_refresh",
         "_retry_gate",
         "_state",
         "_watchers",
@@ -89,6 +95,10 @@
         self._lock = asyncio.Lock()
         self._state: peer_links.StoreState | None = None
         self._asked_s = -math.inf
+        # Loop time by which the next check begins, or the current one ends,
+        # unless the process is suspended.
+        self._expected_s = math.inf
+        self._refresh: asyncio.Task[None] | None = None
 
     async def open(self, address: settings.Address) -> None:
         """Starts asking and answering peers.
@@ -101,6 +111,8 @@
     def close(self) -> None:
         """Stops asking and answering peers."""
         self._link.close()
+        if self._refresh is not None:
+            self._refresh.cancel()
 
     async def run(self) -> None:
         """Checks the watchers until cancelled."""
@@ -109,11 +121,28 @@
             if self._reads_for_peers():
                 interval_s = self._max_age_s * _SHARED_AGE_SHARE
             jitter = self._random.uniform(_MIN_JITTER, 1.0)
+            self._expect_check_within(interval_s)
             await asyncio.sleep(interval_s * jitter)
+            if self._is_overdue():
+                await asyncio.wait({self._start_refresh()})
             # The watchers list their kinds once the store is available.
-            if not self._retry_gate.is_unavailable:
+            elif not self._retry_gate.is_unavailable:
+                self._expect_check_within(self._max_age_s)
                 await self._check_or_log()
 
+    async def refresh_if_overdue(self) -> None:
+        """Checks the watchers before what they know is used, if that is late.
+
+        A process that was suspended finds its timers and the requests of
+        clients due at the same moment, in any order. Returns after a short
+        time also without success, as requests are served while the store is
+        away.
+        """
+        if not self._is_overdue():
+            return
+        timeout_s = self._max_age_s * _MAX_WAIT_SHARE
+        await asyncio.wait({self._start_refresh()}, timeout=timeout_s)
+
     async def check(self) -> None:
         """Lets all kinds catch up with a recent state of the store.
 
@@ -128,6 +157,30 @@
                 state = await self._read_store()
             await self._catch_up(state)
 
+    def _is_overdue(self) -> bool:
+        return asyncio.get_running_loop().time() > self._expected_s
+
+    def _expect_check_within(self, seconds: float) -> None:
+        now_s = asyncio.get_running_loop().time()
+        delay_s = self._max_age_s * _MAX_TIMER_DELAY_SHARE
+        self._expected_s = now_s + seconds + delay_s
+
+    def _start_refresh(self) -> asyncio.Task[None]:
+        """Returns the overdue check that runs, or begins one."""
+        if self._refresh is None or self._refresh.done():
+            _LOGGER.notice("check of the store is overdue")
+            self._refresh = asyncio.create_task(self._refresh_overdue())
+        return self._refresh
+
+    async def _refresh_overdue(self) -> None:
+        """Checks the watchers; the check stays overdue until this ends."""
+        try:
+            await self._check_or_log()
+        except Exception:
+            _LOGGER.exception("overdue check of the store failed")
+        finally:
+            self._expect_check_within(find_check_interval_s(self._max_age_s))
+
     async def _check_or_log(self) -> None:
         try:
             await self.check()
--- a/tests/builders/forwarding.py
+++ b/tests/builders/forwarding.py
@@ -255,14 +255,14 @@
 
 
 def build_policy(
-    *routes: model.Route, version: int = 1
+    *routes: model.Route, version: int = 1, key: str = KEY
 ) -> model.ForwardingPolicy:
     """Returns a configuration with one account and pool `engines`."""
     return model.ForwardingPolicy(
         version,
         routes or (build_route(),),
         (model.Pool("engines", has_engines=True), model.Pool("plain")),
-        (model.Account("acme", (KEY,)),),
+        (model.Account("acme", (key,)),),
         model.ClientLimits(),
     )
 
@@ -318,6 +318,24 @@
     )
 
 
+class StoreKnowledge:
+    """Knowledge of the store that is refreshed before a use if it is overdue.
+
+    Attributes:
+        refresh: Called once, by the next use; None if nothing is overdue.
+    """
+
+    def __init__(self) -> None:
+        self.refresh: Callable[[], object] | None = None
+
+    async def refresh_if_overdue(self) -> None:
+        """Calls `refresh`, after others had a chance to run."""
+        refresh, self.refresh = self.refresh, None
+        if refresh is not None:
+            await asyncio.sleep(0)
+            refresh()
+
+
 class ForwardingTestCase(skipping_loop.SkippingTestCase):
     """Test case with a forwarding server and scripted backend servers."""
 
@@ -345,9 +363,11 @@
             self.directory, self.limits, self.counters
         )
         self.response_memory = response_memory.ResponseMemory()
+        self.store_knowledge = StoreKnowledge()
         codec = headers.HeaderCodec()
         self.forwarder = execution.Forwarder(
             contexts.ForwardingServices(
+                store_knowledge=self.store_knowledge,
                 codec=codec,
                 directory=self.directory,
                 rollout_controller=self.rollout_controller,
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -11,6 +11,8 @@
 _TIMING = watchers.WatchTiming(3.0)
 # The state of a test moves within this time, by the clock of its loop.
 _STEP_S = 0.1
+# Reads the version of the store, at the start of a check.
+_CHECK_CALL = "GET /api/objects/rollouts"
 
 
 class WatchedStoreTestCase(store.StoreTestCase):
@@ -137,7 +139,7 @@
         await self.pass_time(2 * _MAX_AGE_S)
         self.stub.calls.clear()
         await self.watched.monitor.check()
-        self.assertEqual(self.stub.calls, ["GET /api/objects/rollouts"])
+        self.assertEqual(self.stub.calls, [_CHECK_CALL])
 
     async def test_change_that_a_watch_delivers_is_not_read_again(self) -> None:
         await self.pass_time(2 * _MAX_AGE_S)
@@ -148,6 +150,55 @@
         self.assertFalse([c for c in self.stub.calls if "config" in c])
 
 
+class SuspendedProcessTest(WatchedStoreTestCase):
+    """Guards against requests served on what was known before a suspension.
+
+    The timers of a process that continues and the requests in its sockets are
+    due at the same moment.
+    """
+
+    async def change_while_suspended(self) -> None:
+        """Makes changes that no watch delivers, and advances the clock."""
+        self.stub.silence_watches(*watched_kinds.KINDS)
+        for kind in watched_kinds.KINDS:
+            await self.stub.put(kind, "third", {})
+        self.loop.skip(3 * _MAX_AGE_S)
+
+    async def test_changes_are_known_before_the_next_use(self) -> None:
+        await self.change_while_suspended()
+        self.assertNotIn("third", self.watched.names["servers"])
+        await self.watched.monitor.refresh_if_overdue()
+        for kind in watched_kinds.KINDS:
+            self.assertIn("third", self.watched.names[kind])
+
+    async def test_all_uses_wait_for_the_same_check(self) -> None:
+        await self.change_while_suspended()
+        self.stub.calls.clear()
+        # The timers of the monitor itself run first.
+        await asyncio.sleep(0)
+        await asyncio.gather(
+            *(self.watched.monitor.refresh_if_overdue() for _ in range(10))
+        )
+        for kind in watched_kinds.KINDS:
+            self.assertIn("third", self.watched.names[kind])
+        reads = [c for c in self.stub.calls if c == _CHECK_CALL]
+        self.assertLessEqual(len(reads), 2)
+
+    async def test_store_that_is_away_delays_a_use_briefly(self) -> None:
+        self.stub.rejection_status = 503
+        self.loop.skip(3 * _MAX_AGE_S)
+        started_s = self.loop.time()
+        await self.watched.monitor.refresh_if_overdue()
+        self.assertLess(self.loop.time() - started_s, _MAX_AGE_S / 5)
+
+    async def test_running_process_does_not_wait(self) -> None:
+        for _ in range(30):
+            await self.pass_time(_STEP_S)
+            self.stub.calls.clear()
+            await self.watched.monitor.refresh_if_overdue()
+            self.assertNotIn(_CHECK_CALL, self.stub.calls)
+
+
 class LostResponseTest(WatchedStoreTestCase):
     """Guards against changes whose response to a watch was lost.
 
