Give the classes of the interface and the harness slots

House style: plain classes with slots. Left: those of the forwarding program (backends.connection, forwarding.node, transport), which is being measured.

--- a/harness/capacity.py
+++ b/harness/capacity.py
@@ -103,6 +103,8 @@
         fits: Fitted lines by title.
     """
 
+    __slots__ = ("_directory", "_plan", "figures", "fits")
+
     def __init__(self, plan: MeasurementPlan, directory: pathlib.Path) -> None:
         self._plan = plan
         self._directory = directory
--- a/harness/deployment.py
+++ b/harness/deployment.py
@@ -84,6 +84,24 @@
         document: Configuration to apply, with the URLs of the emulators.
     """
 
+    __slots__ = (
+        "_directory",
+        "_options",
+        "_platform_proxies",
+        "_proxied_addresses",
+        "_started",
+        "backend_proxies",
+        "backend_urls",
+        "backends",
+        "document",
+        "http",
+        "peer_proxies",
+        "platform",
+        "platform_url",
+        "rating_url",
+        "routers",
+    )
+
     def __init__(
         self, directory: pathlib.Path, options: DeploymentOptions
     ) -> None:
--- a/harness/experiments.py
+++ b/harness/experiments.py
@@ -408,6 +408,8 @@
 class _PolicyRun:
     """Runs of several seeds with one policy on one deployment."""
 
+    __slots__ = ("_experiment", "_policy", "_running")
+
     def __init__(
         self,
         experiment: Experiment,
--- a/harness/measures/control_node.py
+++ b/harness/measures/control_node.py
@@ -24,6 +24,19 @@
 class ControlNode:
     """Membership of one node with its gRPC server and platform client."""
 
+    __slots__ = (
+        "_arguments",
+        "_counters",
+        "_membership",
+        "_next_deadline_s",
+        "_output",
+        "_revision",
+        "_tasks",
+        "announce_change",
+        "exchange",
+        "fetch_state",
+    )
+
     def __init__(self, arguments: argparse.Namespace) -> None:
         self._arguments = arguments
         self._output = pathlib.Path(arguments.output)
--- a/harness/measures/fleets.py
+++ b/harness/measures/fleets.py
@@ -77,6 +77,14 @@
 class ControlFleet:
     """Control nodes and the platform emulator that they use."""
 
+    __slots__ = (
+        "_backend_vms",
+        "_directory",
+        "_document",
+        "_nodes",
+        "platform",
+    )
+
     def __init__(
         self,
         size: int,
--- a/harness/measures/microbenchmarks.py
+++ b/harness/measures/microbenchmarks.py
@@ -196,6 +196,8 @@
 class _CountingStore:
     """In-memory object store that counts writes and their JSON bytes."""
 
+    __slots__ = ("bytes", "store", "writes")
+
     def __init__(self) -> None:
         self.store = store.MemoryStore()
         self.writes = 0
@@ -212,6 +214,8 @@
 class _CountingReplica:
     """In-memory replica of bills that counts calls and their bytes."""
 
+    __slots__ = ("bytes", "calls", "data_centre", "incarnation", "vm")
+
     def __init__(self, vm: str) -> None:
         self.vm = vm
         self.data_centre = vm
--- a/harness/measures/platforms.py
+++ b/harness/measures/platforms.py
@@ -14,6 +14,8 @@
         url: Base URL of the emulator; empty until it is started.
     """
 
+    __slots__ = ("_http", "_process", "url")
+
     def __init__(self, directory: pathlib.Path) -> None:
         self._process = processes.ManagedProcess(
             "platform",
--- a/harness/measures/probe.py
+++ b/harness/measures/probe.py
@@ -58,6 +58,8 @@
 class _StreamMeter:
     """Counts the traffic of Tornado's sockets by patching IOStream."""
 
+    __slots__ = ("closed_connections", "transferred_bytes")
+
     def __init__(self) -> None:
         self.transferred_bytes = 0
         self.closed_connections = 0
--- a/harness/measures/router.py
+++ b/harness/measures/router.py
@@ -15,6 +15,8 @@
 class _ProbedRouter(assembly.Router):
     """A router that writes snapshots on SIGUSR1."""
 
+    __slots__ = ()
+
     async def start(self) -> str:
         directory = self._settings.inner_key_file.parent
         relays.FULL_MESH_MAX_VMS = int((directory / MESH_FILE).read_text())
--- a/harness/measures/routers.py
+++ b/harness/measures/routers.py
@@ -45,6 +45,15 @@
         engine: Engine emulator that serves as every backend server.
     """
 
+    __slots__ = (
+        "_directory",
+        "_platform",
+        "_spec",
+        "engine",
+        "public_urls",
+        "router_processes",
+    )
+
     def __init__(
         self,
         spec: RouterGroupSpec,
--- a/harness/recording_client.py
+++ b/harness/recording_client.py
@@ -86,6 +86,8 @@
 class _StreamParser:
     """Parses the events of a streamed response as they arrive."""
 
+    __slots__ = ("_on_text", "_recorded", "_remainder")
+
     def __init__(
         self, recorded: RecordedResponse, on_text: Callable[[str], None] | None
     ) -> None:
--- a/harness/soak_faults.py
+++ b/harness/soak_faults.py
@@ -31,6 +31,18 @@
         errors: Failures of the product that the injector noticed itself.
     """
 
+    __slots__ = (
+        "_is_stopping",
+        "_last_vm_number",
+        "_outage_end_s",
+        "_random",
+        "_running",
+        "_tasks",
+        "counts",
+        "errors",
+        "stopped_urls",
+    )
+
     def __init__(
         self, running: deployment.Deployment, generator: random.Random
     ) -> None:
--- a/harness/soak_load.py
+++ b/harness/soak_load.py
@@ -28,6 +28,20 @@
         counts: Number of requests by kind and outcome.
     """
 
+    __slots__ = (
+        "_client",
+        "_is_stopping",
+        "_last_number",
+        "_random",
+        "_running",
+        "_tasks",
+        "calls",
+        "chats",
+        "counts",
+        "lookups",
+        "session_failures",
+    )
+
     def __init__(
         self,
         running: deployment.Deployment,
--- a/src/dragonflydyke/gateway/calls.py
+++ b/src/dragonflydyke/gateway/calls.py
@@ -50,6 +50,14 @@
 class CallExecution(execution.RequestExecution):
     """Relays a call; a non-idempotent call is dispatched at most once."""
 
+    __slots__ = (
+        "_call_task",
+        "_operation",
+        "_request",
+        "_retries",
+        "_tried_servers",
+    )
+
     def __init__(
         self,
         gateway_services: services.GatewayServices,
--- a/src/dragonflydyke/gateway/chat.py
+++ b/src/dragonflydyke/gateway/chat.py
@@ -48,6 +48,18 @@
     server of a stage can be used.
     """
 
+    __slots__ = (
+        "_admitted_class",
+        "_chat_request",
+        "_hedged_attempts",
+        "_plan",
+        "_retries",
+        "_session",
+        "_session_token",
+        "_stage_index",
+        "_tried_servers",
+    )
+
     def __init__(
         self,
         gateway_services: services.GatewayServices,
--- a/src/dragonflydyke/gateway/execution.py
+++ b/src/dragonflydyke/gateway/execution.py
@@ -53,6 +53,16 @@
     which sends the response, and create `_bill` before the first dispatch.
     """
 
+    __slots__ = (
+        "_account_name",
+        "_admission",
+        "_bill",
+        "_deadline",
+        "_received_s",
+        "_response_writer",
+        "_services",
+    )
+
     def __init__(
         self,
         gateway_services: services.GatewayServices,
--- a/src/dragonflydyke/load/open_loop.py
+++ b/src/dragonflydyke/load/open_loop.py
@@ -22,6 +22,14 @@
     responses do not reduce the load.
     """
 
+    __slots__ = (
+        "_client",
+        "_keep_response_text",
+        "_keys",
+        "_timeout_s",
+        "_urls",
+    )
+
     def __init__(
         self,
         urls: Sequence[str],
--- a/src/dragonflydyke/protocol/server.py
+++ b/src/dragonflydyke/protocol/server.py
@@ -40,6 +40,8 @@
 class NodeServer(node_pb2_grpc.NodeServicer):
     """gRPC server that checks the inner key and dispatches to the handlers."""
 
+    __slots__ = ("_counters", "_handlers", "_inner_key", "_server", "_tls")
+
     def __init__(
         self,
         handlers: Any,
