Start the processes of the harness in process groups of their own

It had failed once with "1 not greater than 1": the rollout was stopped under the fencing token of the lease holder that was suspended.

Cause: the holder was not suspended any more. Routers were in the process group of the test run. When a shell that started this group as a job exits, the group is orphaned, and the kernel sends SIGHUP and SIGCONT to a group that is orphaned with suspended members. Started with nohup, the tests and the routers ignore SIGHUP, so the holder continued, within the time of its lease, and decided.

Evidence: with nohup, in a job of a shell that exits while the router is suspended, the test fails at the first try with the same message, now with decided_by=router-3, the suspended router. Without nohup the router ends by SIGHUP. With process groups of their own the same run passes, and the router is still suspended after the exit of the shell.

Ruled out before: a lease acquired under an earlier token, a decision that was under way. The code of the lease is unchanged; it was right. The soak of the forwarding program suspends nodes as well and is changed in the same way.

--- a/harness/processes.py
+++ b/harness/processes.py
@@ -72,6 +72,9 @@
                 stdout=asyncio.subprocess.PIPE,
                 stderr=log,
                 env=os.environ | {"PYTHONUNBUFFERED": "1"},
+                # In the group of a shell's job, the kernel continues suspended
+                # processes when the shell exits.
+                process_group=0,
             )
         try:
             async with asyncio.timeout(_START_TIMEOUT_S):
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -226,6 +226,8 @@
                 stdout=log,
                 stderr=log,
                 env=os.environ | {"DRAGONFLYDYKE_CONFIG": str(settings_path)},
+                # See `harness.processes`.
+                process_group=0,
             )
         self.is_expected_running = True
         self._started_s = asyncio.get_running_loop().time()
