Name a version alike wherever the rating service hears of it

Versions of different models may have the same name, so a service that keeps ratings by version mixed them up, and rated one version under two names.

The sampler gets the rollout now and names its version as the check does.

--- a/src/dragonflydyke/gateway/attempts.py
+++ b/src/dragonflydyke/gateway/attempts.py
@@ -354,9 +354,7 @@
     def offer_sample(self, body: bytes) -> None:
         """Queues the body of a complete response for rating, if sampled."""
         if self.is_sampled:
-            self._services.sampler.offer(
-                self._roll_out.name, self.record.version, body
-            )
+            self._services.sampler.offer(self._roll_out, body)
 
     def build_error(
         self,
--- a/src/dragonflydyke/gateway/services.py
+++ b/src/dragonflydyke/gateway/services.py
@@ -192,8 +192,8 @@
 class Sampler(Protocol):
     """Rates responses of versions in a rollout, in the background."""
 
-    def offer(self, roll_out: str, version: str, response_body: bytes) -> None:
-        """Queues the response body of a version for rating."""
+    def offer(self, roll_out: model.Rollout, response_body: bytes) -> None:
+        """Queues the response body of the new version for rating."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/dragonflydyke/rollouts/ratings.py
+++ b/src/dragonflydyke/rollouts/ratings.py
@@ -7,6 +7,7 @@
 from tornado import httpclient, simple_httpclient
 
 from dragonflydyke import metrics, transport
+from dragonflydyke.configuration import model
 from dragonflydyke.rollouts import completions, counts
 
 _TIMEOUT_S = 2.0
@@ -51,7 +52,7 @@
         """Returns the rating of a model response, 0..1.
 
         Args:
-            version: Version that generated the response.
+            version: Version that generated the response, as `model@version`.
             text: Text of the model response.
 
         Returns:
@@ -84,8 +85,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class _Sample:
-    roll_out: str
-    version: str
+    roll_out: model.Rollout
     body: bytes
 
 
@@ -118,25 +118,26 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def offer(self, roll_out: str, version: str, answer: bytes) -> None:
+    def offer(self, roll_out: model.Rollout, answer: bytes) -> None:
         """Queues a response to be rated; drops it if the queue is full.
 
         Args:
-            roll_out: Name of the rollout.
-            version: Name of the version that generated the response.
+            roll_out: Rollout whose new version generated the response.
             answer: Body of the response.
         """
         try:
-            self._queue.put_nowait(_Sample(roll_out, version, answer))
+            self._queue.put_nowait(_Sample(roll_out, answer))
         except asyncio.QueueFull:
             self._counters.increment("rating.dropped")
 
     async def _run(self) -> None:
         while True:
             sample = await self._queue.get()
+            roll_out = sample.roll_out
+            version = model.version_id(roll_out.model, roll_out.to_version)
             text = completions.extract_text(sample.body)
-            rating = await self._client.rate(sample.version, text)
+            rating = await self._client.rate(version, text)
             if rating is not None:
                 self._counts.record_rating(
-                    sample.roll_out, sample.version, rating
+                    roll_out.name, roll_out.to_version, rating
                 )
