Forget servers when the configuration changes, not at each poll

Every 0.5 s the pool forgot the ejections and the service times of plain servers, so that a failing one got requests again.

Cause: pruned in the wrong place. The servers that exist are those of the configuration, so the three tables are pruned once at each new revision, which also takes the work out of the poll. The methods are called retain, as elsewhere.

The new test fails before ("'engine-1' unexpectedly found"). The test of memory makes its servers come and go by revisions now, as they do; its bound is unchanged, and without the pruning it fails with 1,145 kB. test_routing, test_capacity_queue, test_gateway and test_hedging: 70 passed.

--- a/src/dragonflydyke/routing/loads.py
+++ b/src/dragonflydyke/routing/loads.py
@@ -109,13 +109,16 @@
         """Sets which share of all nodes has the server in its subset, 0..1."""
         self._subset_shares[server] = share
 
-    def drop_unused(self, used: Collection[str]) -> None:
-        """Forgets servers that are not in use and have no requests."""
-        for name in [name for name in self._loads if name not in used]:
-            if not self._loads[name].in_progress:
-                del self._loads[name]
-        for name in [name for name in self._subset_shares if name not in used]:
-            del self._subset_shares[name]
+    def retain(self, servers: Collection[str]) -> None:
+        """Forgets all other servers that have no requests in progress."""
+        self._loads = {
+            name: load
+            for name, load in self._loads.items()
+            if name in servers or load.in_progress
+        }
+        self._subset_shares = {
+            n: share for n, share in self._subset_shares.items() if n in servers
+        }
 
     def count_in_progress(self, server: str) -> int:
         """Returns this node's number of requests in progress at a server."""
--- a/src/dragonflydyke/routing/polling.py
+++ b/src/dragonflydyke/routing/polling.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import math
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from dragonflydyke.configuration import model
 
@@ -38,6 +38,10 @@
         for server in candidates:
             self._get_times(server).last_candidate_at_s = now_s
 
+    def retain(self, servers: Collection[str]) -> None:
+        """Forgets all other servers."""
+        self._times = {n: t for n, t in self._times.items() if n in servers}
+
     def select_due(
         self, servers: Sequence[model.BackendServer], idle_limit: int
     ) -> list[model.BackendServer]:
@@ -52,7 +56,6 @@
             idle_limit: Maximum number of servers without requests.
         """
         now_s = asyncio.get_running_loop().time()
-        self._drop_unused(servers)
         due = [
             server
             for server in servers
@@ -72,7 +75,3 @@
 
     def _get_times(self, server: model.BackendServer) -> _ServerTimes:
         return self._times.setdefault(server.name, _ServerTimes())
-
-    def _drop_unused(self, servers: Sequence[model.BackendServer]) -> None:
-        names = {server.name for server in servers}
-        self._times = {n: t for n, t in self._times.items() if n in names}
--- a/src/dragonflydyke/routing/servers.py
+++ b/src/dragonflydyke/routing/servers.py
@@ -63,6 +63,7 @@
         "_outliers",
         "_pauses",
         "_random",
+        "_revision",
         "_schedule",
         "_strategy",
         "_subsets",
@@ -100,6 +101,7 @@
         self._leaving_until_s: dict[str, float] = {}
         self._pauses = server_pauses.ServerPauses()
         self._baseline_latencies_s: dict[str, float] = {}
+        self._revision: int | None = None
         self._subsets: dict[str, _Subset] = {}
         self._distances: dict[str, int] = {data_centre: 0}
         self._capacity_queue = capacity_queue.CapacityQueue(counters)
@@ -151,6 +153,9 @@
         cached = self._subsets.get(served)
         if cached is not None and cached.revision == in_force.revision:
             return cached.servers
+        if in_force.revision != self._revision:
+            self._revision = in_force.revision
+            self._retain_servers(in_force.document)
         self._set_distances(in_force.document)
         all_servers = _list_servers(in_force, served)
         servers = self._select_subset(all_servers)
@@ -356,9 +361,6 @@
             servers: All servers that this node uses.
             idle_limit: Maximum number of servers without requests.
         """
-        names = {server.name for server in servers}
-        self._loads.drop_unused(names)
-        self._outliers.retain(names)
         return self._schedule.select_due(servers, idle_limit)
 
     def record_load_report(
@@ -506,6 +508,13 @@
     def _distance(self, server: model.BackendServer) -> int:
         return self._distances.get(server.data_centre, _UNLISTED_DISTANCE)
 
+    def _retain_servers(self, document: model.Document) -> None:
+        """Forgets the servers that are not in a new configuration."""
+        names = {server.name for server in document.backend_servers}
+        self._loads.retain(names)
+        self._outliers.retain(names)
+        self._schedule.retain(names)
+
     def _set_distances(self, document: model.Document) -> None:
         local = document.data_centre(self._data_centre)
         near = local.near if local else ()
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -344,14 +344,18 @@
     async def test_servers_that_are_gone_use_no_memory(self) -> None:
         # Guards against memory that grows with each server that ever was.
         with memory_growth.measure() as growth:
-            for number in range(2_000):
-                engine = documents.build_engine(f"engine-{number:060}")
+            for revision in range(2_000):
+                engine = documents.build_engine(f"engine-{revision:060}")
+                document = documents.build_document(backend_servers=(engine,))
+                self.pool.list_candidates(
+                    gateway.FixedInForce(document, revision),
+                    "planner-small@v1",
+                )
                 self.pool.select_server([engine])
                 self.pool.select_servers_to_poll([engine], 1)
                 self.pool.record_load_report(engine.name, 1, 0)
                 attempt = self.pool.start_attempt(engine)
                 attempt.finish(routing.AttemptOutcome.COMPLETED)
-            self.pool.select_servers_to_poll([], 1)
         self.assertLess(growth.size_bytes, 100_000)
 
     async def test_subset_size_is_limited(self) -> None:
@@ -382,6 +386,19 @@
         await self.loop.advance(30.0, step_s=5.0)
         self.assertIn(candidates[0].name, self.select_names(candidates))
 
+    async def test_polling_engines_keeps_what_is_known_of_services(
+        self,
+    ) -> None:
+        # Guards against a failing plain server that gets requests again at
+        # each poll, because only engines are polled.
+        candidates = self.build(*["cartago-a"] * 3)
+        for _ in range(10):
+            attempt = self.pool.start_attempt(candidates[0], candidates)
+            attempt.finish(routing.AttemptOutcome.FAILED)
+        self.assertNotIn(candidates[0].name, self.select_names(candidates))
+        self.pool.select_servers_to_poll([], 2)
+        self.assertNotIn(candidates[0].name, self.select_names(candidates))
+
     async def test_slow_server_is_ejected(self) -> None:
         # Guards against work for a server that is much slower than its peers.
         candidates = self.build(*["cartago-a"] * 3)
