--- a/harness/deployment.py
+++ b/harness/deployment.py
@@ -358,24 +358,31 @@
             for bill in entry["value"]["bills"]
         ]
 
+    async def call_admin(
+        self,
+        router: RunningRouter,
+        path: str,
+        method: str = "GET",
+        body: Any = None,
+    ) -> http.HttpResponse:
+        """Calls the admin API of a router with the operator key."""
+        return await self.http.call(
+            method,
+            f"{router.admin_url}{path}",
+            body=body,
+            headers=build_operator_headers(),
+        )
+
     async def read_statement(
         self, router: RunningRouter
     ) -> list[dict[str, Any]]:
         """Returns the bills of the statement, each bill_id once."""
-        response = await self.http.call(
-            "GET",
-            f"{router.admin_url}/v1/bills",
-            headers=build_operator_headers(),
-        )
+        response = await self.call_admin(router, "/v1/bills")
         return response.json()["bills"]
 
     async def read_status(self, router: RunningRouter) -> dict[str, Any]:
         """Returns the status of a router and of the VMs that it knows."""
-        response = await self.http.call(
-            "GET",
-            f"{router.admin_url}/v1/status",
-            headers=build_operator_headers(),
-        )
+        response = await self.call_admin(router, "/v1/status")
         return response.json()
 
     async def has_all_reports(self, router: RunningRouter) -> bool:
@@ -386,20 +393,12 @@
 
     async def check_ledger(self, router: RunningRouter) -> dict[str, Any]:
         """Returns the gaps and duplicates that `bills --check` reports."""
-        response = await self.http.call(
-            "GET",
-            f"{router.admin_url}/v1/bills?check=true",
-            headers=build_operator_headers(),
-        )
+        response = await self.call_admin(router, "/v1/bills?check=true")
         return response.json()
 
     async def read_counters(self, router: RunningRouter) -> dict[str, int]:
         """Returns the counters of a router."""
-        response = await self.http.call(
-            "GET",
-            f"{router.admin_url}/v1/counters",
-            headers=build_operator_headers(),
-        )
+        response = await self.call_admin(router, "/v1/counters")
         return response.json()["counters"]
 
     async def read_emulator(self, name: str) -> Any:
--- a/tests/builders/integration.py
+++ b/tests/builders/integration.py
@@ -161,12 +161,7 @@
         body: Any = None,
     ) -> http.HttpResponse:
         """Calls the admin API of a router with the operator key."""
-        return await self.running.http.call(
-            method,
-            f"{router.admin_url}{path}",
-            body=body,
-            headers=deployment.build_operator_headers(),
-        )
+        return await self.running.call_admin(router, path, method, body)
 
     async def read_counter(
         self, router: deployment.RunningRouter, name: str
