--- a/tests/test_live_refusals.py
+++ b/tests/test_live_refusals.py
@@ -77,11 +77,7 @@
                 await self.running.read_emulator(name)
                 for name in _BACKEND_SERVERS
             ]
-            reply = await self.running.http.call(
-                "GET",
-                f"{router.admin_url}/v1/counters",
-                headers=deployment.build_operator_headers(),
-            )
+            reply = await self.running.call_admin(router, "/v1/counters")
             busy = sum(
                 s.get("running", 0) + s.get("waiting", 0) for s in states
             )
