Decode cold starts, regions, client limits and engine capacity

Cause: the entries, the configuration and the settings state what a cold server accepts, where requests may run, what a client may send and what an engine holds, and the router read none of it. The parts that follow need these values as typed fields, decoded once in the adapter.

Behaviour is unchanged. The remaining cold time changes with each heartbeat, so it is left out of the comparison of server entries: an attempt would otherwise take its server for another one. Ruled out: a second object for the cold time, as watches deliver whole entries.

--- a/src/dragonflydyke/forwarding/directory.py
+++ b/src/dragonflydyke/forwarding/directory.py
@@ -26,12 +26,16 @@
         version: Version of its software.
         started_ms: Unix time of its start in milliseconds; together with the
             name it identifies one process of the server.
+        cold_s: Seconds for which the server stays cold after this entry was
+            written, 0 if it is warm. It changes with every heartbeat, so that
+            comparisons leave it out.
     """
 
     backend: configuration.BackendServer
     pool: str
     version: str
     started_ms: int = 0
+    cold_s: float = dataclasses.field(default=0.0, compare=False)
 
     @property
     def name(self) -> str:
--- a/src/dragonflydyke/forwarding/messages.py
+++ b/src/dragonflydyke/forwarding/messages.py
@@ -145,6 +145,8 @@
         server_leaves: Whether the server accepts no further requests.
         pause_s: Seconds for which the server wants no requests of this node,
             None if it does not say so.
+        cold_s: Seconds for which the server stays cold, None if it does not
+            say so.
     """
 
     request_id: str
@@ -156,6 +158,7 @@
     server_limit_per_s: float | None = None
     server_leaves: bool = False
     pause_s: float | None = None
+    cold_s: float | None = None
 
 
 class HeaderCodec(Protocol):
--- a/src/dragonflydyke/forwarding/model.py
+++ b/src/dragonflydyke/forwarding/model.py
@@ -44,6 +44,8 @@
         max_event_gap_s: Target for the longest inter-event gap of a stream, 0
             if none is configured.
         models: Models among which the router selects, smallest first.
+        allowed_regions: Regions in which its requests may run, empty if they
+            may run anywhere.
     """
 
     name: str
@@ -59,6 +61,7 @@
     resumable: bool = False
     max_event_gap_s: float = 0.0
     models: tuple[str, ...] = ()
+    allowed_regions: frozenset[str] = frozenset()
 
     @property
     def is_retryable(self) -> bool:
@@ -78,28 +81,87 @@
         return self.pools[-1].pool
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class EngineCapacity:
+    """What each engine of a pool can hold.
+
+    Attributes:
+        slots: Requests that it runs at the same time.
+        memory_tokens: Tokens that running requests and cached prompts share.
+        tokens_per_event: Output tokens in one event of a stream.
+        model_costs: Cost of 1,000 output tokens by model.
+    """
+
+    slots: int
+    memory_tokens: int
+    tokens_per_event: int
+    model_costs: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ColdStart:
+    """What the servers of a pool can take after a start.
+
+    Attributes:
+        duration_s: Seconds for which a server is cold after a start.
+        rate_per_s: Requests a second that a cold server accepts from all nodes
+            together, 0 if that is not limited.
+    """
+
+    duration_s: float = 0.0
+    rate_per_s: float = 0.0
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Pool:
-    """A group of equivalent backend servers: engines or plain services."""
+    """A group of equivalent backend servers: engines or plain services.
+
+    Attributes:
+        name: Unique name.
+        has_engines: Whether its servers are model engines.
+        engine: What each engine can hold, None for plain services.
+        cold_start: What its servers can take after a start.
+    """
 
     name: str
     has_engines: bool = False
+    engine: EngineCapacity | None = None
+    cold_start: ColdStart = ColdStart()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Account:
-    """A client account; its priority, if set, overrides the route's."""
+    """A client account; its priority, if set, overrides the route's.
+
+    Attributes:
+        name: Unique name.
+        keys: API keys.
+        priority: Priority of its requests, None for that of the route.
+        allowed_regions: Regions in which its requests may run, empty if they
+            may run anywhere.
+    """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
+    allowed_regions: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ClientLimits:
-    """Limits on the requests of clients."""
+    """Limits on the requests of clients.
+
+    Attributes:
+        max_header_bytes: Size of the start line and headers.
+        max_body_bytes: Size of the body.
+        header_timeout_s: Seconds in which a client sends its headers.
+        idle_timeout_s: Seconds for which a connection may be idle.
+    """
 
+    max_header_bytes: int = 65_536
     max_body_bytes: int = 4_194_304
+    header_timeout_s: float = 60.0
+    idle_timeout_s: float = 60.0
 
 
 class ForwardingPolicy:
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -4,7 +4,7 @@
 import dataclasses
 import random
 import signal
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Protocol
 
 from tornado import httpserver, httputil, tcpclient
@@ -47,6 +47,32 @@
 _LOGGER = logs.get_logger("node")
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class MachineLimits:
+    """What a process may use on this VM.
+
+    Attributes:
+        memory_bytes: Memory of the process.
+        max_descriptors: Open descriptors, including the reserved ones.
+    """
+
+    memory_bytes: int = 150_000_000
+    max_descriptors: int = 4_096
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ColdLimit:
+    """By how much all nodes together may exceed the rate of a cold server.
+
+    Attributes:
+        overshoot: Factor on the requests that a cold server accepts in 1 s.
+        slack: Requests in 1 s that are allowed beyond that.
+    """
+
+    overshoot: float
+    slack: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class NodeSettings:
     """Settings of a node.
@@ -66,6 +92,12 @@
         drain_s: Seconds within which a draining server stops receiving
             requests.
         apply_s: Seconds within which a configuration takes effect.
+        machine: Memory and descriptors of this VM.
+        cold_limit: Limit on the requests to a cold server, None if this
+            deployment has none.
+        evacuation_s: Seconds within which an evacuation of a data centre takes
+            effect, None if this deployment has no evacuations.
+        regions: Region of each data centre.
     """
 
     vm: str
@@ -80,6 +112,10 @@
     contact_s: float
     drain_s: float
     apply_s: float
+    machine: MachineLimits = MachineLimits()
+    cold_limit: ColdLimit | None = None
+    evacuation_s: float | None = None
+    regions: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
     @property
     def max_age_s(self) -> float:
--- a/src/dragonflydyke/platform/headers.py
+++ b/src/dragonflydyke/platform/headers.py
@@ -23,6 +23,8 @@
 CONFIDENCE = "Confidence"
 # Requests a second that a server accepts from all nodes together.
 SERVER_LIMIT = "Server-Limit"
+# Milliseconds for which a server stays cold.
+COLD_MS = "Cold-Ms"
 SESSION = "Session"
 # Address of an engine from which the server may fetch a cached prefix.
 PREFIX_SOURCE = "Kv-Fetch"
@@ -134,6 +136,7 @@
             ),
             server_leaves=statements.says_leaving(headers),
             pause_s=statements.find_pause_s(status, headers),
+            cold_s=_read_cold_s(headers.get(COLD_MS, "")),
         )
 
     def write_response(
@@ -186,6 +189,11 @@
         return 0
 
 
+def _read_cold_s(text: str) -> float | None:
+    quantity = statements.parse_quantity(text)
+    return None if quantity is None else quantity / _MS_PER_S
+
+
 def _read_counts(text: str | None) -> tuple[int, int]:
     first, _, second = (text or "").partition(",")
     return _read_count(first), _read_count(second)
--- a/src/dragonflydyke/platform/process.py
+++ b/src/dragonflydyke/platform/process.py
@@ -20,6 +20,7 @@
 _DRAIN_MS = 2_000.0
 _APPLY_MS = 2_000.0
 _MS_PER_S = 1_000
+_BYTES_PER_MB = 1_000_000
 
 
 def read_settings() -> node.NodeSettings:
@@ -50,9 +51,48 @@
         contact_s=_read_limit(fields, "contactMs", _CONTACT_MS) / _MS_PER_S,
         drain_s=_read_limit(fields, "drainMs", _DRAIN_MS) / _MS_PER_S,
         apply_s=_read_limit(fields, "configApplyMs", _APPLY_MS) / _MS_PER_S,
+        machine=_read_machine(fields),
+        cold_limit=_read_cold_limit(fields),
+        evacuation_s=_read_evacuation_s(fields),
+        regions=_read_regions(fields),
     )
 
 
+def _read_machine(fields: Any) -> node.MachineLimits:
+    defaults = node.MachineLimits()
+    limits = fields.get("limits") or {}
+    memory_mb = limits.get("memoryMb")
+    return node.MachineLimits(
+        memory_bytes=int(memory_mb * _BYTES_PER_MB)
+        if memory_mb
+        else defaults.memory_bytes,
+        max_descriptors=int(limits.get("maxFds") or defaults.max_descriptors),
+    )
+
+
+def _read_cold_limit(fields: Any) -> node.ColdLimit | None:
+    if fields["bounds"].get("coldOvershoot") is None:
+        return None
+    return node.ColdLimit(
+        overshoot=_read_limit(fields, "coldOvershoot", 1.0),
+        slack=_read_limit(fields, "coldSlack", 0.0),
+    )
+
+
+def _read_evacuation_s(fields: Any) -> float | None:
+    if fields["bounds"].get("evacuationMs") is None:
+        return None
+    return _read_limit(fields, "evacuationMs", 0.0) / _MS_PER_S
+
+
+def _read_regions(fields: Any) -> dict[str, str]:
+    """Returns the region of each data centre, empty if none are stated."""
+    regions = fields.get("zones") or {}
+    if not isinstance(regions, dict):
+        raise settings.SettingsError("zones", f"{regions!r} is not a table")
+    return {str(name): str(region) for name, region in regions.items()}
+
+
 def _read_address(fields: Any, name: str) -> settings.Address:
     text = _read_field(fields, f"listen.{name}", str)
     try:
--- a/src/dragonflydyke/platform/records.py
+++ b/src/dragonflydyke/platform/records.py
@@ -59,6 +59,8 @@
 _MAX_NUMBER = 2**53
 _MAX_PORT = 65_535
 _MAX_SLOTS = 100_000
+# A server cannot keep requests away for good with one odd entry.
+_MAX_COLD_S = 600.0
 # Number of undecodable objects that are not logged again.
 _MAX_UNREADABLE = 1_024
 # Characters that a header can carry.
@@ -129,7 +131,7 @@
     if not _TOKEN_PATTERN.fullmatch(entry.name):
         raise ValueError(f"name {reprlib.repr(entry.name)}")
     require_number(spec["sequence"])
-    require_number(spec["coldRemainingMs"])
+    cold_ms = require_number(spec["coldRemainingMs"])
     models = spec.get("models", [])
     if not isinstance(models, list) or not all(
         isinstance(served, dict) for served in models
@@ -154,6 +156,7 @@
         pool=pool,
         version=version,
         started_ms=_read_whole_number(spec.get("born", 0), 0, _MAX_NUMBER),
+        cold_s=min(max(0.0, cold_ms / _MS_PER_S), _MAX_COLD_S),
     )
 
 
@@ -285,7 +288,6 @@
 
 def _read_policy(entry: objects.StoredObject) -> model.ForwardingPolicy:
     spec = entry.value
-    limits = spec["limits"]
     return model.ForwardingPolicy(
         version=int(require_number(spec["version"])),
         routes=tuple(_read_route(route) for route in spec["routes"]),
@@ -295,13 +297,41 @@
                 name=account["name"],
                 keys=tuple(account["apiKeys"]),
                 priority=account.get("priority"),
+                allowed_regions=_read_regions(account),
             )
             for account in spec.get("tenants") or ()
         ),
-        limits=model.ClientLimits(max_body_bytes=limits["maxBodyBytes"]),
+        limits=_read_client_limits(spec["limits"]),
     )
 
 
+def _read_client_limits(spec: Any) -> model.ClientLimits:
+    defaults = model.ClientLimits()
+    header_timeout_s = spec.get("headerTimeoutMs")
+    idle_timeout_s = spec.get("idleTimeoutMs")
+    return model.ClientLimits(
+        max_header_bytes=_read_whole_number(
+            spec.get("maxHeaderBytes", defaults.max_header_bytes),
+            1,
+            _MAX_NUMBER,
+        ),
+        max_body_bytes=_read_whole_number(spec["maxBodyBytes"], 0, _MAX_NUMBER),
+        header_timeout_s=defaults.header_timeout_s
+        if header_timeout_s is None
+        else require_number(header_timeout_s) / _MS_PER_S,
+        idle_timeout_s=defaults.idle_timeout_s
+        if idle_timeout_s is None
+        else require_number(idle_timeout_s) / _MS_PER_S,
+    )
+
+
+def _read_regions(spec: Any) -> frozenset[str]:
+    regions = spec.get("allowedRegions") or ()
+    if not isinstance(regions, list | tuple):
+        raise TypeError("field allowedRegions is not a list of regions")
+    return frozenset(require_text(region) for region in regions)
+
+
 def _read_route(spec: Any) -> model.Route:
     split = spec.get("trafficSplit")
     pools = tuple(
@@ -322,11 +352,37 @@
         resumable=bool(spec.get("streamResume")),
         max_event_gap_s=spec.get("gapAimMs", 0) / _MS_PER_S,
         models=tuple(spec.get("sizes") or ()),
+        allowed_regions=_read_regions(spec),
     )
 
 
 def _read_pool(spec: Any) -> model.Pool:
-    return model.Pool(spec["name"], has_engines=bool(spec.get("engine")))
+    engine = spec.get("engine")
+    return model.Pool(
+        spec["name"],
+        has_engines=bool(engine),
+        engine=_read_engine(engine) if engine else None,
+        cold_start=model.ColdStart(
+            duration_s=require_number(spec.get("coldS", 0)),
+            rate_per_s=max(0.0, require_number(spec.get("coldPerS", 0))),
+        ),
+    )
+
+
+def _read_engine(spec: Any) -> model.EngineCapacity:
+    return model.EngineCapacity(
+        slots=_read_whole_number(spec.get("slots", 1), 1, _MAX_SLOTS),
+        memory_tokens=_read_whole_number(
+            spec.get("kvCapacity", 0), 0, _MAX_NUMBER
+        ),
+        tokens_per_event=_read_whole_number(
+            spec.get("stride", 1), 1, _MAX_NUMBER
+        ),
+        model_costs={
+            require_text(served["name"]): float(require_number(served["cost"]))
+            for served in spec.get("models") or ()
+        },
+    )
 
 
 def require_text(value: Any) -> str:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,7 +11,13 @@
 from urllib import parse
 
 from dragonflydyke import settings
-from dragonflydyke.forwarding import controller, model, quarantine, rollouts
+from dragonflydyke.forwarding import (
+    controller,
+    model,
+    node,
+    quarantine,
+    rollouts,
+)
 from dragonflydyke.objects import freshness, replicas, watchers
 from dragonflydyke.objects import model as objects
 from dragonflydyke.platform import process, records
@@ -43,6 +49,33 @@
         assert account is not None
         self.assertEqual((account.name, account.priority), ("acme", 1))
 
+    def test_limits_of_servers_and_clients_are_decoded(self) -> None:
+        spec = store.build_policy_spec()
+        spec["services"][0] |= {"coldS": 3.0, "coldPerS": 5.2}
+        spec["routes"][0]["allowedRegions"] = ["west"]
+        policy = self.decoder.read_policy([_entry("main", spec)])
+        assert policy is not None
+        pool = policy.pools["engines"]
+        self.assertEqual(pool.cold_start, model.ColdStart(3.0, 5.2))
+        assert pool.engine is not None
+        self.assertEqual(pool.engine.memory_tokens, 500_000)
+        self.assertEqual(pool.engine.model_costs, {"small": 0.01})
+        self.assertEqual(policy.limits.header_timeout_s, 3.0)
+        self.assertEqual(policy.limits.max_header_bytes, 16_384)
+        route = policy.find_route("api.example", "/streams/1")
+        assert route is not None
+        self.assertEqual(route.allowed_regions, {"west"})
+
+    def test_changed_cold_time_is_no_other_server(self) -> None:
+        """Attempts keep their entry while heartbeats update the list."""
+        entries = [
+            _entry("s", store.build_server_spec(coldRemainingMs=remaining_ms))
+            for remaining_ms in (2_500, 0, -1, 1e15)
+        ]
+        servers = [self.decoder.read_servers([entry])[0] for entry in entries]
+        self.assertEqual([s.cold_s for s in servers], [2.5, 0.0, 0.0, 600.0])
+        self.assertEqual(servers[0], servers[1])
+
     def test_invalid_configuration_is_ignored(self) -> None:
         entries = [_entry("main", {"version": "seven"})]
         self.assertIsNone(self.decoder.read_policy(entries))
@@ -111,6 +144,28 @@
         self.assertEqual(values.front, settings.Address("10.0.0.4", 8227))
         self.assertEqual(values.store_url, "http://10.0.0.7:8223")
 
+    def test_optional_limits_are_read(self) -> None:
+        values = self.read(
+            bounds={
+                "coldOvershoot": 1.5,
+                "coldSlack": 5,
+                "evacuationMs": 5_000,
+            },
+            limits={"memoryMb": 160, "maxFds": 1_638},
+            zones={"north": "west", "south": "west"},
+        )
+        self.assertEqual(values.cold_limit, node.ColdLimit(1.5, 5.0))
+        self.assertEqual(values.evacuation_s, 5.0)
+        self.assertEqual(values.machine.memory_bytes, 160_000_000)
+        self.assertEqual(values.machine.max_descriptors, 1_638)
+        self.assertEqual(values.regions["south"], "west")
+
+    def test_deployment_without_the_optional_limits(self) -> None:
+        values = self.read()
+        self.assertIsNone(values.cold_limit)
+        self.assertIsNone(values.evacuation_s)
+        self.assertEqual(values.regions, {})
+
     def test_missing_limits_have_defaults(self) -> None:
         """A deployment without rollouts may omit the limits on them."""
         stated = {"graceS": 8, "exposureShare": 0.15}
