Limit the requests of all nodes to cold servers

Cause: a server that starts accepts five or six requests a second from all nodes together and crashes well above that. Each node sent what its load called for, as the router read neither the cold time of an entry nor that of a response.

ServerLimits now has one limit for each server process and reason: stated by the server, or cold. A request needs a slot of each. The limit of a server in need keeps its validity of 2 s; that of a cold server is derived such that the slots of one second, the shift between two clocks and two requests of nodes with another rank stay within the allowed sum. A cold slot is used only while the ranks of the nodes are settled: a node that starts, or sees other nodes than before, waits until the others have listed the nodes again.

ColdServers decides which servers are cold, from the entry, responses, a new process, a refused connection, the end of an evacuation and the age of the list. What cannot be known counts as cold. The nodes return to a warm server one after the other within a second. Data centres whose servers refuse connections together are avoided while others have usable servers, and attempts that reached no server do not use up the dispatches of a request meanwhile.

An entry whose cold time is no number is used like that of a cold server; it was left out before. Ruled out: a full share for nodes without a rank, as 80 nodes that start together would all use the same slot.

--- a/src/dragonflydyke/backends/failures.py
+++ b/src/dragonflydyke/backends/failures.py
@@ -3,6 +3,7 @@
 from dragonflydyke import errors
 
 CONNECTION_LOST = "backend_connection_lost"
+UNREACHABLE = "backend_unreachable"
 _BAD_GATEWAY = 502
 _GATEWAY_TIMEOUT = 504
 _RETRY_AFTER_S = 1.0
@@ -13,7 +14,7 @@
 ) -> errors.DragonflydykeError:
     """Returns the error for a connection that could not be opened."""
     return errors.DragonflydykeError(
-        "backend_unreachable",
+        UNREACHABLE,
         f"connection failed: {cause}; use another backend server",
         step=errors.Step.CONNECT,
         peer=peer,
--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -261,7 +261,7 @@
             admitted.deadline_s,
             connect_timeout_s=_CONNECT_TIMEOUT_S,
         )
-        await self._exchange.connect(self._services.tcp_client)
+        await self._connect(self._exchange)
         self.may_have_run = True
         self.was_sent = True
         self._observer = self._services.rollout_controller.observe_attempt(
@@ -271,6 +271,27 @@
         )
         await self._exchange.send()
 
+    async def _connect(self, exchange: connection.Exchange) -> None:
+        """Opens the connection; records whether the server accepted it."""
+        try:
+            await exchange.connect(self._services.tcp_client)
+        except errors.DragonflydykeError as error:
+            if error.code == failures.UNREACHABLE:
+                self._state.refusals[self.server.backend.data_centre] += 1
+                self._record_connection(accepted=False)
+            raise
+        self._record_connection(accepted=True)
+
+    def _record_connection(self, *, accepted: bool) -> None:
+        self._services.statements.record_connection(
+            self.server, accepted=accepted
+        )
+        self._services.failure_domains.record_connection(
+            self.server,
+            asyncio.get_running_loop().time(),
+            accepted=accepted,
+        )
+
     async def _await_response_start(self) -> None:
         assert self._exchange is not None
         timeout_s = decisions.find_first_event_timeout_s(
--- a/src/dragonflydyke/forwarding/contexts.py
+++ b/src/dragonflydyke/forwarding/contexts.py
@@ -1,6 +1,7 @@
 """State and components that the attempts of a request share."""
 
 import asyncio
+import collections
 import dataclasses
 from collections.abc import Callable, Sequence
 from typing import Protocol
@@ -14,6 +15,7 @@
     crash_reports,
     decisions,
     directory,
+    failure_domains,
     messages,
     planner,
     quarantine,
@@ -81,6 +83,7 @@
         may_have_run: Whether any attempt may have run.
         dispatches: All attempts, including those at unreachable servers.
         sent_attempts: Attempts that may have reached a server.
+        refusals: Attempts whose server accepted no connection, by data centre.
         last_event_id: Id of the last event that was sent to the client.
         response_started: Whether the start of the response was sent to the
             client.
@@ -99,6 +102,9 @@
     may_have_run: bool = False
     dispatches: int = 0
     sent_attempts: int = 0
+    refusals: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     last_event_id: int | None = None
     response_started: bool = False
     failed_servers: list[str] = dataclasses.field(default_factory=list)
@@ -166,6 +172,7 @@
     quarantine: quarantine.RequestQuarantine
     crash_reporter: crash_reports.CrashReporter
     statements: server_statements.ServerStatements
+    failure_domains: failure_domains.FailureDomains
     response_memory: response_memory.ResponseMemory
     counters: metrics.Counters
     tcp_client: tcpclient.TCPClient
--- a/src/dragonflydyke/forwarding/decisions.py
+++ b/src/dragonflydyke/forwarding/decisions.py
@@ -224,7 +224,7 @@
     Attributes:
         attempts: Attempts that may have run, except those lost because their
             server was stopped.
-        dispatches: All attempts, including those at unreachable servers.
+        dispatches: Attempts that count towards `MAX_DISPATCHES`.
         may_have_run: Whether any of them may have run.
         remaining_s: Seconds until the deadline.
         retry_after_s: Seconds until a server accepts a request, None if none of
@@ -257,6 +257,25 @@
 # Limits the attempts of a request that every server rejects; more dispatches
 # would only consume the retry budget that all requests share.
 MAX_DISPATCHES = 5
+# Attempts of a request at unreachable servers that do not count towards it. Two
+# servers of each data centre tell that it is down.
+_MAX_UNCOUNTED_DISPATCHES = 6
+
+
+def count_dispatches(
+    dispatches: int, unreachable: int, *, has_other_data_centre: bool
+) -> int:
+    """Returns the attempts that count towards `MAX_DISPATCHES`.
+
+    Args:
+        dispatches: All attempts of a request.
+        unreachable: Those whose server accepted no connection.
+        has_other_data_centre: Whether a data centre that refused no connection
+            of the request has usable servers.
+    """
+    if not has_other_data_centre:
+        return dispatches
+    return dispatches - min(unreachable, _MAX_UNCOUNTED_DISPATCHES)
 
 
 def decide_next_step(
@@ -305,23 +324,33 @@
 
 
 def find_slot_wait_s(
-    route: model.Route, *, elapsed_s: float, remaining_s: float, started: bool
+    route: model.Route,
+    *,
+    elapsed_s: float,
+    remaining_s: float,
+    started: bool,
+    has_cold: bool = False,
 ) -> float:
     """Returns how long a request may wait for a slot at a limited server.
 
     Designed for servers that all name a limit: requests beyond it cannot be
     served in time, so they are rejected early. A response that has started
-    cannot be rejected any more.
+    cannot be rejected any more. Cold servers are warm again within seconds, so
+    that a request waits for them as long as it can then still be served.
 
     Args:
         route: Route of the request.
         elapsed_s: Seconds since the request arrived.
         remaining_s: Seconds until its deadline.
         started: Whether the client has the start of the response.
+        has_cold: Whether any of the servers is cold.
     """
     if started:
         return remaining_s - MIN_ATTEMPT_S
-    return route.target_latency_s * _MAX_SLOT_WAIT_SHARE - elapsed_s
+    wait_s = route.target_latency_s * _MAX_SLOT_WAIT_SHARE - elapsed_s
+    if has_cold:
+        return max(wait_s, remaining_s - route.target_latency_s)
+    return wait_s
 
 
 def build_failure(
--- a/src/dragonflydyke/forwarding/directory.py
+++ b/src/dragonflydyke/forwarding/directory.py
@@ -27,8 +27,10 @@
         started_ms: Unix time of its start in milliseconds; together with the
             name it identifies one process of the server.
         cold_s: Seconds for which the server stays cold after this entry was
-            written, 0 if it is warm. It changes with every heartbeat, so that
-            comparisons leave it out.
+            written, 0 if it is warm, infinite if that cannot be read. It
+            changes with every heartbeat, so that comparisons leave it out.
+        revision: Version of this entry in the store, which rises with every
+            write. Comparisons leave it out, too.
     """
 
     backend: configuration.BackendServer
@@ -36,6 +38,7 @@
     version: str
     started_ms: int = 0
     cold_s: float = dataclasses.field(default=0.0, compare=False)
+    revision: int = dataclasses.field(default=0, compare=False)
 
     @property
     def name(self) -> str:
--- a/src/dragonflydyke/forwarding/messages.py
+++ b/src/dragonflydyke/forwarding/messages.py
@@ -145,8 +145,8 @@
         server_leaves: Whether the server accepts no further requests.
         pause_s: Seconds for which the server wants no requests of this node,
             None if it does not say so.
-        cold_s: Seconds for which the server stays cold, None if it does not
-            say so.
+        cold_s: Seconds for which the server stays cold, 0 if it says that it
+            is warm, None if it says neither, infinite if that cannot be read.
     """
 
     request_id: str
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -11,11 +11,13 @@
 
 from dragonflydyke import logs, metrics, settings, transport
 from dragonflydyke.forwarding import (
+    cold_servers,
     contexts,
     controller,
     crash_reports,
     directory,
     execution,
+    failure_domains,
     messages,
     model,
     planner,
@@ -41,6 +43,9 @@
 _MAX_DEREGISTRATION_SHARE = 0.5
 # Time for a probe and the lists after a connection was lost.
 _RELIST_S = 0.5
+# Places of the kinds in the list of watchers.
+_POLICY_WATCHER = 0
+_SERVER_WATCHER = 1
 _OK = 200
 _UNAVAILABLE = 503
 
@@ -285,6 +290,7 @@
         self._has_crashes = False
         reader = replicas.ReplicaReader(store, kinds.rollouts, values.max_age_s)
         self._watchers = self._build_watchers(reader, kinds)
+        self._statements.cold = self._build_cold_servers()
         self._freshness = freshness.FreshnessMonitor(
             reader,
             self._watchers,
@@ -296,7 +302,9 @@
         self._forwarder = execution.Forwarder(
             self._build_services(codec, report_codec)
         )
-        self._forwarder.find_policy_age_s = self._watchers[0].find_age_s
+        self._forwarder.find_policy_age_s = self._watchers[
+            _POLICY_WATCHER
+        ].find_age_s
         self._server = server.ForwardingServer(self._forwarder, codec)
         self._is_draining = False
         self._stopped = asyncio.Event()
@@ -319,11 +327,31 @@
             quarantine=self._quarantine,
             crash_reporter=self._crash_reporter,
             statements=self._statements,
+            failure_domains=failure_domains.FailureDomains(self._counters),
             response_memory=response_memory.ResponseMemory(),
             counters=self._counters,
             tcp_client=tcpclient.TCPClient(transport.AddressResolver()),
         )
 
+    def _build_cold_servers(self) -> cold_servers.ColdServers | None:
+        limit = self._settings.cold_limit
+        if limit is None:
+            return None
+        return cold_servers.ColdServers(
+            limit.overshoot,
+            limit.slack,
+            self._find_cold_start,
+            self._watchers[_SERVER_WATCHER].find_age_s,
+            self._limits.find_phase,
+            self._counters,
+        )
+
+    def _find_cold_start(self, pool: str) -> model.ColdStart | None:
+        """Returns what a cold server accepts by the policy in force."""
+        policy = self._forwarder.policy
+        found = policy.pools.get(pool) if policy is not None else None
+        return found.cold_start if found is not None else None
+
     def _is_store_available(self) -> bool:
         return not self._retry_gate.is_unavailable
 
--- a/src/dragonflydyke/forwarding/registry.py
+++ b/src/dragonflydyke/forwarding/registry.py
@@ -30,6 +30,10 @@
 _EXPIRY_S = 5 * _HEARTBEAT_INTERVAL_S
 _REMOVAL_S = 30 * _HEARTBEAT_INTERVAL_S
 _POLL_INTERVAL_S = 1.0
+# Time after which a change that this node has noticed is known to the others,
+# while they list the nodes for their limits: an interval, a poll, and some
+# seconds for a list that is not the newest.
+_SETTLING_S = _LIST_INTERVAL_S + _POLL_INTERVAL_S + 4.0
 
 _LOGGER = logs.get_logger("registry")
 
@@ -108,8 +112,10 @@
         "_list_after_s",
         "_listed_s",
         "_name",
+        "_names",
         "_random",
         "_settled_s",
+        "_steady_s",
         "_store",
         "_write_after_s",
     )
@@ -153,6 +159,19 @@
         self._list_after_s = 0.0
         self._listed_s = -math.inf
         self._settled_s = math.inf
+        # Nodes of the newest position, and the loop time from which the others
+        # agree on them.
+        self._names: list[str] = []
+        self._steady_s = math.inf
+        limits.is_position_settled = self.is_position_settled
+
+    def is_position_settled(self) -> bool:
+        """Returns whether the nodes that use their slots agree on the nodes.
+
+        A node whose view of the nodes has changed waits until every other node
+        has listed them again. The others then use no slots by the former view.
+        """
+        return asyncio.get_running_loop().time() >= self._steady_s
 
     async def run(self) -> None:
         """Writes and lists entries until cancelled."""
@@ -201,6 +220,7 @@
         if math.isinf(self._settled_s):
             # The other nodes that start now register within this time.
             self._settled_s = now_s + _START_PERIOD_S
+            self._steady_s = now_s + _SETTLING_S
         self._write_after_s = now_s + _HEARTBEAT_INTERVAL_S
 
     async def _list(self, now_s: float) -> None:
@@ -238,6 +258,10 @@
         names = sorted(
             {node.name for node in self._list_current(now_s)} | {self._name}
         )
+        if names != self._names:
+            if self._names:
+                self._steady_s = now_s + _SETTLING_S
+            self._names = names
         position = server_limits.FleetPosition(
             names.index(self._name), len(names)
         )
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -88,7 +88,11 @@
     def _describe_progress(self) -> decisions.RequestProgress:
         return decisions.RequestProgress(
             attempts=self._state.attempts,
-            dispatches=self._state.dispatches,
+            dispatches=decisions.count_dispatches(
+                self._state.dispatches,
+                self._state.refusals.total(),
+                has_other_data_centre=self._targets.has_other_data_centre(),
+            ),
             may_have_run=self._state.may_have_run,
             remaining_s=self._admitted.deadline_s - _now_s(),
             retry_after_s=self._state.retry_after_s,
--- a/src/dragonflydyke/forwarding/server_statements.py
+++ b/src/dragonflydyke/forwarding/server_statements.py
@@ -12,6 +12,7 @@
 
 from dragonflydyke import metrics
 from dragonflydyke.forwarding import (
+    cold_servers,
     directory,
     messages,
     server_limits,
@@ -27,15 +28,25 @@
 
     Attributes:
         limits: Limits on the requests of all nodes.
+        cold: Which servers are cold, None if this deployment has no limit on
+            the requests to cold servers.
     """
 
-    __slots__ = ("_counters", "_directory", "_listed_s", "_pauses", "limits")
+    __slots__ = (
+        "_counters",
+        "_directory",
+        "_listed_s",
+        "_pauses",
+        "cold",
+        "limits",
+    )
 
     def __init__(
         self,
         servers: directory.Directory,
         limits: server_limits.ServerLimits,
         counters: metrics.Counters,
+        cold: cold_servers.ColdServers | None = None,
     ) -> None:
         """Creates an empty list of statements.
 
@@ -43,6 +54,7 @@
             servers: Directory, which keeps the servers that leave.
             limits: Limits on the requests of all nodes.
             counters: Receives `statement.leaving` and `statement.pause`.
+            cold: Which servers are cold, None without a limit for them.
         """
         self._directory = servers
         self._counters = counters
@@ -50,25 +62,35 @@
         # Loop time of the newest list with each process.
         self._listed_s: dict[tuple[str, int], float] = {}
         self.limits = limits
+        self.cold = cold
 
     def record_response(
         self, server: directory.ServerEntry, details: messages.ResponseDetails
     ) -> None:
         """Records what a server says in the start of a response."""
         self.limits.record_response(server, details.server_limit_per_s)
+        if self.cold is not None:
+            self.cold.record_response(server, details.cold_s, _now_s())
         if details.server_leaves and self._directory.record_leaving(server):
             self._counters.increment("statement.leaving")
         if details.pause_s is not None:
             self._counters.increment("statement.pause")
             self._pauses.record(server.process, details.pause_s, _now_s())
 
+    def record_connection(
+        self, server: directory.ServerEntry, *, accepted: bool
+    ) -> None:
+        """Records whether a server accepted a connection."""
+        if self.cold is not None:
+            self.cold.record_connection(server, _now_s(), accepted=accepted)
+
     def record_start(self, server: directory.ServerEntry) -> None:
         """Records that a request is sent to a server."""
         self.limits.record_start(server)
         self._pauses.record_start(server.process, _now_s())
 
     def retain(self, servers: Sequence[directory.ServerEntry]) -> None:
-        """Drops the statements of server processes that are gone.
+        """Takes over a list; drops the statements of processes that are gone.
 
         The entry of a server that cannot reach the store lapses, and returns
         with the same process. What that has said still holds then.
@@ -88,9 +110,16 @@
                 del self._listed_s[process]
         self.limits.retain(self._listed_s.keys())
         self._pauses.retain(self._listed_s.keys())
+        if self.cold is not None:
+            self.cold.retain(self._listed_s.keys())
+            self.cold.record_entries(servers, now_s)
+            for server in servers:
+                if self.cold.is_cold(server):
+                    self.find_cold_state(server)
 
     def allows(self, server: directory.ServerEntry) -> bool:
         """Returns whether this node may send a request to a server now."""
+        self.find_cold_state(server)
         return (
             not self._directory.is_leaving(server)
             and not self._pauses.find_delay_s(server.process, _now_s())
@@ -109,10 +138,34 @@
             (self._find_delay_s(server) for server in servers), default=0
         )
 
+    def find_cold_state(
+        self, server: directory.ServerEntry
+    ) -> cold_servers.ColdState | None:
+        """Returns why a server counts as cold now, and limits its requests."""
+        if self.cold is None:
+            return None
+        limit = self.cold.find_limit(server.pool)
+        if limit is None:
+            self.limits.lift_cold(server)
+            return None
+        state = self.cold.find_state(server, _now_s())
+        self.limits.set_cold(server, limit, is_cold=state is not None)
+        return state
+
+    def has_cold(self, servers: Sequence[directory.ServerEntry]) -> bool:
+        """Returns whether any of the servers counts as cold."""
+        return any(
+            self.find_cold_state(server) is not None for server in servers
+        )
+
     def _find_delay_s(self, server: directory.ServerEntry) -> float:
         limit_s = 0.0
+        cold_state = self.find_cold_state(server)
         if not self.limits.allows(server):
             limit_s = self.limits.find_delay_s((server,))
+            if cold_state is not None:
+                # The server may be warm before this node has its next slot.
+                limit_s = min(limit_s, cold_state.remaining_s)
         return max(limit_s, self._pauses.find_delay_s(server.process, _now_s()))
 
 
--- a/src/dragonflydyke/forwarding/targets.py
+++ b/src/dragonflydyke/forwarding/targets.py
@@ -68,30 +68,75 @@
             Whether they do, or whether there is no server at all.
         """
         statements = self._services.statements
+        has_waited = False
         while True:
             servers = self.list_servers()
-            if not servers or statements.list_allowed(servers):
+            preferred = self._list_preferred(servers)
+            if not servers or statements.list_allowed(preferred):
                 return True
             now_s = _now_s()
-            delay_s = statements.find_delay_s(servers)
+            delay_s = statements.find_delay_s(preferred)
+            has_cold = statements.has_cold(preferred)
             wait_s = decisions.find_slot_wait_s(
                 self._admitted.route,
                 elapsed_s=now_s - self._context.request.received_s,
                 remaining_s=self._admitted.deadline_s - now_s,
                 started=self._state.response_started,
+                # The other servers may be usable after all.
+                has_cold=has_cold and len(preferred) == len(servers),
             )
             if delay_s > wait_s or self._context.writer.is_closed:
-                self._services.counters.increment("limit.exceeded")
-                self._state.retry_after_s = delay_s
-                _LOGGER.info(
-                    "no server accepts a request yet",
-                    request=self._context.request.details.request_id,
-                    servers=len(servers),
-                    delay_s=round(delay_s, 3),
-                )
+                if statements.list_allowed(servers):
+                    return True
+                self._record_no_slot(servers, delay_s, has_cold=has_cold)
                 return False
+            if has_cold and not has_waited:
+                has_waited = True
+                self._services.counters.increment("limit.cold_waited")
             await asyncio.sleep(max(delay_s, _MIN_SLOT_DELAY_S))
 
+    def _record_no_slot(
+        self,
+        servers: tuple[directory.ServerEntry, ...],
+        delay_s: float,
+        *,
+        has_cold: bool,
+    ) -> None:
+        """Records that a request is rejected as no server accepts it."""
+        self._services.counters.increment("limit.exceeded")
+        if has_cold:
+            self._services.counters.increment("limit.cold_rejected")
+        self._state.retry_after_s = delay_s
+        states = map(self._services.statements.find_cold_state, servers)
+        reasons = {state.reason.value for state in states if state is not None}
+        _LOGGER.info(
+            "no server accepts a request yet",
+            request=self._context.request.details.request_id,
+            servers=len(servers),
+            delay_s=round(delay_s, 3),
+            reason="cold" if has_cold else "limited",
+            cold_reasons=sorted(reasons),
+        )
+
+    def has_other_data_centre(self) -> bool:
+        """Returns whether servers are usable in a data centre not tried.
+
+        That is one that refused no connection of this request.
+        """
+        refusals = self._state.refusals
+        return bool(refusals) and any(
+            not refusals[server.backend.data_centre]
+            for server in self.list_servers()
+        )
+
+    def _list_preferred(
+        self, servers: tuple[directory.ServerEntry, ...]
+    ) -> tuple[directory.ServerEntry, ...]:
+        """Returns the servers outside data centres that are avoided, or all."""
+        return self._services.failure_domains.list_preferred(
+            servers, self._state.refusals, _now_s()
+        )
+
     def explain_no_target(
         self, servers: tuple[directory.ServerEntry, ...]
     ) -> decisions.AttemptOutcome:
@@ -125,14 +170,18 @@
         if plan is not None and statements.allows(plan.server):
             self._log_plan(plan, len(servers))
             return self._build_target(plan.server, plan.prefix_source)
-        selected = self._select_server(statements.list_allowed(servers))
+        selected = self._select_server(
+            self._list_preferred(statements.list_allowed(servers))
+        )
         return self._build_target(selected.server) if selected else None
 
     def _list_candidates(
         self, servers: tuple[directory.ServerEntry, ...]
     ) -> tuple[directory.ServerEntry, ...]:
         failed = self._state.failed_servers
-        servers = self._services.statements.list_allowed(servers)
+        servers = self._list_preferred(
+            self._services.statements.list_allowed(servers)
+        )
         return tuple(s for s in servers if s.name not in failed) or servers
 
     def _build_target(
--- a/src/dragonflydyke/platform/headers.py
+++ b/src/dragonflydyke/platform/headers.py
@@ -1,5 +1,7 @@
 """Headers of the platform's requests and responses."""
 
+import math
+
 from tornado import httputil
 
 from dragonflydyke.backends import statements
@@ -136,7 +138,7 @@
             ),
             server_leaves=statements.says_leaving(headers),
             pause_s=statements.find_pause_s(status, headers),
-            cold_s=_read_cold_s(headers.get(COLD_MS, "")),
+            cold_s=_read_cold_s(headers.get(COLD_MS)),
         )
 
     def write_response(
@@ -189,9 +191,11 @@
         return 0
 
 
-def _read_cold_s(text: str) -> float | None:
+def _read_cold_s(text: str | None) -> float | None:
+    if text is None:
+        return None
     quantity = statements.parse_quantity(text)
-    return None if quantity is None else quantity / _MS_PER_S
+    return math.inf if quantity is None else quantity / _MS_PER_S
 
 
 def _read_counts(text: str | None) -> tuple[int, int]:
--- a/src/dragonflydyke/platform/records.py
+++ b/src/dragonflydyke/platform/records.py
@@ -1,6 +1,7 @@
 """Decodes and encodes the objects of the platform's store."""
 
 import ipaddress
+import math
 import re
 import reprlib
 from collections.abc import Iterable
@@ -131,7 +132,6 @@
     if not _TOKEN_PATTERN.fullmatch(entry.name):
         raise ValueError(f"name {reprlib.repr(entry.name)}")
     require_number(spec["sequence"])
-    cold_ms = require_number(spec["coldRemainingMs"])
     models = spec.get("models", [])
     if not isinstance(models, list) or not all(
         isinstance(served, dict) for served in models
@@ -156,10 +156,23 @@
         pool=pool,
         version=version,
         started_ms=_read_whole_number(spec.get("born", 0), 0, _MAX_NUMBER),
-        cold_s=min(max(0.0, cold_ms / _MS_PER_S), _MAX_COLD_S),
+        cold_s=_read_cold_s(spec["coldRemainingMs"]),
+        revision=entry.version,
     )
 
 
+def _read_cold_s(value: Any) -> float:
+    """Returns the time in seconds, infinite for a value that is no number.
+
+    Such a server is used like a cold one and not left out.
+    """
+    try:
+        cold_s = require_number(value) / _MS_PER_S
+    except (TypeError, ValueError):
+        return math.inf
+    return min(max(0.0, cold_s), _MAX_COLD_S)
+
+
 def _read_address(value: Any) -> str:
     """Returns `host:port`, where the host is an IP address."""
     host, _, port = require_text(value).rpartition(":")
--- a/tests/builders/forwarding.py
+++ b/tests/builders/forwarding.py
@@ -18,6 +18,7 @@
     crash_reports,
     directory,
     execution,
+    failure_domains,
     messages,
     model,
     planner,
@@ -276,6 +277,8 @@
     data_centre: str = DATA_CENTRE,
     state: configuration.ServerState = configuration.ServerState.ACTIVE,
     started_ms: int = 0,
+    cold_s: float = 0.0,
+    revision: int = 1,
 ) -> directory.ServerEntry:
     """Returns a backend server on this machine."""
     return directory.ServerEntry(
@@ -291,6 +294,8 @@
         pool,
         version,
         started_ms,
+        cold_s,
+        revision,
     )
 
 
@@ -362,6 +367,7 @@
         self.statements = server_statements.ServerStatements(
             self.directory, self.limits, self.counters
         )
+        self.failure_domains = failure_domains.FailureDomains(self.counters)
         self.response_memory = response_memory.ResponseMemory()
         self.store_knowledge = StoreKnowledge()
         codec = headers.HeaderCodec()
@@ -382,6 +388,7 @@
                 quarantine=self.quarantine,
                 crash_reporter=self.crash_reporter,
                 statements=self.statements,
+                failure_domains=self.failure_domains,
                 response_memory=self.response_memory,
                 counters=self.counters,
                 tcp_client=tcpclient.TCPClient(transport.AddressResolver()),
