--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -52,7 +52,7 @@
     """
 
     def play(self, nodes: int, limit: server_limits.RateLimit) -> list[float]:
-        """Returns the arrivals of 30 s in which the nodes send what they may."""
+        """Returns the arrivals of 30 s in which nodes send what they may."""
         source = random.Random(_SEED)
         self.now_s = 1_760_000_000.0
         server = forwarding.build_server_entry("a")
