Mark servers of the soak as cold and check the limit

Cause: the fault soak had no cold servers, so that nothing checked the limit beside restarted, suspended and cut-off nodes. The servers of the soak now write heartbeats, every fourth of which marks a plain server as cold for five seconds. From three seconds on, when every node has to treat it as cold, it counts the requests of each second unless its link is disturbed.

Ruled out: cold engines in the soak, as their streams take the time in which the other invariants are checked.

Tests: test_failure_domains 6 passed.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -30,6 +30,12 @@
 _FAILURE_SHARE = 0.02
 _RESET_SHARE = 0.03
 _START_TIMEOUT_S = 30.0
+# Limit on the requests to a cold server, and the time after which all nodes
+# treat it as cold: the age of a list that tells nothing, and a request's way.
+_COLD_PER_S = 5.2
+_COLD_OVERSHOOT = 1.5
+_COLD_SLACK = 5
+_COLD_NOTICE_S = 3.0
 # SIGHUP terminates the interpreter until the first line of the program runs.
 _INTERPRETER_START_S = 0.5
 _STOP_MARGIN_S = 10.0
@@ -45,6 +51,7 @@
     Attributes:
         leaves: Whether it says that it leaves.
         paused_until_s: Loop time until which it rejects requests and says so.
+        cold_s: Loop times from and until which it is cold and says so.
     """
 
     def __init__(
@@ -62,6 +69,8 @@
         self.proxy: proxy.FaultProxy | None = None
         self.leaves = False
         self.paused_until_s = 0.0
+        self.cold_s = (0.0, 0.0)
+        self._cold_arrivals: list[float] = []
 
     async def start(self) -> None:
         """Starts the server and its proxy."""
@@ -79,7 +88,10 @@
         """Returns the entry of the server in the store."""
         assert self.proxy is not None
         return store.build_server_spec(
-            service=self.pool, address=self.proxy.address, state=state
+            service=self.pool,
+            address=self.proxy.address,
+            state=state,
+            coldRemainingMs=max(0.0, self.cold_s[1] - _now_s()) * 1_000,
         )
 
     async def _run(
@@ -94,6 +106,7 @@
             return
         draw = self._random.random()
         self._check_statements(request)
+        self._check_cold()
         if self._reject_in_pause(request, writer):
             return
         if draw < _REJECTION_SHARE:
@@ -130,6 +143,24 @@
             self.name, self._find_vm(request), _now_s()
         )
 
+    def _check_cold(self) -> None:
+        """Checks the number of requests in the second before now."""
+        now_s = _now_s()
+        begin_s, end_s = self.cold_s
+        is_cold = begin_s + _COLD_NOTICE_S <= now_s <= end_s
+        # A link that was cut delivers the requests of seconds at once.
+        if not is_cold or self._request_log.statements.is_disturbed(self.name):
+            self._cold_arrivals.clear()
+            return
+        self._cold_arrivals.append(now_s)
+        while self._cold_arrivals[0] <= now_s - 1.0:
+            del self._cold_arrivals[0]
+        count = len(self._cold_arrivals)
+        if count > _COLD_PER_S * _COLD_OVERSHOOT + _COLD_SLACK:
+            self._request_log.report_violation(
+                f"{self.name} got {count} requests in a second while cold"
+            )
+
     def _reject_in_pause(
         self,
         request: forwarding.ReceivedRequest,
@@ -304,7 +335,11 @@
                 "ready": f"{self.host}:{self.ready_port}",
             },
             "platform": {"address": self.store_proxy.address},
-            "bounds": {"graceS": GRACE_S},
+            "bounds": {
+                "graceS": GRACE_S,
+                "coldOvershoot": _COLD_OVERSHOOT,
+                "coldSlack": _COLD_SLACK,
+            },
         }
 
 
@@ -417,7 +452,7 @@
             ],
             services=[
                 {"name": "engines", "engine": {"slots": 64}},
-                {"name": "plain"},
+                {"name": "plain", "coldS": 3, "coldPerS": _COLD_PER_S},
             ],
             tenants=[{"name": ACCOUNT, "apiKeys": [forwarding.KEY]}],
         )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -23,6 +23,10 @@
 # Share of the faults of reads in which responses are lost.
 _LOST_RESPONSE_SHARE = 0.5
 _MIN_POOL_SERVERS = 2
+_HEARTBEAT_S = 1.2
+# Heartbeats between two cold servers, and the time for which one is cold.
+_COLD_HEARTBEATS = 4
+_COLD_S = 5.0
 
 Fault = Callable[[], Awaitable[None]]
 
@@ -60,6 +64,7 @@
         self._tasks.append(asyncio.create_task(self._restore_repeatedly()))
         self._tasks.append(asyncio.create_task(self._pause_repeatedly()))
         self._tasks.append(asyncio.create_task(self._hide_changes_repeatedly()))
+        self._tasks.append(asyncio.create_task(self._write_heartbeats()))
 
     async def stop(self) -> None:
         """Waits until the active faults have ended and all nodes are ready."""
@@ -129,6 +134,24 @@
             await asyncio.sleep(uniform(_MIN_FAULT_S, _MAX_FAULT_S))
             stub.stuck_revision = None
 
+    async def _write_heartbeats(self) -> None:
+        """Writes the entries again; a plain server is cold now and then."""
+        servers = self._deployment.servers
+        heartbeats = 0
+        while not self._is_stopped:
+            await asyncio.sleep(_HEARTBEAT_S)
+            heartbeats += 1
+            if heartbeats % _COLD_HEARTBEATS == 0:
+                self.counts["chill_server"] += 1
+                plain = [s for s in servers.values() if s.pool == "plain"]
+                now_s = asyncio.get_running_loop().time()
+                plain[0].cold_s = (now_s, now_s + _COLD_S)
+            for name in list(servers):
+                if name in servers:
+                    await self._deployment.store_stub.put(
+                        "servers", name, servers[name].describe()
+                    )
+
     async def _wait_fault_duration(self) -> None:
         await asyncio.sleep(self._random.uniform(_MIN_FAULT_S, _MAX_FAULT_S))
 
--- a/tests/soak/request_log.py
+++ b/tests/soak/request_log.py
@@ -103,6 +103,10 @@
         finally:
             self._disturbances[server] -= 1
 
+    def is_disturbed(self, server: str) -> bool:
+        """Returns whether the link to a server is disturbed."""
+        return bool(self._disturbances[server])
+
     def _forget_server(self, server: str) -> None:
         for key in [key for key in self._statements if key[0] == server]:
             del self._statements[key]
--- a/tests/test_failure_domains.py
+++ b/tests/test_failure_domains.py
@@ -99,7 +99,7 @@
     """
 
     async def asyncSetUp(self) -> None:
-        """Lists dead servers in two data centres, a live one in the third."""
+        """Sets routes of requests that may run again, and that may not."""
         await super().asyncSetUp()
         kinds = (model.RequestKind.IDEMPOTENT, model.RequestKind.NON_IDEMPOTENT)
         self.forwarder.policy = forwarding.build_policy(
@@ -117,13 +117,14 @@
         self.paths = [f"/{kind.value}/1" for kind in kinds]
 
     async def start_live(self) -> None:
-        """Starts the live server beside the dead ones."""
+        """Lists a live server beside dead ones in eight data centres."""
 
         async def run(request, writer) -> None:
             forwarding.write_response(request, writer, b"done")
             await writer.drain()
 
-        self._listed_servers.extend(_build_servers(north=8, east=8))
+        single = dict.fromkeys("abcdefg", 1)
+        self._listed_servers.extend(_build_servers(north=4, **single))
         await self.start_server("live", run, pool="plain", data_centre=_OTHER)
 
     async def test_requests_of_all_kinds_reach_the_live_servers(self) -> None:
