--- a/src/dragonflydyke/forwarding/cold_servers.py
+++ b/src/dragonflydyke/forwarding/cold_servers.py
@@ -49,6 +49,7 @@
     ENTRY = "entry"
     RESPONSE = "response"
     NEW_PROCESS = "new_process"
+    UNLISTED = "unlisted"
     REFUSED = "refused"
     RECONNECTED = "reconnected"
     EVACUATION_ENDED = "evacuation_ended"
@@ -229,6 +230,14 @@
         record = self._records.get(server.process)
         return record is not None and record.cold_reason is not None
 
+    def record_unlisted(
+        self, server: directory.ServerEntry, now_s: float
+    ) -> None:
+        """Records that a server is still used although its entry is gone."""
+        record = self._records.get(server.process)
+        if record is not None and record.doubted_revision is None:
+            record.start_doubt(ColdReason.UNLISTED, now_s)
+
     def _record_entry(
         self, record: _Record, server: directory.ServerEntry, now_s: float
     ) -> None:
--- a/src/dragonflydyke/forwarding/directory.py
+++ b/src/dragonflydyke/forwarding/directory.py
@@ -161,6 +161,10 @@
             self._index()
         return True
 
+    def is_listed(self, server: ServerEntry) -> bool:
+        """Returns whether the newest list has a server that is known."""
+        return server.name not in self._unlisted_until_s
+
     def is_leaving(self, server: ServerEntry) -> bool:
         """Returns whether this process of a server is known to leave."""
         return server.process in self._draining
--- a/src/dragonflydyke/forwarding/server_limits.py
+++ b/src/dragonflydyke/forwarding/server_limits.py
@@ -93,6 +93,9 @@
         first_s = now_s - self.limit.validity_s
         while self.starts and self.starts[0] <= first_s:
             self.starts.popleft()
+        # A clock that was set back would keep the slots occupied until then.
+        while self.starts and self.starts[-1] > now_s + self.limit.validity_s:
+            self.starts.pop()
 
 
 class ServerLimits:
--- a/src/dragonflydyke/forwarding/server_statements.py
+++ b/src/dragonflydyke/forwarding/server_statements.py
@@ -112,8 +112,12 @@
         self._pauses.retain(self._listed_s.keys())
         if self.cold is not None:
             self.cold.retain(self._listed_s.keys())
-            self.cold.record_entries(servers, now_s)
+            self.cold.record_entries(
+                filter(self._directory.is_listed, servers), now_s
+            )
             for server in servers:
+                if not self._directory.is_listed(server):
+                    self.cold.record_unlisted(server, now_s)
                 if self.cold.is_cold(server):
                     self.find_cold_state(server)
 
