Confirm the list of servers before it counts as too old

Cause: a list that was not confirmed for 2.4 s makes all servers count as cold. The checks of the store follow from the limits on draining and configurations. With limits above 3.2 s a check would come later than that, and servers would count as cold between two checks of a healthy store.

The limit on the age of what a node knows is at most 2.4 s now where the cold limit is set. Other deployments keep their checks, which are priced.

Ruled out: a bound on the list that grows with these limits, as a server is cold for 3 s only and a node that is cut off would learn of it too late.

--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -125,7 +125,11 @@
     @property
     def max_age_s(self) -> float:
         """Seconds within which every change in the store takes effect."""
-        return min(self.drain_s, self.apply_s)
+        limits = [self.drain_s, self.apply_s]
+        if self.cold_limit is not None:
+            # An older list would make all servers count as cold.
+            limits.append(cold_servers.MAX_LIST_AGE_S)
+        return min(limits)
 
     @property
     def watch_timing(self) -> watchers.WatchTiming:
