Bound the time for which a server counts as cold without proof

Cause: a node whose list of servers was older than 2.4 s took all servers as cold. A doubt about a process also lasted until its entry was written again, which does not happen while nothing in the entry changes.

The list may be 10 s old, and a doubt ends with the cold time of a process that had just started. Ruled out: no bound on the age, as a node that is cut off for long knows nothing.

Tests: the new test of a doubt without a new entry failed before.

--- a/src/dragonflydyke/forwarding/cold_servers.py
+++ b/src/dragonflydyke/forwarding/cold_servers.py
@@ -17,10 +17,10 @@
 from dragonflydyke import logs, metrics
 from dragonflydyke.forwarding import directory, model, server_limits
 
-# Servers write their entries this often. A server that became cold right after
-# a heartbeat says so in the next, and the list has to have been read after it.
-_HEARTBEAT_S = 1.2
-MAX_LIST_AGE_S = 2 * _HEARTBEAT_S
+# Lists are confirmed every second or two. Outages of the store of some seconds
+# are common, and limits on all servers meanwhile would reject callers for
+# servers that are warm.
+MAX_LIST_AGE_S = 10.0
 # Longer times are no times of a cold start; entries are decoded up to here.
 _MAX_COLD_S = 600.0
 # Window of the limit on the requests to a cold server.
@@ -335,8 +335,9 @@
         cold_start: model.ColdStart,
         now_s: float,
     ) -> ColdState | None:
-        if record.doubted_revision is not None:
-            return ColdState(record.doubt, math.inf, now_s - record.doubted_s)
+        doubted_s = self._find_doubt_end_s(record, cold_start) - now_s
+        if doubted_s > 0:
+            return ColdState(record.doubt, doubted_s, now_s - record.doubted_s)
         age_s = self._find_list_age_s(now_s)
         self._follow_list(age_s)
         if self._is_list_old and now_s - record.warm_s > MAX_LIST_AGE_S:
@@ -361,6 +362,21 @@
             return None
         return ColdState(reason, until_s - now_s, now_s - seen_s)
 
+    def _find_doubt_end_s(
+        self, record: _Record, cold_start: model.ColdStart
+    ) -> float:
+        """Returns until when the entry may not describe the process.
+
+        An entry is not written again while nothing in it changes, so a doubt
+        ends with the cold time of a process that had just started. A server
+        that still refuses connections has no such process yet.
+        """
+        if record.doubted_revision is None:
+            return -math.inf
+        if record.doubt is ColdReason.REFUSED:
+            return math.inf
+        return record.doubted_s + cold_start.duration_s
+
     def _follow_list(self, age_s: float | None) -> None:
         is_old = age_s is None or age_s > MAX_LIST_AGE_S
         if is_old == self._is_list_old:
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -247,6 +247,17 @@
         self.list_servers(revision=3)
         self.assertIsNone(self.find_reason())
 
+    def test_doubt_ends_without_a_new_entry(self) -> None:
+        """An unchanged entry is not written again, so none may follow."""
+        self.cold.record_connection(self.server, self.now_s, accepted=False)
+        self.now_s = self.confirmed_s = self.now_s + 2 * _COLD_S
+        self.assertIs(self.find_reason(), cold_servers.ColdReason.REFUSED)
+        self.cold.record_connection(self.server, self.now_s, accepted=True)
+        self.now_s = self.confirmed_s = self.now_s + _COLD_S - 0.1
+        self.assertIs(self.find_reason(), cold_servers.ColdReason.RECONNECTED)
+        self.now_s = self.confirmed_s = self.now_s + 0.2
+        self.assertIsNone(self.find_reason())
+
     def test_servers_are_cold_after_an_evacuation(self) -> None:
         self.ended_s[forwarding.DATA_CENTRE] = self.now_s - 1.0
         reason = cold_servers.ColdReason.EVACUATION_ENDED
