Send no requests to evacuated data centres or disallowed regions

The kind is watched where the settings have a limit on evacuations, and that limit bounds the age of what a node knows. One filter applies regions, evacuations and versions in that order wherever servers are listed: for waits, selections, plans and sources of prefixes. It is applied again after reports of engines were read, and once more when a connection is open and the request is not sent yet. A version that a rollout avoids does not replace a version whose servers are only excluded by location: all sessions would move to a version of which the rollout allows a share.

--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -72,6 +72,8 @@
         response_started_s: Loop time at which its response started, or None.
         event_count: Events that it received.
         stated_pause: Whether the server rejected it and asked for a pause.
+        was_withdrawn: Whether it was not sent, because the data centre of the
+            server was evacuated while the connection was opened.
     """
 
     __slots__ = (
@@ -96,6 +98,7 @@
         "server",
         "stated_pause",
         "was_sent",
+        "was_withdrawn",
     )
 
     def __init__(
@@ -129,6 +132,7 @@
         self.response_started_s: float | None = None
         self.event_count = 0
         self.stated_pause = False
+        self.was_withdrawn = False
 
     async def start(self) -> messages.ResponseDetails:
         """Sends the request and waits for the start of the response.
@@ -262,6 +266,7 @@
             connect_timeout_s=_CONNECT_TIMEOUT_S,
         )
         await self._exchange.connect(self._services.tcp_client)
+        self._check_location()
         self.may_have_run = True
         self.was_sent = True
         self._observer = self._services.rollout_controller.observe_attempt(
@@ -271,6 +276,16 @@
         )
         await self._exchange.send()
 
+    def _check_location(self) -> None:
+        """Withdraws a request that was not sent if its server is evacuated."""
+        if not self._services.locations.is_evacuated(self.server):
+            return
+        self.was_withdrawn = True
+        self._services.counters.increment("evacuation.excluded")
+        raise AttemptFailedError(
+            decisions.AttemptOutcome.NOT_RUN, "data centre evacuated"
+        )
+
     async def _await_response_start(self) -> None:
         assert self._exchange is not None
         timeout_s = decisions.find_first_event_timeout_s(
--- a/src/dragonflydyke/forwarding/contexts.py
+++ b/src/dragonflydyke/forwarding/contexts.py
@@ -14,6 +14,7 @@
     crash_reports,
     decisions,
     directory,
+    locations,
     messages,
     planner,
     quarantine,
@@ -160,6 +161,7 @@
     store_knowledge: StoreKnowledge
     codec: messages.HeaderCodec
     directory: directory.Directory
+    locations: locations.LocationFilter
     rollout_controller: controller.RolloutController
     selector: selection.ServerSelector
     planner: planner.EscalationPlanner
--- a/src/dragonflydyke/forwarding/decisions.py
+++ b/src/dragonflydyke/forwarding/decisions.py
@@ -19,6 +19,8 @@
 _CLOSING_RETRY_AFTER_S = 0.05
 # Full servers have capacity as soon as one request finishes.
 _NO_CAPACITY_RETRY_AFTER_S = 0.25
+# A node sees the end of an evacuation within a second in steady state.
+_EVACUATED_RETRY_AFTER_S = 1.0
 # By then this node, or another one, has its next slot at one of the servers.
 _LIMITED_RETRY_AFTER_S = 1.0
 # Fraction of the target latency for which a request waits for a slot at a
@@ -198,7 +200,8 @@
     time to try another server. QUARANTINED means that no attempt was made, as
     the prompt crashes engines, REPETITION_QUARANTINED the same for a request
     that crashed servers when it came before, LIMITED that none was made, as the
-    servers limit the requests that they accept.
+    servers limit the requests that they accept, DATA_CENTRES_EVACUATED and
+    NO_ALLOWED_REGION the same because of the locations of the servers.
     """
 
     DELIVERED = "delivered"
@@ -207,6 +210,8 @@
     QUARANTINED = "quarantined"
     REPETITION_QUARANTINED = "repetition_quarantined"
     LIMITED = "limited"
+    DATA_CENTRES_EVACUATED = "data_centres_evacuated"
+    NO_ALLOWED_REGION = "no_allowed_region"
     NOT_RUN = "not_run"
     FAILED = "failed"
     LOST = "lost"
@@ -253,6 +258,8 @@
     AttemptOutcome.QUARANTINED,
     AttemptOutcome.REPETITION_QUARANTINED,
     AttemptOutcome.LIMITED,
+    AttemptOutcome.DATA_CENTRES_EVACUATED,
+    AttemptOutcome.NO_ALLOWED_REGION,
 )
 # Limits the attempts of a request that every server rejects; more dispatches
 # would only consume the retry budget that all requests share.
@@ -349,7 +356,7 @@
     """Returns the error of a request that no server has run."""
     code = "no_server_took_it"
     message = f"no server accepted the request ({outcome})"
-    retry_after_s = _NO_CAPACITY_RETRY_AFTER_S
+    retry_after_s: float | None = _NO_CAPACITY_RETRY_AFTER_S
     if outcome is AttemptOutcome.QUARANTINED:
         code = "prompt_quarantined"
         message = "the prompt has parts that crash engines"
@@ -364,6 +371,15 @@
         retry_after_s = max(
             _LIMITED_RETRY_AFTER_S, progress.retry_after_s or 0.0
         )
+    elif outcome is AttemptOutcome.DATA_CENTRES_EVACUATED:
+        code = "data_centres_evacuated"
+        message = "all data centres that the request may use are evacuated"
+        retry_after_s = _EVACUATED_RETRY_AFTER_S
+    elif outcome is AttemptOutcome.NO_ALLOWED_REGION:
+        code = "no_allowed_region"
+        message = "no server is in a region that the request may use"
+        # Only a change of the configuration or of the servers helps.
+        retry_after_s = None
     return build_rejection(
         code,
         message,
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -15,11 +15,14 @@
     controller,
     crash_reports,
     directory,
+    evacuations,
     execution,
+    locations,
     messages,
     model,
     planner,
     quarantine,
+    regions,
     registry,
     reports,
     response_memory,
@@ -120,7 +123,10 @@
     @property
     def max_age_s(self) -> float:
         """Seconds within which every change in the store takes effect."""
-        return min(self.drain_s, self.apply_s)
+        limits_s = [self.drain_s, self.apply_s]
+        if self.evacuation_s is not None:
+            limits_s.append(self.evacuation_s)
+        return min(limits_s)
 
     @property
     def watch_timing(self) -> watchers.WatchTiming:
@@ -148,6 +154,7 @@
     servers: str
     rollouts: str
     crashes: str
+    evacuations: str
 
 
 class Decoder:
@@ -177,6 +184,12 @@
         """Returns the crash reports that can be decoded."""
         raise NotImplementedError
 
+    def read_evacuations(
+        self, entries: Iterable[objects.StoredObject]
+    ) -> list[str]:
+        """Returns the names of the evacuated data centres."""
+        raise NotImplementedError
+
 
 class NodeStore(
     replicas.WatchableStore,
@@ -196,14 +209,17 @@
         "_crash_reporter",
         "_decoder",
         "_directory",
+        "_evacuations",
         "_forwarder",
         "_freshness",
         "_has_crashes",
+        "_has_evacuations",
         "_has_rollouts",
         "_is_draining",
         "_limits",
         "_quarantine",
         "_random",
+        "_regions",
         "_registry",
         "_reload",
         "_retry_gate",
@@ -244,6 +260,8 @@
         self._decoder = decoder
         self._counters = counters
         self._directory = directory.Directory()
+        self._evacuations = evacuations.Evacuations(counters)
+        self._regions = regions.Regions(values.regions)
         self._retry_gate = watchers.StoreRetryGate(
             self._random,
             lambda: store.probe(kinds.rollouts),
@@ -283,6 +301,8 @@
         )
         self._has_rollouts = False
         self._has_crashes = False
+        # Without evacuations in this deployment there is nothing to wait for.
+        self._has_evacuations = values.evacuation_s is None
         reader = replicas.ReplicaReader(store, kinds.rollouts, values.max_age_s)
         self._watchers = self._build_watchers(reader, kinds)
         self._freshness = freshness.FreshnessMonitor(
@@ -309,6 +329,9 @@
             store_knowledge=self._freshness,
             codec=codec,
             directory=self._directory,
+            locations=locations.LocationFilter(
+                self._evacuations, self._regions
+            ),
             rollout_controller=self._rollout_controller,
             selector=selection.ServerSelector(data_centre, self._random),
             planner=planner.EscalationPlanner(
@@ -330,12 +353,14 @@
     def _build_watchers(
         self, reader: replicas.ReplicaReader, kinds: ObjectKinds
     ) -> list[watchers.KindWatcher]:
-        listeners = (
+        listeners = [
             (kinds.policies, self._apply_policy),
             (kinds.servers, self._apply_servers),
             (kinds.rollouts, self._apply_rollouts),
             (kinds.crashes, self._apply_crashes),
-        )
+        ]
+        if self._settings.evacuation_s is not None:
+            listeners.append((kinds.evacuations, self._apply_evacuations))
         return [
             watchers.KindWatcher(
                 reader,
@@ -357,6 +382,7 @@
             and self._directory.updated_s is not None
             and self._has_rollouts
             and self._has_crashes
+            and self._has_evacuations
         )
 
     async def run(self) -> None:
@@ -400,6 +426,7 @@
             return
         _LOGGER.notice("reloaded", changed=values != self._settings)
         self._settings = values
+        self._regions.by_data_centre = values.regions
 
     def _start_shutdown(self) -> None:
         if self._is_draining:
@@ -460,6 +487,27 @@
         self._quarantine.replace_stored(found, view.confirmed_s, view.version)
         self._has_crashes = True
 
+    def _apply_evacuations(
+        self, view: watchers.KindSnapshot, after_gap: bool
+    ) -> None:
+        del after_gap
+        self._evacuations.update(
+            self._decoder.read_evacuations(view.objects.values()),
+            view.confirmed_s,
+            view.version,
+            self._find_data_centres(),
+        )
+        self._has_evacuations = True
+
+    def _find_data_centres(self) -> frozenset[str] | None:
+        """Returns the known data centres, None before any list of them."""
+        stated = self._settings.regions.keys()
+        if not stated and self._directory.updated_s is None:
+            return None
+        servers = self._directory.list_all()
+        listed = {server.backend.data_centre for server in servers}
+        return frozenset({self._settings.data_centre, *stated, *listed})
+
     def _describe_readiness(self) -> tuple[int, str]:
         return (_OK, "ready\n") if self.is_ready else (_UNAVAILABLE, "no\n")
 
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -143,9 +143,9 @@
         servers = self._targets.list_servers()
         target = await self._targets.select_target(servers)
         if target is None:
-            # Other requests may have used the last slots while reports of
-            # engines were read.
-            return self._targets.explain_no_target(servers)
+            # Other requests may have used the last slots, or an evacuation may
+            # have begun, while reports of engines were read.
+            return self._targets.explain_no_target()
         self._services.statements.record_start(target.server)
         attempt = attempts.Attempt(self._services, self._context, target)
         self._state.dispatches += 1
@@ -290,7 +290,9 @@
             self._profile,
             server,
             _now_s(),
-            failed=None if attempt.stated_pause else _classify_failure(outcome),
+            failed=None
+            if attempt.stated_pause or attempt.was_withdrawn
+            else _classify_failure(outcome),
             peers=servers,
         )
         if ejected:
--- a/src/dragonflydyke/forwarding/selection.py
+++ b/src/dragonflydyke/forwarding/selection.py
@@ -96,18 +96,31 @@
 
 
 def filter_versions(
-    rule: rollouts.VersionRule, servers: Sequence[directory.ServerEntry]
+    rule: rollouts.VersionRule,
+    servers: Sequence[directory.ServerEntry],
+    excluded: Sequence[directory.ServerEntry] = (),
 ) -> tuple[directory.ServerEntry, ...]:
-    """Returns the servers that a request may use during a rollout."""
+    """Returns the servers that a request may use during a rollout.
+
+    Args:
+        rule: Versions that the request may use.
+        servers: Servers to choose from.
+        excluded: Further servers of the pool, which the request may not use
+            because of their location.
+    """
     wanted = tuple(server for server in servers if rule.matches(server.version))
     if wanted:
         return wanted
     # Without servers of the preferred version, fall back to the other version
-    # unless it is forbidden.
+    # unless it is forbidden. The location of servers is no reason to exceed the
+    # limit on exposure.
+    is_forbidden = rule.is_forbidden or any(
+        rule.matches(server.version) for server in excluded
+    )
     return tuple(
         server
         for server in servers
-        if not (rule.is_forbidden and server.version == rule.avoided)
+        if not (is_forbidden and server.version == rule.avoided)
     )
 
 
--- a/src/dragonflydyke/forwarding/targets.py
+++ b/src/dragonflydyke/forwarding/targets.py
@@ -10,6 +10,8 @@
     decisions,
     directory,
     escalation,
+    locations,
+    regions,
     selection,
     urgency,
 )
@@ -17,6 +19,13 @@
 # Slots depend on the time of day, which differs slightly from the loop's time.
 _MIN_SLOT_DELAY_S = 0.005
 
+_EXCLUSIONS = {
+    locations.Exclusion.EVACUATED: (
+        decisions.AttemptOutcome.DATA_CENTRES_EVACUATED
+    ),
+    locations.Exclusion.REGION: decisions.AttemptOutcome.NO_ALLOWED_REGION,
+}
+
 _LOGGER = logs.get_logger("forwarding")
 
 
@@ -29,6 +38,7 @@
 
     __slots__ = (
         "_admitted",
+        "_allowed_regions",
         "_context",
         "_profile",
         "_services",
@@ -48,18 +58,33 @@
         self._admitted = context.admitted
         self._state = context.state
         self._profile = profile
+        self._allowed_regions = regions.find_allowed_regions(
+            self._admitted.route, self._admitted.account
+        )
         self.plan: escalation.EscalationPlan | None = None
 
     def list_servers(self) -> tuple[directory.ServerEntry, ...]:
-        """Returns the servers that this request may use during a rollout."""
-        self._services.directory.expire(_now_s())
+        """Returns the servers that this request may use now.
+
+        Each choice of a server goes through this method: waits for a slot,
+        selections, escalation plans and their prefix sources.
+        """
+        return self._find_usable().servers
+
+    def _find_usable(self) -> locations.UsableServers:
+        now_s = _now_s()
+        self._services.directory.expire(now_s)
         pool = self._admitted.pool.name
         details = self._context.request.details
         rule = self._services.rollout_controller.select_version_rule(
             pool, details.session or details.request_id
         )
-        servers = self._services.directory.list_usable(pool)
-        return selection.filter_versions(rule, servers)
+        return self._services.locations.select(
+            self._services.directory.list_usable(pool),
+            rule,
+            self._allowed_regions,
+            now_s,
+        )
 
     async def await_slot(self) -> bool:
         """Waits until the servers allow a request to one of them.
@@ -92,16 +117,33 @@
                 return False
             await asyncio.sleep(max(delay_s, _MIN_SLOT_DELAY_S))
 
-    def explain_no_target(
-        self, servers: tuple[directory.ServerEntry, ...]
-    ) -> decisions.AttemptOutcome:
-        """Returns why no attempt can be made, given the usable servers."""
-        if servers:
+    def explain_no_target(self) -> decisions.AttemptOutcome:
+        """Returns why no attempt can be made."""
+        usable = self._find_usable()
+        if usable.servers:
             return decisions.AttemptOutcome.LIMITED
+        if usable.exclusion is not None:
+            outcome = _EXCLUSIONS[usable.exclusion]
+            self._log_exclusion(usable, outcome)
+            return outcome
         if self._services.directory.has_leaving(self._admitted.pool.name):
             return decisions.AttemptOutcome.SERVERS_LEAVE
         return decisions.AttemptOutcome.NO_SERVER
 
+    def _log_exclusion(
+        self, usable: locations.UsableServers, reason: str
+    ) -> None:
+        allowed = self._allowed_regions
+        _LOGGER.info(
+            "location excludes all servers",
+            request=self._context.request.details.request_id,
+            reason=reason,
+            evacuated=self._services.locations.list_evacuated(),
+            allowed_regions=None if allowed is None else sorted(allowed),
+            evacuated_servers=usable.evacuated,
+            outside_servers=usable.outside,
+        )
+
     async def read_plan(
         self, servers: tuple[directory.ServerEntry, ...]
     ) -> escalation.EscalationPlan | None:
@@ -121,10 +163,22 @@
         state = self._state.describe_cascade()
         if plan is None and state.needs_largest_model and servers:
             plan = await self.read_plan(servers)
-        # Another request may have used the slot while reports were read.
-        if plan is not None and statements.allows(plan.server):
+        # Another request may have used the slot, or an evacuation may have
+        # begun, while reports were read.
+        usable = self._find_usable()
+        servers = usable.servers
+        if usable.evacuated:
+            self._services.counters.increment("evacuation.excluded")
+        if (
+            plan is not None
+            and plan.server in servers
+            and statements.allows(plan.server)
+        ):
             self._log_plan(plan, len(servers))
-            return self._build_target(plan.server, plan.prefix_source)
+            source = plan.prefix_source
+            if source is not None and source not in servers:
+                source = None
+            return self._build_target(plan.server, source)
         selected = self._select_server(statements.list_allowed(servers))
         return self._build_target(selected.server) if selected else None
 
--- a/src/dragonflydyke/platform/process.py
+++ b/src/dragonflydyke/platform/process.py
@@ -82,7 +82,13 @@
 def _read_evacuation_s(fields: Any) -> float | None:
     if fields["bounds"].get("evacuationMs") is None:
         return None
-    return _read_limit(fields, "evacuationMs", 0.0) / _MS_PER_S
+    limit_ms = _read_limit(fields, "evacuationMs", 0.0)
+    # Checks of the store would never pause. The comparison also rejects NaN.
+    if not limit_ms > 0:
+        raise settings.SettingsError(
+            "bounds.evacuationMs", f"{limit_ms!r} is not above 0"
+        )
+    return limit_ms / _MS_PER_S
 
 
 def _read_regions(fields: Any) -> dict[str, str]:
--- a/src/dragonflydyke/platform/records.py
+++ b/src/dragonflydyke/platform/records.py
@@ -24,7 +24,10 @@
     rollouts="rollouts",
     # Only the routers use this kind.
     crashes="enginecrashes",
+    evacuations="evacuations",
 )
+# Kinds whose entries say all with their name.
+KINDS_BY_NAME = frozenset((KINDS.evacuations,))
 # Kind of the entries of the nodes, which only the routers use.
 NODE_KIND = "routernodes"
 _POLICY_OBJECT_NAME = "main"
@@ -107,6 +110,15 @@
         found = (self._read(entry, _read_crash) for entry in entries)
         return [report for report in found if report is not None]
 
+    def read_evacuations(
+        self, entries: Iterable[objects.StoredObject]
+    ) -> list[str]:
+        """Returns the names of the evacuated data centres.
+
+        Only the name of an entry counts, whatever its value is.
+        """
+        return [entry.name for entry in entries]
+
     def _read(self, entry: objects.StoredObject, read: Any) -> Any:
         try:
             return read(entry)
--- a/src/dragonflydyke/platform/store.py
+++ b/src/dragonflydyke/platform/store.py
@@ -337,9 +337,20 @@
         return _decode(kind, item, era)
     except records.DECODING_ERRORS as error:
         _LOGGER.info("stored object is malformed", kind=kind, error=repr(error))
+        if kind in records.KINDS_BY_NAME:
+            return _decode_name(kind, item, era)
         return None
 
 
+def _decode_name(kind: str, item: Any, era: int) -> model.StoredObject | None:
+    """Returns an object of which only the name can be decoded, if it can."""
+    try:
+        name = records.require_text(item["metadata"]["name"])
+    except records.DECODING_ERRORS:
+        return None
+    return model.StoredObject(kind, name, model.combine_version(era, 0), None)
+
+
 def _decode(kind: str, item: Any, era: int) -> model.StoredObject:
     metadata = item["metadata"]
     return model.StoredObject(
--- a/tests/builders/forwarding.py
+++ b/tests/builders/forwarding.py
@@ -17,11 +17,14 @@
     controller,
     crash_reports,
     directory,
+    evacuations,
     execution,
+    locations,
     messages,
     model,
     planner,
     quarantine,
+    regions,
     reports,
     response_memory,
     rollouts,
@@ -345,6 +348,8 @@
         source = random.Random(7)
         self.counters = metrics.Counters()
         self.directory = directory.Directory()
+        self.evacuations = evacuations.Evacuations(self.counters)
+        self.regions = regions.Regions({})
         self.rollout_controller = controller.RolloutController(
             "vm1",
             shared_objects.RejectingRolloutStore(),
@@ -370,6 +375,9 @@
                 store_knowledge=self.store_knowledge,
                 codec=codec,
                 directory=self.directory,
+                locations=locations.LocationFilter(
+                    self.evacuations, self.regions
+                ),
                 rollout_controller=self.rollout_controller,
                 selector=selection.ServerSelector(DATA_CENTRE, source),
                 planner=planner.EscalationPlanner(
--- a/tests/builders/store.py
+++ b/tests/builders/store.py
@@ -38,6 +38,7 @@
         revision: Revision of the store.
         oldest_revision: Oldest revision from which a watch can continue.
         rejection_status: Status with which all calls are rejected, 0 for none.
+        rejected_kinds: Kinds of which all calls are rejected.
         reported_lag: Revisions by which watches report an older revision of the
             store, as a replica that lags behind does.
         replica_lag: Revisions by which replicas that serve stale lists lag.
@@ -57,6 +58,7 @@
         self.revision = 1
         self.oldest_revision = 1
         self.rejection_status = 0
+        self.rejected_kinds: set[str] = set()
         self.reported_lag = 0
         self.replica_lag = 0
         self.stuck_revision: int | None = None
@@ -175,6 +177,8 @@
         self._stub.calls.append(f"{self.request.method} {self.request.uri}")
         if self._stub.rejection_status:
             self.send_error(self._stub.rejection_status)
+        elif self.path_args[0] in self._stub.rejected_kinds:
+            self.send_error(503)
 
     async def get(self, kind: str, *rest: str) -> None:
         state = self._stub
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -16,6 +16,8 @@
 from tests.soak import request_log
 
 ACCOUNT = "acme"
+# The nodes are in the first one.
+DATA_CENTRES = ("north", "south")
 EVENTS = 8
 GRACE_S = 8.0
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -51,11 +53,13 @@
         self,
         name: str,
         pool: str,
+        data_centre: str,
         log: request_log.RequestLog,
         source: random.Random,
     ) -> None:
         self.name = name
         self.pool = pool
+        self.data_centre = data_centre
         self._request_log = log
         self._random = source
         self._server = forwarding.ScriptedServer(name, self._run)
@@ -79,7 +83,10 @@
         """Returns the entry of the server in the store."""
         assert self.proxy is not None
         return store.build_server_spec(
-            service=self.pool, address=self.proxy.address, state=state
+            service=self.pool,
+            address=self.proxy.address,
+            zone=self.data_centre,
+            state=state,
         )
 
     async def _run(
@@ -126,6 +133,9 @@
         return record.vm if record else ""
 
     def _check_statements(self, request: forwarding.ReceivedRequest) -> None:
+        self._request_log.evacuations.check_arrival(
+            self.data_centre, self._find_vm(request), self.name, _now_s()
+        )
         self._request_log.statements.check_arrival(
             self.name, self._find_vm(request), _now_s()
         )
@@ -297,14 +307,17 @@
     def _describe(self) -> dict[str, Any]:
         return {
             "nodeName": self.vm,
-            "zone": "north",
+            "zone": DATA_CENTRES[0],
             "ip": self.host,
             "listen": {
                 "front": f"{self.host}:{self.front_port}",
                 "ready": f"{self.host}:{self.ready_port}",
             },
             "platform": {"address": self.store_proxy.address},
-            "bounds": {"graceS": GRACE_S},
+            "bounds": {
+                "graceS": GRACE_S,
+                "evacuationMs": int(request_log.EVACUATION_S * 1_000),
+            },
         }
 
 
@@ -362,11 +375,33 @@
         """Starts a backend server and adds it to the store."""
         self._started_servers += 1
         name = f"{pool}-{self._started_servers}"
-        server = SoakServer(name, pool, self.request_log, self._random)
+        places = [
+            server.data_centre
+            for server in self.servers.values()
+            if server.pool == pool
+        ]
+        data_centre = min(DATA_CENTRES, key=places.count)
+        server = SoakServer(
+            name, pool, data_centre, self.request_log, self._random
+        )
         await server.start()
         self.servers[name] = server
         await self.store_stub.put("servers", name, server.describe())
 
+    async def evacuate(self, data_centre: str) -> None:
+        """Evacuates a data centre."""
+        await self.store_stub.put("evacuations", data_centre, {})
+        self.request_log.evacuations.begun_s[data_centre] = _now_s()
+
+    async def end_evacuation(self, data_centre: str) -> None:
+        """Withdraws the evacuation of a data centre."""
+        del self.request_log.evacuations.begun_s[data_centre]
+        await self._remove_evacuation(data_centre)
+
+    async def _remove_evacuation(self, data_centre: str) -> None:
+        if data_centre in self.store_stub.objects.get("evacuations", {}):
+            await self.store_stub.remove("evacuations", data_centre)
+
     async def announce_draining(self, server: SoakServer) -> None:
         """Writes that a server leaves."""
         self.draining[server.name] = server
@@ -395,6 +430,11 @@
             await self.store_stub.put("servers", name, server.describe())
         for server in list(self.draining.values()):
             await self.announce_draining(server)
+        for data_centre in DATA_CENTRES:
+            if data_centre in self.request_log.evacuations.begun_s:
+                await self.store_stub.put("evacuations", data_centre, {})
+            else:
+                await self._remove_evacuation(data_centre)
         await self._write_configuration()
 
     async def put_configuration(self) -> None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 from harness import proxy
-from tests.soak import deployment
+from tests.soak import deployment, request_log
 
 _INJECTORS = 3
 _MAX_DELAY_BETWEEN_FAULTS_S = 0.5
@@ -20,6 +20,8 @@
 # Time for which a draining server still serves requests.
 _DRAIN_S = 2.5
 _MAX_REPETITIONS = 3
+_MIN_EVACUATION_S = 3.0
+_MAX_EVACUATION_S = 8.0
 # Share of the faults of reads in which responses are lost.
 _LOST_RESPONSE_SHARE = 0.5
 _MIN_POOL_SERVERS = 2
@@ -41,6 +43,7 @@
         restore_source: random.Random,
         pause_source: random.Random,
         read_source: random.Random,
+        evacuation_source: random.Random,
     ) -> None:
         self.counts: collections.Counter[str] = collections.Counter()
         self._deployment = soak_deployment
@@ -48,6 +51,7 @@
         self._restore_random = restore_source
         self._pause_random = pause_source
         self._read_random = read_source
+        self._evacuation_random = evacuation_source
         self._tasks: list[asyncio.Task[None]] = []
         self._is_stopped = False
         self._idle_nodes = list(soak_deployment.nodes)
@@ -60,6 +64,7 @@
         self._tasks.append(asyncio.create_task(self._restore_repeatedly()))
         self._tasks.append(asyncio.create_task(self._pause_repeatedly()))
         self._tasks.append(asyncio.create_task(self._hide_changes_repeatedly()))
+        self._tasks.append(asyncio.create_task(self._evacuate_repeatedly()))
 
     async def stop(self) -> None:
         """Waits until the active faults have ended and all nodes are ready."""
@@ -99,6 +104,7 @@
                 uniform(_MIN_RESTORE_INTERVAL_S, _MAX_RESTORE_INTERVAL_S)
             )
             self.counts["restore_store"] += 1
+            self._record_disturbance(request_log.STORE)
             await self._deployment.restore_store(copy)
 
     async def _pause_repeatedly(self) -> None:
@@ -129,6 +135,22 @@
             await asyncio.sleep(uniform(_MIN_FAULT_S, _MAX_FAULT_S))
             stub.stuck_revision = None
 
+    async def _evacuate_repeatedly(self) -> None:
+        """Evacuates data centres, one after the other."""
+        uniform = self._evacuation_random.uniform
+        while not self._is_stopped:
+            await asyncio.sleep(uniform(0.0, _MAX_FAULT_S))
+            self.counts["evacuate"] += 1
+            name = self._evacuation_random.choice(deployment.DATA_CENTRES)
+            await self._deployment.evacuate(name)
+            await asyncio.sleep(uniform(_MIN_EVACUATION_S, _MAX_EVACUATION_S))
+            await self._deployment.end_evacuation(name)
+
+    def _record_disturbance(self, place: str) -> None:
+        self._deployment.request_log.evacuations.record_disturbance(
+            place, asyncio.get_running_loop().time()
+        )
+
     async def _wait_fault_duration(self) -> None:
         await asyncio.sleep(self._random.uniform(_MIN_FAULT_S, _MAX_FAULT_S))
 
@@ -138,10 +160,12 @@
             return None
         node = self._random.choice(self._idle_nodes)
         self._idle_nodes.remove(node)
+        self._record_disturbance(node.vm)
         self._deployment.request_log.statements.forget_vm(node.vm)
         return node
 
     def _release_node(self, node: deployment.RouterProcess) -> None:
+        self._record_disturbance(node.vm)
         # The node may have missed what servers said meanwhile.
         self._deployment.request_log.statements.forget_vm(node.vm)
         self._idle_nodes.append(node)
@@ -199,17 +223,20 @@
 
     async def disturb_store_link(self) -> None:
         """Delays, drops, isolates or resets the store link of one node."""
-        await self._disturb(
-            self._random.choice(self._deployment.nodes).store_proxy
-        )
+        node = self._random.choice(self._deployment.nodes)
+        self._record_disturbance(node.vm)
+        await self._disturb(node.store_proxy)
+        self._record_disturbance(node.vm)
 
     async def disturb_server_link(self) -> None:
         """Delays, drops, isolates or resets the link to one server."""
         server = self._random.choice(list(self._deployment.servers.values()))
         assert server.proxy is not None
         statements = self._deployment.request_log.statements
+        self._record_disturbance(server.name)
         with statements.disturb_link(server.name):
             await self._disturb(server.proxy)
+        self._record_disturbance(server.name)
 
     async def _disturb(self, link: proxy.FaultProxy) -> None:
         faults = link.faults
@@ -234,8 +261,10 @@
         self._deployment.store_stub.rejection_status = self._random.choice(
             (503, 429, 500)
         )
+        self._record_disturbance(request_log.STORE)
         await self._wait_fault_duration()
         self._deployment.store_stub.rejection_status = 0
+        self._record_disturbance(request_log.STORE)
 
     async def forget_store_history(self) -> None:
         """Drops the change history of the store."""
--- a/tests/soak/request_log.py
+++ b/tests/soak/request_log.py
@@ -10,6 +10,12 @@
 # for which they may.
 _CROSSING_REQUESTS = 2
 _CROSSING_S = 0.5
+# Time within which evacuations take effect, and time after a disturbance in
+# which they need not.
+EVACUATION_S = 2.0
+_CONTACT_S = 3.0
+# Name of the store among the places that are disturbed.
+STORE = "store"
 REJECTION_STATUSES = frozenset((408, 421, 429, 503))
 # Statuses that the router must not return for a valid request.
 _CLIENT_ERROR_STATUSES = frozenset((400, 401, 404, 413))
@@ -108,6 +114,45 @@
             del self._statements[key]
 
 
+class EvacuationLog:
+    """Evacuations in the store, and the requests that ignore them.
+
+    No node, server or store is disturbed for longer than `_CONTACT_S`, so that
+    the time since the beginning or end of its last disturbance suffices.
+
+    Attributes:
+        begun_s: Loop time by data centre at which the store acknowledged its
+            evacuation.
+    """
+
+    def __init__(self, report_violation: Callable[[str], None]) -> None:
+        self.begun_s: dict[str, float] = {}
+        self._report_violation = report_violation
+        self._disturbed_s: dict[str, float] = {}
+
+    def record_disturbance(self, place: str, now_s: float) -> None:
+        """Records that a disturbance of a node, server or store begins or ends.
+
+        The node may not know of an evacuation, and the link to the server may
+        hold back a request that was sent before.
+        """
+        self._disturbed_s[place] = now_s
+
+    def check_arrival(
+        self, data_centre: str, vm: str, server: str, now_s: float
+    ) -> None:
+        """Checks that a request of a node may reach a server now."""
+        begun_s = self.begun_s.get(data_centre, now_s)
+        places = (vm, server, STORE)
+        disturbed_s = max(self._disturbed_s.get(name, 0.0) for name in places)
+        is_in_contact = now_s - disturbed_s > _CONTACT_S
+        if is_in_contact and now_s - begun_s > EVACUATION_S:
+            self._report_violation(
+                f"{server} got a request of {vm} {now_s - begun_s:.2f} s after"
+                f" the evacuation of {data_centre}"
+            )
+
+
 class RequestLog:
     """Records attempts and violations of the invariants.
 
@@ -117,6 +162,7 @@
         outcomes: Number of attempts by kind and status; status 0 means that
             there was no complete response.
         statements: What servers said to nodes.
+        evacuations: Evacuations of data centres.
     """
 
     def __init__(self) -> None:
@@ -124,6 +170,7 @@
         self.violations: list[str] = []
         self.outcomes: collections.Counter[str] = collections.Counter()
         self.statements = StatementLog(self.report_violation)
+        self.evacuations = EvacuationLog(self.report_violation)
 
     def record_sent(
         self,
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -62,6 +62,7 @@
             random.Random(seed + 2),
             random.Random(seed + 3),
             random.Random(seed + 4),
+            random.Random(seed + 5),
         )
         load_generator.start()
         injector.start()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -179,6 +179,7 @@
             ({"listen": {"front": "nowhere"}}, "listen.front"),
             ({"platform": None}, "platform.address"),
             ({"bounds": {"graceS": "8"}}, "bounds.graceS"),
+            ({"bounds": {"evacuationMs": 0}}, "bounds.evacuationMs"),
         ):
             with (
                 self.subTest(field=field),
--- a/tests/test_silent_watches.py
+++ b/tests/test_silent_watches.py
@@ -169,3 +169,12 @@
                 )
                 delay_s = values.watch_timing.max_detection_delay_s
                 self.assertEqual(delay_s, expected_s)
+
+    def test_shortest_limit_bounds_the_age(self) -> None:
+        """An evacuation may have to take effect before a configuration."""
+        for evacuation_s, expected_s in ((None, 2.0), (5.0, 2.0), (1.5, 1.5)):
+            with self.subTest(evacuation_s=evacuation_s):
+                values = dataclasses.replace(
+                    _SETTINGS, evacuation_s=evacuation_s
+                )
+                self.assertEqual(values.max_age_s, expected_s)
