Name only the evacuated data centres that matter in rejections

Cause: the line of a rejected request listed every evacuated name in the store. Other writers could make each of these lines long with names that are no data centre. The filter now returns the servers that it left out, and the line names their data centres. Ruled out: a fixed number of names, which could hide the right one.

--- a/src/dragonflydyke/forwarding/locations.py
+++ b/src/dragonflydyke/forwarding/locations.py
@@ -34,16 +34,15 @@
 
     Attributes:
         servers: The servers.
-        evacuated: Number of servers left out because their data centre is
-            evacuated.
-        outside: Number of servers left out because of their region.
+        evacuated: Servers left out because their data centre is evacuated.
+        outside: Servers left out because of their region.
         exclusion: Why there are no servers, None if there are some or if the
             reason is another one.
     """
 
     servers: tuple[directory.ServerEntry, ...]
-    evacuated: int = 0
-    outside: int = 0
+    evacuated: Sequence[directory.ServerEntry] = ()
+    outside: Sequence[directory.ServerEntry] = ()
     exclusion: Exclusion | None = None
 
 
@@ -68,10 +67,6 @@
         """Returns whether the data centre of a server is evacuated."""
         return self._evacuations.is_evacuated(server.backend.data_centre)
 
-    def list_evacuated(self) -> list[str]:
-        """Returns the names of the evacuated data centres, for the log."""
-        return sorted(self._evacuations.names)
-
     def select(
         self,
         servers: Sequence[directory.ServerEntry],
@@ -111,4 +106,4 @@
             exclusion = Exclusion.EVACUATED
         elif not found and selection.filter_versions(rule, servers):
             exclusion = Exclusion.REGION
-        return UsableServers(found, len(evacuated), len(outside), exclusion)
+        return UsableServers(found, evacuated, outside, exclusion)
--- a/src/dragonflydyke/forwarding/targets.py
+++ b/src/dragonflydyke/forwarding/targets.py
@@ -138,10 +138,12 @@
             "location excludes all servers",
             request=self._context.request.details.request_id,
             reason=reason,
-            evacuated=self._services.locations.list_evacuated(),
+            evacuated=sorted(
+                {server.backend.data_centre for server in usable.evacuated}
+            ),
             allowed_regions=None if allowed is None else sorted(allowed),
-            evacuated_servers=usable.evacuated,
-            outside_servers=usable.outside,
+            evacuated_servers=len(usable.evacuated),
+            outside_servers=len(usable.outside),
         )
 
     async def read_plan(
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -153,19 +153,19 @@
 
         Args:
             *places: Data centres.
-            action: Called by the server in the first place after two events,
-                which then fails.
+            action: Called by the server in the first place after two events;
+                the server breaks the stream if it returns true.
         """
         for place in places:
-            fails = place == places[0]
+            acts = place == places[0]
 
-            async def run(request, writer, fails=fails) -> None:
+            async def run(request, writer, acts=acts) -> None:
                 first = int(request.headers.get("Last-Event-Id", "0")) + 1
                 forwarding.write_stream_start(request, writer, Confidence="10")
                 for event_id in range(first, 5):
                     forwarding.write_event(writer, event_id)
                     await writer.drain()
-                    if fails and event_id == 2 and action():
+                    if acts and event_id == 2 and action():
                         writer.transport.abort()
                 forwarding.write_chunk(writer, b"")
 
