Merge evacuations and allowed regions

Servers of a data centre count as cold after its evacuation has ended (Evacuations.find_ended_s is passed to ColdServers).

--- a/src/dragonflydyke/forwarding/contexts.py
+++ b/src/dragonflydyke/forwarding/contexts.py
@@ -16,6 +16,7 @@
     decisions,
     directory,
     failure_domains,
+    locations,
     messages,
     planner,
     quarantine,
@@ -166,6 +167,7 @@
     store_knowledge: StoreKnowledge
     codec: messages.HeaderCodec
     directory: directory.Directory
+    locations: locations.LocationFilter
     rollout_controller: controller.RolloutController
     selector: selection.ServerSelector
     planner: planner.EscalationPlanner
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -16,12 +16,15 @@
     controller,
     crash_reports,
     directory,
+    evacuations,
     execution,
     failure_domains,
+    locations,
     messages,
     model,
     planner,
     quarantine,
+    regions,
     registry,
     reports,
     response_memory,
@@ -125,11 +128,13 @@
     @property
     def max_age_s(self) -> float:
         """Seconds within which every change in the store takes effect."""
-        limits = [self.drain_s, self.apply_s]
+        limits_s = [self.drain_s, self.apply_s]
         if self.cold_limit is not None:
             # An older list would make all servers count as cold.
-            limits.append(cold_servers.MAX_LIST_AGE_S)
-        return min(limits)
+            limits_s.append(cold_servers.MAX_LIST_AGE_S)
+        if self.evacuation_s is not None:
+            limits_s.append(self.evacuation_s)
+        return min(limits_s)
 
     @property
     def watch_timing(self) -> watchers.WatchTiming:
@@ -157,6 +162,7 @@
     servers: str
     rollouts: str
     crashes: str
+    evacuations: str
 
 
 class Decoder:
@@ -186,6 +192,12 @@
         """Returns the crash reports that can be decoded."""
         raise NotImplementedError
 
+    def read_evacuations(
+        self, entries: Iterable[objects.StoredObject]
+    ) -> list[str]:
+        """Returns the names of the evacuated data centres."""
+        raise NotImplementedError
+
 
 class NodeStore(
     replicas.WatchableStore,
@@ -205,14 +217,17 @@
         "_crash_reporter",
         "_decoder",
         "_directory",
+        "_evacuations",
         "_forwarder",
         "_freshness",
         "_has_crashes",
+        "_has_evacuations",
         "_has_rollouts",
         "_is_draining",
         "_limits",
         "_quarantine",
         "_random",
+        "_regions",
         "_registry",
         "_reload",
         "_retry_gate",
@@ -253,6 +268,8 @@
         self._decoder = decoder
         self._counters = counters
         self._directory = directory.Directory()
+        self._evacuations = evacuations.Evacuations(counters)
+        self._regions = regions.Regions(values.regions)
         self._retry_gate = watchers.StoreRetryGate(
             self._random,
             lambda: store.probe(kinds.rollouts),
@@ -292,6 +309,8 @@
         )
         self._has_rollouts = False
         self._has_crashes = False
+        # Without evacuations in this deployment there is nothing to wait for.
+        self._has_evacuations = values.evacuation_s is None
         reader = replicas.ReplicaReader(store, kinds.rollouts, values.max_age_s)
         self._watchers = self._build_watchers(reader, kinds)
         self._statements.cold = self._build_cold_servers()
@@ -321,6 +340,9 @@
             store_knowledge=self._freshness,
             codec=codec,
             directory=self._directory,
+            locations=locations.LocationFilter(
+                self._evacuations, self._regions
+            ),
             rollout_controller=self._rollout_controller,
             selector=selection.ServerSelector(data_centre, self._random),
             planner=planner.EscalationPlanner(
@@ -348,6 +370,7 @@
             self._watchers[_SERVER_WATCHER].find_age_s,
             self._limits.find_phase,
             self._counters,
+            self._evacuations.find_ended_s,
         )
 
     def _find_cold_start(self, pool: str) -> model.ColdStart | None:
@@ -362,12 +385,14 @@
     def _build_watchers(
         self, reader: replicas.ReplicaReader, kinds: ObjectKinds
     ) -> list[watchers.KindWatcher]:
-        listeners = (
+        listeners = [
             (kinds.policies, self._apply_policy),
             (kinds.servers, self._apply_servers),
             (kinds.rollouts, self._apply_rollouts),
             (kinds.crashes, self._apply_crashes),
-        )
+        ]
+        if self._settings.evacuation_s is not None:
+            listeners.append((kinds.evacuations, self._apply_evacuations))
         return [
             watchers.KindWatcher(
                 reader,
@@ -389,6 +414,7 @@
             and self._directory.updated_s is not None
             and self._has_rollouts
             and self._has_crashes
+            and self._has_evacuations
         )
 
     async def run(self) -> None:
@@ -432,6 +458,7 @@
             return
         _LOGGER.notice("reloaded", changed=values != self._settings)
         self._settings = values
+        self._regions.by_data_centre = values.regions
 
     def _start_shutdown(self) -> None:
         if self._is_draining:
@@ -492,6 +519,27 @@
         self._quarantine.replace_stored(found, view.confirmed_s, view.version)
         self._has_crashes = True
 
+    def _apply_evacuations(
+        self, view: watchers.KindSnapshot, after_gap: bool
+    ) -> None:
+        del after_gap
+        self._evacuations.update(
+            self._decoder.read_evacuations(view.objects.values()),
+            view.confirmed_s,
+            view.version,
+            self._find_data_centres(),
+        )
+        self._has_evacuations = True
+
+    def _find_data_centres(self) -> frozenset[str] | None:
+        """Returns the known data centres, None before any list of them."""
+        stated = self._settings.regions.keys()
+        if not stated and self._directory.updated_s is None:
+            return None
+        servers = self._directory.list_all()
+        listed = {server.backend.data_centre for server in servers}
+        return frozenset({self._settings.data_centre, *stated, *listed})
+
     def _describe_readiness(self) -> tuple[int, str]:
         return (_OK, "ready\n") if self.is_ready else (_UNAVAILABLE, "no\n")
 
