Deliver the answer in hand when the largest model gives none

Cause: a response of the smallest model with low confidence was discarded before the largest model had begun.

The response is now read to its end while the load reports are read, checked as a relayed stream is, and held in the memory of the node's responses (a third of it at most). The first attempt is over before the next one begins. The held answer is delivered, whole, in place of every failure of the escalated attempts: the check is at the one place where attempts end, and a timer ends an attempt without events in time for the deadline and for the patience of the client. When the first event of the largest model arrives, it is passed on only if the rest may finish before the deadline. An escalation that cannot finish is declined by the same rule.

Ruled out: a guard around each step that can wait (slots, reports, connections, queues), as a step added later would lack it; a length header on the held answer, as clients would see another framing than that of other streams; a return to the smallest model while its answer is in hand.

--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -10,11 +10,13 @@
     contexts,
     decisions,
     directory,
+    held_answers,
     messages,
     model,
     observers,
     response_memory,
 )
+from dragonflydyke.scheduling import fallbacks
 
 # A server in the same region accepts connections within milliseconds. A server
 # that does not is down or unreachable, and has not received the request.
@@ -22,18 +24,20 @@
 _MAX_RESPONSE_BYTES = 16_000_000
 _OK = 200
 _FIRST_REDIRECT_STATUS = 300
+_FIRST_ERROR_STATUS = 400
 _FIRST_SERVER_ERROR_STATUS = 500
 _GATEWAY_TIMEOUT = 504
 # Under peak load the gap between events approaches the route's limit, and the
 # other servers have no capacity either. Only an unreachable server stays silent
 # for a multiple of that limit.
 _EVENT_TIMEOUT_GAPS = 2.0
-# An engine sends the first event together with the start of the response. One
-# that crashes as it begins to write ends within this time.
-_FIRST_BYTES_TIMEOUT_S = 0.5
 # An engine that crashes at the start of a response gets no further than its
 # first event.
 _PRODUCED_EVENTS = 2
+# Events over which the gap of a stream is averaged. Engines send several events
+# at once when they are short of time.
+_GAP_EVENTS = 8
+_COMMENT = b":"
 
 
 class AttemptFailedError(Exception):
@@ -62,6 +66,46 @@
     prefix_source: directory.ServerEntry | None = None
 
 
+class _GapMeter:
+    """Measures the mean gap between events of a stream.
+
+    Time in which the client does not read is not counted.
+    """
+
+    __slots__ = ("_gaps", "_last_s", "_started_s")
+
+    def __init__(self) -> None:
+        self._gaps = 0
+        self._started_s: float | None = None
+        self._last_s = 0.0
+
+    def record_event(self, now_s: float) -> None:
+        """Records an event that arrived at a loop time."""
+        self._last_s = now_s
+        if self._started_s is None:
+            self._started_s = now_s
+        else:
+            self._gaps += 1
+
+    def exclude(self, seconds: float) -> None:
+        """Excludes the time since the last event from the next gap."""
+        if self._started_s is not None:
+            self._started_s += seconds
+
+    def take_gap_s(self, min_gaps: int) -> float | None:
+        """Returns the mean of the gaps since the last call.
+
+        Args:
+            min_gaps: Number of gaps below which None is returned.
+        """
+        if self._started_s is None or self._gaps < min_gaps:
+            return None
+        gap_s = max(0.0, self._last_s - self._started_s) / self._gaps
+        self._started_s = self._last_s
+        self._gaps = 0
+        return gap_s
+
+
 class Attempt:
     """One dispatch of a request to a server.
 
@@ -72,14 +116,16 @@
         response_started_s: Loop time at which its response started, or None.
         event_count: Events that it received.
         stated_pause: Whether the server rejected it and asked for a pause.
+        answer: Response that is held instead of being passed on, or None.
+        hold_failure: Why that response cannot be delivered, or None.
     """
 
     __slots__ = (
         "_admitted",
         "_context",
         "_exchange",
-        "_first_chunk",
         "_event_memory",
+        "_gap_meter",
         "_held_body",
         "_observer",
         "_request",
@@ -90,7 +136,9 @@
         "_target",
         "_waited_s",
         "_writer",
+        "answer",
         "event_count",
+        "hold_failure",
         "may_have_run",
         "response_started_s",
         "server",
@@ -113,7 +161,6 @@
         self._retry_budget = context.retry_budget
         self._state = context.state
         self._exchange: connection.Exchange | None = None
-        self._first_chunk: bytes | None = None
         self._held_body = response_memory.HeldBody(services.response_memory)
         self._event_memory = response_memory.Reservation(
             services.response_memory
@@ -122,7 +169,10 @@
         # Seconds spent waiting for the server since its last numbered event.
         self._waited_s = 0.0
         self._observer: observers.AttemptObserver | None = None
+        self._gap_meter = _GapMeter()
         self._target = target
+        self.answer: held_answers.HeldAnswer | None = None
+        self.hold_failure: AttemptFailedError | None = None
         self.server = target.server
         self.may_have_run = False
         self.was_sent = False
@@ -146,23 +196,66 @@
             raise self._build_failure(error) from error
         return self._read_response_start()
 
-    async def await_first_bytes(self) -> None:
-        """Waits for a short time until the body of the response begins.
+    def hold_answer(
+        self, details: messages.ResponseDetails
+    ) -> "asyncio.Task[None]":
+        """Starts to read the response to its end without passing it on.
 
-        An engine that crashes as it begins to write would otherwise do so
-        unnoticed after its response was discarded.
+        The task sets `hold_failure`, or completes `answer`. It may be cancelled
+        and the response delivered from its first event on.
 
-        Raises:
-            AttemptFailedError: If the response was lost.
+        Args:
+            details: Contents of the response's headers.
         """
-        assert self._exchange is not None
+        exchange = self._exchange
+        assert exchange is not None
+        self.answer = held_answers.HeldAnswer(
+            self._services.response_memory,
+            exchange.status,
+            self._services.codec.write_response(exchange.headers),
+            details.confidence,
+            self._request.details.last_event_id,
+        )
+        return asyncio.create_task(self._read_answer(self.answer))
+
+    async def _read_answer(self, answer: held_answers.HeldAnswer) -> None:
         try:
-            async with asyncio.timeout(_FIRST_BYTES_TIMEOUT_S):
-                self._first_chunk = await self._exchange.read_chunk()
-        except TimeoutError:
-            return
+            await self._read_events(answer)
+        except AttemptFailedError as error:
+            self.hold_failure = error
         except errors.DragonflydykeError as error:
-            raise self._build_failure(error) from error
+            self.hold_failure = self._build_failure(error)
+
+    async def _read_events(self, answer: held_answers.HeldAnswer) -> None:
+        assert self._exchange is not None
+        while not answer.lacks_memory:
+            chunk = await self._exchange.read_chunk()
+            if chunk is None:
+                self._check_stream_end()
+                self._record_production()
+                answer.is_complete = answer.event_count > 0
+                return
+            for event in self._splitter.feed(chunk):
+                self._record_event()
+                event_id = self._services.codec.read_event_id(event)
+                if not answer.append(event, event_id):
+                    raise AttemptFailedError(
+                        decisions.AttemptOutcome.LOST,
+                        f"event {event_id} out of order",
+                    )
+            if not self._event_memory.resize(self._splitter.incomplete_bytes):
+                raise self._build_size_error()
+
+    def take_answer(self) -> held_answers.HeldAnswer | None:
+        """Returns the held response if it is complete.
+
+        The attempt no longer owns it; the caller must deliver or release it.
+        """
+        answer = self.answer
+        if answer is None or not answer.is_complete:
+            return None
+        self.answer = None
+        return answer
 
     async def deliver(self, details: messages.ResponseDetails) -> None:
         """Delivers the response to the client.
@@ -204,7 +297,9 @@
         self._held_body.release()
         self._event_memory.release()
         self._splitter.discard_incomplete_event()
-        self._first_chunk = None
+        if self.answer is not None:
+            self.answer.release()
+        self._record_gap(1)
         if self._exchange is not None:
             self._exchange.close_now()
 
@@ -329,7 +424,11 @@
             raise AttemptFailedError(
                 decisions.AttemptOutcome.FAILED, "response is not a stream"
             )
-        if exchange.status >= _FIRST_SERVER_ERROR_STATUS:
+        first_error = _FIRST_SERVER_ERROR_STATUS
+        if self._state.held_answer is not None:
+            # Even a response that blames the request is no answer to it.
+            first_error = _FIRST_ERROR_STATUS
+        if exchange.status >= first_error:
             self._state.keep_failure(response)
             outcome = decisions.AttemptOutcome.FAILED
             if exchange.status == _GATEWAY_TIMEOUT:
@@ -358,12 +457,25 @@
         )
 
     async def _relay_events(self) -> None:
+        if self.answer is not None:
+            for event in self.answer.take_events():
+                await self._relay_event(event)
         while (chunk := await self._read_chunk()) is not None:
             for event in self._splitter.feed(chunk):
                 self._record_event()
                 await self._relay_event(event)
             if not self._event_memory.resize(self._splitter.incomplete_bytes):
                 raise self._build_size_error()
+        self._check_stream_end()
+        if self._state.held_answer is not None:
+            raise AttemptFailedError(
+                decisions.AttemptOutcome.LOST, "stream without events"
+            )
+        self._record_production()
+        self._start_response()
+        self._writer.finish()
+
+    def _check_stream_end(self) -> None:
         if self._splitter.has_incomplete_event:
             raise AttemptFailedError(
                 decisions.AttemptOutcome.LOST, "torn event"
@@ -372,9 +484,6 @@
             raise AttemptFailedError(
                 decisions.AttemptOutcome.LOST, failures.CONNECTION_LOST
             )
-        self._record_production()
-        self._start_response()
-        self._writer.finish()
 
     def _is_unframed_without_events(self) -> bool:
         """Returns whether a stream ended before its first event.
@@ -386,9 +495,6 @@
 
     async def _read_chunk(self) -> bytes | None:
         assert self._exchange is not None
-        chunk, self._first_chunk = self._first_chunk, None
-        if chunk is not None:
-            return chunk
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         try:
@@ -407,6 +513,18 @@
             self._record_production()
         if self._observer is not None:
             self._observer.record_event()
+        self._gap_meter.record_event(asyncio.get_running_loop().time())
+        self._record_gap(_GAP_EVENTS)
+
+    def _record_gap(self, min_gaps: int) -> None:
+        gap_s = self._gap_meter.take_gap_s(min_gaps)
+        if gap_s is not None and self._target.model_name:
+            self._services.pace.observe_gap(
+                self.server.pool,
+                self._target.model_name,
+                gap_s,
+                asyncio.get_running_loop().time(),
+            )
 
     def _record_production(self) -> None:
         """Records that the request does not crash its server."""
@@ -438,6 +556,11 @@
         return max(0.0, timeout_s - self._waited_s)
 
     async def _relay_event(self, event: bytes) -> None:
+        if self._state.held_answer is not None:
+            if event.startswith(_COMMENT):
+                # A comment would end the chance to deliver another response.
+                return
+            self._check_may_finish()
         event_id = self._services.codec.read_event_id(event)
         if event_id is not None:
             last = self._state.last_event_id
@@ -450,15 +573,37 @@
                     f"event {event_id} instead of {expected}",
                 )
         self._start_response()
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
         await self._writer.write(event + b"\n\n")
+        self._gap_meter.exclude(loop.time() - started_s)
         if event_id is not None:
             self._state.last_event_id = event_id
             self._waited_s = 0.0
 
+    def _check_may_finish(self) -> None:
+        """Gives up a response that would not be complete by the deadline.
+
+        Raises:
+            AttemptFailedError: If it would not.
+        """
+        now_s = asyncio.get_running_loop().time()
+        stream = self._context.expect_stream(self._services.pace, now_s)
+        limits = self._context.describe_limits()
+        if not fallbacks.may_finish(now_s, limits, stream):
+            raise AttemptFailedError(
+                decisions.AttemptOutcome.CANNOT_FINISH,
+                f"rest takes {stream.rest_s:.1f} s",
+            )
+
     def _start_response(self) -> None:
         if self._state.response_started:
             return
         assert self._exchange is not None
         headers = self._services.codec.write_response(self._exchange.headers)
-        self._state.response_started = True
+        self._state.start_response()
+        answer = self._state.take_answer()
+        if answer is not None:
+            answer.release()
+            self._services.counters.increment("fallback.discarded")
         self._writer.start(self._exchange.status, headers)
--- a/src/dragonflydyke/forwarding/contexts.py
+++ b/src/dragonflydyke/forwarding/contexts.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 from collections.abc import Callable, Sequence
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from tornado import httputil, tcpclient
 
@@ -22,6 +22,10 @@
     server_statements,
 )
 from dragonflydyke.routing import retries
+from dragonflydyke.scheduling import fallbacks
+
+if TYPE_CHECKING:
+    from dragonflydyke.forwarding import held_answers
 
 
 class StoreKnowledge(Protocol):
@@ -54,6 +58,15 @@
             connection was closed.
         """
 
+    def send_stream(
+        self, status: int, headers: httputil.HTTPHeaders, body: bytes
+    ) -> asyncio.Future[None]:
+        """Sends a complete stream, framed as one that is passed on.
+
+        Returns:
+            A future as that of `send_response`.
+        """
+
     def start(self, status: int, headers: httputil.HTTPHeaders) -> None:
         """Sends status and headers of a response of unknown length."""
 
@@ -93,6 +106,10 @@
             them said so.
         attempt_history: Server, outcome and reason of each attempt, for the
             log.
+        held_answer: Complete response of the smallest model, delivered if the
+            largest model gives none; None if there is none.
+        fallback_timer: Ends the current attempt in time to deliver that
+            response, None without one.
     """
 
     attempts: int = 0
@@ -107,6 +124,19 @@
     fell_back: bool = False
     retry_after_s: float | None = None
     attempt_history: list[str] = dataclasses.field(default_factory=list)
+    held_answer: "held_answers.HeldAnswer | None" = None
+    fallback_timer: asyncio.Timeout | None = None
+
+    def start_response(self) -> None:
+        """Records that the client gets the response of the current attempt."""
+        self.response_started = True
+        if self.fallback_timer is not None:
+            self.fallback_timer.reschedule(None)
+
+    def take_answer(self) -> "held_answers.HeldAnswer | None":
+        """Returns the held answer, if any; it is no longer held."""
+        answer, self.held_answer = self.held_answer, None
+        return answer
 
     def keep_failure(self, response: "BufferedResponse") -> None:
         """Keeps an error response in place of an earlier one."""
@@ -169,6 +199,7 @@
     response_memory: response_memory.ResponseMemory
     counters: metrics.Counters
     tcp_client: tcpclient.TCPClient
+    pace: fallbacks.Pace = dataclasses.field(default_factory=fallbacks.Pace)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -189,6 +220,31 @@
     retry_budget: retries.RetryBudget
     state: RequestState
 
+    def describe_limits(self) -> fallbacks.TimeLimits:
+        """Returns the times that bound this request."""
+        route = self.admitted.route
+        return fallbacks.TimeLimits(
+            received_s=self.request.received_s,
+            deadline_s=self.admitted.deadline_s,
+            target_latency_s=route.target_latency_s,
+            max_event_gap_s=route.max_event_gap_s,
+        )
+
+    def expect_stream(
+        self, pace: fallbacks.Pace, now_s: float
+    ) -> fallbacks.ExpectedStream:
+        """Returns the response that the largest model is expected to give."""
+        details = self.request.details
+        pool = self.admitted.pool
+        tokens_per_event = pool.engine.tokens_per_event if pool.engine else 0
+        events = fallbacks.estimate_events(
+            details.length_hint, details.max_output_tokens, tokens_per_event
+        )
+        models = self.admitted.route.models
+        model_name = models[-1] if models else ""
+        gap_s = pace.find_gap_s(pool.name, model_name, tokens_per_event, now_s)
+        return fallbacks.ExpectedStream(events, gap_s)
+
     def describe_content(self) -> quarantine.RequestContent:
         """Returns what this request has in common with others."""
         account = self.admitted.account
--- a/src/dragonflydyke/forwarding/decisions.py
+++ b/src/dragonflydyke/forwarding/decisions.py
@@ -198,7 +198,9 @@
     time to try another server. QUARANTINED means that no attempt was made, as
     the prompt crashes engines, REPETITION_QUARANTINED the same for a request
     that crashed servers when it came before, LIMITED that none was made, as the
-    servers limit the requests that they accept.
+    servers limit the requests that they accept. DEADLINE_NEAR means that there
+    is just time to deliver the fallback answer, CANNOT_FINISH that the largest
+    model began and would not finish before the deadline.
     """
 
     DELIVERED = "delivered"
@@ -215,6 +217,8 @@
     FIRST_EVENT_TIMEOUT = "slow"
     CLIENT_DISCONNECTED = "client_gone"
     NODE_STOPPED = "node_stopped"
+    DEADLINE_NEAR = "deadline_near"
+    CANNOT_FINISH = "cannot_finish"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -253,6 +257,8 @@
     AttemptOutcome.QUARANTINED,
     AttemptOutcome.REPETITION_QUARANTINED,
     AttemptOutcome.LIMITED,
+    AttemptOutcome.DEADLINE_NEAR,
+    AttemptOutcome.CANNOT_FINISH,
 )
 # Limits the attempts of a request that every server rejects; more dispatches
 # would only consume the retry budget that all requests share.
--- a/src/dragonflydyke/forwarding/response_memory.py
+++ b/src/dragonflydyke/forwarding/response_memory.py
@@ -8,7 +8,10 @@
 
 # Memory of all responses of a node. The smallest nodes have a few times that.
 MAX_TOTAL_BYTES = 24_000_000
-# Bytes that any response may hold.
+# Total up to which optional responses are held, which leaves the rest to those
+# without which a request fails.
+MAX_OPTIONAL_BYTES = 8_000_000
+# Bytes that any response may hold, unless it is optional.
 GUARANTEED_BYTES = 65_536
 
 
@@ -33,11 +36,19 @@
         size: Bytes that are reserved.
     """
 
-    __slots__ = ("_memory", "size")
+    __slots__ = ("_is_optional", "_memory", "size")
 
-    def __init__(self, memory: ResponseMemory) -> None:
-        """Creates an empty reservation."""
+    def __init__(
+        self, memory: ResponseMemory, *, is_optional: bool = False
+    ) -> None:
+        """Creates an empty reservation.
+
+        Args:
+            memory: Memory of all responses.
+            is_optional: Whether the request can do without this response.
+        """
         self._memory = memory
+        self._is_optional = is_optional
         self.size = 0
 
     def resize(self, size: int) -> bool:
@@ -47,8 +58,13 @@
             Whether the response may hold so many; nothing changes otherwise.
         """
         more_bytes = size - self.size
-        has_room = self._memory.used_bytes + more_bytes <= MAX_TOTAL_BYTES
-        if more_bytes > 0 and size > GUARANTEED_BYTES and not has_room:
+        total_bytes = self._memory.used_bytes + more_bytes
+        if self._is_optional:
+            may_hold = total_bytes <= MAX_OPTIONAL_BYTES
+        else:
+            may_hold = size <= GUARANTEED_BYTES
+            may_hold |= total_bytes <= MAX_TOTAL_BYTES
+        if more_bytes > 0 and not may_hold:
             return False
         self._memory.used_bytes += more_bytes
         self.size = size
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -4,7 +4,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from dragonflydyke import logs
+from dragonflydyke import errors, logs
 from dragonflydyke.backends import failures
 from dragonflydyke.forwarding import (
     attempts,
@@ -17,6 +17,7 @@
     selection,
     targets,
 )
+from dragonflydyke.scheduling import fallbacks
 
 _OUTCOMES_WITHOUT_FAILURE = frozenset(
     (
@@ -29,6 +30,8 @@
         decisions.AttemptOutcome.CLIENT_DISCONNECTED,
         decisions.AttemptOutcome.FIRST_EVENT_TIMEOUT,
         decisions.AttemptOutcome.NODE_STOPPED,
+        decisions.AttemptOutcome.DEADLINE_NEAR,
+        decisions.AttemptOutcome.CANNOT_FINISH,
     )
 )
 
@@ -41,6 +44,7 @@
     __slots__ = (
         "_admitted",
         "_context",
+        "_predicted_first_event_s",
         "_profile",
         "_services",
         "_state",
@@ -57,6 +61,7 @@
         self._context = context
         self._admitted = context.admitted
         self._state = context.state
+        self._predicted_first_event_s: float | None = None
         self._profile = selection.build_profile(
             context.request, context.admitted
         )
@@ -65,12 +70,27 @@
     async def run(self) -> None:
         """Makes attempts until a response is delivered to the client.
 
+        A cancellation means that the node stops. It ends here if there is a
+        fallback answer to deliver.
+
         Raises:
             DragonflydykeError: If there is no response to deliver.
             ClientDisconnectedError: If the client disconnected.
         """
+        try:
+            await self._make_attempts()
+        except errors.DragonflydykeError as error:
+            if not self._deliver_answer(error.code):
+                raise
+        except asyncio.CancelledError:
+            if not self._deliver_answer(decisions.AttemptOutcome.NODE_STOPPED):
+                raise
+        finally:
+            self._discard_answer()
+
+    async def _make_attempts(self) -> None:
         while True:
-            outcome = await self._attempt()
+            outcome = await self._attempt_in_time()
             progress = self._describe_progress()
             step = self._decide_next(outcome, progress)
             if step is decisions.NextStep.DONE:
@@ -79,12 +99,77 @@
                 self._services.counters.increment(f"retry.{outcome}")
                 self._update_cascade_state(outcome)
                 continue
+            if self._deliver_answer(outcome):
+                return
             failure = self._state.take_failure()
             if failure is not None and not self._state.response_started:
                 failure.send(self._context.writer)
                 return
             raise decisions.build_failure(outcome, progress)
 
+    async def _attempt_in_time(self) -> decisions.AttemptOutcome:
+        """Makes an attempt that leaves time to deliver the held answer.
+
+        The limit covers all that precedes the first event: slots, reports,
+        connections and queues. It ends when the response to the client starts.
+        """
+        if self._state.held_answer is None:
+            return await self._attempt()
+        try:
+            async with asyncio.timeout_at(self._find_latest_s()) as timer:
+                self._state.fallback_timer = timer
+                return await self._attempt()
+        except TimeoutError:
+            return decisions.AttemptOutcome.DEADLINE_NEAR
+        finally:
+            self._state.fallback_timer = None
+
+    def _find_latest_s(self) -> float:
+        return fallbacks.find_latest_first_event_s(
+            self._context.describe_limits(), self._expect_stream()
+        )
+
+    def _expect_stream(self) -> fallbacks.ExpectedStream:
+        return self._context.expect_stream(self._services.pace, _now_s())
+
+    def _deliver_answer(self, reason: str) -> bool:
+        """Delivers the held answer, if there is one, in place of a failure.
+
+        Args:
+            reason: Outcome of the last attempt, or code of the error.
+
+        Returns:
+            Whether it was delivered.
+        """
+        if self._state.response_started or self._context.writer.is_closed:
+            return False
+        answer = self._state.take_answer()
+        if answer is None:
+            return False
+        self._services.counters.increment(f"fallback.delivered.{reason}")
+        stream = self._expect_stream()
+        now_s = _now_s()
+        _LOGGER.info(
+            "answer in hand delivered",
+            request=self._context.request.details.request_id,
+            reason=reason,
+            confidence=answer.confidence,
+            waited_s=round(now_s - self._context.request.received_s, 3),
+            remaining_s=round(self._admitted.deadline_s - now_s, 3),
+            predicted_first_event_s=self._predicted_first_event_s,
+            predicted_rest_s=round(stream.rest_s, 3),
+            expected_events=stream.events,
+        )
+        self._state.start_response()
+        answer.send(self._context.writer)
+        return True
+
+    def _discard_answer(self) -> None:
+        answer = self._state.take_answer()
+        if answer is not None:
+            answer.release()
+            self._services.counters.increment("fallback.discarded")
+
     def _describe_progress(self) -> decisions.RequestProgress:
         return decisions.RequestProgress(
             attempts=self._state.attempts,
@@ -103,6 +188,10 @@
             self._admitted.route, outcome, progress
         )
         reason = str(outcome)
+        if step is decisions.NextStep.RETRY:
+            obstacle = self._find_obstacle(outcome)
+            if obstacle:
+                step, reason = decisions.NextStep.GIVE_UP, obstacle
         if (
             step is decisions.NextStep.RETRY
             and self._is_charged(outcome)
@@ -122,6 +211,21 @@
             )
         return step
 
+    def _find_obstacle(self, outcome: decisions.AttemptOutcome) -> str:
+        """Returns why the held answer is better than a retry, empty if not."""
+        if self._state.held_answer is None:
+            return ""
+        if _now_s() + decisions.MIN_ATTEMPT_S >= self._find_latest_s():
+            return "deadline near"
+        # Without another engine, the request would return to the smallest
+        # model, whose answer is in hand.
+        if (
+            outcome is decisions.AttemptOutcome.FIRST_EVENT_TIMEOUT
+            and self._have_all_servers_failed()
+        ):
+            return "no other engine"
+        return ""
+
     def _is_charged(self, outcome: decisions.AttemptOutcome) -> bool:
         """Returns whether the next attempt costs a retry.
 
@@ -162,7 +266,10 @@
             outcome = decisions.AttemptOutcome.CLIENT_DISCONNECTED
             raise
         except asyncio.CancelledError:
+            timer = self._state.fallback_timer
             outcome = decisions.AttemptOutcome.NODE_STOPPED
+            if timer is not None and timer.expired():
+                outcome = decisions.AttemptOutcome.DEADLINE_NEAR
             raise
         finally:
             attempt.close()
@@ -204,15 +311,79 @@
         """Sends the request, and delivers the response if it is good enough."""
         details = await attempt.start()
         if attempt.is_event_stream(details) and self._should_escalate(details):
-            await attempt.await_first_bytes()
-            self._targets.plan = await self._plan_escalation(details)
-            if self._targets.plan is not None:
-                raise attempts.AttemptFailedError(
-                    decisions.AttemptOutcome.LOW_CONFIDENCE,
-                    f"confidence {details.confidence:.2f}",
-                )
+            await self._escalate(attempt, details)
         await attempt.deliver(details)
 
+    async def _escalate(
+        self, attempt: attempts.Attempt, details: messages.ResponseDetails
+    ) -> None:
+        """Ends an attempt in favour of the largest model, or returns.
+
+        Its response is read to the end while reports of engines are read, so
+        that the request has an answer if the largest model gives none. It may
+        be delivered if this returns.
+
+        Raises:
+            AttemptFailedError: If the attempt ended, with LOW_CONFIDENCE if
+                the request is escalated, or because its response was lost.
+        """
+        reading = attempt.hold_answer(details)
+        started_s = _now_s()
+        try:
+            plan = await self._plan_escalation(details)
+            if plan is not None:
+                reading_end_s = fallbacks.find_reading_end_s(
+                    started_s,
+                    _now_s() + plan.first_event_s,
+                    self._context.describe_limits(),
+                )
+                await asyncio.wait(
+                    (reading,), timeout=max(0.0, reading_end_s - _now_s())
+                )
+        finally:
+            reading.cancel()
+        # The reader must not take any more events from the response.
+        await asyncio.wait((reading,))
+        failure = attempt.hold_failure
+        if plan is not None and (
+            attempt.answer.lacks_memory
+            or (failure is not None and not attempt.event_count)
+        ):
+            self._context.retry_budget.refund()
+            if failure is None:
+                self._count_not_kept("memory")
+                self._log_no_escalation(details, plan, "no memory for answers")
+            plan = None
+        if plan is None:
+            if failure is not None:
+                raise failure
+            return
+        self._services.counters.increment("escalation.planned")
+        self._keep_answer(attempt)
+        self._targets.plan = plan
+        self._predicted_first_event_s = round(plan.first_event_s, 3)
+        raise attempts.AttemptFailedError(
+            decisions.AttemptOutcome.LOW_CONFIDENCE,
+            f"confidence {details.confidence:.2f}",
+        )
+
+    def _keep_answer(self, attempt: attempts.Attempt) -> None:
+        self._state.held_answer = attempt.take_answer()
+        if self._state.held_answer is not None:
+            self._services.counters.increment("fallback.kept")
+        elif attempt.hold_failure is not None:
+            self._count_not_kept(attempt.hold_failure.reason)
+        else:
+            self._count_not_kept("slow")
+
+    def _count_not_kept(self, reason: str) -> None:
+        self._services.counters.increment("fallback.not_kept")
+        _LOGGER.info(
+            "no answer in hand",
+            request=self._context.request.details.request_id,
+            reason=reason,
+        )
+
     def _should_escalate(self, details: messages.ResponseDetails) -> bool:
         return (
             self._context.request.details.wants_any_model
@@ -238,14 +409,16 @@
             return None
         plan = await self._targets.read_plan(self._targets.list_servers())
         route = self._admitted.route
-        elapsed_s = _now_s() - self._context.request.received_s
+        now_s = _now_s()
+        elapsed_s = now_s - self._context.request.received_s
         if plan is None:
             reason = "no report"
-        elif escalation.is_in_time(plan, route.target_latency_s, elapsed_s):
-            self._services.counters.increment("escalation.planned")
-            return plan
-        else:
+        elif not escalation.is_in_time(plan, route.target_latency_s, elapsed_s):
             reason = "too late everywhere"
+        elif now_s + plan.first_event_s > self._find_latest_s():
+            reason = "cannot finish"
+        else:
+            return plan
         retry_budget.refund()
         self._log_no_escalation(details, plan, reason)
         return None
@@ -340,10 +513,13 @@
             outcome is decisions.AttemptOutcome.FIRST_EVENT_TIMEOUT
             and self._state.escalated
         ):
-            failed = self._state.failed_servers
-            self._state.fell_back = all(
-                server.name in failed for server in self._targets.list_servers()
-            )
+            self._state.fell_back = self._have_all_servers_failed()
+
+    def _have_all_servers_failed(self) -> bool:
+        failed = self._state.failed_servers
+        return all(
+            server.name in failed for server in self._targets.list_servers()
+        )
 
 
 def _now_s() -> float:
