Bound queues of loose kinds while tight kinds meet them

Cause: a prompt with a loose target was escalated into any queue that is shorter than its own target, and load reports do not tell how urgent the requests of a queue are. While prompts of a tight kind meet queues above 0.4 of their target at this node, looser kinds may join queues up to 0.6 of that target only.

Three mutations (rank by size, no bound, no check of the finish) each fail one test. The escalation of long prompts in a burst of twice the capacity is still declined more often than that of short ones; all of them are answered.

--- a/src/dragonflydyke/forwarding/contexts.py
+++ b/src/dragonflydyke/forwarding/contexts.py
@@ -203,6 +203,9 @@
     counters: metrics.Counters
     tcp_client: tcpclient.TCPClient
     pace: fallbacks.Pace = dataclasses.field(default_factory=fallbacks.Pace)
+    wait_bounds: fallbacks.WaitBounds = dataclasses.field(
+        default_factory=fallbacks.WaitBounds
+    )
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/dragonflydyke/forwarding/escalation.py
+++ b/src/dragonflydyke/forwarding/escalation.py
@@ -94,12 +94,14 @@
         queued: Requests whose prefill was not finished at the engine.
         prefix_source: Engine from which the selected one may fetch the prefix,
             None if it is the affinity server itself.
+        wait_s: Part of the prediction that the queue takes.
     """
 
     server: directory.ServerEntry
     first_event_s: float
     queued: int
     prefix_source: directory.ServerEntry | None
+    wait_s: float = 0.0
 
     @property
     def is_busy(self) -> bool:
@@ -166,13 +168,16 @@
         report = reports.get(server.name)
         if report is None:
             continue
-        predicted_s = _predict_first_event_s(
-            profile, report, has_affinity=server is affinity_server
+        wait_s = _predict_wait_s(report)
+        predicted_s = wait_s + _predict_prefill_s(
+            profile, has_affinity=server is affinity_server
         )
         source = affinity_server
         if source is server or source is None or source.name not in reports:
             source = None
-        plan = EscalationPlan(server, predicted_s, report.queued, source)
+        plan = EscalationPlan(
+            server, predicted_s, report.queued, source, wait_s
+        )
         is_remote = server.backend.data_centre != data_centre
         plans.append((predicted_s + is_remote * _REMOTE_PENALTY_S, plan))
     if not plans:
@@ -198,20 +203,19 @@
     return queued * _QUEUED_REQUEST_S >= _MIN_BUSY_QUEUE_S
 
 
-def _predict_first_event_s(
-    profile: selection.RequestProfile,
-    report: EngineReport,
-    *,
-    has_affinity: bool,
+def _predict_wait_s(report: EngineReport) -> float:
+    return (
+        report.queued * _QUEUED_REQUEST_S + report.running * _RUNNING_REQUEST_S
+    )
+
+
+def _predict_prefill_s(
+    profile: selection.RequestProfile, *, has_affinity: bool
 ) -> float:
     tokens: float = profile.prompt_tokens
     if has_affinity:
         tokens -= profile.shared_prefix_tokens * _PREFIX_HIT_SHARE
-    return (
-        report.queued * _QUEUED_REQUEST_S
-        + report.running * _RUNNING_REQUEST_S
-        + tokens * _PREFILL_S_PER_TOKEN
-    )
+    return tokens * _PREFILL_S_PER_TOKEN
 
 
 def _sample(
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -413,8 +413,14 @@
         route = self._admitted.route
         now_s = _now_s()
         elapsed_s = now_s - self._context.request.received_s
+        bounds = self._services.wait_bounds
+        pool = self._admitted.pool.name
         if plan is None:
             reason = "no report"
+        elif not bounds.may_wait(
+            pool, route.target_latency_s, plan.wait_s, now_s
+        ):
+            reason = "delays requests with tighter targets"
         elif not escalation.is_in_time(plan, route.target_latency_s, elapsed_s):
             reason = "too late everywhere"
         elif now_s + plan.first_event_s > self._find_latest_s():
@@ -438,6 +444,7 @@
             reason=reason,
             confidence=details.confidence,
             first_event_s=round(plan.first_event_s, 3) if plan else None,
+            wait_s=round(plan.wait_s, 3) if plan else None,
         )
 
     def _record_attempt(
--- a/src/dragonflydyke/scheduling/fallbacks.py
+++ b/src/dragonflydyke/scheduling/fallbacks.py
@@ -46,6 +46,16 @@
 _MAX_READING_SHARE = 0.5
 _TARGET_SHARE = 0.9
 
+# Fraction of a tight target latency for which prompts with looser targets may
+# queue while the tight kind meets long queues. The rest is for its prefill.
+_MAX_QUEUE_SHARE = 0.6
+# Fraction of its target latency from which a queue is long for a kind. The
+# looser kinds must hold back before the tight one is declined.
+_PRESSURE_SHARE = 0.4
+# A node sees one or two escalations a second, of which few have the tightest
+# target.
+_PRESSURE_S = 10.0
+
 # Engines of one pool differ in speed by about two to one. A request that waits
 # for twice the prediction has been overtaken, or its engine is in trouble.
 _PREDICTION_FACTOR = 2.0
@@ -174,6 +184,45 @@
         return known.gap_s
 
 
+class WaitBounds:
+    """Bounds the queues that escalated prompts with loose targets may join.
+
+    Reports do not tell the urgency of the requests in a queue. If a kind with a
+    loose target filled the queues up to its own bound, one with a tight target
+    would be declined, although engines would serve it first. So while prompts
+    of a tight kind meet long queues, its bound applies to looser kinds as well.
+    """
+
+    __slots__ = ("_pressed_s",)
+
+    def __init__(self) -> None:
+        """Creates bounds of a node that has seen no queue."""
+        # Loop time of the last long queue by pool and target latency.
+        self._pressed_s: dict[str, dict[float, float]] = {}
+
+    def may_wait(
+        self, pool: str, target_latency_s: float, wait_s: float, now_s: float
+    ) -> bool:
+        """Records a queue, and returns whether a prompt may join it.
+
+        Args:
+            pool: Pool of the engine.
+            target_latency_s: Target latency of the route in seconds.
+            wait_s: Predicted time in the queue in seconds.
+            now_s: Loop time.
+        """
+        pressed_s = self._pressed_s.setdefault(pool, {})
+        if wait_s > target_latency_s * _PRESSURE_SHARE:
+            pressed_s[target_latency_s] = now_s
+        for target_s, at_s in list(pressed_s.items()):
+            if now_s - at_s > _PRESSURE_S:
+                del pressed_s[target_s]
+        tightest_s = min(pressed_s, default=target_latency_s)
+        if tightest_s >= target_latency_s:
+            return True
+        return wait_s <= tightest_s * _MAX_QUEUE_SHARE
+
+
 def predict_prefill_s(prompt_tokens: int) -> float:
     """Returns the time that the largest model takes to prefill a prompt."""
     return prompt_tokens * _PREFILL_S_PER_TOKEN
