Hold the stream of the smallest model while the largest is tried

Cause: an escalation read the first response to its end, for a bounded time, before the attempt at the largest model began. Engines run all models in one batch, and the prefill of long prompts comes between the decode steps of all, so a whole response of the smallest model takes 1.0 to 2.2 s at the median by route.

The escalation begins at once again, after the first bytes of the first response or 0.5 s. The first attempt stays open, and a task reads its events, with checked ids, into a bounded buffer (`HeldStream`). In place of a failure, the same attempt relays the events so far and then the rest, with the checks and limits of any relayed stream. It is closed when the response of the largest model begins at the client, when the client leaves, when the request ends, or when the node stops; a complete one is still delivered at a stop. Its outcome is recorded when it ends; attempts of the request are counted at the escalation, as before. A held stream that is lost, or for which there is no memory, is closed and the escalated attempt goes on without a limit in time, as it does without a held stream.

The choice at the first event and the limit on the time until then use the state of the held stream: a complete one takes the time of the delivery, an open one its expected rest at the observed gap of its model. If neither stream is expected to finish, the one that is expected to end first goes on.

Ruled out: a second relay for held streams (the checks would exist twice); reading to the end with a shorter limit (it still delays the request, and misses the answers that are needed most); a limit on the time if neither stream can finish (the relay would not save the request).

--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -11,7 +11,7 @@
     contexts,
     decisions,
     directory,
-    held_answers,
+    held_streams,
     messages,
     model,
     observers,
@@ -32,6 +32,9 @@
 # other servers have no capacity either. Only an unreachable server stays silent
 # for a multiple of that limit.
 _EVENT_TIMEOUT_GAPS = 2.0
+# An engine sends the first event together with the start of the response. One
+# that crashes as it begins to write ends within this time.
+_FIRST_BYTES_TIMEOUT_S = 0.5
 # An engine that crashes at the start of a response gets no further than its
 # first event.
 _PRODUCED_EVENTS = 2
@@ -125,8 +128,7 @@
         response_started_s: Loop time at which its response started, or None.
         event_count: Events that it received.
         stated_pause: Whether the server rejected it and asked for a pause.
-        answer: Response that is held instead of being passed on, or None.
-        hold_failure: Why that response cannot be delivered, or None.
+        hold_failure: Why a response that is held cannot be delivered, or None.
     """
 
     __slots__ = (
@@ -135,7 +137,10 @@
         "_exchange",
         "_event_memory",
         "_gap_meter",
+        "_first_chunk",
         "_held_body",
+        "_held_stream",
+        "_hold_task",
         "_observer",
         "_request",
         "_retry_budget",
@@ -146,7 +151,6 @@
         "_target",
         "_waited_s",
         "_writer",
-        "answer",
         "event_count",
         "hold_failure",
         "may_have_run",
@@ -179,6 +183,7 @@
         self._retry_budget = context.retry_budget
         self._state = context.state
         self._exchange: connection.Exchange | None = None
+        self._first_chunk: bytes | None = None
         self._held_body = response_memory.HeldBody(services.response_memory)
         self._event_memory = response_memory.Reservation(
             services.response_memory
@@ -190,7 +195,8 @@
         self._gap_meter = _GapMeter()
         self._review_wait = review_wait
         self._target = target
-        self.answer: held_answers.HeldAnswer | None = None
+        self._held_stream: held_streams.HeldStream | None = None
+        self._hold_task: asyncio.Task[None] | None = None
         self.hold_failure: AttemptFailedError | None = None
         self.server = target.server
         self.may_have_run = False
@@ -215,66 +221,96 @@
             raise self._build_failure(error) from error
         return self._read_response_start()
 
-    def hold_answer(
-        self, details: messages.ResponseDetails
-    ) -> "asyncio.Task[None]":
-        """Starts to read the response to its end without passing it on.
+    async def await_first_bytes(self) -> None:
+        """Waits for a short time until the body of the response begins.
 
-        The task sets `hold_failure`, or completes `answer`. It may be cancelled
-        and the response delivered from its first event on.
+        An engine that crashes as it begins to write would otherwise do so
+        unnoticed, and the request would be escalated to the same engine.
+
+        Raises:
+            AttemptFailedError: If the response was lost.
+        """
+        assert self._exchange is not None
+        try:
+            async with asyncio.timeout(_FIRST_BYTES_TIMEOUT_S):
+                self._first_chunk = await self._exchange.read_chunk()
+        except TimeoutError:
+            return
+        except errors.DragonflydykeError as error:
+            raise self._build_failure(error) from error
+
+    def hold(
+        self, details: messages.ResponseDetails, on_change: Callable[[], None]
+    ) -> held_streams.HeldStream:
+        """Starts to read the response without passing it on.
+
+        A task reads until the response ends, the attempt is closed, or
+        `deliver` passes on the events so far and then the rest.
 
         Args:
             details: Contents of the response's headers.
+            on_change: Called after each event and when the reading ends.
         """
-        exchange = self._exchange
-        assert exchange is not None
-        self.answer = held_answers.HeldAnswer(
+        stream = held_streams.HeldStream(
             self._services.response_memory,
-            exchange.status,
-            self._services.codec.write_response(exchange.headers),
             details.confidence,
             self._request.details.last_event_id,
+            on_change,
         )
-        return asyncio.create_task(self._read_answer(self.answer))
+        self._held_stream = stream
+        self._hold_task = asyncio.create_task(self._read_ahead(stream))
+        return stream
 
-    async def _read_answer(self, answer: held_answers.HeldAnswer) -> None:
+    async def _read_ahead(self, stream: held_streams.HeldStream) -> None:
         try:
-            await self._read_events(answer)
+            await self._hold_events(stream)
         except AttemptFailedError as error:
-            self.hold_failure = error
+            # Without its traceback, which would keep the response in a cycle.
+            self.hold_failure = AttemptFailedError(error.outcome, error.reason)
         except errors.DragonflydykeError as error:
             self.hold_failure = self._build_failure(error)
+        if self.hold_failure is not None:
+            stream.end(held_streams.StreamStatus.FAILED)
 
-    async def _read_events(self, answer: held_answers.HeldAnswer) -> None:
-        assert self._exchange is not None
-        while not answer.lacks_memory:
-            chunk = await self._exchange.read_chunk()
-            if chunk is None:
-                self._check_stream_end()
-                self._record_production()
-                answer.is_complete = answer.event_count > 0
-                return
+    async def _hold_events(self, stream: held_streams.HeldStream) -> None:
+        while (chunk := await self._read_chunk()) is not None:
             for event in self._splitter.feed(chunk):
                 self._record_event()
                 event_id = self._services.codec.read_event_id(event)
-                if not answer.append(event, event_id):
+                if not stream.append(event, event_id):
                     raise AttemptFailedError(
                         decisions.AttemptOutcome.LOST,
                         f"event {event_id} out of order",
                     )
+                if not stream.is_usable:
+                    return
             if not self._event_memory.resize(self._splitter.incomplete_bytes):
                 raise self._build_size_error()
+        self._check_stream_end()
+        self._record_production()
+        if not stream.event_count:
+            raise AttemptFailedError(
+                decisions.AttemptOutcome.LOST, "stream without events"
+            )
+        stream.end(held_streams.StreamStatus.COMPLETE)
 
-    def take_answer(self) -> held_answers.HeldAnswer | None:
-        """Returns the held response if it is complete.
+    async def _relay_held_events(self) -> None:
+        """Passes on the events that are held, and ends the holding.
 
-        The attempt no longer owns it; the caller must deliver or release it.
+        Raises:
+            AttemptFailedError: If the response was lost while it was held.
         """
-        answer = self.answer
-        if answer is None or not answer.is_complete:
-            return None
-        self.answer = None
-        return answer
+        stream, task = self._held_stream, self._hold_task
+        if stream is None or task is None:
+            return
+        # The task must not take any more events from the response.
+        task.cancel()
+        await asyncio.wait((task,))
+        for event in stream.take_events():
+            await self._relay_event(event)
+        failure = self.hold_failure
+        if failure is not None:
+            raise AttemptFailedError(failure.outcome, failure.reason)
 
     async def deliver(self, details: messages.ResponseDetails) -> None:
         """Delivers the response to the client.
@@ -300,6 +336,11 @@
         succeeded = _OK <= self._exchange.status < _FIRST_REDIRECT_STATUS
         return is_stream and succeeded and details.is_stream
 
+    @property
+    def is_held(self) -> bool:
+        """Whether its response is, or was, held while another one ran."""
+        return self._held_stream is not None
+
     @property
     def may_have_crashed(self) -> bool:
         """Whether this attempt can be the one that ended its server.
@@ -316,8 +357,13 @@
         self._held_body.release()
         self._event_memory.release()
         self._splitter.discard_incomplete_event()
-        if self.answer is not None:
-            self.answer.release()
+        self._first_chunk = None
+        task = self._hold_task
+        # The task itself closes the attempt when it finds that it was lost.
+        if task is not None and task is not asyncio.current_task():
+            task.cancel()
+        if self._held_stream is not None:
+            self._held_stream.release()
         self._record_gap(1)
         if self._exchange is not None:
             self._exchange.close_now()
@@ -459,7 +505,7 @@
                 decisions.AttemptOutcome.FAILED, "response is not a stream"
             )
         first_error = _FIRST_SERVER_ERROR_STATUS
-        if self._state.held_answer is not None:
+        if self._state.held_stream is not None:
             # Even a response that blames the request is no answer to it.
             first_error = _FIRST_ERROR_STATUS
         if exchange.status >= first_error:
@@ -491,9 +537,7 @@
         )
 
     async def _relay_events(self) -> None:
-        if self.answer is not None:
-            for event in self.answer.take_events():
-                await self._relay_event(event)
+        await self._relay_held_events()
         while (chunk := await self._read_chunk()) is not None:
             for event in self._splitter.feed(chunk):
                 self._record_event()
@@ -501,7 +545,7 @@
             if not self._event_memory.resize(self._splitter.incomplete_bytes):
                 raise self._build_size_error()
         self._check_stream_end()
-        if self._state.held_answer is not None:
+        if self._state.held_stream is not None:
             raise AttemptFailedError(
                 decisions.AttemptOutcome.LOST, "stream without events"
             )
@@ -529,6 +573,9 @@
 
     async def _read_chunk(self) -> bytes | None:
         assert self._exchange is not None
+        chunk, self._first_chunk = self._first_chunk, None
+        if chunk is not None:
+            return chunk
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         try:
@@ -578,10 +625,12 @@
             The time in seconds, or None if the stream cannot resume.
         """
         route = self._admitted.route
+        # An attempt is counted when it ends, or when its response is held.
+        attempts = self._state.attempts + (not self.is_held)
         may_resume = (
             self._state.response_started
             and route.resumable
-            and self._state.attempts + 1 < route.max_attempts
+            and attempts < route.max_attempts
             and self._retry_budget.has_retries_left
         )
         if not may_resume or not route.max_event_gap_s:
@@ -590,11 +639,11 @@
         return max(0.0, timeout_s - self._waited_s)
 
     async def _relay_event(self, event: bytes) -> None:
-        if self._state.held_answer is not None:
+        if self._state.held_stream is not None:
             if event.startswith(_COMMENT):
                 # A comment would end the chance to deliver another response.
                 return
-            self._check_may_finish()
+            self._compare_finish()
         event_id = self._services.codec.read_event_id(event)
         if event_id is not None:
             last = self._state.last_event_id
@@ -615,16 +664,17 @@
             self._state.last_event_id = event_id
             self._waited_s = 0.0
 
-    def _check_may_finish(self) -> None:
-        """Gives up a response that would not be complete by the deadline.
+    def _compare_finish(self) -> None:
+        """Gives up a response if the held stream is predicted to do better.
 
         Raises:
-            AttemptFailedError: If it would not.
+            AttemptFailedError: If the held stream is to be relayed instead.
         """
         now_s = asyncio.get_running_loop().time()
         stream = self._context.expect_stream(self._services.pace, now_s)
+        held = self._context.expect_held(self._services.pace, now_s)
         limits = self._context.describe_limits()
-        if not fallbacks.may_finish(now_s, limits, stream):
+        if held and not fallbacks.may_go_on(now_s, limits, stream, held):
             raise AttemptFailedError(
                 decisions.AttemptOutcome.CANNOT_FINISH,
                 f"rest takes {stream.rest_s:.1f} s",
@@ -636,8 +686,4 @@
         assert self._exchange is not None
         headers = self._services.codec.write_response(self._exchange.headers)
         self._state.start_response()
-        answer = self._state.take_answer()
-        if answer is not None:
-            answer.release()
-            self._services.counters.increment("fallback.discarded")
         self._writer.start(self._exchange.status, headers)
--- a/src/dragonflydyke/forwarding/contexts.py
+++ b/src/dragonflydyke/forwarding/contexts.py
@@ -25,7 +25,7 @@
 from dragonflydyke.scheduling import fallbacks
 
 if TYPE_CHECKING:
-    from dragonflydyke.forwarding import held_answers
+    from dragonflydyke.forwarding import held_streams
 
 
 class StoreKnowledge(Protocol):
@@ -58,15 +58,6 @@
             connection was closed.
         """
 
-    def send_stream(
-        self, status: int, headers: httputil.HTTPHeaders, body: bytes
-    ) -> asyncio.Future[None]:
-        """Sends a complete stream, framed as one that is passed on.
-
-        Returns:
-            A future as that of `send_response`.
-        """
-
     def start(self, status: int, headers: httputil.HTTPHeaders) -> None:
         """Sends status and headers of a response of unknown length."""
 
@@ -107,10 +98,11 @@
             them said so.
         attempt_history: Server, outcome and reason of each attempt, for the
             log.
-        held_answer: Complete response of the smallest model, delivered if the
-            largest model gives none; None if there is none.
-        fallback_timer: Ends the current attempt in time to deliver that
-            response, None without one.
+        held_stream: Response of the smallest model that is read on, and relayed
+            if the largest model gives none; None if there is none.
+        close_held_stream: Closes its attempt, None if there is none.
+        fallback_timer: Ends the current attempt in time to relay that stream,
+            None without one.
     """
 
     attempts: int = 0
@@ -126,19 +118,25 @@
     repeats_largest: bool = False
     retry_after_s: float | None = None
     attempt_history: list[str] = dataclasses.field(default_factory=list)
-    held_answer: "held_answers.HeldAnswer | None" = None
+    held_stream: "held_streams.HeldStream | None" = None
+    close_held_stream: Callable[[], None] | None = None
     fallback_timer: asyncio.Timeout | None = None
 
     def start_response(self) -> None:
         """Records that the client gets the response of the current attempt."""
         self.response_started = True
-        if self.fallback_timer is not None:
-            self.fallback_timer.reschedule(None)
+        self.schedule_fallback(None)
+        if self.close_held_stream is not None:
+            self.close_held_stream()
+
+    def schedule_fallback(self, latest_s: float | None) -> None:
+        """Sets the loop time at which the current attempt ends, None for never.
 
-    def take_answer(self) -> "held_answers.HeldAnswer | None":
-        """Returns the held answer, if any; it is no longer held."""
-        answer, self.held_answer = self.held_answer, None
-        return answer
+        An attempt that is ending already, or that has no limit, is not changed.
+        """
+        timer = self.fallback_timer
+        if timer is not None and not timer.expired():
+            timer.reschedule(latest_s)
 
     def keep_failure(self, response: "BufferedResponse") -> None:
         """Keeps an error response in place of an earlier one."""
@@ -240,6 +238,24 @@
         self, pace: fallbacks.Pace, now_s: float
     ) -> fallbacks.ExpectedStream:
         """Returns the response that the largest model is expected to give."""
+        return self._expect(pace, now_s, -1)
+
+    def expect_held(
+        self, pace: fallbacks.Pace, now_s: float
+    ) -> fallbacks.ExpectedRest | None:
+        """Returns what is expected of the held stream, None without one."""
+        held = self.state.held_stream
+        if held is None or not held.is_usable:
+            return None
+        return fallbacks.expect_rest(
+            self._expect(pace, now_s, 0),
+            held.event_count,
+            is_complete=held.is_complete,
+        )
+
+    def _expect(
+        self, pace: fallbacks.Pace, now_s: float, model_index: int
+    ) -> fallbacks.ExpectedStream:
         details = self.request.details
         pool = self.admitted.pool
         tokens_per_event = pool.engine.tokens_per_event if pool.engine else 0
@@ -247,7 +263,7 @@
             details.length_hint, details.max_output_tokens, tokens_per_event
         )
         models = self.admitted.route.models
-        model_name = models[-1] if models else ""
+        model_name = models[model_index] if models else ""
         gap_s = pace.find_gap_s(pool.name, model_name, tokens_per_event, now_s)
         return fallbacks.ExpectedStream(events, gap_s)
 
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -1,6 +1,7 @@
 """Retry loop of one request: attempts until a response or an error."""
 
 import asyncio
+import dataclasses
 from collections.abc import Coroutine
 from typing import Any
 
@@ -13,6 +14,7 @@
     decisions,
     directory,
     escalation,
+    held_streams,
     messages,
     selection,
     targets,
@@ -38,12 +40,32 @@
 _LOGGER = logs.get_logger("forwarding")
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _HeldAttempt:
+    """An attempt at the smallest model whose response is held.
+
+    Attributes:
+        attempt: The attempt, which is neither closed nor recorded yet.
+        details: Contents of the headers of its response.
+        servers: Servers that the request could use when it began.
+    """
+
+    attempt: attempts.Attempt
+    details: messages.ResponseDetails
+    servers: tuple[directory.ServerEntry, ...]
+
+
 class RequestRun:
-    """Sends a request to successive servers until a response is delivered."""
+    """Sends a request to successive servers until a response is delivered.
+
+    One attempt runs at a time, except that a response of the smallest model is
+    held, and read on, while the largest model is tried.
+    """
 
     __slots__ = (
         "_admitted",
         "_context",
+        "_held",
         "_predicted_first_event_s",
         "_profile",
         "_services",
@@ -61,6 +83,7 @@
         self._context = context
         self._admitted = context.admitted
         self._state = context.state
+        self._held: _HeldAttempt | None = None
         self._predicted_first_event_s: float | None = None
         self._profile = selection.build_profile(
             context.request, context.admitted
@@ -70,8 +93,8 @@
     async def run(self) -> None:
         """Makes attempts until a response is delivered to the client.
 
-        A cancellation means that the node stops. It ends here if there is a
-        fallback answer to deliver.
+        A cancellation means that the node stops. It ends here if the held
+        stream is complete, which takes no time to deliver.
 
         Raises:
             DragonflydykeError: If there is no response to deliver.
@@ -80,17 +103,22 @@
         try:
             await self._make_attempts()
         except errors.DragonflydykeError as error:
-            if not self._deliver_answer(error.code):
+            if not await self._try_fallback(error.code):
                 raise
         except asyncio.CancelledError:
-            if not self._deliver_answer(decisions.AttemptOutcome.NODE_STOPPED):
+            stream = self._state.held_stream
+            if stream is None or not stream.is_complete:
+                raise
+            if not await self._try_fallback(
+                decisions.AttemptOutcome.NODE_STOPPED
+            ):
                 raise
         finally:
-            self._discard_answer()
+            self._close_held()
 
     async def _make_attempts(self) -> None:
+        outcome = await self._attempt_in_time()
         while True:
-            outcome = await self._attempt_in_time()
             progress = self._describe_progress()
             step = self._decide_next(outcome, progress)
             if step is decisions.NextStep.DONE:
@@ -98,9 +126,11 @@
             if step is decisions.NextStep.RETRY:
                 self._services.counters.increment(f"retry.{outcome}")
                 self._update_cascade_state(outcome)
+                outcome = await self._attempt_in_time()
+                continue
+            if self._has_fallback:
+                outcome = await self._relay_held(outcome)
                 continue
-            if self._deliver_answer(outcome):
-                return
             failure = self._state.take_failure()
             if failure is not None and not self._state.response_started:
                 failure.send(self._context.writer)
@@ -108,12 +138,13 @@
             raise decisions.build_failure(outcome, progress)
 
     async def _attempt_in_time(self) -> decisions.AttemptOutcome:
-        """Makes an attempt that leaves time to deliver the held answer.
+        """Makes an attempt that leaves time to relay the held stream.
 
         The limit covers all that precedes the first event: slots, reports,
-        connections and queues. It ends when the response to the client starts.
+        connections and queues. It ends when the response to the client starts,
+        or when the held stream is lost.
         """
-        if self._state.held_answer is None:
+        if not self._has_fallback:
             return await self._attempt()
         try:
             async with asyncio.timeout_at(self._find_latest_s()) as timer:
@@ -124,51 +155,163 @@
         finally:
             self._state.fallback_timer = None
 
+    @property
+    def _has_fallback(self) -> bool:
+        stream = self._state.held_stream
+        return stream is not None and stream.is_usable
+
     def _find_latest_s(self) -> float:
+        """Returns until when a first event of the largest model is useful."""
+        now_s = _now_s()
+        pace = self._services.pace
+        # A response that is still to be held is treated as complete.
+        held = self._context.expect_held(pace, now_s)
         return fallbacks.find_latest_first_event_s(
-            self._context.describe_limits(), self._expect_stream()
+            self._context.describe_limits(),
+            self._context.expect_stream(pace, now_s),
+            held or fallbacks.ExpectedRest(is_complete=True),
+            now_s,
         )
 
-    def _expect_stream(self) -> fallbacks.ExpectedStream:
-        return self._context.expect_stream(self._services.pace, _now_s())
+    def _hold(
+        self,
+        attempt: attempts.Attempt,
+        details: messages.ResponseDetails,
+        servers: tuple[directory.ServerEntry, ...],
+    ) -> None:
+        """Keeps an attempt open whose response is held."""
+        self._services.counters.increment("fallback.kept")
+        self._held = _HeldAttempt(attempt, details, servers)
+        self._state.close_held_stream = self._close_held
+        self._state.held_stream = attempt.hold(details, self._follow_held)
+
+    def _follow_held(self) -> None:
+        """Acts on an event, the end or the loss of the held stream."""
+        stream = self._state.held_stream
+        if stream is None:
+            return
+        if stream.is_usable:
+            self._state.schedule_fallback(self._find_latest_s())
+            return
+        # Without a fallback, nothing is gained by an early end of the attempt.
+        self._state.schedule_fallback(None)
+        held = self._take_held()
+        assert held is not None
+        failure = held.attempt.hold_failure
+        cause, reason = "memory", "no memory for held streams"
+        outcome = decisions.AttemptOutcome.LOW_CONFIDENCE
+        if failure is not None:
+            cause, reason = "lost", failure.reason
+            outcome = failure.outcome
+        self._services.counters.increment(f"fallback.not_kept.{cause}")
+        _LOGGER.info(
+            "no answer in hand",
+            request=self._context.request.details.request_id,
+            reason=reason,
+        )
+        self._end_held(held, outcome, reason)
+
+    def _close_held(self) -> None:
+        """Closes the held stream, if any, which is not needed any more."""
+        held = self._take_held()
+        if held is not None:
+            self._services.counters.increment("fallback.discarded")
+            self._end_held(held, decisions.AttemptOutcome.LOW_CONFIDENCE, "")
 
-    def _deliver_answer(self, reason: str) -> bool:
-        """Delivers the held answer, if there is one, in place of a failure.
+    def _take_held(self) -> _HeldAttempt | None:
+        held, self._held = self._held, None
+        self._state.held_stream = None
+        self._state.close_held_stream = None
+        return held
+
+    def _end_held(
+        self,
+        held: _HeldAttempt,
+        outcome: decisions.AttemptOutcome,
+        reason: str,
+    ) -> None:
+        held.attempt.close()
+        if outcome is not decisions.AttemptOutcome.LOW_CONFIDENCE:
+            self._record_progress(
+                held.attempt, outcome, reason, is_counted=True
+            )
+        self._record_outcome(held.attempt, outcome, reason, held.servers)
+
+    async def _try_fallback(self, cause: str) -> bool:
+        if not self._has_fallback:
+            return False
+        outcome = await self._relay_held(cause)
+        return outcome is decisions.AttemptOutcome.DELIVERED
+
+    async def _relay_held(self, cause: str) -> decisions.AttemptOutcome:
+        """Relays the held stream in place of a failure.
 
         Args:
-            reason: Outcome of the last attempt, or code of the error.
+            cause: Outcome of the last attempt.
 
         Returns:
-            Whether it was delivered.
+            The outcome of the attempt whose stream it is.
         """
-        if self._state.response_started or self._context.writer.is_closed:
-            return False
-        answer = self._state.take_answer()
-        if answer is None:
-            return False
-        self._services.counters.increment(f"fallback.delivered.{reason}")
-        stream = self._expect_stream()
-        now_s = _now_s()
+        stream = self._state.held_stream
+        assert stream is not None
+        inputs = self._describe_relay(stream, cause)
+        held = self._take_held()
+        assert held is not None
+        # A stream that is lost is resumed with its own model.
+        self._state.fell_back = True
+        self._targets.plan = None
+        outcome = decisions.AttemptOutcome.DELIVERED
+        reason = ""
+        try:
+            await _run_until_disconnect(
+                self._context.writer, held.attempt.deliver(held.details)
+            )
+        except attempts.AttemptFailedError as error:
+            outcome, reason = error.outcome, error.reason
+        except contexts.ClientDisconnectedError:
+            outcome = decisions.AttemptOutcome.CLIENT_DISCONNECTED
+            raise
+        except asyncio.CancelledError:
+            outcome = decisions.AttemptOutcome.NODE_STOPPED
+            raise
+        finally:
+            self._end_held(held, outcome, reason)
+        result = f"delivered.{cause}"
+        if outcome is not decisions.AttemptOutcome.DELIVERED:
+            result = f"failed.{outcome}"
+        self._services.counters.increment(f"fallback.{result}")
         _LOGGER.info(
-            "answer in hand delivered",
+            "answer in hand delivered"
+            if outcome is decisions.AttemptOutcome.DELIVERED
+            else "answer in hand was lost",
             request=self._context.request.details.request_id,
-            reason=reason,
-            confidence=answer.confidence,
-            waited_s=round(now_s - self._context.request.received_s, 3),
-            remaining_s=round(self._admitted.deadline_s - now_s, 3),
-            predicted_first_event_s=self._predicted_first_event_s,
-            predicted_rest_s=round(stream.rest_s, 3),
-            expected_events=stream.events,
+            outcome_reason=reason,
+            **inputs,
         )
-        self._state.start_response()
-        answer.send(self._context.writer)
-        return True
-
-    def _discard_answer(self) -> None:
-        answer = self._state.take_answer()
-        if answer is not None:
-            answer.release()
-            self._services.counters.increment("fallback.discarded")
+        await self._report_crash(held.attempt, reason)
+        return outcome
+
+    def _describe_relay(
+        self, stream: held_streams.HeldStream, cause: str
+    ) -> dict[str, object]:
+        """Returns the inputs of the decision to relay the held stream."""
+        now_s = _now_s()
+        pace = self._services.pace
+        expected = self._context.expect_stream(pace, now_s)
+        held = self._context.expect_held(pace, now_s)
+        received_s = self._context.request.received_s
+        return {
+            "reason": cause,
+            "confidence": stream.confidence,
+            "events": stream.event_count,
+            "was_complete": stream.is_complete,
+            "held_rest_s": round(held.rest_s, 3) if held else None,
+            "waited_s": round(now_s - received_s, 3),
+            "remaining_s": round(self._admitted.deadline_s - now_s, 3),
+            "predicted_first_event_s": self._predicted_first_event_s,
+            "predicted_rest_s": round(expected.rest_s, 3),
+            "expected_events": expected.events,
+        }
 
     def _describe_progress(self) -> decisions.RequestProgress:
         return decisions.RequestProgress(
@@ -212,13 +355,13 @@
         return step
 
     def _find_obstacle(self, outcome: decisions.AttemptOutcome) -> str:
-        """Returns why the held answer is better than a retry, empty if not."""
-        if self._state.held_answer is None:
+        """Returns why the held stream is better than a retry, empty if not."""
+        if not self._has_fallback:
             return ""
         if _now_s() + decisions.MIN_ATTEMPT_S >= self._find_latest_s():
             return "deadline near"
         # Without another engine, the request would return to the smallest
-        # model, whose answer is in hand.
+        # model, whose response is held.
         if (
             outcome is decisions.AttemptOutcome.FIRST_EVENT_TIMEOUT
             and self._have_all_servers_failed()
@@ -260,7 +403,7 @@
         reason = ""
         try:
             await _run_until_disconnect(
-                self._context.writer, self._run_attempt(attempt)
+                self._context.writer, self._run_attempt(attempt, servers)
             )
         except attempts.AttemptFailedError as error:
             outcome, reason = error.outcome, error.reason
@@ -274,15 +417,23 @@
                 outcome = decisions.AttemptOutcome.DEADLINE_NEAR
             raise
         finally:
-            attempt.close()
-            self._record_attempt(attempt, outcome, reason, servers)
+            self._record_progress(attempt, outcome, reason)
+            # A held attempt goes on, and may even have ended by itself.
+            if not attempt.is_held:
+                attempt.close()
+                self._record_outcome(attempt, outcome, reason, servers)
+        await self._report_crash(attempt, reason)
+        return outcome
+
+    async def _report_crash(
+        self, attempt: attempts.Attempt, reason: str
+    ) -> None:
         if reason == failures.CONNECTION_LOST and attempt.may_have_crashed:
             await self._services.crash_reporter.report(
                 attempt.server,
                 self._context.request.details.request_id,
                 self._context.describe_content(),
             )
-        return outcome
 
     def _find_quarantine(self) -> decisions.AttemptOutcome | None:
         """Returns why the request must not be sent to any server, or None."""
@@ -309,82 +460,29 @@
             **cause,
         )
 
-    async def _run_attempt(self, attempt: attempts.Attempt) -> None:
-        """Sends the request, and delivers the response if it is good enough."""
-        details = await attempt.start()
-        if attempt.is_event_stream(details) and self._should_escalate(details):
-            await self._escalate(attempt, details)
-        await attempt.deliver(details)
-
-    async def _escalate(
-        self, attempt: attempts.Attempt, details: messages.ResponseDetails
+    async def _run_attempt(
+        self,
+        attempt: attempts.Attempt,
+        servers: tuple[directory.ServerEntry, ...],
     ) -> None:
-        """Ends an attempt in favour of the largest model, or returns.
-
-        Its response is read to the end while reports of engines are read, so
-        that the request has an answer if the largest model gives none. It may
-        be delivered if this returns.
+        """Sends the request, and delivers the response if it is good enough.
 
-        Raises:
-            AttemptFailedError: If the attempt ended, with LOW_CONFIDENCE if
-                the request is escalated, or because its response was lost.
+        Otherwise the attempt stays open, and its response is held while the
+        largest model is tried.
         """
-        reading = attempt.hold_answer(details)
-        started_s = _now_s()
-        try:
+        details = await attempt.start()
+        if attempt.is_event_stream(details) and self._should_escalate(details):
+            await attempt.await_first_bytes()
             plan = await self._plan_escalation(details)
             if plan is not None:
-                reading_end_s = fallbacks.find_reading_end_s(
-                    started_s,
-                    _now_s() + plan.first_event_s,
-                    self._context.describe_limits(),
-                )
-                await asyncio.wait(
-                    (reading,), timeout=max(0.0, reading_end_s - _now_s())
+                self._targets.plan = plan
+                self._predicted_first_event_s = round(plan.first_event_s, 3)
+                self._hold(attempt, details, servers)
+                raise attempts.AttemptFailedError(
+                    decisions.AttemptOutcome.LOW_CONFIDENCE,
+                    f"confidence {details.confidence:.2f}",
                 )
-        finally:
-            reading.cancel()
-        # The reader must not take any more events from the response.
-        await asyncio.wait((reading,))
-        failure = attempt.hold_failure
-        if plan is not None and (
-            attempt.answer.lacks_memory
-            or (failure is not None and not attempt.event_count)
-        ):
-            self._context.retry_budget.refund()
-            if failure is None:
-                self._count_not_kept("memory", "no memory for answers")
-                self._log_no_escalation(details, plan, "no memory for answers")
-            plan = None
-        if plan is None:
-            if failure is not None:
-                raise failure
-            return
-        self._services.counters.increment("escalation.planned")
-        self._keep_answer(attempt)
-        self._targets.plan = plan
-        self._predicted_first_event_s = round(plan.first_event_s, 3)
-        raise attempts.AttemptFailedError(
-            decisions.AttemptOutcome.LOW_CONFIDENCE,
-            f"confidence {details.confidence:.2f}",
-        )
-
-    def _keep_answer(self, attempt: attempts.Attempt) -> None:
-        self._state.held_answer = attempt.take_answer()
-        if self._state.held_answer is not None:
-            self._services.counters.increment("fallback.kept")
-        elif attempt.hold_failure is not None:
-            self._count_not_kept("lost", attempt.hold_failure.reason)
-        else:
-            self._count_not_kept("slow", "response was not read in time")
-
-    def _count_not_kept(self, cause: str, reason: str) -> None:
-        self._services.counters.increment(f"fallback.not_kept.{cause}")
-        _LOGGER.info(
-            "no answer in hand",
-            request=self._context.request.details.request_id,
-            reason=reason,
-        )
+        await attempt.deliver(details)
 
     def _should_escalate(self, details: messages.ResponseDetails) -> bool:
         return (
@@ -426,6 +524,7 @@
         elif now_s + plan.first_event_s > self._find_latest_s():
             reason = "cannot finish"
         else:
+            self._services.counters.increment("escalation.planned")
             return plan
         retry_budget.refund()
         self._log_no_escalation(details, plan, reason)
@@ -447,25 +546,44 @@
             wait_s=round(plan.wait_s, 3) if plan else None,
         )
 
-    def _record_attempt(
+    def _record_progress(
         self,
         attempt: attempts.Attempt,
         outcome: decisions.AttemptOutcome,
         reason: str,
-        servers: tuple[directory.ServerEntry, ...],
+        *,
+        is_counted: bool = False,
     ) -> None:
-        """Records the outcome of an attempt in all statistics."""
+        """Records the outcome of an attempt in the state of the request.
+
+        Args:
+            attempt: The attempt.
+            outcome: Its outcome.
+            reason: Reason of the outcome, for the log.
+            is_counted: Whether it was counted when its response was held.
+        """
         server = attempt.server
-        if attempt.may_have_run and not self._was_server_stopped(
-            server, outcome
-        ):
-            self._state.attempts += 1
-        self._state.sent_attempts += attempt.was_sent
-        self._state.may_have_run |= attempt.may_have_run
-        attempt.record_outcome(outcome)
+        if not is_counted:
+            if attempt.may_have_run and not self._was_server_stopped(
+                server, outcome
+            ):
+                self._state.attempts += 1
+            self._state.sent_attempts += attempt.was_sent
+            self._state.may_have_run |= attempt.may_have_run
         self._state.attempt_history.append(f"{server.name}:{outcome}:{reason}")
         if outcome not in _OUTCOMES_WITHOUT_FAILURE:
             self._state.failed_servers.append(server.name)
+
+    def _record_outcome(
+        self,
+        attempt: attempts.Attempt,
+        outcome: decisions.AttemptOutcome,
+        reason: str,
+        servers: tuple[directory.ServerEntry, ...],
+    ) -> None:
+        """Records the outcome of an attempt that ended in all statistics."""
+        server = attempt.server
+        attempt.record_outcome(outcome)
         if outcome is decisions.AttemptOutcome.LOST:
             self._log_loss(attempt, reason)
         ejected = self._services.selector.record_outcome(
--- a/src/dragonflydyke/forwarding/server.py
+++ b/src/dragonflydyke/forwarding/server.py
@@ -63,17 +63,6 @@
             self._connection.finish()
         return self._flush()
 
-    def send_stream(
-        self, status: int, headers: httputil.HTTPHeaders, body: bytes
-    ) -> asyncio.Future[None]:
-        """Sends a complete stream; see `contexts.ResponseWriter`."""
-        if not self.is_closed:
-            self.start(status, headers)
-            if body:
-                self._connection.write(body)
-            self._connection.finish()
-        return self._flush()
-
     def start(self, status: int, headers: httputil.HTTPHeaders) -> None:
         """Sends status and headers of a response of unknown length."""
         headers.pop(_HEADER_LENGTH, None)
--- a/src/dragonflydyke/forwarding/targets.py
+++ b/src/dragonflydyke/forwarding/targets.py
@@ -152,8 +152,14 @@
         )
         now_s = _now_s()
         limits = self._context.describe_limits()
-        stream = self._context.expect_stream(self._services.pace, now_s)
-        latest_s = fallbacks.find_latest_first_event_s(limits, stream)
+        pace = self._services.pace
+        held = self._context.expect_held(pace, now_s)
+        latest_s = fallbacks.find_latest_first_event_s(
+            limits,
+            self._context.expect_stream(pace, now_s),
+            held or fallbacks.ExpectedRest(is_complete=True),
+            now_s,
+        )
         decision = fallbacks.decide_wait(
             fallbacks.UnstartedRequest(
                 waited_s=waited_s,
--- a/src/dragonflydyke/scheduling/fallbacks.py
+++ b/src/dragonflydyke/scheduling/fallbacks.py
@@ -1,10 +1,11 @@
 """Decides when a fallback answer replaces the largest model; no I/O.
 
-A fallback answer is a complete response of the smallest model with low
-confidence. Designed for bursts of requests that the largest model cannot start,
-or cannot finish, before their deadlines: any answer is worth more than none. A
-late answer of the largest model is worth more than the fallback answer, which
-is probably wrong, so an attempt that may finish before the deadline goes on.
+A fallback answer is a response of the smallest model with low confidence. It is
+held and read on while the largest model is tried. Designed for bursts of
+requests that the largest model cannot start, or cannot finish, before their
+deadlines: any answer is worth more than none. A late answer of the largest
+model is worth more than the fallback answer, which is probably wrong, so an
+attempt that may finish before the deadline goes on.
 """
 
 import dataclasses
@@ -40,12 +41,6 @@
 _PATIENCE_TARGETS = 4.0
 _PATIENCE_GAPS = 8.0
 
-# The response of the smallest model takes some tenths of a second. Reading it
-# costs nothing while the largest model can still begin in time.
-_MIN_READING_S = 0.5
-_MAX_READING_SHARE = 0.5
-_TARGET_SHARE = 0.9
-
 # Fraction of a tight target latency for which prompts with looser targets may
 # queue while the tight kind meets long queues. The rest is for its prefill.
 _MAX_QUEUE_SHARE = 0.6
@@ -128,6 +123,23 @@
         return self.rest_s / _FINISH_TOLERANCE
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ExpectedRest:
+    """What is expected of a held stream.
+
+    Attributes:
+        is_complete: Whether it was read to its end.
+        rest_s: Predicted seconds until its end.
+    """
+
+    is_complete: bool = False
+    rest_s: float = 0.0
+
+    def may_finish(self, now_s: float, limits: TimeLimits) -> bool:
+        """Returns whether it may end before the deadline."""
+        return now_s + self.rest_s / _FINISH_TOLERANCE <= limits.deadline_s
+
+
 @dataclasses.dataclass(slots=True)
 class _ObservedGap:
     gap_s: float
@@ -246,25 +258,46 @@
     return math.ceil(tokens / tokens_per_event)
 
 
+def expect_rest(
+    stream: ExpectedStream, event_count: int, *, is_complete: bool
+) -> ExpectedRest:
+    """Returns what is expected of a held stream.
+
+    Args:
+        stream: What was expected of the whole stream.
+        event_count: Events that it has so far.
+        is_complete: Whether it has ended.
+    """
+    if is_complete:
+        return ExpectedRest(is_complete=True)
+    # A stream that is longer than expected has at least one more event.
+    events = max(1, (stream.events or 0) - event_count)
+    return ExpectedRest(rest_s=events * stream.gap_s)
+
+
 def find_latest_first_event_s(
-    limits: TimeLimits, stream: ExpectedStream
+    limits: TimeLimits, stream: ExpectedStream, held: ExpectedRest, now_s: float
 ) -> float:
     """Returns until when the first event of the largest model is worth waiting.
 
-    Afterwards it could not finish before the deadline, or the client would give
-    up before it gets any event. The fallback answer still reaches the client.
+    Afterwards it could not finish before the deadline, the held stream could
+    not, or the client would give up before it gets any event.
 
     Args:
         limits: Limits of the request.
         stream: Response that is expected.
+        held: What is expected of the held stream.
+        now_s: Loop time.
 
     Returns:
         The loop time.
     """
-    rest_s = max(limits.delivery_s, stream.min_rest_s)
-    return min(
-        limits.deadline_s - rest_s, limits.patience_end_s - limits.delivery_s
-    )
+    patience_s = limits.patience_end_s - limits.delivery_s
+    if not held.may_finish(now_s, limits):
+        # Relaying it now would not save the request.
+        return patience_s
+    rest_s = max(limits.delivery_s + held.rest_s, stream.min_rest_s)
+    return min(limits.deadline_s - rest_s, patience_s)
 
 
 def may_finish(
@@ -280,24 +313,25 @@
     return now_s + stream.min_rest_s <= limits.deadline_s
 
 
-def find_reading_end_s(
-    started_s: float, first_event_s: float, limits: TimeLimits
-) -> float:
-    """Returns until when the fallback answer may delay an escalation.
+def may_go_on(
+    now_s: float,
+    limits: TimeLimits,
+    stream: ExpectedStream,
+    held: ExpectedRest,
+) -> bool:
+    """Returns whether a stream that began is better than the held stream.
 
     Args:
-        started_s: Loop time at which the response of the smallest model began.
-        first_event_s: Loop time at which the largest model is predicted to
-            begin if the escalation starts now.
+        now_s: Loop time.
         limits: Limits of the request.
-
-    Returns:
-        The loop time.
+        stream: Response of the largest model, whose first event arrived.
+        held: What is expected of the held stream.
     """
-    target_s = limits.received_s + limits.target_latency_s * _TARGET_SHARE
-    slack_s = max(0.0, target_s - first_event_s)
-    reading_s = min(slack_s, limits.target_latency_s * _MAX_READING_SHARE)
-    return started_s + max(_MIN_READING_S, reading_s)
+    if may_finish(now_s, limits, stream):
+        return True
+    if held.is_complete or now_s + held.rest_s <= limits.deadline_s:
+        return False
+    return stream.rest_s <= held.rest_s
 
 
 class WaitStep(enum.Enum):
--- a/tests/builders/urgent_queues.py
+++ b/tests/builders/urgent_queues.py
@@ -132,7 +132,10 @@
 
     def _find_latest_s(self, request: Request) -> float:
         stream = fallbacks.ExpectedStream(request.kind.events, self._gap_s)
-        return fallbacks.find_latest_first_event_s(request.limits, stream)
+        held = fallbacks.ExpectedRest(is_complete=True)
+        return fallbacks.find_latest_first_event_s(
+            request.limits, stream, held, self._now_s
+        )
 
     def _begin(self, request: Request) -> None:
         plan = self._plan(request)
