Rank escalated prompts by size again, corrected by lateness

Besides the reading of the first response, the rank by time left may have a part in it: it lets long prompts precede short ones, which add little to the wait of a long one but miss their targets behind it. The classes by prompt size are back. An escalated attempt ranks one class higher if more than half of its target latency is over, and one if the largest model was tried before, and never higher than the first escalated class.

Ruled out: no correction at all (a repeated attempt has lost its place in a queue); a rank by time left within a size class (there are only seven classes for escalated prompts).

--- a/src/dragonflydyke/forwarding/targets.py
+++ b/src/dragonflydyke/forwarding/targets.py
@@ -221,18 +221,17 @@
                 uses_cascade=bool(model_name),
                 is_escalated=state.needs_largest_model,
                 is_repeated=state.repeats_largest,
-                slack_s=self._find_slack_s(),
+                prompt_tokens=self._profile.prompt_tokens,
+                used_share=self._find_used_share(),
             ),
             plan.prefix_source if plan else None,
             round(plan.first_event_s, 3) if plan else None,
         )
 
-    def _find_slack_s(self) -> float:
-        """Returns the seconds for which a prefill may wait in a queue."""
-        target_s = self._admitted.route.target_latency_s
-        due_s = self._context.request.received_s + target_s
-        prefill_s = fallbacks.predict_prefill_s(self._profile.prompt_tokens)
-        return due_s - _now_s() - prefill_s
+    def _find_used_share(self) -> float:
+        """Returns the fraction of the target latency that is over."""
+        elapsed_s = _now_s() - self._context.request.received_s
+        return elapsed_s / self._admitted.route.target_latency_s
 
     def _log_plan(
         self, plan: escalation.EscalationPlan, usable_count: int
--- a/src/dragonflydyke/forwarding/urgency.py
+++ b/src/dragonflydyke/forwarding/urgency.py
@@ -1,12 +1,12 @@
 """Urgency of attempts at engines; no I/O.
 
-Designed for bursts in which prompts queue for the prefill of an engine for
-longer than their target latency. Attempts at the smallest model come first:
-they take a tenth of the time, and half of them are the final answer. Escalated
-requests are ranked by the time for which their prefill may still wait. A rank
-by size would keep the longest prompts of a kind waiting for as long as shorter
-ones arrive, and a rank by arrival would let a kind with a loose target delay
-one with a tight target beyond use.
+Designed for peaks at which prompts queue for the prefill of an engine. Attempts
+at the smallest model come first: they take a tenth of the time, and half of
+them are the final answer. Among escalated requests, short prompts come before
+long ones, because a short prompt adds little to the wait of a long one but may
+miss its target latency behind it. A long prompt would wait for as long as
+shorter ones arrive, so it ranks one class higher once most of its target
+latency is over, and another class higher if it is sent again.
 """
 
 import bisect
@@ -19,12 +19,10 @@
 _TOP_PRIORITY_URGENCY = 2
 _MAX_SMALLEST_MODEL_URGENCY = 2
 _FIRST_ESCALATED_URGENCY = 3
-# Upper bounds, in seconds, of the classes of escalated requests. Each class is
-# twice as wide as the one before, so that most requests of a kind share one or
-# two classes, in which the engine serves them by arrival.
-_SLACK_CLASSES_S = (0.25, 0.5, 1.0, 2.0, 4.0, 8.0)
-# A repeated attempt has lost its place in a queue.
-_REPEATED_CLASSES = 2
+# Upper bounds, in prompt tokens, of the classes of escalated requests.
+_PROMPT_TOKEN_CLASSES = (2_500, 6_000, 12_000, 20_000)
+# Fraction of the target latency that is most of it.
+_LATE_SHARE = 0.5
 
 
 def select_urgency(
@@ -33,7 +31,8 @@
     uses_cascade: bool,
     is_escalated: bool,
     is_repeated: bool,
-    slack_s: float,
+    prompt_tokens: int,
+    used_share: float,
 ) -> int | None:
     """Returns 0 to 9, where 0 is the most urgent, or None for plain servers.
 
@@ -42,7 +41,8 @@
         uses_cascade: Whether the router chooses the model.
         is_escalated: Whether the attempt uses the largest model.
         is_repeated: Whether the largest model was tried before.
-        slack_s: Seconds until the target latency, minus the predicted prefill.
+        prompt_tokens: Length of the prompt in tokens.
+        used_share: Fraction of the target latency that is over.
     """
     if not admitted.pool.has_engines:
         return None
@@ -51,7 +51,6 @@
         return min(LOWEST, _TOP_PRIORITY_URGENCY + priority)
     if not is_escalated:
         return min(_MAX_SMALLEST_MODEL_URGENCY, priority)
-    slack_class = bisect.bisect_left(_SLACK_CLASSES_S, slack_s)
-    if is_repeated:
-        slack_class = max(0, slack_class - _REPEATED_CLASSES)
-    return _FIRST_ESCALATED_URGENCY + slack_class
+    size_class = bisect.bisect_left(_PROMPT_TOKEN_CLASSES, prompt_tokens)
+    raised_classes = is_repeated + (used_share > _LATE_SHARE)
+    return _FIRST_ESCALATED_URGENCY + max(0, size_class - raised_classes)
--- a/src/dragonflydyke/scheduling/fallbacks.py
+++ b/src/dragonflydyke/scheduling/fallbacks.py
@@ -12,8 +12,6 @@
 import enum
 import math
 
-# Prefill time of the largest model per prompt token in seconds.
-_PREFILL_S_PER_TOKEN = 60e-6
 # Time of an output token of the largest model on an idle engine; it grows to
 # 23 ms with the batch. A prior that is too low costs one late answer until the
 # first gap is observed. One that is too high would decline escalations, after
@@ -235,11 +233,6 @@
         return wait_s <= tightest_s * _MAX_QUEUE_SHARE
 
 
-def predict_prefill_s(prompt_tokens: int) -> float:
-    """Returns the time that the largest model takes to prefill a prompt."""
-    return prompt_tokens * _PREFILL_S_PER_TOKEN
-
-
 def estimate_events(
     length_hint: int, max_output_tokens: int, tokens_per_event: int
 ) -> int | None:
