Review unstarted requests no more often than before

Cause: a request that its engine had not started was reviewed from 0.75 of its target latency on and then every half target latency, each time with the reports of up to five engines. A report is a call to an engine that delays its work, and at peaks, when many requests wait, there were several times as many as before.

A review takes place every 1.5 target latencies, as before the moves were introduced, and reads the report of the request's own engine only. If that is busy and the request has waited for twice the prediction, the usual candidates are asked once for each engine, and the request moves under the same conditions as before this change. A request that starts within 1.5 target latencies, or whose engine is idle, silent or as slow as predicted, costs as many calls as without moves.

Ruled out: a comparison in each review (at peaks most reviews find a busy engine); no comparison (a request waited 13.8 s at an engine that never began).

Tests: a request that does not start is not reviewed after 0.8 of its target latency; the first review compares, and the second reads one report. The test of a request that moves skips 3.1 instead of 1.6 s, as it is reviewed later. The modules of forwarding pass.

--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -434,12 +434,10 @@
     async def _await_response_start(self) -> None:
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        target_s = self._admitted.route.target_latency_s
-        delay_s = fallbacks.find_first_check_s(
-            target_s, self._target.first_event_s
+        interval_s = fallbacks.find_review_interval_s(
+            self._admitted.route.target_latency_s
         )
-        while not await self._starts_within(delay_s):
-            delay_s = fallbacks.find_check_interval_s(target_s)
+        while not await self._starts_within(interval_s):
             if not decisions.may_move(
                 self._admitted.route,
                 attempts=self._state.attempts,
--- a/src/dragonflydyke/forwarding/planner.py
+++ b/src/dragonflydyke/forwarding/planner.py
@@ -57,32 +57,9 @@
             profile, candidates, found, self._data_centre
         )
 
-    async def review(
-        self,
-        server: directory.ServerEntry,
-        profile: selection.RequestProfile,
-        model_name: str,
-        others: Sequence[directory.ServerEntry],
-    ) -> tuple[
-        escalation.EngineReport | None, escalation.EscalationPlan | None
-    ]:
-        """Returns the report of an engine, and the best plan without it.
-
-        Args:
-            server: Engine at which a request waits.
-            profile: Profile of the request.
-            model_name: Model that it uses.
-            others: Servers to which it could move.
-
-        Returns:
-            The report, None if the engine did not answer, and the plan, None if
-            no other engine did.
-        """
-        candidates = escalation.select_candidates(
-            profile, model_name, others, self._data_centre, self._random
-        )
-        found = await self._reader.read_all((server, *candidates.servers))
-        plan = escalation.plan_escalation(
-            profile, candidates, found, self._data_centre
-        )
-        return found.get(server.name), plan
+    async def read_report(
+        self, server: directory.ServerEntry
+    ) -> escalation.EngineReport | None:
+        """Returns the report of an engine, None if it does not answer."""
+        found = await self._reader.read_all((server,))
+        return found.get(server.name)
--- a/src/dragonflydyke/forwarding/targets.py
+++ b/src/dragonflydyke/forwarding/targets.py
@@ -31,6 +31,7 @@
 
     __slots__ = (
         "_admitted",
+        "_compared_servers",
         "_context",
         "_profile",
         "_services",
@@ -51,6 +52,8 @@
         self._state = context.state
         self._profile = profile
         self.plan: escalation.EscalationPlan | None = None
+        # Busy engines that were compared with others.
+        self._compared_servers: set[str] = set()
 
     def list_servers(self) -> tuple[directory.ServerEntry, ...]:
         """Returns the servers that this request may use during a rollout."""
@@ -144,12 +147,21 @@
         server = target.server
         excluded = {server.name, *self._state.failed_servers}
         allowed = self._services.statements.list_allowed(self.list_servers())
-        report, plan = await self._services.planner.review(
-            server,
-            self._profile,
-            target.model_name or self._context.request.details.model,
-            tuple(s for s in allowed if s.name not in excluded),
-        )
+        report = await self._services.planner.read_report(server)
+        plan = None
+        if (
+            report is not None
+            and report.is_busy
+            and server.name not in self._compared_servers
+            and fallbacks.is_overdue(waited_s, target.first_event_s)
+        ):
+            # Once, as each report is a call to an engine.
+            self._compared_servers.add(server.name)
+            plan = await self._services.planner.plan(
+                self._profile,
+                target.model_name or self._context.request.details.model,
+                tuple(s for s in allowed if s.name not in excluded),
+            )
         now_s = _now_s()
         limits = self._context.describe_limits()
         pace = self._services.pace
@@ -164,7 +176,6 @@
             fallbacks.UnstartedRequest(
                 waited_s=waited_s,
                 useful_s=latest_s - now_s,
-                target_latency_s=limits.target_latency_s,
                 is_engine_busy=report.is_busy if report else None,
                 alternative=fallbacks.AlternativeEngine(
                     plan.first_event_s, plan.is_busy
--- a/src/dragonflydyke/scheduling/fallbacks.py
+++ b/src/dragonflydyke/scheduling/fallbacks.py
@@ -52,14 +52,10 @@
 # Engines of one pool differ in speed by about two to one. A request that waits
 # for twice the prediction has been overtaken, or its engine is in trouble.
 _PREDICTION_FACTOR = 2.0
-# Before this share of the target latency, a move could not help much: reports
-# are some hundred milliseconds old.
-_MIN_CHECK_SHARE = 0.75
-# Multiple of the target latency after which a silent engine without a queue is
-# given up. Queues under peak load are shorter.
-_OVERDUE_SHARE = 1.5
-_CHECK_INTERVAL_SHARE = 0.5
-_MIN_CHECK_INTERVAL_S = 0.25
+# Multiple of the target latency after which an unstarted request is reviewed,
+# and then again. Queues under peak load are shorter, and each review is a call
+# to the engine, which delays its work.
+_REVIEW_SHARE = 1.5
 # Another engine must promise to begin in this share of the time waited so far,
 # which is the best guess of the time that is still to wait.
 _MAX_MOVE_SHARE = 0.5
@@ -363,44 +359,35 @@
     Attributes:
         waited_s: Seconds for which it has been there.
         useful_s: Seconds for which it is worth waiting for a first event.
-        target_latency_s: Target latency of the route in seconds.
         is_engine_busy: Whether requests queue at the engine, None if the engine
             gives no report.
-        alternative: The best other engine, None if there is none.
+        alternative: The best other engine, None if there is none, or if no
+            other engine was asked.
     """
 
     waited_s: float
     useful_s: float
-    target_latency_s: float
     is_engine_busy: bool | None
     alternative: AlternativeEngine | None
 
 
-def find_first_check_s(
-    target_latency_s: float, predicted_s: float | None
-) -> float:
-    """Returns after how long an unstarted request is reviewed first.
+def find_review_interval_s(target_latency_s: float) -> float:
+    """Returns the time until each review of an unstarted request.
 
     Args:
         target_latency_s: Target latency of the route in seconds.
-        predicted_s: Predicted seconds until the first event, None if unknown.
     """
-    overdue_s = target_latency_s * _OVERDUE_SHARE
-    if predicted_s is None:
-        return overdue_s
-    check_s = max(
-        predicted_s * _PREDICTION_FACTOR, target_latency_s * _MIN_CHECK_SHARE
-    )
-    return min(check_s, overdue_s)
+    return target_latency_s * _REVIEW_SHARE
 
 
-def find_check_interval_s(target_latency_s: float) -> float:
-    """Returns the time between reviews of an unstarted request.
+def is_overdue(waited_s: float, predicted_s: float | None) -> bool:
+    """Returns whether a request waits for so long that others may be better.
 
     Args:
-        target_latency_s: Target latency of the route in seconds.
+        waited_s: Seconds for which it has been at its engine.
+        predicted_s: Seconds that were predicted, None if unknown.
     """
-    return max(_MIN_CHECK_INTERVAL_S, target_latency_s * _CHECK_INTERVAL_SHARE)
+    return waited_s >= (predicted_s or 0.0) * _PREDICTION_FACTOR
 
 
 def decide_wait(request: UnstartedRequest) -> WaitDecision:
@@ -422,8 +409,6 @@
         return WaitDecision(WaitStep.MOVE, "another engine can begin")
     if request.is_engine_busy:
         return WaitDecision(WaitStep.WAIT, "engine is busy")
-    if request.waited_s < request.target_latency_s * _OVERDUE_SHARE:
-        return WaitDecision(WaitStep.WAIT, "engine may still begin")
     if request.is_engine_busy is None:
         return WaitDecision(WaitStep.GIVE_UP, "engine gives no report")
     return WaitDecision(WaitStep.GIVE_UP, "engine is idle")
