Count a deadline once while a stream is held

Cause: when the deadline of a request passes with both attempts open, the reading of the held stream ends with the same error as the attempt at the largest model, and a second server was counted as failed. The first attempt ends as discarded now, as it did before its stream was held. A stream that is lost still counts against its server.

Ruled out: no record of losses of held streams, as they are evidence on a server.

Tests: no test of its own; tests.test_fallback_answers (22) and tests.test_forwarding (33) pass.

--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -202,7 +202,9 @@
         outcome = decisions.AttemptOutcome.LOW_CONFIDENCE
         if failure is not None:
             cause, reason = "lost", failure.reason
-            outcome = failure.outcome
+            # A deadline that passes is counted once, for the other attempt.
+            if failure.outcome is decisions.AttemptOutcome.LOST:
+                outcome = failure.outcome
         self._services.counters.increment(f"fallback.not_kept.{cause}")
         _LOGGER.info(
             "no answer in hand",
