Bound loose kinds only when a tight kind is near its limit

Cause: a queue of 0.4 of a tight target, which is two requests for a target of 1 s, bounded all looser kinds at the node for 10 s, also without an overload, and each escalation that is declined for it costs an answer of the largest model. The bound now begins at 0.6 of the target, the length up to which loose kinds may still join.

--- a/src/dragonflydyke/scheduling/fallbacks.py
+++ b/src/dragonflydyke/scheduling/fallbacks.py
@@ -44,7 +44,7 @@
 _MAX_QUEUE_SHARE = 0.6
 # Fraction of its target latency from which a queue is long for a kind. The
 # looser kinds must hold back before the tight one is declined.
-_PRESSURE_SHARE = 0.4
+_PRESSURE_SHARE = 0.6
 # A node sees one or two escalations a second, of which few have the tightest
 # target.
 _PRESSURE_S = 10.0
