Shorten the tests of answers in hand

Scripts that only differ in the status share one builder, and the replay ends requests in one place. Ruled out: fewer cases.

--- a/tests/builders/urgent_queues.py
+++ b/tests/builders/urgent_queues.py
@@ -150,15 +150,11 @@
             or not escalation.is_in_time(plan, request.kind.target_s, 0.0)
             or self._now_s + plan.first_event_s > latest_s
         ):
-            request.outcome = "fallback"
+            self._end(request, "fallback")
             return
-        self._call_at(latest_s, lambda: self._deliver(request))
+        self._call_at(latest_s, lambda: self._end(request, "fallback"))
         self._send(request, plan)
 
-    def _deliver(self, request: Request) -> None:
-        if not request.outcome:
-            request.outcome, request.server = "fallback", ""
-
     def _send(self, request: Request, plan: escalation.EscalationPlan) -> None:
         request.attempts += 1
         request.server = plan.server.name
@@ -233,12 +229,16 @@
     def _stream(self, server: str, request: Request) -> None:
         del self._prefilling[server]
         self._start_next(server)
-        if request.server != server or request.outcome:
+        if request.server != server:
             return
         stream = fallbacks.ExpectedStream(request.kind.events, self._gap_s)
         if not fallbacks.may_finish(self._now_s, request.limits, stream):
-            request.outcome = "fallback"
+            self._end(request, "fallback")
             return
         end_s = self._now_s + (request.events - 1) * request.gap_s
         in_time = end_s <= request.limits.deadline_s
-        request.outcome = "largest" if in_time else "cut"
+        self._end(request, "largest" if in_time else "cut")
+
+    def _end(self, request: Request, outcome: str) -> None:
+        if not request.outcome:
+            request.outcome, request.server = outcome, ""
--- a/tests/test_fallback_answers.py
+++ b/tests/test_fallback_answers.py
@@ -87,25 +87,6 @@
         self.assertEqual(self.counters.total(name), 1, self.counters.totals())
 
     async def test_each_failure_of_the_largest_model(self) -> None:
-        async def fail(request, writer) -> None:
-            forwarding.write_response(
-                request, writer, b"", status="500 Internal Server Error"
-            )
-
-        async def blame(request, writer) -> None:
-            forwarding.write_response(
-                request, writer, b"", status="400 Bad Request"
-            )
-
-        async def reject(request, writer) -> None:
-            forwarding.write_response(
-                request,
-                writer,
-                b"",
-                status="503 Service Unavailable",
-                Not_Executed="1",
-            )
-
         async def lose(request, writer) -> None:
             forwarding.reset(writer)
 
@@ -120,14 +101,14 @@
             forwarding.reset(writer)
 
         for script, reason in (
-            (fail, "failed"),
-            (blame, "failed"),
-            (reject, "not_run"),
+            (_respond("500 Internal Server Error"), "failed"),
+            (_respond("400 Bad Request"), "failed"),
+            (_respond("503 Service Unavailable", Not_Executed="1"), "not_run"),
             (lose, "lost"),
             (forge, "lost"),
             (comment, "lost"),
         ):
-            with self.subTest(script=script.__name__):
+            with self.subTest(script=script):
                 self.large = script
                 before = self.counters.total(f"fallback.delivered.{reason}")
                 response = await self.fetch(Model="*")
@@ -499,6 +480,13 @@
         forwarding.write_event(writer, event_id)
 
 
+def _respond(status: str, **extra: str) -> forwarding.Script:
+    async def respond(request, writer) -> None:
+        forwarding.write_response(request, writer, b"", status=status, **extra)
+
+    return respond
+
+
 async def _send_answer(request, writer) -> None:
     _begin_answer(request, writer, *range(1, _EVENTS + 1))
     forwarding.write_chunk(writer, b"")
