Share scripts of the tests of held streams

Three tests share the script of an engine that crashes, and the way to a request that runs at both models. Nothing is checked less. Ruled out: fewer cases.

--- a/tests/test_fallback_answers.py
+++ b/tests/test_fallback_answers.py
@@ -243,10 +243,17 @@
         forwarding.write_chunk(writer, b"")
         await writer.drain()
 
-    async def begin_both(self, **headers: str):
+    async def crash_later(self, request, writer) -> None:
+        """Sends one event of the smallest model, and is lost at `release`."""
+        _begin_answer(request, writer, 1)
+        await writer.drain()
+        await self.release.wait()
+        forwarding.reset(writer)
+
+    async def begin_both(self, small=None):
         """Returns a client whose request runs at both models."""
-        self.small = self.begin_slowly
-        reader, writer = await self.send(Model="*", **headers)
+        self.small = small or self.begin_slowly
+        reader, writer = await self.send(Model="*")
         await skipping_loop.wait_until(lambda: self.running == 2)
         return reader, writer
 
@@ -286,12 +293,6 @@
         self.assertEqual(delivered, 1)
 
     async def test_relayed_stream_that_is_lost_is_resumed(self) -> None:
-        async def crash(request, writer) -> None:
-            _begin_answer(request, writer, 1)
-            await writer.drain()
-            await self.release.wait()
-            forwarding.reset(writer)
-
         async def resume(request, writer) -> None:
             self.assertEqual(request.headers["Last-Event-Id"], "1")
             _begin_answer(request, writer, 2, 3)
@@ -299,9 +300,7 @@
             await writer.drain()
 
         self.configure(target_latency_s=8.0)
-        self.small = crash
-        reader, _ = await self.send(Model="*")
-        await skipping_loop.wait_until(lambda: self.running == 2)
+        reader, _ = await self.begin_both(self.crash_later)
         self.loop.skip(9.71)
         await reader.readuntil(b"id: 1\ndata: piece\n\n")
         self.small = resume
@@ -321,13 +320,7 @@
             )
             forwarding.reset(writer)
 
-        async def crash(request, writer) -> None:
-            _begin_answer(request, writer, 1)
-            await writer.drain()
-            await self.release.wait()
-            forwarding.reset(writer)
-
-        self.small, self.large = crash, lose_both
+        self.small, self.large = self.crash_later, lose_both
         response = await self.fetch(Model="*")
         self.assertEqual(response.status, 502)
         self.assertEqual(self.models, ["small", "large", "large"])
@@ -339,16 +332,9 @@
             await skipping_loop.wait_until(lambda: len(self.models) == 3)
             await _send_best(request, writer)
 
-        async def crash(request, writer) -> None:
-            _begin_answer(request, writer, 1)
-            await writer.drain()
-            await self.release.wait()
-            forwarding.reset(writer)
-
         self.configure(target_latency_s=8.0)
-        self.small, self.large = crash, begin_late
-        reader, _ = await self.send(Model="*")
-        await skipping_loop.wait_until(lambda: self.running == 2)
+        self.large = begin_late
+        reader, _ = await self.begin_both(self.crash_later)
         self.release.set()
         await skipping_loop.wait_until(
             lambda: self.counters.total("fallback.not_kept.lost")
