--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Awaitable, Callable
 
 from dragonflydyke import errors
 from dragonflydyke.backends import connection, events, failures
@@ -10,11 +11,13 @@
     contexts,
     decisions,
     directory,
+    held_streams,
     messages,
     model,
     observers,
     response_memory,
 )
+from dragonflydyke.scheduling import fallbacks
 
 # A server in the same region accepts connections within milliseconds. A server
 # that does not is down or unreachable, and has not received the request.
@@ -22,6 +25,7 @@
 _MAX_RESPONSE_BYTES = 16_000_000
 _OK = 200
 _FIRST_REDIRECT_STATUS = 300
+_FIRST_ERROR_STATUS = 400
 _FIRST_SERVER_ERROR_STATUS = 500
 _GATEWAY_TIMEOUT = 504
 # Under peak load the gap between events approaches the route's limit, and the
@@ -34,6 +38,10 @@
 # An engine that crashes at the start of a response gets no further than its
 # first event.
 _PRODUCED_EVENTS = 2
+# Events over which the gap of a stream is averaged. Engines send several events
+# at once when they are short of time.
+_GAP_EVENTS = 8
+_COMMENT = b":"
 
 
 class AttemptFailedError(Exception):
@@ -54,12 +62,60 @@
         model_name: Model to use, empty to keep the model of the client.
         urgency: 0 to 9, where 0 is the most urgent; None for plain servers.
         prefix_source: Engine from which the server may fetch the cached prefix.
+        first_event_s: Predicted seconds until the first event, None if unknown.
     """
 
     server: directory.ServerEntry
     model_name: str = ""
     urgency: int | None = None
     prefix_source: directory.ServerEntry | None = None
+    first_event_s: float | None = None
+
+
+# Decides on a request that has waited at its engine for some seconds.
+WaitReviewer = Callable[
+    [AttemptTarget, float], Awaitable[fallbacks.WaitDecision]
+]
+
+
+class _GapMeter:
+    """Measures the mean gap between events of a stream.
+
+    Time in which the client does not read is not counted.
+    """
+
+    __slots__ = ("_gaps", "_last_s", "_started_s")
+
+    def __init__(self) -> None:
+        self._gaps = 0
+        self._started_s: float | None = None
+        self._last_s = 0.0
+
+    def record_event(self, now_s: float) -> None:
+        """Records an event that arrived at a loop time."""
+        self._last_s = now_s
+        if self._started_s is None:
+            self._started_s = now_s
+        else:
+            self._gaps += 1
+
+    def exclude(self, seconds: float) -> None:
+        """Excludes the time since the last event from the next gap."""
+        if self._started_s is not None:
+            self._started_s += seconds
+
+    def take_gap_s(self, min_gaps: int) -> float | None:
+        """Returns the mean of the gaps since the last call.
+
+        Args:
+            min_gaps: Number of gaps below which None is returned.
+        """
+        if self._started_s is None or self._gaps < min_gaps:
+            return None
+        gap_s = max(0.0, self._last_s - self._started_s) / self._gaps
+        self._started_s = self._last_s
+        self._gaps = 0
+        return gap_s
 
 
 class Attempt:
@@ -74,18 +130,23 @@
         stated_pause: Whether the server rejected it and asked for a pause.
         was_withdrawn: Whether it was not sent, because the data centre of the
             server was evacuated while the connection was opened.
+        hold_failure: Why a response that is held cannot be delivered, or None.
     """
 
     __slots__ = (
         "_admitted",
         "_context",
         "_exchange",
-        "_first_chunk",
         "_event_memory",
+        "_gap_meter",
+        "_first_chunk",
         "_held_body",
+        "_held_stream",
+        "_hold_task",
         "_observer",
         "_request",
         "_retry_budget",
+        "_review_wait",
         "_services",
         "_splitter",
         "_state",
@@ -93,6 +154,7 @@
         "_waited_s",
         "_writer",
         "event_count",
+        "hold_failure",
         "may_have_run",
         "response_started_s",
         "server",
@@ -106,8 +168,16 @@
         services: contexts.ForwardingServices,
         context: contexts.RequestContext,
         target: AttemptTarget,
+        review_wait: WaitReviewer,
     ) -> None:
-        """Creates an attempt without opening a connection."""
+        """Creates an attempt without opening a connection.
+
+        Args:
+            services: Components that all requests share.
+            context: The request.
+            target: Where and how the attempt runs.
+            review_wait: Called while the engine does not start the response.
+        """
         self._services = services
         self._context = context
         self._request = context.request
@@ -125,7 +195,12 @@
         # Seconds spent waiting for the server since its last numbered event.
         self._waited_s = 0.0
         self._observer: observers.AttemptObserver | None = None
+        self._gap_meter = _GapMeter()
+        self._review_wait = review_wait
         self._target = target
+        self._held_stream: held_streams.HeldStream | None = None
+        self._hold_task: asyncio.Task[None] | None = None
+        self.hold_failure: AttemptFailedError | None = None
         self.server = target.server
         self.may_have_run = False
         self.was_sent = False
@@ -154,7 +229,7 @@
         """Waits for a short time until the body of the response begins.
 
         An engine that crashes as it begins to write would otherwise do so
-        unnoticed after its response was discarded.
+        unnoticed, and the request would be escalated to the same engine.
 
         Raises:
             AttemptFailedError: If the response was lost.
@@ -168,6 +243,79 @@
         except errors.DragonflydykeError as error:
             raise self._build_failure(error) from error
 
+    def hold(
+        self, details: messages.ResponseDetails, on_change: Callable[[], None]
+    ) -> held_streams.HeldStream:
+        """Starts to read the response without passing it on.
+
+        A task reads until the response ends, the attempt is closed, or
+        `deliver` passes on the events so far and then the rest.
+
+        Args:
+            details: Contents of the response's headers.
+            on_change: Called after each event and when the reading ends.
+        """
+        stream = held_streams.HeldStream(
+            self._services.response_memory,
+            details.confidence,
+            self._request.details.last_event_id,
+            on_change,
+        )
+        self._held_stream = stream
+        self._hold_task = asyncio.create_task(self._read_ahead(stream))
+        return stream
+
+    async def _read_ahead(self, stream: held_streams.HeldStream) -> None:
+        try:
+            await self._hold_events(stream)
+        except AttemptFailedError as error:
+            # Without its traceback, which would keep the response in a cycle.
+            self.hold_failure = AttemptFailedError(error.outcome, error.reason)
+        except errors.DragonflydykeError as error:
+            self.hold_failure = self._build_failure(error)
+        if self.hold_failure is not None:
+            stream.end(held_streams.StreamStatus.FAILED)
+
+    async def _hold_events(self, stream: held_streams.HeldStream) -> None:
+        while (chunk := await self._read_chunk()) is not None:
+            for event in self._splitter.feed(chunk):
+                self._record_event()
+                event_id = self._services.codec.read_event_id(event)
+                if not stream.append(event, event_id):
+                    raise AttemptFailedError(
+                        decisions.AttemptOutcome.LOST,
+                        f"event {event_id} out of order",
+                    )
+                if not stream.is_usable:
+                    return
+            if not self._event_memory.resize(self._splitter.incomplete_bytes):
+                raise self._build_size_error()
+        self._check_stream_end()
+        self._record_production()
+        if not stream.event_count:
+            raise AttemptFailedError(
+                decisions.AttemptOutcome.LOST, "stream without events"
+            )
+        stream.end(held_streams.StreamStatus.COMPLETE)
+
+    async def _relay_held_events(self) -> None:
+        """Passes on the events that are held, and ends the holding.
+
+        Raises:
+            AttemptFailedError: If the response was lost while it was held.
+        """
+        stream, task = self._held_stream, self._hold_task
+        if stream is None or task is None:
+            return
+        # The task must not take any more events from the response.
+        task.cancel()
+        await asyncio.wait((task,))
+        for event in stream.take_events():
+            await self._relay_event(event)
+        failure = self.hold_failure
+        if failure is not None:
+            raise AttemptFailedError(failure.outcome, failure.reason)
+
     async def deliver(self, details: messages.ResponseDetails) -> None:
         """Delivers the response to the client.
 
@@ -192,6 +340,11 @@
         succeeded = _OK <= self._exchange.status < _FIRST_REDIRECT_STATUS
         return is_stream and succeeded and details.is_stream
 
+    @property
+    def is_held(self) -> bool:
+        """Whether its response is, or was, held while another one ran."""
+        return self._held_stream is not None
+
     @property
     def may_have_crashed(self) -> bool:
         """Whether this attempt can be the one that ended its server.
@@ -209,6 +362,13 @@
         self._event_memory.release()
         self._splitter.discard_incomplete_event()
         self._first_chunk = None
+        task = self._hold_task
+        # The task itself closes the attempt when it finds that it was lost.
+        if task is not None and task is not asyncio.current_task():
+            task.cancel()
+        if self._held_stream is not None:
+            self._held_stream.release()
+        self._record_gap(1)
         if self._exchange is not None:
             self._exchange.close_now()
 
@@ -308,25 +468,38 @@
         )
 
     async def _await_response_start(self) -> None:
-        assert self._exchange is not None
-        timeout_s = decisions.find_first_event_timeout_s(
-            self._admitted.route,
-            attempts=self._state.attempts,
-            has_retries_left=self._retry_budget.has_retries_left,
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        interval_s = fallbacks.find_review_interval_s(
+            self._admitted.route.target_latency_s
         )
-        while True:
-            try:
-                async with asyncio.timeout(timeout_s):
-                    await self._exchange.await_response()
+        while not await self._starts_within(interval_s):
+            if not decisions.may_move(
+                self._admitted.route,
+                attempts=self._state.attempts,
+                has_retries_left=self._retry_budget.has_retries_left,
+            ):
+                continue
+            decision = await self._review_wait(
+                self._target, loop.time() - started_s
+            )
+            # The engine may have begun while reports were read.
+            if await self._starts_within(0.0):
                 return
-            except TimeoutError as error:
-                # Under peak load a second run would only lengthen the queues.
-                if await self._services.planner.is_busy(self.server):
-                    continue
+            if decision.step is not fallbacks.WaitStep.WAIT:
                 raise AttemptFailedError(
                     decisions.AttemptOutcome.FIRST_EVENT_TIMEOUT,
-                    "no event yet",
-                ) from error
+                    f"no event yet, {decision.reason}",
+                )
+
+    async def _starts_within(self, timeout_s: float) -> bool:
+        assert self._exchange is not None
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._exchange.await_response()
+        except TimeoutError:
+            return False
+        return True
 
     def _read_response_start(self) -> messages.ResponseDetails:
         exchange = self._exchange
@@ -365,7 +538,11 @@
             raise AttemptFailedError(
                 decisions.AttemptOutcome.FAILED, "response is not a stream"
             )
-        if exchange.status >= _FIRST_SERVER_ERROR_STATUS:
+        first_error = _FIRST_SERVER_ERROR_STATUS
+        if self._state.held_stream is not None:
+            # Even a response that blames the request is no answer to it.
+            first_error = _FIRST_ERROR_STATUS
+        if exchange.status >= first_error:
             self._state.keep_failure(response)
             outcome = decisions.AttemptOutcome.FAILED
             if exchange.status == _GATEWAY_TIMEOUT:
@@ -394,12 +571,23 @@
         )
 
     async def _relay_events(self) -> None:
+        await self._relay_held_events()
         while (chunk := await self._read_chunk()) is not None:
             for event in self._splitter.feed(chunk):
                 self._record_event()
                 await self._relay_event(event)
             if not self._event_memory.resize(self._splitter.incomplete_bytes):
                 raise self._build_size_error()
+        self._check_stream_end()
+        if self._state.held_stream is not None:
+            raise AttemptFailedError(
+                decisions.AttemptOutcome.LOST, "stream without events"
+            )
+        self._record_production()
+        self._start_response()
+        self._writer.finish()
+
+    def _check_stream_end(self) -> None:
         if self._splitter.has_incomplete_event:
             raise AttemptFailedError(
                 decisions.AttemptOutcome.LOST, "torn event"
@@ -408,9 +596,6 @@
             raise AttemptFailedError(
                 decisions.AttemptOutcome.LOST, failures.CONNECTION_LOST
             )
-        self._record_production()
-        self._start_response()
-        self._writer.finish()
 
     def _is_unframed_without_events(self) -> bool:
         """Returns whether a stream ended before its first event.
@@ -443,6 +628,18 @@
             self._record_production()
         if self._observer is not None:
             self._observer.record_event()
+        self._gap_meter.record_event(asyncio.get_running_loop().time())
+        self._record_gap(_GAP_EVENTS)
+
+    def _record_gap(self, min_gaps: int) -> None:
+        gap_s = self._gap_meter.take_gap_s(min_gaps)
+        if gap_s is not None and self._target.model_name:
+            self._services.pace.observe_gap(
+                self.server.pool,
+                self._target.model_name,
+                gap_s,
+                asyncio.get_running_loop().time(),
+            )
 
     def _record_production(self) -> None:
         """Records that the request does not crash its server."""
@@ -462,10 +659,12 @@
             The time in seconds, or None if the stream cannot resume.
         """
         route = self._admitted.route
+        # An attempt is counted when it ends, or when its response is held.
+        attempts = self._state.attempts + (not self.is_held)
         may_resume = (
             self._state.response_started
             and route.resumable
-            and self._state.attempts + 1 < route.max_attempts
+            and attempts < route.max_attempts
             and self._retry_budget.has_retries_left
         )
         if not may_resume or not route.max_event_gap_s:
@@ -474,6 +673,11 @@
         return max(0.0, timeout_s - self._waited_s)
 
     async def _relay_event(self, event: bytes) -> None:
+        if self._state.held_stream is not None:
+            if event.startswith(_COMMENT):
+                # A comment would end the chance to deliver another response.
+                return
+            self._compare_finish()
         event_id = self._services.codec.read_event_id(event)
         if event_id is not None:
             last = self._state.last_event_id
@@ -486,15 +690,34 @@
                     f"event {event_id} instead of {expected}",
                 )
         self._start_response()
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
         await self._writer.write(event + b"\n\n")
+        self._gap_meter.exclude(loop.time() - started_s)
         if event_id is not None:
             self._state.last_event_id = event_id
             self._waited_s = 0.0
 
+    def _compare_finish(self) -> None:
+        """Gives up a response if the held stream is predicted to do better.
+
+        Raises:
+            AttemptFailedError: If the held stream is to be relayed instead.
+        """
+        now_s = asyncio.get_running_loop().time()
+        stream = self._context.expect_stream(self._services.pace, now_s)
+        held = self._context.expect_held(self._services.pace, now_s)
+        limits = self._context.describe_limits()
+        if held and not fallbacks.may_go_on(now_s, limits, stream, held):
+            raise AttemptFailedError(
+                decisions.AttemptOutcome.CANNOT_FINISH,
+                f"rest takes {stream.rest_s:.1f} s",
+            )
+
     def _start_response(self) -> None:
         if self._state.response_started:
             return
         assert self._exchange is not None
         headers = self._services.codec.write_response(self._exchange.headers)
-        self._state.response_started = True
+        self._state.start_response()
         self._writer.start(self._exchange.status, headers)
--- a/src/dragonflydyke/forwarding/contexts.py
+++ b/src/dragonflydyke/forwarding/contexts.py
@@ -4,7 +4,7 @@
 import collections
 import dataclasses
 from collections.abc import Callable, Sequence
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from tornado import httputil, tcpclient
 
@@ -25,6 +25,10 @@
     server_statements,
 )
 from dragonflydyke.routing import retries
+from dragonflydyke.scheduling import fallbacks
+
+if TYPE_CHECKING:
+    from dragonflydyke.forwarding import held_streams
 
 
 class StoreKnowledge(Protocol):
@@ -93,10 +97,16 @@
             attempt succeeds.
         escalated: Whether the request was sent to the largest model.
         fell_back: Whether the request returned to the smallest model.
+        repeats_largest: Whether an attempt at the largest model has failed.
         retry_after_s: Seconds until a server accepts a request, None if none of
             them said so.
         attempt_history: Server, outcome and reason of each attempt, for the
             log.
+        held_stream: Response of the smallest model that is read on, and relayed
+            if the largest model gives none; None if there is none.
+        close_held_stream: Closes its attempt, None if there is none.
+        fallback_timer: Ends the current attempt in time to relay that stream,
+            None without one.
     """
 
     attempts: int = 0
@@ -112,8 +122,28 @@
     server_failure: "BufferedResponse | None" = None
     escalated: bool = False
     fell_back: bool = False
+    repeats_largest: bool = False
     retry_after_s: float | None = None
     attempt_history: list[str] = dataclasses.field(default_factory=list)
+    held_stream: "held_streams.HeldStream | None" = None
+    close_held_stream: Callable[[], None] | None = None
+    fallback_timer: asyncio.Timeout | None = None
+
+    def start_response(self) -> None:
+        """Records that the client gets the response of the current attempt."""
+        self.response_started = True
+        self.schedule_fallback(None)
+        if self.close_held_stream is not None:
+            self.close_held_stream()
+
+    def schedule_fallback(self, latest_s: float | None) -> None:
+        """Sets the loop time at which the current attempt ends, None for never.
+
+        An attempt that is ending already, or that has no limit, is not changed.
+        """
+        timer = self.fallback_timer
+        if timer is not None and not timer.expired():
+            timer.reschedule(latest_s)
 
     def keep_failure(self, response: "BufferedResponse") -> None:
         """Keeps an error response in place of an earlier one."""
@@ -137,6 +167,7 @@
             attempts=self.attempts + 1,
             fell_back=self.fell_back,
             escalated=self.escalated,
+            repeats_largest=self.repeats_largest,
         )
 
 
@@ -178,6 +209,10 @@
     response_memory: response_memory.ResponseMemory
     counters: metrics.Counters
     tcp_client: tcpclient.TCPClient
+    pace: fallbacks.Pace = dataclasses.field(default_factory=fallbacks.Pace)
+    wait_bounds: fallbacks.WaitBounds = dataclasses.field(
+        default_factory=fallbacks.WaitBounds
+    )
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -198,6 +233,49 @@
     retry_budget: retries.RetryBudget
     state: RequestState
 
+    def describe_limits(self) -> fallbacks.TimeLimits:
+        """Returns the times that bound this request."""
+        route = self.admitted.route
+        return fallbacks.TimeLimits(
+            received_s=self.request.received_s,
+            deadline_s=self.admitted.deadline_s,
+            target_latency_s=route.target_latency_s,
+            max_event_gap_s=route.max_event_gap_s,
+        )
+
+    def expect_stream(
+        self, pace: fallbacks.Pace, now_s: float
+    ) -> fallbacks.ExpectedStream:
+        """Returns the response that the largest model is expected to give."""
+        return self._expect(pace, now_s, -1)
+
+    def expect_held(
+        self, pace: fallbacks.Pace, now_s: float
+    ) -> fallbacks.ExpectedRest | None:
+        """Returns what is expected of the held stream, None without one."""
+        held = self.state.held_stream
+        if held is None or not held.is_usable:
+            return None
+        return fallbacks.expect_rest(
+            self._expect(pace, now_s, 0),
+            held.event_count,
+            is_complete=held.is_complete,
+        )
+
+    def _expect(
+        self, pace: fallbacks.Pace, now_s: float, model_index: int
+    ) -> fallbacks.ExpectedStream:
+        details = self.request.details
+        pool = self.admitted.pool
+        tokens_per_event = pool.engine.tokens_per_event if pool.engine else 0
+        events = fallbacks.estimate_events(
+            details.length_hint, details.max_output_tokens, tokens_per_event
+        )
+        models = self.admitted.route.models
+        model_name = models[model_index] if models else ""
+        gap_s = pace.find_gap_s(pool.name, model_name, tokens_per_event, now_s)
+        return fallbacks.ExpectedStream(events, gap_s)
+
     def describe_content(self) -> quarantine.RequestContent:
         """Returns what this request has in common with others."""
         account = self.admitted.account
--- a/src/dragonflydyke/forwarding/escalation.py
+++ b/src/dragonflydyke/forwarding/escalation.py
@@ -29,7 +29,7 @@
 # Fraction of the target latency by which the first event must be expected.
 _MAX_LATENCY_SHARE = 0.9
 # An engine with a shorter queue has had time to start a request that has waited
-# for a multiple of its target latency.
+# for longer than predicted.
 _MIN_BUSY_QUEUE_S = 0.5
 # Each report is a call to an engine, so short prompts get by with fewer.
 _SHORT_PROMPT_TOKENS = 2_500
@@ -60,7 +60,7 @@
     @property
     def is_busy(self) -> bool:
         """Whether the queue explains that a request has not started yet."""
-        return self.queued * _QUEUED_REQUEST_S >= _MIN_BUSY_QUEUE_S
+        return _is_queue_busy(self.queued)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -94,12 +94,19 @@
         queued: Requests whose prefill was not finished at the engine.
         prefix_source: Engine from which the selected one may fetch the prefix,
             None if it is the affinity server itself.
+        wait_s: Part of the prediction that the queue takes.
     """
 
     server: directory.ServerEntry
     first_event_s: float
     queued: int
     prefix_source: directory.ServerEntry | None
+    wait_s: float = 0.0
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether the engine would not begin the request at once."""
+        return _is_queue_busy(self.queued)
 
 
 def select_candidates(
@@ -161,13 +168,16 @@
         report = reports.get(server.name)
         if report is None:
             continue
-        predicted_s = _predict_first_event_s(
-            profile, report, has_affinity=server is affinity_server
+        wait_s = _predict_wait_s(report)
+        predicted_s = wait_s + _predict_prefill_s(
+            profile, has_affinity=server is affinity_server
         )
         source = affinity_server
         if source is server or source is None or source.name not in reports:
             source = None
-        plan = EscalationPlan(server, predicted_s, report.queued, source)
+        plan = EscalationPlan(
+            server, predicted_s, report.queued, source, wait_s
+        )
         is_remote = server.backend.data_centre != data_centre
         plans.append((predicted_s + is_remote * _REMOTE_PENALTY_S, plan))
     if not plans:
@@ -189,20 +199,23 @@
     return elapsed_s + plan.first_event_s <= limit_s
 
 
-def _predict_first_event_s(
-    profile: selection.RequestProfile,
-    report: EngineReport,
-    *,
-    has_affinity: bool,
+def _is_queue_busy(queued: int) -> bool:
+    return queued * _QUEUED_REQUEST_S >= _MIN_BUSY_QUEUE_S
+
+
+def _predict_wait_s(report: EngineReport) -> float:
+    return (
+        report.queued * _QUEUED_REQUEST_S + report.running * _RUNNING_REQUEST_S
+    )
+
+
+def _predict_prefill_s(
+    profile: selection.RequestProfile, *, has_affinity: bool
 ) -> float:
     tokens: float = profile.prompt_tokens
     if has_affinity:
         tokens -= profile.shared_prefix_tokens * _PREFIX_HIT_SHARE
-    return (
-        report.queued * _QUEUED_REQUEST_S
-        + report.running * _RUNNING_REQUEST_S
-        + tokens * _PREFILL_S_PER_TOKEN
-    )
+    return tokens * _PREFILL_S_PER_TOKEN
 
 
 def _sample(
--- a/src/dragonflydyke/forwarding/planner.py
+++ b/src/dragonflydyke/forwarding/planner.py
@@ -57,11 +57,9 @@
             profile, candidates, found, self._data_centre
         )
 
-    async def is_busy(self, server: directory.ServerEntry) -> bool:
-        """Returns whether an engine still works on the requests before ours.
-
-        An engine that does not answer is not busy but lost.
-        """
+    async def read_report(
+        self, server: directory.ServerEntry
+    ) -> escalation.EngineReport | None:
+        """Returns the report of an engine, None if it does not answer."""
         found = await self._reader.read_all((server,))
-        report = found.get(server.name)
-        return report is not None and report.is_busy
+        return found.get(server.name)
--- a/src/dragonflydyke/forwarding/targets.py
+++ b/src/dragonflydyke/forwarding/targets.py
@@ -1,6 +1,7 @@
 """Choice of the server and model for the next attempt of a request."""
 
 import asyncio
+import dataclasses
 
 from dragonflydyke import logs
 from dragonflydyke.forwarding import (
@@ -15,6 +16,7 @@
     selection,
     urgency,
 )
+from dragonflydyke.scheduling import fallbacks
 
 # Slots depend on the time of day, which differs slightly from the loop's time.
 _MIN_SLOT_DELAY_S = 0.005
@@ -39,6 +41,7 @@
     __slots__ = (
         "_admitted",
         "_allowed_regions",
+        "_compared_servers",
         "_context",
         "_profile",
         "_services",
@@ -62,6 +65,8 @@
             self._admitted.route, self._admitted.account
         )
         self.plan: escalation.EscalationPlan | None = None
+        # Busy engines that were compared with others.
+        self._compared_servers: set[str] = set()
 
     def list_servers(self) -> tuple[directory.ServerEntry, ...]:
         """Returns the servers that this request may use now.
@@ -225,12 +230,87 @@
             source = plan.prefix_source
             if source is not None and source not in servers:
                 source = None
-            return self._build_target(plan.server, source)
+            plan = dataclasses.replace(plan, prefix_source=source)
+            return self._build_target(plan.server, plan)
         selected = self._select_server(
             self._list_preferred(statements.list_allowed(servers))
         )
         return self._build_target(selected.server) if selected else None
 
+    async def review_wait(
+        self, target: attempts.AttemptTarget, waited_s: float
+    ) -> fallbacks.WaitDecision:
+        """Decides on a request that its engine has not started.
+
+        If the request is to move, the next attempt follows the plan.
+
+        Args:
+            target: Where the request waits.
+            waited_s: Seconds for which it has waited there.
+        """
+        server = target.server
+        excluded = {server.name, *self._state.failed_servers}
+        allowed = self._services.statements.list_allowed(self.list_servers())
+        report = await self._services.planner.read_report(server)
+        plan = None
+        if (
+            report is not None
+            and report.is_busy
+            and server.name not in self._compared_servers
+            and fallbacks.is_overdue(waited_s, target.first_event_s)
+        ):
+            # Once, as each report is a call to an engine.
+            self._compared_servers.add(server.name)
+            plan = await self._services.planner.plan(
+                self._profile,
+                target.model_name or self._context.request.details.model,
+                tuple(s for s in allowed if s.name not in excluded),
+            )
+        now_s = _now_s()
+        limits = self._context.describe_limits()
+        pace = self._services.pace
+        held = self._context.expect_held(pace, now_s)
+        latest_s = fallbacks.find_latest_first_event_s(
+            limits,
+            self._context.expect_stream(pace, now_s),
+            held or fallbacks.ExpectedRest(is_complete=True),
+            now_s,
+        )
+        decision = fallbacks.decide_wait(
+            fallbacks.UnstartedRequest(
+                waited_s=waited_s,
+                useful_s=latest_s - now_s,
+                is_engine_busy=report.is_busy if report else None,
+                alternative=fallbacks.AlternativeEngine(
+                    plan.first_event_s, plan.is_busy
+                )
+                if plan
+                else None,
+            )
+        )
+        self._services.counters.increment(f"unstarted.{decision.step.value}")
+        if decision.step is fallbacks.WaitStep.WAIT:
+            return decision
+        _LOGGER.info(
+            "engine has not started a request",
+            request=self._context.request.details.request_id,
+            server=server.name,
+            step=decision.step.value,
+            reason=decision.reason,
+            waited_s=round(waited_s, 3),
+            predicted_first_event_s=target.first_event_s,
+            queued=report.queued if report else None,
+            other=plan.server.name if plan else "",
+            other_first_event_s=round(plan.first_event_s, 3) if plan else None,
+        )
+        if decision.step is fallbacks.WaitStep.MOVE:
+            assert plan is not None
+            if not self._state.escalated:
+                # The smallest model has other affinity servers.
+                plan = dataclasses.replace(plan, prefix_source=None)
+            self.plan = plan
+        return decision
+
     def _list_candidates(
         self, servers: tuple[directory.ServerEntry, ...]
     ) -> tuple[directory.ServerEntry, ...]:
@@ -243,7 +323,7 @@
     def _build_target(
         self,
         server: directory.ServerEntry,
-        prefix_source: directory.ServerEntry | None = None,
+        plan: escalation.EscalationPlan | None = None,
     ) -> attempts.AttemptTarget:
         state = self._state.describe_cascade()
         wants_any_model = self._context.request.details.wants_any_model
@@ -257,11 +337,19 @@
                 self._admitted,
                 uses_cascade=bool(model_name),
                 is_escalated=state.needs_largest_model,
+                is_repeated=state.repeats_largest,
                 prompt_tokens=self._profile.prompt_tokens,
+                used_share=self._find_used_share(),
             ),
-            prefix_source,
+            plan.prefix_source if plan else None,
+            round(plan.first_event_s, 3) if plan else None,
         )
 
+    def _find_used_share(self) -> float:
+        """Returns the fraction of the target latency that is over."""
+        elapsed_s = _now_s() - self._context.request.received_s
+        return elapsed_s / self._admitted.route.target_latency_s
+
     def _log_plan(
         self, plan: escalation.EscalationPlan, usable_count: int
     ) -> None:
--- a/src/dragonflydyke/forwarding/urgency.py
+++ b/src/dragonflydyke/forwarding/urgency.py
@@ -4,7 +4,9 @@
 at the smallest model come first: they take a tenth of the time, and half of
 them are the final answer. Among escalated requests, short prompts come before
 long ones, because a short prompt adds little to the wait of a long one but may
-miss its target latency behind it.
+miss its target latency behind it. A long prompt would wait for as long as
+shorter ones arrive, so it ranks one class higher once most of its target
+latency is over, and another class higher if it is sent again.
 """
 
 import bisect
@@ -19,6 +21,8 @@
 _FIRST_ESCALATED_URGENCY = 3
 # Upper bounds, in prompt tokens, of the classes of escalated requests.
 _PROMPT_TOKEN_CLASSES = (2_500, 6_000, 12_000, 20_000)
+# Fraction of the target latency that is most of it.
+_LATE_SHARE = 0.5
 
 
 def select_urgency(
@@ -26,7 +30,9 @@
     *,
     uses_cascade: bool,
     is_escalated: bool,
+    is_repeated: bool,
     prompt_tokens: int,
+    used_share: float,
 ) -> int | None:
     """Returns 0 to 9, where 0 is the most urgent, or None for plain servers.
 
@@ -34,7 +40,9 @@
         admitted: The request.
         uses_cascade: Whether the router chooses the model.
         is_escalated: Whether the attempt uses the largest model.
+        is_repeated: Whether the largest model was tried before.
         prompt_tokens: Length of the prompt in tokens.
+        used_share: Fraction of the target latency that is over.
     """
     if not admitted.pool.has_engines:
         return None
@@ -44,4 +52,5 @@
     if not is_escalated:
         return min(_MAX_SMALLEST_MODEL_URGENCY, priority)
     size_class = bisect.bisect_left(_PROMPT_TOKEN_CLASSES, prompt_tokens)
-    return _FIRST_ESCALATED_URGENCY + size_class
+    raised_classes = is_repeated + (used_share > _LATE_SHARE)
+    return _FIRST_ESCALATED_URGENCY + max(0, size_class - raised_classes)
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -633,7 +633,15 @@
 class UrgencyTest(unittest.TestCase):
     """Guards against short prompts that wait behind long ones."""
 
-    def find(self, priority: int, tokens: int, *, escalated: bool) -> int:
+    def find(
+        self,
+        priority: int,
+        tokens: int,
+        *,
+        escalated: bool,
+        repeated: bool = False,
+        used_share: float = 0.1,
+    ) -> int:
         """Returns the urgency of a request whose model the router chooses."""
         admitted = decisions.AdmittedRequest(
             route=forwarding.build_route(priority=priority),
@@ -646,7 +654,9 @@
             admitted,
             uses_cascade=True,
             is_escalated=escalated,
+            is_repeated=repeated,
             prompt_tokens=tokens,
+            used_share=used_share,
         )
         assert found is not None
         return found
@@ -654,7 +664,10 @@
     def test_first_attempts_precede_escalated_ones(self) -> None:
         """A check of 0.1 s waited for the prefill of other requests."""
         first = [self.find(p, 40_000, escalated=False) for p in range(4)]
-        escalated = [self.find(p, 100, escalated=True) for p in range(4)]
+        escalated = [
+            self.find(p, 100, escalated=True, repeated=True, used_share=9.0)
+            for p in range(4)
+        ]
         self.assertLess(max(first), min(escalated))
 
     def test_short_escalated_prompts_precede_long_ones(self) -> None:
@@ -663,6 +676,16 @@
         self.assertEqual(found, sorted(set(found)))
         self.assertLessEqual(max(found), urgency.LOWEST)
 
+    def test_late_and_repeated_prompts_rank_higher(self) -> None:
+        """A long prompt waited 13.8 s behind others that came later."""
+        first = self.find(1, 50_000, escalated=True)
+        late = self.find(1, 50_000, escalated=True, used_share=0.6)
+        again = self.find(1, 50_000, escalated=True, repeated=True)
+        both = self.find(
+            1, 50_000, escalated=True, repeated=True, used_share=9.0
+        )
+        self.assertEqual((late, again, both), (first - 1, first - 1, first - 2))
+
     def test_plain_servers_get_no_urgency(self) -> None:
         admitted = decisions.AdmittedRequest(
             route=forwarding.build_route(),
@@ -672,6 +695,11 @@
             policy_version=1,
         )
         found = urgency.select_urgency(
-            admitted, uses_cascade=False, is_escalated=False, prompt_tokens=0
+            admitted,
+            uses_cascade=False,
+            is_escalated=False,
+            is_repeated=False,
+            prompt_tokens=0,
+            used_share=0.0,
         )
         self.assertIsNone(found)
