Avoid servers that moved or lose connections; keep unused retries

A server is avoided for 10 s after a 421 and for 3 s after a connection that it closed without a response. A request keeps a retry that reached no server. Ruled out: pauses as for servers that ask for them, since the only server of a pool would then get nothing; a larger retry budget, since the fleet shares it.

Tests: the three new ones failed before.

--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -515,6 +515,10 @@
             self._observer.record_response_start()
         if details.not_run:
             self.may_have_run = False
+            if details.is_misdirected:
+                self._services.failure_domains.record_misdirected(
+                    self.server, self.response_started_s
+                )
             raise AttemptFailedError(
                 decisions.AttemptOutcome.NOT_RUN, f"status {exchange.status}"
             )
--- a/src/dragonflydyke/forwarding/contexts.py
+++ b/src/dragonflydyke/forwarding/contexts.py
@@ -88,6 +88,7 @@
         may_have_run: Whether any attempt may have run.
         dispatches: All attempts, including those at unreachable servers.
         sent_attempts: Attempts that may have reached a server.
+        paid_retries: Retries that were taken from the retry budget.
         refusals: Attempts whose server accepted no connection, by data centre.
         last_event_id: Id of the last event that was sent to the client.
         response_started: Whether the start of the response was sent to the
@@ -113,6 +114,7 @@
     may_have_run: bool = False
     dispatches: int = 0
     sent_attempts: int = 0
+    paid_retries: int = 0
     refusals: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
--- a/src/dragonflydyke/forwarding/failure_domains.py
+++ b/src/dragonflydyke/forwarding/failure_domains.py
@@ -1,4 +1,4 @@
-"""Data centres whose servers fail together; no I/O.
+"""Data centres and servers that a node avoids after failures; no I/O.
 
 Designed for all servers of a data centre that go down at the same moment: a
 node tried five of them in 16 ms and gave up although other data centres had
@@ -6,6 +6,11 @@
 connections and none accepts one. That is a preference among the servers that
 can be used, so that a request still has a server if all data centres are
 avoided. A connection that a server of the data centre accepts ends it.
+
+Single servers are avoided in the same way for some seconds: one at whose
+address another server answers, as its entry is outdated, and one that accepts
+connections and loses them. Requests that may run only once are lost there, so
+the first loss of a node has to count.
 """
 
 import dataclasses
@@ -26,6 +31,10 @@
 # A connection that a neighbour accepted shows for this time that the data
 # centre is reachable.
 _NEIGHBOUR_S = 1.0
+# The store removes the entry of a server that is gone after a few seconds.
+_MISDIRECTED_S = 10.0
+# Time after which a server that lost a connection is tried again.
+_LOST_S = 3.0
 
 _LOGGER = logs.get_logger("failures")
 
@@ -48,16 +57,19 @@
 class FailureDomains:
     """Decides which data centres are avoided; times are loop times."""
 
-    __slots__ = ("_counters", "_domains")
+    __slots__ = ("_counters", "_domains", "_servers_until_s")
 
     def __init__(self, counters: metrics.Counters) -> None:
         """Creates a list without any avoided data centre.
 
         Args:
-            counters: Receives `failure_domain.avoided`.
+            counters: Receives `failure_domain.avoided` and
+                `server.avoided.<reason>`.
         """
         self._counters = counters
         self._domains: dict[str, _Domain] = {}
+        # Time until which a server process is avoided.
+        self._servers_until_s: dict[tuple[str, int], float] = {}
 
     def record_connection(
         self, server: directory.ServerEntry, now_s: float, *, accepted: bool
@@ -81,6 +93,45 @@
         if len(domain.refused_s) >= _MIN_SERVERS:
             self._avoid(data_centre, domain, now_s)
 
+    def record_misdirected(
+        self, server: directory.ServerEntry, now_s: float
+    ) -> None:
+        """Records that another server has the address of a server."""
+        self._avoid_server(server, now_s, _MISDIRECTED_S, "misdirected")
+
+    def record_lost_connection(
+        self, server: directory.ServerEntry, now_s: float
+    ) -> None:
+        """Records that a server closed a connection without a response."""
+        self._avoid_server(server, now_s, _LOST_S, "lost")
+
+    def _avoid_server(
+        self,
+        server: directory.ServerEntry,
+        now_s: float,
+        duration_s: float,
+        reason: str,
+    ) -> None:
+        self._counters.increment(f"server.avoided.{reason}")
+        for process, until_s in list(self._servers_until_s.items()):
+            if until_s <= now_s:
+                del self._servers_until_s[process]
+        until_s = self._servers_until_s.get(server.process, -math.inf)
+        if until_s < now_s:
+            _LOGGER.info(
+                "server is avoided",
+                server=server.name,
+                reason=reason,
+                avoided_s=duration_s,
+            )
+        self._servers_until_s[server.process] = max(until_s, now_s + duration_s)
+
+    def _is_server_avoided(
+        self, server: directory.ServerEntry, now_s: float
+    ) -> bool:
+        until_s = self._servers_until_s.get(server.process)
+        return until_s is not None and until_s > now_s
+
     def _avoid(self, data_centre: str, domain: _Domain, now_s: float) -> None:
         was_avoided = domain.avoided_until_s > now_s
         domain.avoided_until_s = now_s + _AVOIDANCE_S
@@ -121,7 +172,9 @@
         refusals: Mapping[str, int],
         now_s: float,
     ) -> tuple[directory.ServerEntry, ...]:
-        """Returns the servers outside avoided data centres, or all.
+        """Returns the servers that are not avoided.
+
+        Without any, those outside avoided data centres; without any, all.
 
         Args:
             servers: Servers that the request may use.
@@ -129,7 +182,7 @@
                 by data centre.
             now_s: Current time.
         """
-        if not self._domains:
+        if not self._domains and not self._servers_until_s:
             return tuple(servers)
         avoided = {
             data_centre
@@ -141,4 +194,10 @@
             for server in servers
             if server.backend.data_centre not in avoided
         )
-        return preferred or tuple(servers)
+        preferred = preferred or tuple(servers)
+        sound = tuple(
+            server
+            for server in preferred
+            if not self._is_server_avoided(server, now_s)
+        )
+        return sound or preferred
--- a/src/dragonflydyke/forwarding/messages.py
+++ b/src/dragonflydyke/forwarding/messages.py
@@ -137,6 +137,7 @@
         request_id: Id of the request, empty if the response states none.
         is_signed: Whether the response has the server's signature.
         not_run: Whether the server states that it did not run the request.
+        is_misdirected: Whether another server has the address now.
         is_stream: Whether the body is a stream of events.
         has_content_encoding: Whether the body has a content encoding.
         confidence: Confidence that the model reports, 0..1, or None.
@@ -152,6 +153,7 @@
     request_id: str
     is_signed: bool
     not_run: bool
+    is_misdirected: bool = False
     is_stream: bool = False
     has_content_encoding: bool = False
     confidence: float | None = None
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -343,8 +343,8 @@
                 step, reason = decisions.NextStep.GIVE_UP, obstacle
         if (
             step is decisions.NextStep.RETRY
-            and self._is_charged(outcome)
-            and not self._context.retry_budget.try_spend()
+            and self._state.paid_retries < self._state.sent_attempts
+            and not self._try_pay_retry()
         ):
             step = decisions.NextStep.GIVE_UP
             reason = "no retry budget"
@@ -375,15 +375,21 @@
             return "no other engine"
         return ""
 
-    def _is_charged(self, outcome: decisions.AttemptOutcome) -> bool:
-        """Returns whether the next attempt costs a retry.
+    def _try_pay_retry(self) -> bool:
+        """Takes a retry from the budget; returns whether it had one.
 
-        An escalation has paid before the first response was discarded. A
-        request that has not reached any server costs no retry.
+        The budget counts requests that arrive at servers. A request that has
+        reached none costs no retry, and one that a retry did not reach keeps
+        that retry for the next attempt.
         """
-        if outcome is decisions.AttemptOutcome.LOW_CONFIDENCE:
+        if not self._context.retry_budget.try_spend():
             return False
-        return self._state.sent_attempts > 0
+        self._state.paid_retries += 1
+        return True
+
+    def _refund_retry(self) -> None:
+        self._context.retry_budget.refund()
+        self._state.paid_retries -= 1
 
     async def _attempt(self) -> decisions.AttemptOutcome:
         """Makes one attempt and returns its outcome."""
@@ -509,8 +515,7 @@
         Returns:
             The plan, or None if the response at hand should be delivered.
         """
-        retry_budget = self._context.retry_budget
-        if not retry_budget.try_spend():
+        if not self._try_pay_retry():
             self._log_no_escalation(details, None, "no retry budget")
             return None
         plan = await self._targets.read_plan(self._targets.list_servers())
@@ -532,7 +537,7 @@
         else:
             self._services.counters.increment("escalation.planned")
             return plan
-        retry_budget.refund()
+        self._refund_retry()
         self._log_no_escalation(details, plan, reason)
         return None
 
@@ -592,6 +597,13 @@
         attempt.record_outcome(outcome)
         if outcome is decisions.AttemptOutcome.LOST:
             self._log_loss(attempt, reason)
+            if (
+                reason == failures.CONNECTION_LOST
+                and attempt.response_started_s is None
+            ):
+                self._services.failure_domains.record_lost_connection(
+                    server, _now_s()
+                )
         ejected = self._services.selector.record_outcome(
             self._profile,
             server,
--- a/src/dragonflydyke/platform/headers.py
+++ b/src/dragonflydyke/platform/headers.py
@@ -130,6 +130,7 @@
             request_id=headers.get(REQUEST_ID, ""),
             is_signed=SIGNATURE in headers,
             not_run=NOT_RUN in headers or status == _MISDIRECTED,
+            is_misdirected=status == _MISDIRECTED,
             is_stream=content_type.startswith(_EVENT_STREAM),
             has_content_encoding="Content-Encoding" in headers,
             confidence=_read_count(confidence) / 100 if confidence else None,
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,8 +1,9 @@
 """Tests of request forwarding against scripted backend servers."""
 
 import asyncio
+import itertools
 
-from dragonflydyke.forwarding import model
+from dragonflydyke.forwarding import model, selection
 from tests.builders import forwarding, skipping_loop
 
 _EVENTS = [b"id: %d\ndata: piece" % number for number in range(1, 5)]
@@ -243,6 +244,65 @@
         response = await self.fetch()
         self.assertEqual((response.status, response.body), (200, b"answer"))
 
+    async def test_server_whose_address_moved_gets_one_request(self) -> None:
+        """Each request would cost a retry until the entry is removed."""
+
+        async def misdirect(request, writer) -> None:
+            writer.write(
+                b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+            )
+
+        self.set_route(model.RequestKind.NON_IDEMPOTENT, 1)
+        moved = await self.start_server("moved", misdirect)
+        await self.start_server("up", _respond)
+        for number in range(20):
+            response = await self.fetch(Prompt_Prefix=f"p{number}:900,q:9")
+            self.assertEqual(response.status, 200)
+        self.assertEqual(len(moved.received), 1)
+
+    async def test_server_that_loses_connections_is_avoided(self) -> None:
+        """A flapping server lost one non-idempotent request after the other."""
+        self.set_route(model.RequestKind.NON_IDEMPOTENT, 1)
+        lossy = await self.start_server("lossy", _reset_connection)
+        await self.start_server("up", _respond)
+        for number in range(20):
+            await self.fetch(Prompt_Prefix=f"p{number}:900,q:9")
+        self.assertEqual(len(lossy.received), 1)
+
+    async def test_retry_that_reached_no_server_is_kept(self) -> None:
+        """Requests failed without retry budget though nothing had arrived.
+
+        The retry after a lost request was charged again for each server on the
+        way that was down.
+        """
+        self.set_route(model.RequestKind.IDEMPOTENT, 3)
+        await self.start_server("lossy", _reset_connection)
+        for name in ("down1", "down2", "down3"):
+            await (await self.start_server(name, _respond)).stop()
+        await self.start_server("up", _respond)
+        order = ("lossy", "down1", "down2", "down3", "up")
+        prefix = self.find_prefix(order)
+        for _ in range(2):
+            response = await self.fetch(Prompt_Prefix=f"{prefix}:900,q:9")
+            self.assertEqual(response.status, 200)
+            await asyncio.sleep(5.0)
+        self.assertGreaterEqual(self.counters.total("retry.lost"), 1)
+
+    def find_prefix(self, order: tuple[str, ...]) -> str:
+        """Returns a prefix whose affinity servers are those, in this order."""
+        prefixes = (f"p{number}" for number in itertools.count())
+        return next(p for p in prefixes if self.list_affinity(p) == order)
+
+    def list_affinity(self, prefix: str) -> tuple[str, ...]:
+        """Returns the names of the servers in the order of their affinity."""
+        servers = list(self.directory.list_usable("engines"))
+        names = []
+        while servers:
+            best = selection.find_affinity_server(prefix, servers)
+            names.append(best.name)
+            servers.remove(best)
+        return tuple(names)
+
     async def test_lost_request_is_not_retried_if_not_idempotent(self) -> None:
         self.set_route(model.RequestKind.NON_IDEMPOTENT, 3)
         script = _play_in_order((_reset_connection, _respond))
