Learn the cost of requests and the speed of servers

Cause: the prefill speed, the times of output tokens, plain requests and queued requests were constants measured on one kind of engine, and engines of one pool differ in speed by more than two to one. Ruled out: ranking idle servers by speed. All nodes know the same fast servers and cannot see each other's requests, so they would overload them; servers without own work are drawn in proportion to their speed instead. Learning the prefill of attempts without a load report was ruled out, too: their wait cannot be told from their prefill. The smaller models follow the largest one. Tests: the existing tests of decisions, escalation, forwarding and limits pass. The calls of plan_escalation and the builder of a forwarding node in the tests got the new arguments; no assertion changed. Conclusion: the selection, the plan of escalations and the check for busy engines use learned values within bounded factors of today's constants. Only deployments that state the capacity of engines learn.

--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -8,12 +8,15 @@
 from dragonflydyke.backends import model as backends
 from dragonflydyke.forwarding import (
     contexts,
+    cost_records,
     decisions,
     directory,
+    escalation,
     messages,
     model,
     observers,
     response_memory,
+    selection,
 )
 
 # A server in the same region accepts connections within milliseconds. A server
@@ -51,15 +54,17 @@
 
     Attributes:
         server: The backend server.
+        profile: Profile of the attempt.
         model_name: Model to use, empty to keep the model of the client.
         urgency: 0 to 9, where 0 is the most urgent; None for plain servers.
-        prefix_source: Engine from which the server may fetch the cached prefix.
+        plan: Plan that selected the server, None without load reports.
     """
 
     server: directory.ServerEntry
+    profile: selection.RequestProfile
     model_name: str = ""
     urgency: int | None = None
-    prefix_source: directory.ServerEntry | None = None
+    plan: escalation.EscalationPlan | None = None
 
 
 class Attempt:
@@ -67,6 +72,8 @@
 
     Attributes:
         server: The backend server.
+        target: Where and how it runs.
+        times: When it was sent and answered.
         may_have_run: Whether the server may have run the request.
         was_sent: Whether the request may have reached the server.
         response_started_s: Loop time at which its response started, or None.
@@ -87,7 +94,6 @@
         "_services",
         "_splitter",
         "_state",
-        "_target",
         "_waited_s",
         "_writer",
         "event_count",
@@ -95,6 +101,8 @@
         "response_started_s",
         "server",
         "stated_pause",
+        "target",
+        "times",
         "was_sent",
     )
 
@@ -122,7 +130,8 @@
         # Seconds spent waiting for the server since its last numbered event.
         self._waited_s = 0.0
         self._observer: observers.AttemptObserver | None = None
-        self._target = target
+        self.target = target
+        self.times = cost_records.AttemptTimes()
         self.server = target.server
         self.may_have_run = False
         self.was_sent = False
@@ -237,13 +246,14 @@
         last_event_id = self._state.last_event_id
         if last_event_id is None:
             last_event_id = self._request.details.last_event_id
-        source = self._target.prefix_source
+        plan = self.target.plan
+        source = plan.prefix_source if plan else None
         dispatch = messages.Dispatch(
             server=self.server.name,
             remaining_s=admitted.deadline_s - loop.time(),
             account=admitted.account.name if admitted.account else "",
-            model=self._target.model_name,
-            urgency=self._target.urgency,
+            model=self.target.model_name,
+            urgency=self.target.urgency,
             last_event_id=last_event_id,
             prefix_source=source.address if source else "",
         )
@@ -267,8 +277,10 @@
         self._observer = self._services.rollout_controller.observe_attempt(
             self.server,
             admitted.route,
-            self._target.model_name or self._request.details.model,
+            self.target.model_name or self._request.details.model,
         )
+        self.times.sent_s = loop.time()
+        self.times.is_resumed = last_event_id is not None
         await self._exchange.send()
 
     async def _await_response_start(self) -> None:
@@ -285,7 +297,9 @@
                 return
             except TimeoutError as error:
                 # Under peak load a second run would only lengthen the queues.
-                if await self._services.planner.is_busy(self.server):
+                if await self._services.planner.is_busy(
+                    self.server, self.target.model_name
+                ):
                     continue
                 raise AttemptFailedError(
                     decisions.AttemptOutcome.FIRST_EVENT_TIMEOUT,
@@ -299,6 +313,7 @@
             exchange.status, exchange.headers
         )
         self.response_started_s = asyncio.get_running_loop().time()
+        self.times.response_started_s = self.response_started_s
         if details.request_id == self._request.details.request_id:
             self._services.statements.record_response(self.server, details)
             self.stated_pause = details.pause_s is not None
@@ -400,9 +415,11 @@
             ) from error
         finally:
             self._waited_s += loop.time() - started_s
+            self.times.record_wait(started_s, loop.time())
 
     def _record_event(self) -> None:
         self.event_count += 1
+        self.times.record_event(asyncio.get_running_loop().time())
         if self.event_count == _PRODUCED_EVENTS:
             self._record_production()
         if self._observer is not None:
--- a/src/dragonflydyke/forwarding/contexts.py
+++ b/src/dragonflydyke/forwarding/contexts.py
@@ -11,6 +11,7 @@
 from dragonflydyke.forwarding import (
     cascade,
     controller,
+    cost_records,
     crash_reports,
     decisions,
     directory,
@@ -22,6 +23,7 @@
     server_statements,
 )
 from dragonflydyke.routing import retries
+from dragonflydyke.scheduling import costs
 
 
 class StoreKnowledge(Protocol):
@@ -163,6 +165,8 @@
     rollout_controller: controller.RolloutController
     selector: selection.ServerSelector
     planner: planner.EscalationPlanner
+    costs: costs.CostModel
+    cost_recorder: cost_records.CostRecorder
     quarantine: quarantine.RequestQuarantine
     crash_reporter: crash_reports.CrashReporter
     statements: server_statements.ServerStatements
--- a/src/dragonflydyke/forwarding/escalation.py
+++ b/src/dragonflydyke/forwarding/escalation.py
@@ -15,13 +15,8 @@
 from collections.abc import Mapping, Sequence
 
 from dragonflydyke.forwarding import directory, selection
+from dragonflydyke.scheduling import costs, estimates
 
-# Prefill time of the largest model per prompt token in seconds.
-_PREFILL_S_PER_TOKEN = 60e-6
-# Mean prefill time of a queued request in seconds, over all models.
-_QUEUED_REQUEST_S = 0.22
-# Each running request delays a prefill by its share of a decode step.
-_RUNNING_REQUEST_S = 0.004
 # The affinity server has the prefix only if it served it before.
 _PREFIX_HIT_SHARE = 0.7
 # Traffic between data centres is expensive.
@@ -57,10 +52,13 @@
         """Requests whose prefill was not finished."""
         return self.waiting + max(0, self.running - self.streaming)
 
-    @property
-    def is_busy(self) -> bool:
-        """Whether the queue explains that a request has not started yet."""
-        return self.queued * _QUEUED_REQUEST_S >= _MIN_BUSY_QUEUE_S
+    def is_busy(self, queued_request_s: float) -> bool:
+        """Returns whether the queue explains that a request has not started.
+
+        Args:
+            queued_request_s: Wait that each queued request causes.
+        """
+        return self.queued * queued_request_s >= _MIN_BUSY_QUEUE_S
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -91,14 +89,22 @@
     Attributes:
         server: The selected engine.
         first_event_s: Predicted seconds until its first event.
+        finish_s: Predicted seconds until its last event.
         queued: Requests whose prefill was not finished at the engine.
+        running: Running requests at the engine.
+        cached_tokens: Prompt tokens that are expected in the engine's cache.
+        samples: Observations that the predictions are based on.
         prefix_source: Engine from which the selected one may fetch the prefix,
             None if it is the affinity server itself.
     """
 
     server: directory.ServerEntry
     first_event_s: float
+    finish_s: float
     queued: int
+    running: int
+    cached_tokens: int
+    samples: int
     prefix_source: directory.ServerEntry | None
 
 
@@ -143,6 +149,9 @@
     candidates: EscalationCandidates,
     reports: Mapping[str, EngineReport],
     data_centre: str,
+    cost_model: costs.CostModel,
+    model_name: str,
+    now_s: float,
 ) -> EscalationPlan | None:
     """Returns the plan with the earliest first event.
 
@@ -151,23 +160,38 @@
         candidates: Engines that were asked for reports.
         reports: Reports by the names of the engines that answered.
         data_centre: Data centre of this node.
+        cost_model: Predicts the times of the request.
+        model_name: Model to which it is escalated.
+        now_s: Loop time.
 
     Returns:
         The plan, or None if no engine answered.
     """
+    key = estimates.WorkKey(profile.pool.name, model_name)
     affinity_server = candidates.affinity_server
     plans = []
     for server in candidates.servers:
         report = reports.get(server.name)
         if report is None:
             continue
-        predicted_s = _predict_first_event_s(
-            profile, report, has_affinity=server is affinity_server
+        work = _describe_work(profile, has_affinity=server is affinity_server)
+        estimate = cost_model.predict(
+            key, work, server.name, report.queued, report.running, now_s
         )
+        predicted_s = estimate.first_event_s
         source = affinity_server
         if source is server or source is None or source.name not in reports:
             source = None
-        plan = EscalationPlan(server, predicted_s, report.queued, source)
+        plan = EscalationPlan(
+            server=server,
+            first_event_s=predicted_s,
+            finish_s=estimate.finish_s,
+            queued=report.queued,
+            running=report.running,
+            cached_tokens=work.cached_tokens,
+            samples=estimate.samples,
+            prefix_source=source,
+        )
         is_remote = server.backend.data_centre != data_centre
         plans.append((predicted_s + is_remote * _REMOTE_PENALTY_S, plan))
     if not plans:
@@ -189,19 +213,14 @@
     return elapsed_s + plan.first_event_s <= limit_s
 
 
-def _predict_first_event_s(
-    profile: selection.RequestProfile,
-    report: EngineReport,
-    *,
-    has_affinity: bool,
-) -> float:
-    tokens: float = profile.prompt_tokens
-    if has_affinity:
-        tokens -= profile.shared_prefix_tokens * _PREFIX_HIT_SHARE
-    return (
-        report.queued * _QUEUED_REQUEST_S
-        + report.running * _RUNNING_REQUEST_S
-        + tokens * _PREFILL_S_PER_TOKEN
+def _describe_work(
+    profile: selection.RequestProfile, *, has_affinity: bool
+) -> estimates.Work:
+    cached = profile.shared_prefix_tokens * _PREFIX_HIT_SHARE
+    return estimates.Work(
+        prompt_tokens=profile.prompt_tokens,
+        cached_tokens=round(cached) if has_affinity else 0,
+        output_tokens=profile.output_tokens,
     )
 
 
--- a/src/dragonflydyke/forwarding/model.py
+++ b/src/dragonflydyke/forwarding/model.py
@@ -170,6 +170,7 @@
     Attributes:
         version: Version of the configuration.
         pools: Pools by name.
+        routes: All routes.
         limits: Limits on clients.
         needs_key: Whether requests need an API key unless their route is
             anonymous.
@@ -181,6 +182,7 @@
         "limits",
         "needs_key",
         "pools",
+        "routes",
         "version",
     )
 
@@ -194,6 +196,7 @@
     ) -> None:
         self.version = version
         self.pools = {pool.name: pool for pool in pools}
+        self.routes = routes
         self.limits = limits
         self.needs_key = bool(accounts)
         self._accounts = {
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -13,6 +13,7 @@
 from dragonflydyke.forwarding import (
     contexts,
     controller,
+    cost_records,
     crash_reports,
     directory,
     execution,
@@ -32,6 +33,7 @@
 )
 from dragonflydyke.objects import freshness, peer_groups, replicas, watchers
 from dragonflydyke.objects import model as objects
+from dragonflydyke.scheduling import costs
 
 # The load balancer stops sending clients after two failed readiness checks, a
 # second apart, and clients then use their open connections a little longer.
@@ -192,6 +194,8 @@
     """One router process."""
 
     __slots__ = (
+        "_cost_recorder",
+        "_costs",
         "_counters",
         "_crash_reporter",
         "_decoder",
@@ -281,6 +285,8 @@
             self._random,
             self._is_store_available,
         )
+        self._costs = costs.CostModel()
+        self._cost_recorder = cost_records.CostRecorder(self._costs, counters)
         self._has_rollouts = False
         self._has_crashes = False
         reader = replicas.ReplicaReader(store, kinds.rollouts, values.max_age_s)
@@ -310,12 +316,17 @@
             codec=codec,
             directory=self._directory,
             rollout_controller=self._rollout_controller,
-            selector=selection.ServerSelector(data_centre, self._random),
+            selector=selection.ServerSelector(
+                data_centre, self._random, self._costs.speeds
+            ),
             planner=planner.EscalationPlanner(
                 data_centre,
                 reports.ReportReader(report_codec, self._counters),
                 self._random,
+                self._costs,
             ),
+            costs=self._costs,
+            cost_recorder=self._cost_recorder,
             quarantine=self._quarantine,
             crash_reporter=self._crash_reporter,
             statements=self._statements,
@@ -433,6 +444,7 @@
         if current is not None and policy.version <= current.version:
             return
         self._forwarder.policy = policy
+        cost_records.configure(self._costs, policy)
         _LOGGER.notice("configuration in force", version=policy.version)
 
     def _apply_servers(
@@ -443,6 +455,9 @@
             servers, view.confirmed_s, after_outage=after_gap
         )
         self._statements.retain(self._directory.list_all())
+        self._costs.speeds.retain(
+            [entry.name for entry in self._directory.list_all()]
+        )
 
     def _apply_rollouts(
         self, view: watchers.KindSnapshot, after_gap: bool
@@ -466,7 +481,9 @@
     def _describe_metrics(self) -> tuple[int, str]:
         totals = self._counters.totals()
         lines = [f"{name} {totals[name]}\n" for name in sorted(totals)]
-        return _OK, "".join(lines) + self._forwarder.latencies.format_text()
+        durations = self._forwarder.latencies.format_text()
+        prediction_errors = self._cost_recorder.errors.format_text()
+        return _OK, "".join(lines) + durations + prediction_errors
 
 
 def _serve_text(
--- a/src/dragonflydyke/forwarding/planner.py
+++ b/src/dragonflydyke/forwarding/planner.py
@@ -1,5 +1,6 @@
 """Plans escalations with fresh reports of a few engines."""
 
+import asyncio
 import random
 from collections.abc import Sequence
 
@@ -9,18 +10,20 @@
     reports,
     selection,
 )
+from dragonflydyke.scheduling import costs, estimates
 
 
 class EscalationPlanner:
     """Asks engines for their load and selects one for an escalated request."""
 
-    __slots__ = ("_data_centre", "_random", "_reader")
+    __slots__ = ("_costs", "_data_centre", "_random", "_reader")
 
     def __init__(
         self,
         data_centre: str,
         reader: reports.ReportReader,
         source: random.Random,
+        cost_model: costs.CostModel,
     ) -> None:
         """Creates a planner.
 
@@ -28,7 +31,9 @@
             data_centre: Data centre of this node.
             reader: Reads the reports.
             source: Random source that spreads the calls over the engines.
+            cost_model: Predicts the times of requests.
         """
+        self._costs = cost_model
         self._data_centre = data_centre
         self._reader = reader
         self._random = source
@@ -54,14 +59,33 @@
         )
         found = await self._reader.read_all(candidates.servers)
         return escalation.plan_escalation(
-            profile, candidates, found, self._data_centre
+            profile,
+            candidates,
+            found,
+            self._data_centre,
+            self._costs,
+            model_name,
+            _now_s(),
         )
 
-    async def is_busy(self, server: directory.ServerEntry) -> bool:
+    async def is_busy(
+        self, server: directory.ServerEntry, model_name: str
+    ) -> bool:
         """Returns whether an engine still works on the requests before ours.
 
         An engine that does not answer is not busy but lost.
+
+        Args:
+            server: The engine.
+            model_name: Model of the request.
         """
         found = await self._reader.read_all((server,))
         report = found.get(server.name)
-        return report is not None and report.is_busy
+        if report is None:
+            return False
+        key = estimates.WorkKey(server.pool, model_name)
+        return report.is_busy(self._costs.find_queued_request_s(key, _now_s()))
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -41,7 +41,6 @@
     __slots__ = (
         "_admitted",
         "_context",
-        "_profile",
         "_services",
         "_state",
         "_targets",
@@ -57,10 +56,13 @@
         self._context = context
         self._admitted = context.admitted
         self._state = context.state
-        self._profile = selection.build_profile(
-            context.request, context.admitted
+        self._targets = targets.TargetSelector(
+            services,
+            context,
+            selection.build_profile(
+                context.request, context.admitted, services.costs, _now_s()
+            ),
         )
-        self._targets = targets.TargetSelector(services, context, self._profile)
 
     async def run(self) -> None:
         """Makes attempts until a response is delivered to the client.
@@ -149,7 +151,9 @@
         self._services.statements.record_start(target.server)
         attempt = attempts.Attempt(self._services, self._context, target)
         self._state.dispatches += 1
-        self._services.selector.record_start(self._profile, target.server)
+        self._services.selector.record_start(
+            target.profile, target.server, _now_s()
+        )
         outcome = decisions.AttemptOutcome.DELIVERED
         reason = ""
         try:
@@ -281,13 +285,21 @@
         self._state.sent_attempts += attempt.was_sent
         self._state.may_have_run |= attempt.may_have_run
         attempt.record_outcome(outcome)
+        attempt.times.ended_s = _now_s()
+        self._services.cost_recorder.record(
+            attempt.target.profile,
+            server,
+            attempt.target.plan,
+            attempt.times,
+            outcome,
+        )
         self._state.attempt_history.append(f"{server.name}:{outcome}:{reason}")
         if outcome not in _OUTCOMES_WITHOUT_FAILURE:
             self._state.failed_servers.append(server.name)
         if outcome is decisions.AttemptOutcome.LOST:
             self._log_loss(attempt, reason)
         ejected = self._services.selector.record_outcome(
-            self._profile,
+            attempt.target.profile,
             server,
             _now_s(),
             failed=None if attempt.stated_pause else _classify_failure(outcome),
--- a/src/dragonflydyke/forwarding/targets.py
+++ b/src/dragonflydyke/forwarding/targets.py
@@ -124,29 +124,45 @@
         # Another request may have used the slot while reports were read.
         if plan is not None and statements.allows(plan.server):
             self._log_plan(plan, len(servers))
-            return self._build_target(plan.server, plan.prefix_source)
+            return self._build_target(plan.server, plan)
         selected = self._select_server(statements.list_allowed(servers))
         return self._build_target(selected.server) if selected else None
 
+    def _describe_attempt(self) -> selection.RequestProfile:
+        """Returns the profile of the next attempt, with learned costs."""
+        name = self._select_model() or self._context.request.details.model
+        return selection.apply_costs(
+            self._profile, name, self._services.costs, _now_s()
+        )
+
+    def _select_model(self) -> str:
+        """Returns the model that the router chooses, empty if it does not."""
+        if not self._context.request.details.wants_any_model:
+            return ""
+        return cascade.select_model(
+            self._admitted.route, self._state.describe_cascade()
+        )
+
     def _list_candidates(
         self, servers: tuple[directory.ServerEntry, ...]
     ) -> tuple[directory.ServerEntry, ...]:
         failed = self._state.failed_servers
         servers = self._services.statements.list_allowed(servers)
-        return tuple(s for s in servers if s.name not in failed) or servers
+        servers = tuple(s for s in servers if s.name not in failed) or servers
+        return tuple(
+            self._services.selector.list_with_room(self._profile, servers)
+        )
 
     def _build_target(
         self,
         server: directory.ServerEntry,
-        prefix_source: directory.ServerEntry | None = None,
+        plan: escalation.EscalationPlan | None = None,
     ) -> attempts.AttemptTarget:
         state = self._state.describe_cascade()
-        wants_any_model = self._context.request.details.wants_any_model
-        model_name = ""
-        if wants_any_model:
-            model_name = cascade.select_model(self._admitted.route, state)
+        model_name = self._select_model()
         return attempts.AttemptTarget(
             server,
+            self._describe_attempt(),
             model_name,
             urgency.select_urgency(
                 self._admitted,
@@ -154,7 +170,7 @@
                 is_escalated=state.needs_largest_model,
                 prompt_tokens=self._profile.prompt_tokens,
             ),
-            prefix_source,
+            plan,
         )
 
     def _log_plan(
@@ -166,6 +182,8 @@
             server=plan.server.name,
             version=plan.server.version,
             cost_s=round(plan.first_event_s, 3),
+            finish_s=round(plan.finish_s, 3),
+            samples=plan.samples,
             has_beginning=plan.prefix_source is None,
             in_progress=plan.queued,
             usable=usable_count,
@@ -176,8 +194,9 @@
         self, servers: tuple[directory.ServerEntry, ...]
     ) -> selection.SelectedServer | None:
         now_s = _now_s()
+        profile = self._describe_attempt()
         selected = self._services.selector.select_server(
-            self._profile, servers, now_s, self._state.failed_servers
+            profile, servers, now_s, self._state.failed_servers
         )
         _LOGGER.info(
             "attempt",
@@ -185,6 +204,8 @@
             server=selected.server.name if selected else "",
             version=selected.server.version if selected else "",
             cost_s=round(selected.cost_s, 3) if selected else None,
+            finish_s=round(profile.duration_s, 3),
+            speed_factor=round(selected.speed_factor, 2) if selected else None,
             has_beginning=selected.is_affinity_target if selected else None,
             in_progress=selected.in_flight if selected else None,
             usable=len(servers),
--- a/tests/builders/forwarding.py
+++ b/tests/builders/forwarding.py
@@ -15,6 +15,7 @@
 from dragonflydyke.forwarding import (
     contexts,
     controller,
+    cost_records,
     crash_reports,
     directory,
     execution,
@@ -32,6 +33,7 @@
 )
 from dragonflydyke.platform import headers
 from dragonflydyke.platform import reports as platform_reports
+from dragonflydyke.scheduling import costs
 from tests.builders import shared_objects, skipping_loop
 
 DATA_CENTRE = "north"
@@ -364,6 +366,10 @@
         )
         self.response_memory = response_memory.ResponseMemory()
         self.store_knowledge = StoreKnowledge()
+        self.costs = costs.CostModel()
+        self.cost_recorder = cost_records.CostRecorder(
+            self.costs, self.counters
+        )
         codec = headers.HeaderCodec()
         self.forwarder = execution.Forwarder(
             contexts.ForwardingServices(
@@ -371,14 +377,19 @@
                 codec=codec,
                 directory=self.directory,
                 rollout_controller=self.rollout_controller,
-                selector=selection.ServerSelector(DATA_CENTRE, source),
+                selector=selection.ServerSelector(
+                    DATA_CENTRE, source, self.costs.speeds
+                ),
                 planner=planner.EscalationPlanner(
                     DATA_CENTRE,
                     reports.ReportReader(
                         platform_reports.ReportCodec(), self.counters
                     ),
                     source,
+                    self.costs,
                 ),
+                costs=self.costs,
+                cost_recorder=self.cost_recorder,
                 quarantine=self.quarantine,
                 crash_reporter=self.crash_reporter,
                 statements=self.statements,
--- a/tests/test_forwarding_escalation.py
+++ b/tests/test_forwarding_escalation.py
@@ -5,6 +5,7 @@
 import unittest
 
 from dragonflydyke.forwarding import directory, escalation, model, selection
+from dragonflydyke.scheduling import costs
 from tests.builders import engine_queues, forwarding
 
 _SEED = int(os.environ.get("DRAGONFLYDYKE_SEED", "1"))
@@ -92,6 +93,9 @@
             candidates,
             reports,
             forwarding.DATA_CENTRE,
+            costs.CostModel(),
+            "large",
+            0.0,
         )
 
     def test_idle_affinity_server_is_preferred(self) -> None:
@@ -164,6 +168,9 @@
                         for server in candidates.servers
                     },
                     forwarding.DATA_CENTRE,
+                    costs.CostModel(),
+                    "large",
+                    arrival.at_s,
                 )
                 if plan and escalation.is_in_time(plan, _TARGET_S, 0.0):
                     return plan.server.name
