--- a/src/dragonflydyke/scheduling/samples.py
+++ b/src/dragonflydyke/scheduling/samples.py
@@ -2,7 +2,7 @@
 
 Designed for one or two samples a second of which up to a fifth come from
 servers in trouble. The mean of the middle half of the recent samples excludes
-them, and no server contributes more than a third of the samples.
+them, and no server contributes more samples than it leaves out.
 """
 
 import collections
@@ -11,8 +11,9 @@
 
 # About twenty seconds of samples of one node, few enough to follow a change.
 _MAX_SAMPLES = 32
-# A server may contribute this share of the samples, or the minimum.
-_MAX_SERVER_SAMPLES = _MAX_SAMPLES // 3
+# A server contributes at most a quarter of the samples, which is what the mean
+# of the middle half leaves out, or this number.
+_MIN_SERVER_SAMPLES = 4
 # Older samples say little about the present load. Without this bound, a value
 # that stops the requests it is learned from would stay forever.
 _MAX_AGE_S = 120.0
@@ -67,7 +68,7 @@
         if not (0 < value < math.inf):
             return False
         same = [s for s in self._samples if s.server_name == server_name]
-        if len(same) >= _MAX_SERVER_SAMPLES:
+        if len(same) >= max(_MIN_SERVER_SAMPLES, len(self._samples) // 4):
             self._samples.remove(same[0])
         self._samples.append(_Sample(now_s, server_name, math.log(value)))
         return True
