--- a/src/dragonflydyke/forwarding/cost_records.py
+++ b/src/dragonflydyke/forwarding/cost_records.py
@@ -197,10 +197,14 @@
 ) -> estimates.Observation:
     # An engine sends the first event together with the start of the response.
     started_s = times.response_started_s
+    cached_tokens = plan.cached_tokens if plan else 0
+    if plan is not None and plan.prefix_source is not None:
+        # The engine may have fetched the prefix instead of a prefill.
+        cached_tokens = profile.shared_prefix_tokens
     return estimates.Observation(
         first_event_s=None if started_s is None else started_s - sent_s,
         prompt_tokens=profile.prompt_tokens,
-        cached_tokens=plan.cached_tokens if plan else 0,
+        cached_tokens=cached_tokens,
         queued=plan.queued if plan else None,
         running=plan.running if plan else None,
         event_gap_s=times.event_gap_s,
--- a/src/dragonflydyke/scheduling/costs.py
+++ b/src/dragonflydyke/scheduling/costs.py
@@ -35,12 +35,13 @@
 _OUTPUT_TOKEN = samples.Prior(0.015, 0.25, 4.0)
 # Time of a request to a server without models.
 _PLAIN_REQUEST = samples.Prior(0.09, 0.25, 4.0)
-# Costs by which servers are selected, over all models. They cannot fall below
-# half: the affinity of prefixes depends on the cost of a prefill, and a prefix
-# that is spread over more servers takes cache from others. They can rise
-# further, as the largest model takes six times the prior per output token.
-_SELECTION_PREFILL = samples.Prior(1 / 20_000.0, 0.5, 4.0)
-_SELECTION_OUTPUT_TOKEN = samples.Prior(40.0 / 20_000.0, 0.5, 4.0)
+# Costs by which servers are selected, over all models. They follow the learned
+# values in proportion and not as such: the time of an output token is that of
+# a step of the whole batch, to which one request adds little. They stay within
+# a factor of two, as a prefix that is spread over more servers takes cache from
+# others, and one that is kept on too few overloads them.
+_SELECTION_PREFILL = samples.Prior(1 / 20_000.0, 0.5, 2.0)
+_SELECTION_OUTPUT_TOKEN = samples.Prior(40.0 / 20_000.0, 0.5, 2.0)
 
 # Times of smaller models as a fraction of the largest model's.
 _SMALLEST_MODEL_SHARE = 0.1
@@ -61,9 +62,8 @@
 # Samples from which on the output length of a route bounds the hints of
 # clients.
 _MIN_OUTPUT_SAMPLES = 8
-# Hints may differ from the usual output of their route by this factor. Three
-# quarters of the hints are within a factor of two of the output; hostile ones
-# can claim anything.
+# Hints may differ from the usual output of their route by this factor. A hint
+# is accurate at the median, but a hostile one can claim anything.
 _MAX_HINT_FACTOR = 4.0
 
 
@@ -272,13 +272,16 @@
         """
         model = self._find_model(key)
         if model is not _UNKNOWN_MODEL:
-            costs = model.costs
+            prefill_s = _resolve_prefill_s(model, now_s)
+            token_s = _resolve_output_token_s(model, now_s)
             return TokenCosts(
-                prefill_s=costs.prefill.resolve(_SELECTION_PREFILL, now_s),
-                output_s=costs.output_token.resolve(
-                    _SELECTION_OUTPUT_TOKEN, now_s
+                prefill_s=_SELECTION_PREFILL.apply(
+                    prefill_s / (_PREFILL.value * model.share)
                 ),
-                learned_share=costs.output_token.find_weight(now_s),
+                output_s=_SELECTION_OUTPUT_TOKEN.apply(
+                    token_s / (_OUTPUT_TOKEN.value * model.share)
+                ),
+                learned_share=model.costs.output_token.find_weight(now_s),
             )
         plain = self._plain.get(route)
         if plain is None:
--- a/src/dragonflydyke/scheduling/samples.py
+++ b/src/dragonflydyke/scheduling/samples.py
@@ -39,6 +39,10 @@
         """Returns the prior of a quantity that is a multiple of this one."""
         return Prior(self.value * factor, self.min_factor, self.max_factor)
 
+    def apply(self, factor: float) -> float:
+        """Returns a multiple of the value, within the bounds."""
+        return self.value * min(self.max_factor, max(self.min_factor, factor))
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class _Sample:
@@ -94,9 +98,7 @@
             return prior.value
         mean = _find_middle_mean(recent)
         weight = len(recent) / (len(recent) + _PRIOR_WEIGHT)
-        factor = math.exp(weight * (mean - math.log(prior.value)))
-        bounded = min(prior.max_factor, max(prior.min_factor, factor))
-        return prior.value * bounded
+        return prior.apply(math.exp(weight * (mean - math.log(prior.value))))
 
     def find_mean(self, now_s: float | None) -> float | None:
         """Returns the mean of the middle samples, None without samples."""
