--- a/tests/test_learned_cost.py
+++ b/tests/test_learned_cost.py
@@ -387,8 +387,7 @@
         work = estimates.Work(100, 0, 0)
         prior = cost_model.predict(_KEY, work, "x", 5, 0, 0.0).first_event_s
         for step in range(30):
-            seen = _build_observation(prompt_tokens=100, queued=9)
-            seen = dataclasses.replace(seen, first_event_s=18.0)
+            seen = _build_observation(prompt_tokens=100, queued=1)
             cost_model.observe(_KEY, f"e{step}", seen, 0.0)
         found = cost_model.predict(_KEY, work, "x", 5, 0, 1.0)
         self.assertGreater(found.first_event_s, prior * 2)
