Merge learned cost of requests and speed of servers

Plans keep the wait in the queue apart from the prefill, both from the learned model, and say whether the engine is busy. The replay of urgent queues follows the new interface; its known red test is unchanged.

--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -9,13 +9,16 @@
 from dragonflydyke.backends import model as backends
 from dragonflydyke.forwarding import (
     contexts,
+    cost_records,
     decisions,
     directory,
+    escalation,
     held_streams,
     messages,
     model,
     observers,
     response_memory,
+    selection,
 )
 from dragonflydyke.scheduling import fallbacks
 
@@ -59,17 +62,27 @@
 
     Attributes:
         server: The backend server.
+        profile: Profile of the attempt.
         model_name: Model to use, empty to keep the model of the client.
         urgency: 0 to 9, where 0 is the most urgent; None for plain servers.
-        prefix_source: Engine from which the server may fetch the cached prefix.
-        first_event_s: Predicted seconds until the first event, None if unknown.
+        plan: Plan that selected the server, None without load reports.
     """
 
     server: directory.ServerEntry
+    profile: selection.RequestProfile
     model_name: str = ""
     urgency: int | None = None
-    prefix_source: directory.ServerEntry | None = None
-    first_event_s: float | None = None
+    plan: escalation.EscalationPlan | None = None
+
+    @property
+    def prefix_source(self) -> directory.ServerEntry | None:
+        """Engine from which the server may fetch the cached prefix."""
+        return self.plan.prefix_source if self.plan else None
+
+    @property
+    def first_event_s(self) -> float | None:
+        """Predicted seconds until the first event, None if unknown."""
+        return self.plan.first_event_s if self.plan else None
 
 
 # Decides on a request that has waited at its engine for some seconds.
@@ -123,6 +136,8 @@
 
     Attributes:
         server: The backend server.
+        target: Where and how it runs.
+        times: When it was sent and answered.
         may_have_run: Whether the server may have run the request.
         was_sent: Whether the request may have reached the server.
         response_started_s: Loop time at which its response started, or None.
@@ -150,7 +165,6 @@
         "_services",
         "_splitter",
         "_state",
-        "_target",
         "_waited_s",
         "_writer",
         "event_count",
@@ -159,6 +173,8 @@
         "response_started_s",
         "server",
         "stated_pause",
+        "target",
+        "times",
         "was_sent",
         "was_withdrawn",
     )
@@ -197,10 +213,11 @@
         self._observer: observers.AttemptObserver | None = None
         self._gap_meter = _GapMeter()
         self._review_wait = review_wait
-        self._target = target
         self._held_stream: held_streams.HeldStream | None = None
         self._hold_task: asyncio.Task[None] | None = None
         self.hold_failure: AttemptFailedError | None = None
+        self.target = target
+        self.times = cost_records.AttemptTimes()
         self.server = target.server
         self.may_have_run = False
         self.was_sent = False
@@ -401,13 +418,14 @@
         last_event_id = self._state.last_event_id
         if last_event_id is None:
             last_event_id = self._request.details.last_event_id
-        source = self._target.prefix_source
+        plan = self.target.plan
+        source = plan.prefix_source if plan else None
         dispatch = messages.Dispatch(
             server=self.server.name,
             remaining_s=admitted.deadline_s - loop.time(),
             account=admitted.account.name if admitted.account else "",
-            model=self._target.model_name,
-            urgency=self._target.urgency,
+            model=self.target.model_name,
+            urgency=self.target.urgency,
             last_event_id=last_event_id,
             prefix_source=source.address if source else "",
         )
@@ -432,8 +450,10 @@
         self._observer = self._services.rollout_controller.observe_attempt(
             self.server,
             admitted.route,
-            self._target.model_name or self._request.details.model,
+            self.target.model_name or self._request.details.model,
         )
+        self.times.sent_s = loop.time()
+        self.times.is_resumed = last_event_id is not None
         await self._exchange.send()
 
     async def _connect(self, exchange: connection.Exchange) -> None:
@@ -481,7 +501,7 @@
             ):
                 continue
             decision = await self._review_wait(
-                self._target, loop.time() - started_s
+                self.target, loop.time() - started_s
             )
             # The engine may have begun while reports were read.
             if await self._starts_within(0.0):
@@ -508,6 +528,7 @@
             exchange.status, exchange.headers
         )
         self.response_started_s = asyncio.get_running_loop().time()
+        self.times.response_started_s = self.response_started_s
         if details.request_id == self._request.details.request_id:
             self._services.statements.record_response(self.server, details)
             self.stated_pause = details.pause_s is not None
@@ -625,9 +646,11 @@
             ) from error
         finally:
             self._waited_s += loop.time() - started_s
+            self.times.record_wait(started_s, loop.time())
 
     def _record_event(self) -> None:
         self.event_count += 1
+        self.times.record_event(asyncio.get_running_loop().time())
         if self.event_count == _PRODUCED_EVENTS:
             self._record_production()
         if self._observer is not None:
@@ -637,10 +660,10 @@
 
     def _record_gap(self, min_gaps: int) -> None:
         gap_s = self._gap_meter.take_gap_s(min_gaps)
-        if gap_s is not None and self._target.model_name:
+        if gap_s is not None and self.target.model_name:
             self._services.pace.observe_gap(
                 self.server.pool,
-                self._target.model_name,
+                self.target.model_name,
                 gap_s,
                 asyncio.get_running_loop().time(),
             )
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -67,7 +67,6 @@
         "_context",
         "_held",
         "_predicted_first_event_s",
-        "_profile",
         "_services",
         "_state",
         "_targets",
@@ -85,10 +84,13 @@
         self._state = context.state
         self._held: _HeldAttempt | None = None
         self._predicted_first_event_s: float | None = None
-        self._profile = selection.build_profile(
-            context.request, context.admitted
+        self._targets = targets.TargetSelector(
+            services,
+            context,
+            selection.build_profile(
+                context.request, context.admitted, services.costs, _now_s()
+            ),
         )
-        self._targets = targets.TargetSelector(services, context, self._profile)
 
     async def run(self) -> None:
         """Makes attempts until a response is delivered to the client.
@@ -410,7 +412,9 @@
             self._services, self._context, target, self._targets.review_wait
         )
         self._state.dispatches += 1
-        self._services.selector.record_start(self._profile, target.server)
+        self._services.selector.record_start(
+            target.profile, target.server, _now_s()
+        )
         outcome = decisions.AttemptOutcome.DELIVERED
         reason = ""
         try:
@@ -595,6 +599,14 @@
         """Records the outcome of an attempt that ended in all statistics."""
         server = attempt.server
         attempt.record_outcome(outcome)
+        attempt.times.ended_s = _now_s()
+        self._services.cost_recorder.record(
+            attempt.target.profile,
+            server,
+            attempt.target.plan,
+            attempt.times,
+            outcome,
+        )
         if outcome is decisions.AttemptOutcome.LOST:
             self._log_loss(attempt, reason)
             if (
@@ -605,7 +617,7 @@
                     server, _now_s()
                 )
         ejected = self._services.selector.record_outcome(
-            self._profile,
+            attempt.target.profile,
             server,
             _now_s(),
             failed=None
--- a/src/dragonflydyke/forwarding/targets.py
+++ b/src/dragonflydyke/forwarding/targets.py
@@ -252,10 +252,13 @@
         excluded = {server.name, *self._state.failed_servers}
         allowed = self._services.statements.list_allowed(self.list_servers())
         report = await self._services.planner.read_report(server)
+        model_name = target.model_name or self._context.request.details.model
+        is_busy = None
+        if report is not None:
+            is_busy = self._services.planner.is_busy(server, model_name, report)
         plan = None
         if (
-            report is not None
-            and report.is_busy
+            is_busy
             and server.name not in self._compared_servers
             and fallbacks.is_overdue(waited_s, target.first_event_s)
         ):
@@ -263,7 +266,7 @@
             self._compared_servers.add(server.name)
             plan = await self._services.planner.plan(
                 self._profile,
-                target.model_name or self._context.request.details.model,
+                model_name,
                 tuple(s for s in allowed if s.name not in excluded),
             )
         now_s = _now_s()
@@ -280,7 +283,7 @@
             fallbacks.UnstartedRequest(
                 waited_s=waited_s,
                 useful_s=latest_s - now_s,
-                is_engine_busy=report.is_busy if report else None,
+                is_engine_busy=is_busy,
                 alternative=fallbacks.AlternativeEngine(
                     plan.first_event_s, plan.is_busy
                 )
@@ -311,6 +314,21 @@
             self.plan = plan
         return decision
 
+    def _describe_attempt(self) -> selection.RequestProfile:
+        """Returns the profile of the next attempt, with learned costs."""
+        name = self._select_model() or self._context.request.details.model
+        return selection.apply_costs(
+            self._profile, name, self._services.costs, _now_s()
+        )
+
+    def _select_model(self) -> str:
+        """Returns the model that the router chooses, empty if it does not."""
+        if not self._context.request.details.wants_any_model:
+            return ""
+        return cascade.select_model(
+            self._admitted.route, self._state.describe_cascade()
+        )
+
     def _list_candidates(
         self, servers: tuple[directory.ServerEntry, ...]
     ) -> tuple[directory.ServerEntry, ...]:
@@ -318,7 +336,10 @@
         servers = self._list_preferred(
             self._services.statements.list_allowed(servers)
         )
-        return tuple(s for s in servers if s.name not in failed) or servers
+        servers = tuple(s for s in servers if s.name not in failed) or servers
+        return tuple(
+            self._services.selector.list_with_room(self._profile, servers)
+        )
 
     def _build_target(
         self,
@@ -326,12 +347,10 @@
         plan: escalation.EscalationPlan | None = None,
     ) -> attempts.AttemptTarget:
         state = self._state.describe_cascade()
-        wants_any_model = self._context.request.details.wants_any_model
-        model_name = ""
-        if wants_any_model:
-            model_name = cascade.select_model(self._admitted.route, state)
+        model_name = self._select_model()
         return attempts.AttemptTarget(
             server,
+            self._describe_attempt(),
             model_name,
             urgency.select_urgency(
                 self._admitted,
@@ -341,8 +360,7 @@
                 prompt_tokens=self._profile.prompt_tokens,
                 used_share=self._find_used_share(),
             ),
-            plan.prefix_source if plan else None,
-            round(plan.first_event_s, 3) if plan else None,
+            plan,
         )
 
     def _find_used_share(self) -> float:
@@ -359,6 +377,8 @@
             server=plan.server.name,
             version=plan.server.version,
             cost_s=round(plan.first_event_s, 3),
+            finish_s=round(plan.finish_s, 3),
+            samples=plan.samples,
             has_beginning=plan.prefix_source is None,
             in_progress=plan.queued,
             usable=usable_count,
@@ -369,8 +389,9 @@
         self, servers: tuple[directory.ServerEntry, ...]
     ) -> selection.SelectedServer | None:
         now_s = _now_s()
+        profile = self._describe_attempt()
         selected = self._services.selector.select_server(
-            self._profile, servers, now_s, self._state.failed_servers
+            profile, servers, now_s, self._state.failed_servers
         )
         _LOGGER.info(
             "attempt",
@@ -378,6 +399,8 @@
             server=selected.server.name if selected else "",
             version=selected.server.version if selected else "",
             cost_s=round(selected.cost_s, 3) if selected else None,
+            finish_s=round(profile.duration_s, 3),
+            speed_factor=round(selected.speed_factor, 2) if selected else None,
             has_beginning=selected.is_affinity_target if selected else None,
             in_progress=selected.in_flight if selected else None,
             usable=len(servers),
--- a/tests/builders/urgent_queues.py
+++ b/tests/builders/urgent_queues.py
@@ -15,11 +15,12 @@
     selection,
     urgency,
 )
-from dragonflydyke.scheduling import fallbacks
+from dragonflydyke.scheduling import costs, estimates, fallbacks
 from tests.builders import engine_queues, forwarding
 
 _NODES = 30
 _MAX_ATTEMPTS = 2
+_COST_KEY = estimates.WorkKey("engines", "large")
 _PREFILL_S_PER_TOKEN = 62e-6
 
 
@@ -97,6 +98,7 @@
         self._random = random.Random(seed)
         self._timers: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
+        self._costs = costs.CostModel()
         self._now_s = 0.0
         self._queues: dict[str, list] = collections.defaultdict(list)
         self._prefilling: dict[str, Request] = {}
@@ -129,7 +131,13 @@
         )
         reports = {s.name: self._report(s.name) for s in candidates.servers}
         return escalation.plan_escalation(
-            request.profile, candidates, reports, forwarding.DATA_CENTRE
+            request.profile,
+            candidates,
+            reports,
+            forwarding.DATA_CENTRE,
+            self._costs,
+            "large",
+            self._now_s,
         )
 
     def _find_latest_s(self, request: Request) -> float:
@@ -185,10 +193,12 @@
         if is_over or attempt >= _MAX_ATTEMPTS:
             return
         waited_s = self._now_s - request.sent_s
-        report = self._report(request.server)
+        is_busy = self._report(request.server).is_busy(
+            self._costs.find_queued_request_s(_COST_KEY)
+        )
         plan = None
         if (
-            report.is_busy
+            is_busy
             and request.compared < attempt
             and fallbacks.is_overdue(waited_s, request.predicted_s)
         ):
@@ -198,7 +208,7 @@
             fallbacks.UnstartedRequest(
                 waited_s=waited_s,
                 useful_s=self._find_latest_s(request) - self._now_s,
-                is_engine_busy=report.is_busy,
+                is_engine_busy=is_busy,
                 alternative=plan
                 and fallbacks.AlternativeEngine(
                     plan.first_event_s, plan.is_busy
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -266,7 +266,16 @@
             del arguments
             self.evacuate(*evacuated)
             _, south, west = self.directory.list_usable("engines")
-            return escalation.EscalationPlan(south, 0.01, 0, west)
+            return escalation.EscalationPlan(
+                server=south,
+                first_event_s=0.01,
+                finish_s=0.1,
+                queued=0,
+                running=0,
+                cached_tokens=0,
+                samples=0,
+                prefix_source=west,
+            )
 
         route = forwarding.build_route(models=forwarding.MODELS)
         self.forwarder.policy = forwarding.build_policy(route)
