Show that untrusted clients exceed a node's memory and descriptors

Cause: the server for clients accepts bodies of up to 64,000,000 bytes, holds each part, compares the size with the configured limit only when the body is complete, bounds neither all bodies together nor the connections, and does not apply the configured timeouts.

The tests start one node process with limits of 120 MB, 400 descriptors (200 reserved for files) and bodies of 1,000,000 bytes. Measured before any change (peak resident memory, descriptors): unannounced bodies over the limit 159 MB; chunked bodies stopped short 134 MB; single bytes now and then 138 MB; heads without end 314 descriptors; idle connections 515; unread responses 315; a body announced over the limit gets no answer while it is not sent; during tiny chunks an ordinary request gets 503 because the connection to its server is not made within 0.5 s.

Ruled out: a heavier load of heads and chunks, which also kept the process of the test busy, so that a 503 would say nothing about the node.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -197,9 +197,14 @@
     """A router node as a separate process, with a proxy to the store."""
 
     def __init__(
-        self, number: int, folder: pathlib.Path, store_port: int
+        self,
+        number: int,
+        folder: pathlib.Path,
+        store_port: int,
+        **settings: object,
     ) -> None:
         self.vm = f"node-{number}"
+        self._extra_settings = settings
         self.host = _build_host(number)
         self.front_port = _find_port(self.host)
         self.ready_port = _find_port(self.host)
@@ -209,6 +214,12 @@
         self._process: asyncio.subprocess.Process | None = None
         self._started_s = 0.0
 
+    @property
+    def pid(self) -> int:
+        """Id of the process, which was started."""
+        assert self._process is not None
+        return self._process.pid
+
     @property
     def log_path(self) -> pathlib.Path:
         """File with the log of all processes of this node."""
@@ -305,6 +316,7 @@
             },
             "platform": {"address": self.store_proxy.address},
             "bounds": {"graceS": GRACE_S},
+            **self._extra_settings,
         }
 
 
