--- a/src/dragonflydyke/forwarding/server.py
+++ b/src/dragonflydyke/forwarding/server.py
@@ -342,6 +342,11 @@
         """Number of requests whose responses are not written completely."""
         return len(self._tasks)
 
+    @property
+    def client_memory(self) -> client_memory.ClientMemory:
+        """Account of the memory that is held for clients."""
+        return self._connections.memory
+
     @property
     def limits(self) -> model.ClientLimits:
         """Limits in force; defaults before the first configuration."""
@@ -415,8 +420,7 @@
         )
         task = asyncio.create_task(self._forward(request, writer))
         self._tasks.add(task)
-        task.add_done_callback(self._finish_task)
-        task.add_done_callback(lambda _: client.finish_request())
+        task.add_done_callback(lambda _: self._finish_task(task, client))
 
     async def _forward(
         self,
@@ -455,9 +459,15 @@
             await asyncio.wait(tasks, timeout=_ABORT_TIMEOUT_S)
         await self._connections.stop()
 
-    def _finish_task(self, task: "asyncio.Task[None]") -> None:
+    def _finish_task(
+        self,
+        task: "asyncio.Task[None]",
+        client: client_connections.ClientConnection,
+    ) -> None:
         self._tasks.discard(task)
+        client.finish_request()
         if not task.cancelled() and task.exception() is not None:
             _LOGGER.error(
                 "unhandled exception in a request", error=repr(task.exception())
             )
+            client.close("internal_error")
--- a/src/dragonflydyke/gateway/application.py
+++ b/src/dragonflydyke/gateway/application.py
@@ -126,7 +126,8 @@
         )
         self._release_request = gateway_services.tracker.start_request()
         self._received_s = asyncio.get_running_loop().time()
-        self._chunks: list[bytes] = []
+        # Separate parts would cost more memory than their bytes.
+        self._chunks = bytearray()
         self._received_bytes = 0
         self._max_body_bytes = 0
         self._body_timer: asyncio.TimerHandle | None = None
@@ -155,7 +156,7 @@
             self._stop_timer()
             self._response_writer.fail(error)
             return
-        self._chunks.append(chunk)
+        self._chunks += chunk
 
     def on_connection_close(self) -> None:
         self._stop_timer()
@@ -211,7 +212,7 @@
 
     def _collect_body(self) -> bytes:
         self._stop_timer()
-        body = b"".join(self._chunks)
+        body = bytes(self._chunks)
         self._chunks.clear()
         return body
 
--- a/src/dragonflydyke/objects/peer_links.py
+++ b/src/dragonflydyke/objects/peer_links.py
@@ -19,6 +19,9 @@
 _LOGGER = logs.get_logger("peers")
 
 _MAX_REPORTED_ERRORS = 20
+# Answers in preparation. Peers whose questions are dropped ask others; more
+# than the nodes of a deployment only come from elsewhere.
+_MAX_ANSWERS = 1_000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -195,6 +198,8 @@
     def _start_answer(
         self, number: int, address: tuple[str | Any, int]
     ) -> None:
+        if len(self._tasks) >= _MAX_ANSWERS:
+            return
         task = asyncio.create_task(self._answer(number, address))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/src/dragonflydyke/router/assembly.py
+++ b/src/dragonflydyke/router/assembly.py
@@ -43,6 +43,10 @@
 _INNER_GRACE_S = 1.0
 _FLUSH_TIMEOUT_S = 30.0
 _CLAIM_TIMEOUT_S = 5.0
+# Operators send documents of up to 2 MB, which take seconds on a slow link.
+_ADMIN_IDLE_S = 75.0
+_ADMIN_BODY_S = 60.0
+_ADMIN_MAX_HEADER_BYTES = 32_768
 
 _log = logs.get_logger("router")
 
@@ -174,6 +178,9 @@
         admin_server = httpserver.HTTPServer(
             admin.build_application(self._create_admin_services()),
             ssl_options=_get_context(self._admin_certificate),
+            idle_connection_timeout=_ADMIN_IDLE_S,
+            body_timeout=_ADMIN_BODY_S,
+            max_header_size=_ADMIN_MAX_HEADER_BYTES,
         )
         admin_address = _listen(admin_server, values.admin_address)
         self._connections = connections.NewConnectionTracker(
