--- a/src/dragonflydyke/forwarding/client_connections.py
+++ b/src/dragonflydyke/forwarding/client_connections.py
@@ -156,6 +156,7 @@
         account: Client account of the current request, if known.
         is_closed: Whether the connection is closed.
         free: Frees the body that is being read.
+        has_request: Whether a complete request has not ended yet.
         serving: Tornado's connection, which reads the requests.
     """
 
@@ -170,6 +171,7 @@
         "_written_s",
         "account",
         "free",
+        "has_request",
         "holding",
         "is_closed",
         "peer",
@@ -217,6 +219,7 @@
         self.account = ""
         self.is_closed = False
         self.free: Callable[[], object] = lambda: None
+        self.has_request = False
         self.serving: http1connection.HTTP1ServerConnection | None = None
         stream.on_read = self._record_read
         stream.on_write = self._record_write
@@ -286,6 +289,7 @@
         elif state is ConnectionState.BODY:
             self.holding.start_transfer(now_s, is_unread=False)
         else:
+            self.has_request = state is ConnectionState.RUNNING
             self.holding.end_transfer()
 
     def hold(self, size: int) -> bool:
@@ -307,10 +311,17 @@
             self.holding.start_transfer(self._written_s, is_unread=True)
 
     def finish_request(self) -> None:
-        """Frees the memory of a request whose connection was closed."""
+        """Records that a request has ended."""
+        self.has_request = False
         if self.is_closed:
             self.holding.release()
 
+    def record_close(self) -> None:
+        """Records that the connection is closed, maybe before its request."""
+        self.is_closed = True
+        if not self.has_request:
+            self.holding.release()
+
     def find_unread_s(self) -> float:
         """Returns the seconds since the client took a part of a response."""
         if not self.stream.unsent_bytes:
@@ -490,10 +501,7 @@
 
     def remove(self, serving: object) -> None:
         """Removes a closed connection."""
-        connection = self._connections.pop(serving)
-        connection.is_closed = True
-        if connection.state is not ConnectionState.RUNNING:
-            connection.holding.release()
+        self._connections.pop(serving).record_close()
         self._serve_waiting()
 
     def list_unstarted(self) -> list[ClientConnection]:
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -107,6 +107,20 @@
             )
         )
 
+    async def test_closed_connections_hold_nothing(self) -> None:
+        """The account would be full after some time."""
+        for number in range(3):
+            reader, writer = await self.send(Connection="close")
+            self.assertEqual((await self.read(reader)).status, 200)
+            reader, writer = await self.send()
+            await skipping_loop.wait_until(
+                lambda n=number: self.count_received() == 2 * n + 2
+            )
+            writer.close()
+        account = self.server.client_memory
+        async with asyncio.timeout(_TIMEOUT_S):
+            await skipping_loop.wait_until(lambda: not account.used_bytes)
+
     async def test_connections_are_reused_until_the_idle_timeout(self) -> None:
         reader, writer = await self.send()
         self.assertEqual((await self.read(reader)).status, 200)
