Pace what rejected clients send, and name the request in each rejection

Cause: a client that was rejected could send tiny chunks for the second in which its data is discarded, without turns; and a body that gave way to others, or took too long, was rejected without its request id and account.

Ruled out: closing a rejected connection at once, which often keeps its client from reading the response.

--- a/src/dragonflydyke/forwarding/client_connections.py
+++ b/src/dragonflydyke/forwarding/client_connections.py
@@ -30,6 +30,7 @@
 _IDLE_MARGIN_S = 1.0
 # `client_memory.PROGRESS_BYTES` must arrive in this time: 546 bytes a second.
 BODY_PROGRESS_S = 30.0
+RETRY_AFTER_S = 1.0
 # Time in which a client that was rejected may send and read its response.
 _LINGER_S = 1.0
 # A response whose client takes nothing for so long is cut.
@@ -156,6 +157,8 @@
         account: Client account of the current request, if known.
         is_closed: Whether the connection is closed.
         free: Frees the body that is being read.
+        reject_body: Rejects the request whose body is being read, with a
+            status, a reason and the seconds after which to retry, or None.
         has_request: Whether a complete request has not ended yet.
         serving: Tornado's connection, which reads the requests.
     """
@@ -175,6 +178,7 @@
         "holding",
         "is_closed",
         "peer",
+        "reject_body",
         "serving",
         "since_s",
         "state",
@@ -218,7 +222,7 @@
         self.since_s = now_s
         self.account = ""
         self.is_closed = False
-        self.free: Callable[[], object] = lambda: None
+        self.forget_reader()
         self.has_request = False
         self.serving: http1connection.HTTP1ServerConnection | None = None
         stream.on_read = self._record_read
@@ -236,6 +240,7 @@
         """Prepares for the next request."""
         self.enter(ConnectionState.IDLE)
         self._params.max_header_size = max_header_bytes * _HEAD_LIMIT_FACTOR
+        self._chunked_body = None
         self._message_start = self.stream.received_bytes
         self.stream.read_limit = _HEAD_READ_BYTES
 
@@ -250,6 +255,13 @@
             self._chunked_body = chunk_pacing.ChunkedBody()
             self._apply_pace(self._chunked_body)
 
+    def forget_reader(self) -> None:
+        """Forgets the reader of a body that has ended."""
+        self.free: Callable[[], object] = lambda: None
+        self.reject_body: Callable[[int, str, float | None], object] = (
+            lambda status, reason, retry_after_s: None
+        )
+
     def pace(
         self, schedule: chunk_pacing.PieceSchedule, size: int
     ) -> asyncio.Future[None] | None:
@@ -380,10 +392,8 @@
             case ConnectionState.BODY:
                 now_s = self._clock.find_time_s()
                 if now_s - self.holding.progress_s > BODY_PROGRESS_S:
-                    self.reject(
-                        http.HTTPStatus.REQUEST_TIMEOUT,
-                        "body_timeout",
-                        httputil.HTTPHeaders(),
+                    self.reject_body(
+                        http.HTTPStatus.REQUEST_TIMEOUT, "body_timeout", None
                     )
             case ConnectionState.REJECTED:
                 if elapsed_s > _LINGER_S:
@@ -394,9 +404,10 @@
     def _give_way(self) -> None:
         """Frees the memory for others."""
         if self.state is ConnectionState.BODY:
-            headers = httputil.HTTPHeaders({"Retry-After": "1.000"})
-            self.reject(
-                http.HTTPStatus.SERVICE_UNAVAILABLE, "memory_full", headers
+            self.reject_body(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                "memory_full",
+                RETRY_AFTER_S,
             )
             return
         self.close("memory_full")
@@ -405,7 +416,7 @@
     def _record_read(self) -> None:
         if self.state is ConnectionState.IDLE:
             self.enter(ConnectionState.HEAD)
-        elif self._chunked_body and self.state is ConnectionState.BODY:
+        elif self._chunked_body is not None:
             received = self.stream.received_bytes - self._body_start
             self._chunked_body.record_read(received)
             self._apply_pace(self._chunked_body)
--- a/src/dragonflydyke/forwarding/server.py
+++ b/src/dragonflydyke/forwarding/server.py
@@ -24,7 +24,6 @@
 _TOO_LARGE = 413
 _HEAD_TOO_LARGE = 431
 _UNAVAILABLE = 503
-_RETRY_AFTER_S = 1.0
 # A client that streams gets this far ahead of what it has read before its
 # server has to wait.
 _MAX_BACKLOG_BYTES = client_connections.ACCOUNTED_UNREAD_BYTES
@@ -177,6 +176,7 @@
         "_discarded_bytes",
         "_headers",
         "_server",
+        "_size",
         "_start",
     )
 
@@ -191,6 +191,7 @@
         self._connection = connection
         # Joins the parts, because each separate one costs more than its bytes.
         self._body = bytearray()
+        self._size = 0
         self._discarded_bytes = 0
 
     def headers_received(
@@ -206,6 +207,7 @@
         self._headers = headers
         client.start_body(is_chunked="Transfer-Encoding" in headers)
         client.free = self._free
+        client.reject_body = self._reject
         stream = client.stream
         limits = self._server.limits
         length = headers.get(_HEADER_LENGTH, "")
@@ -221,20 +223,17 @@
 
     def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
         """Stores a part of the body; the result delays the next part."""
+        self._size += len(chunk)
         if self._is_rejected:
             self._discarded_bytes += len(chunk)
             if self._discarded_bytes > _MAX_DISCARDED_BYTES:
                 self._client.stream.close()
-            return None
-        size = len(self._body) + len(chunk)
-        if size > self._server.limits.max_body_bytes:
+        elif self._size > self._server.limits.max_body_bytes:
             self._reject(_TOO_LARGE, "body_too_large")
-            return None
-        if not self._hold(len(chunk)):
-            return None
-        self._body += chunk
-        self._client.record_received(len(chunk))
-        return self._client.pace(self._server.schedule, size)
+        elif self._hold(len(chunk)):
+            self._body += chunk
+            self._client.record_received(len(chunk))
+        return self._client.pace(self._server.schedule, self._size)
 
     def finish(self) -> None:
         """Starts forwarding the complete request."""
@@ -259,13 +258,15 @@
 
     def _free(self) -> None:
         self._body = bytearray()
-        self._client.free = lambda: None
+        self._client.forget_reader()
 
     def _hold(self, size: int) -> bool:
         """Holds more bytes, or rejects the request; it has not run."""
         if self._client.hold(size):
             return True
-        self._reject(_UNAVAILABLE, "memory_full", _RETRY_AFTER_S)
+        self._reject(
+            _UNAVAILABLE, "memory_full", client_connections.RETRY_AFTER_S
+        )
         return False
 
     def _reject(
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -174,6 +174,7 @@
         response = await self.read(stalled)
         self.assertEqual(response.status, 503)
         self.assertIn("Retry-After", response.headers)
+        self.assertEqual(response.headers["Attempt-Id"], "r1")
         self.assertFalse(next_stalled.at_eof())
         self.assertEqual(self.count_received(), 1)
 
