Report entries without effect and contradicting limits in validate

Cause: `validate` reported only what the loader rejects. An entry that no request selects, that no server serves, or that contradicts another limit was accepted without a word.

`configuration.findings` checks the loaded document with its own lookups and returns warnings. `Problem` gains a severity and a code instead of a second type beside it. An error is what the router rejects, a warning what it accepts; `--strict` lets warnings fail. Unreadable input ends with code 2 in `validate` and `diff`; files above 8 MB and deep nesting give one clear error. `apply` keeps its exit codes, as scripts may depend on them.

Ruled out: new errors in the loader, because they would reject configurations that are in force; a warning for each retiring version, which is a normal state.

--- a/src/dragonflydyke/cli/commands.py
+++ b/src/dragonflydyke/cli/commands.py
@@ -37,15 +37,26 @@
     """Validates a configuration locally, without a server."""
 
     name = "validate"
-    description = "Validates a configuration and reports every problem."
+    description = "Checks a configuration and reports every finding."
     arguments = [_FILES_ARGUMENT]
+    options = [
+        *base.BaseCommand.options,
+        option("strict", description="Fail if there are warnings, too."),
+    ]
 
     def run_command(self) -> ExitCode:
-        """Loads the files and prints the digest of the configuration."""
-        document = configuration.load_files(self.argument("files"))
-        mapping = configuration.to_mapping(document)
-        digest = configuration.digest(mapping)
-        self.print_result(f"valid, digest {digest}", {"digest": digest})
+        """Prints the findings and the digest of the configuration."""
+        try:
+            report = configuration.check_files(self.argument("files"))
+        except configuration.UnreadableError as error:
+            if self.option("output") == "json":
+                report = configuration.CheckReport(error.problems)
+                self.print_result("", report.to_mapping())
+            raise UsageError(str(error)) from error
+        self.print_result(output.format_report(report), report.to_mapping())
+        failures = len(report.findings) if self.option("strict") else 0
+        if failures or not report.is_valid:
+            return ExitCode.REJECTED
         return ExitCode.OK
 
 
@@ -119,7 +130,10 @@
             DragonflydykeError: If a change between the two configurations is
                 not allowed.
         """
-        new = configuration.load_files(self.argument("files"))
+        try:
+            new = configuration.load_files(self.argument("files"))
+        except configuration.UnreadableError as error:
+            raise UsageError(str(error)) from error
         revision = self.read_integer_option("revision")
         stored = self.fetch("/v1/configuration", revision=revision)
         old = configuration.parse(stored["document"])
--- a/src/dragonflydyke/cli/output.py
+++ b/src/dragonflydyke/cli/output.py
@@ -73,6 +73,26 @@
     return f"{symbol} {change.path}"
 
 
+def format_report(report: configuration.CheckReport) -> str:
+    """Returns a line for each finding and a summary."""
+    lines = [format_finding(found) for found in report.findings]
+    state = f"valid, digest {report.digest}" if report.is_valid else "invalid"
+    counts = [
+        f"{count} {severity.value}(s)"
+        for severity in configuration.Severity
+        if (count := report.count(severity))
+    ]
+    return "\n".join([*lines, ", ".join([state, *counts])])
+
+
+def format_finding(found: configuration.Problem) -> str:
+    """Returns `file:line: severity [code] path: message, ...; fix`."""
+    return (
+        f"{found.format_location()}{found.severity.value} [{found.code}]"
+        f" {found.format_description()}"
+    )
+
+
 def format_bill_totals(bills: Iterable[Mapping[str, Any]]) -> str:
     """Returns a table of totals per client account and outcome."""
     fields = ("prompt_tokens", "completion_tokens", "cost")
--- a/src/dragonflydyke/configuration/__init__.py
+++ b/src/dragonflydyke/configuration/__init__.py
@@ -10,6 +10,7 @@
     check_transition,
     diff,
 )
+from dragonflydyke.configuration.findings import CheckReport
 from dragonflydyke.configuration.keys import hash_key
 from dragonflydyke.configuration.mapping import digest, to_mapping
 from dragonflydyke.configuration.parsing import parse, parse_accepted
@@ -17,14 +18,20 @@
     ConfigurationError,
     Location,
     Problem,
+    Severity,
+    UnreadableError,
 )
 
 __all__ = [
     "Change",
     "ChangeKind",
+    "CheckReport",
     "ConfigurationError",
     "Location",
     "Problem",
+    "Severity",
+    "UnreadableError",
+    "check_files",
     "check_transition",
     "diff",
     "digest",
@@ -47,3 +54,21 @@
     from dragonflydyke.configuration import loader
 
     return loader.load_files(paths)
+
+
+def check_files(paths: Iterable[pathlib.Path | str]) -> CheckReport:
+    """Checks a configuration in YAML files and directories.
+
+    Raises:
+        UnreadableError: If the content of a file cannot be read.
+    """
+    from dragonflydyke.configuration import findings, loader
+
+    try:
+        loaded = loader.load_with_locations(paths)
+    except UnreadableError:
+        raise
+    except ConfigurationError as error:
+        return CheckReport(error.problems)
+    found = findings.find_warnings(loaded.document, loaded.locations)
+    return CheckReport(found, digest(to_mapping(loaded.document)))
--- a/src/dragonflydyke/configuration/loader.py
+++ b/src/dragonflydyke/configuration/loader.py
@@ -1,5 +1,6 @@
 """Loading of a configuration from YAML files."""
 
+import dataclasses
 import pathlib
 from collections.abc import Iterable
 from typing import Any
@@ -11,6 +12,16 @@
 from dragonflydyke.configuration import model, parsing, problems
 
 _SUFFIXES = (".yaml", ".yml")
+# 700 servers take 0.1 MB, which the YAML library reads in about 1 s.
+MAX_FILE_BYTES = 8_000_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LoadedFiles:
+    """A valid configuration and the position of each of its nodes."""
+
+    document: model.Document
+    locations: problems.Locations
 
 
 def load_files(paths: Iterable[pathlib.Path | str]) -> model.Document:
@@ -26,13 +37,40 @@
     Raises:
         ConfigurationError: With all problems of all files.
     """
+    return load_with_locations(paths).document
+
+
+def load_with_locations(paths: Iterable[pathlib.Path | str]) -> LoadedFiles:
+    """Reads a configuration like `load_files`, and keeps the locations.
+
+    Raises:
+        UnreadableError: If the content of a file cannot be read.
+        ConfigurationError: With all problems of all files.
+    """
     content = _read_files(paths)
     problem_list = problems.ProblemList(content.locations)
     problem_list.items.extend(content.problems)
     if content.incomplete:
         # Further checks would report content of the unread files as missing.
-        problem_list.raise_if_any()
-    return parsing.check(content.mapping, problem_list)
+        raise problems.UnreadableError(problem_list.sort())
+    return LoadedFiles(
+        parsing.check(content.mapping, problem_list), content.locations
+    )
+
+
+def read_text(file: pathlib.Path) -> str:
+    """Returns the text of a UTF-8 file.
+
+    Raises:
+        OSError: If the file cannot be read.
+        ValueError: If it is too large or not UTF-8.
+    """
+    with file.open("rb") as stream:
+        # Also limits files without a size, such as pipes.
+        content = stream.read(MAX_FILE_BYTES + 1)
+    if len(content) > MAX_FILE_BYTES:
+        raise ValueError(f"is larger than {MAX_FILE_BYTES} bytes")
+    return content.decode()
 
 
 def _list_files(paths: Iterable[pathlib.Path | str]) -> list[pathlib.Path]:
@@ -49,7 +87,11 @@
 
 def _read_files(paths: Iterable[pathlib.Path | str]) -> "_MergedFiles":
     merged = _MergedFiles()
-    files = _list_files(paths)
+    try:
+        files = _list_files(paths)
+    except OSError as error:
+        merged.add_unreadable("", 0, str(error), "make it readable")
+        return merged
     for file in files:
         merged.add_file(file)
     if not files:
@@ -82,7 +124,9 @@
     ) -> None:
         """Adds a problem because of which a file could not be read."""
         self.incomplete = True
-        self.add_problem(file, line, (), None, message, fix)
+        self.add_problem(
+            file, line, (), None, message, fix, problems.UNREADABLE_CODE
+        )
 
     def add_problem(
         self,
@@ -92,11 +136,18 @@
         value: Any,
         message: str,
         fix: str,
+        code: str = problems.INVALID_CODE,
     ) -> None:
         """Adds a problem with its location."""
         self.problems.append(
             problems.Problem(
-                file, line, problems.format_path(path), value, message, fix
+                file,
+                line,
+                problems.format_path(path),
+                value,
+                message,
+                fix,
+                code,
             )
         )
 
@@ -104,14 +155,23 @@
         """Reads a file and merges it with the previous ones."""
         name = str(file)
         try:
-            text = file.read_text(encoding="utf-8")
+            text = read_text(file)
+        except (OSError, ValueError) as error:
+            self.add_unreadable(
+                name,
+                0,
+                str(error),
+                f"use a UTF-8 file of at most {MAX_FILE_BYTES} bytes",
+            )
+            return
+        try:
             root = yaml.YAML(typ="safe", pure=True).compose(text)
-        except (OSError, UnicodeDecodeError) as error:
+        except RecursionError:
             self.add_unreadable(
-                name, 0, str(error), "make it a readable UTF-8 file"
+                name, 0, "is nested too deeply", "remove levels of nesting"
             )
             return
-        except (yaml_error.YAMLError, RecursionError) as error:
+        except yaml_error.YAMLError as error:
             mark = getattr(error, "problem_mark", None)
             line = mark.line + 1 if mark else 0
             message = getattr(error, "problem", None) or str(error)
--- a/src/dragonflydyke/configuration/problems.py
+++ b/src/dragonflydyke/configuration/problems.py
@@ -1,6 +1,7 @@
 """Problems of a configuration and the error that reports them."""
 
 import dataclasses
+import enum
 from collections.abc import Iterable, Mapping
 from typing import Any
 
@@ -22,6 +23,23 @@
 Locations = Mapping[Path, Location]
 
 
+class Severity(enum.StrEnum):
+    """Whether the router accepts the configuration in spite of a problem.
+
+    Attributes:
+        ERROR: The router rejects the configuration.
+        WARNING: The router accepts it, but a part of it has no effect or
+            contradicts another part.
+    """
+
+    ERROR = "error"
+    WARNING = "warning"
+
+
+INVALID_CODE = "invalid"
+UNREADABLE_CODE = "unreadable"
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Problem:
     """One problem of a configuration.
@@ -34,6 +52,8 @@
         value: The invalid value.
         message: Description of the problem.
         fix: How to correct it.
+        code: Stable identifier for pipelines, listed in docs/operators.md.
+        severity: Whether the router accepts the configuration anyway.
     """
 
     file: str
@@ -42,12 +62,23 @@
     value: Any
     message: str
     fix: str
+    code: str = INVALID_CODE
+    severity: Severity = Severity.ERROR
 
     def __str__(self) -> str:
-        """Returns `file:line: path: message (value); fix`."""
-        location = f"{self.file}:{self.line}: " if self.file else ""
+        """Returns `file:line: path: message, found value; fix`."""
+        return self.format_location() + self.format_description()
+
+    def format_location(self) -> str:
+        """Returns `file:line: `, without the parts that are unknown."""
+        if not self.file:
+            return ""
+        return f"{self.file}:{self.line}: " if self.line else f"{self.file}: "
+
+    def format_description(self) -> str:
+        """Returns `path: message, found value; fix`."""
         shown_value = "" if self.value is None else f", found {self.value!r}"
-        return f"{location}{self.path}: {self.message}{shown_value}; {self.fix}"
+        return f"{self.path}: {self.message}{shown_value}; {self.fix}"
 
 
 class ConfigurationError(errors.DragonflydykeError):
@@ -65,6 +96,10 @@
         )
 
 
+class UnreadableError(ConfigurationError):
+    """Input could not be read, so that nothing in it was checked."""
+
+
 def format_path(path: Path) -> str:
     """Returns a path as text, for example `models[0].name`."""
     text = ""
@@ -85,7 +120,16 @@
         self._locations = locations or {}
         self.items: list[Problem] = []
 
-    def add(self, path: Path, value: Any, message: str, fix: str) -> None:
+    def add(
+        self,
+        path: Path,
+        value: Any,
+        message: str,
+        fix: str,
+        *,
+        code: str = INVALID_CODE,
+        severity: Severity = Severity.ERROR,
+    ) -> None:
         """Adds a problem.
 
         Args:
@@ -94,6 +138,8 @@
                 represented in JSON.
             message: Description of the problem.
             fix: How to correct it.
+            code: Stable identifier of the kind of problem.
+            severity: Whether the router accepts the configuration anyway.
         """
         location = self._find_location(path)
         shown_value = value
@@ -112,15 +158,19 @@
                 shown_value,
                 message,
                 fix,
+                code,
+                severity,
             )
         )
 
+    def sort(self) -> tuple[Problem, ...]:
+        """Returns the problems in the order of their locations."""
+        return tuple(sorted(self.items, key=lambda p: (p.file, p.line)))
+
     def raise_if_any(self) -> None:
         """Raises ConfigurationError if there are problems."""
         if self.items:
-            raise ConfigurationError(
-                sorted(self.items, key=lambda p: (p.file, p.line))
-            )
+            raise ConfigurationError(self.sort())
 
     def _find_location(self, path: Path) -> Location:
         # A missing field has no location, so that of its nearest ancestor is
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -21,6 +21,7 @@
 from dragonflydyke.cli import client as admin_client
 from dragonflydyke.cli import main, operations, output
 from dragonflydyke.cli.exit_codes import ExitCode
+from dragonflydyke.configuration import loader
 from tests.builders import admin as builders
 from tests.builders import documents
 
@@ -48,10 +49,14 @@
     async def _run(
         self, *arguments: str, server: str = ""
     ) -> tuple[int, str, str]:
+        return await self._run_locally(
+            *arguments, "--server", server or self.server.url
+        )
+
+    async def _run_locally(self, *command_line: str) -> tuple[int, str, str]:
         out = buffered_output.BufferedOutput()
         err = buffered_output.BufferedOutput()
-        command_line = [*arguments, "--server", server or self.server.url]
-        code = await asyncio.to_thread(main.main, command_line, out, err)
+        code = await asyncio.to_thread(main.main, list(command_line), out, err)
         return code, out.fetch(), err.fetch()
 
     async def _run_json(self, *arguments: str) -> Any:
@@ -209,6 +214,49 @@
         self.assertEqual(code, ExitCode.TIMEOUT)
         self.assertIn("vm-1", err)
 
+    async def test_validate_separates_errors_from_warnings(self) -> None:
+        """Guards against a pipeline that stops, or goes on, by mistake."""
+        path = str(self.files)
+        # The document has a data centre without servers, and more.
+        code, out, _ = await self._run_locally("validate", path)
+        self.assertEqual(code, ExitCode.OK, out)
+        self.assertIn("warning [data_centre_unserved] data_centres[1]", out)
+        code, out, _ = await self._run_locally(
+            "validate", path, "--strict", "--output", "json"
+        )
+        self.assertEqual(code, ExitCode.REJECTED)
+        report = json.loads(out)
+        self.assertTrue(report["valid"])
+        self.assertEqual(
+            {found["severity"] for found in report["findings"]}, {"warning"}
+        )
+        self.mapping["classes"][0]["deadline_s"] = -1
+        self._write_files()
+        code, out, _ = await self._run_locally("validate", path)
+        self.assertEqual(code, ExitCode.REJECTED)
+        self.assertIn("error [invalid] classes[0].deadline_s: must be", out)
+
+    async def test_unreadable_input_gives_one_error(self) -> None:
+        """Guards against a traceback, and against reading without limit."""
+        file = self.files / "all.yaml"
+        for content, expected in (
+            (b"a: " + b"[" * 100_000, "nested too deeply"),
+            (b"#" * (loader.MAX_FILE_BYTES + 1), "is larger than"),
+            (b"\xff", "can't decode"),
+            (b"a: [", "expected"),
+        ):
+            with self.subTest(expected=expected):
+                file.write_bytes(content)
+                code, out, err = await self._run_locally(
+                    "validate", str(file), "--output", "json"
+                )
+                self.assertEqual(code, ExitCode.USAGE)
+                (found,) = json.loads(out)["findings"]
+                self.assertEqual(found["code"], "unreadable")
+                self.assertIn(expected, err)
+                code, _, _ = await self._run("diff", str(file))
+                self.assertEqual(code, ExitCode.USAGE)
+
     async def test_diff_shows_and_rejects_a_forbidden_change(self) -> None:
         """Guards against a diff that succeeds where apply would fail."""
         versions = self.mapping["models"][0]["versions"]
