Mark the changes in diff that take something away

Cause: `diff` showed a removed key or fewer slots like any other change, and showed a reordered list of permissions as a change.

`removes` marks removed entries, keys, permissions and states, and capacities that fall. The order of names in lists of permissions is ignored.

Ruled out: marking every smaller number, as a lower price or deadline priority takes nothing away. A changed URL is not marked, because the check cannot tell whether the new server is as large.

--- a/src/dragonflydyke/cli/output.py
+++ b/src/dragonflydyke/cli/output.py
@@ -67,10 +67,10 @@
 
 def format_change(change: configuration.Change) -> str:
     """Formats a change as one line."""
-    symbol = _CHANGE_SYMBOLS[change.kind]
+    text = f"{_CHANGE_SYMBOLS[change.kind]} {change.path}"
     if change.kind is configuration.ChangeKind.CHANGED:
-        return f"{symbol} {change.path}: {change.old!r} -> {change.new!r}"
-    return f"{symbol} {change.path}"
+        text += f": {change.old!r} -> {change.new!r}"
+    return f"{text} (removes)" if change.removes else text
 
 
 def format_report(report: configuration.CheckReport) -> str:
--- a/tests/test_findings.py
+++ b/tests/test_findings.py
@@ -121,6 +121,54 @@
         found = self._find(models=models, roll_outs=(roll_out,))
         self.assertIn(("roll_out_blocked", "roll_outs[0].to_version"), found)
 
+    def test_changes_that_take_something_away_are_marked(self) -> None:
+        """Guards against a lost key or server between harmless changes."""
+        old = self.document
+        account = old.client_accounts[0]
+
+        def list_removals(**changes: object) -> dict[str, bool]:
+            new = dataclasses.replace(old, **changes)
+            return {
+                change.path: change.removes
+                for change in configuration.diff(old, new)
+            }
+
+        def list_account_removals(**changes: object) -> list[bool]:
+            accounts = _replace_first(old.client_accounts, **changes)
+            return list(list_removals(client_accounts=accounts).values())
+
+        self.assertEqual(
+            list_removals(backend_servers=old.backend_servers[:1]),
+            {"backend_servers[labels-1]": True},
+        )
+        key = "0" * 64
+        self.assertEqual(list_account_removals(key_hashes=(key,)), [True])
+        self.assertEqual(
+            list_account_removals(key_hashes=(*account.key_hashes, key)),
+            [False],
+        )
+        # An empty list allows all versions.
+        self.assertEqual(
+            list_account_removals(versions=("planner-small@v1",)), [True]
+        )
+        # The order of permissions has no effect.
+        self.assertEqual(list_account_removals(models=account.models[::-1]), [])
+        fewer_slots = _replace_first(
+            old.backend_servers, slots=7, state=model.ServerState.LEAVING
+        )
+        self.assertEqual(
+            list_removals(
+                backend_servers=fewer_slots,
+                policy=model.Policy(reserved_share=0.5, max_attempts=4),
+            ),
+            {
+                "backend_servers[engine-1].slots": True,
+                "backend_servers[engine-1].state": True,
+                "policy.reserved_share": True,
+                "policy.max_attempts": False,
+            },
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
