Check and compare the platform's configuration in validate and diff

Cause: nothing checked the configuration object of the platform before it was stored. A router that cannot decode it logs one error without the field and keeps the old one; a hidden route or a shared key it accepts without a word.

Both commands take one JSON file, as stored or only its value. The router's decoder decides. Only after a rejection the value is decoded again in containers that record the field read last, so that no second schema exists. Warnings use the decoded policy and its matcher. `diff` compares what the router does: hidden routes, the order of entries, the spelling of numbers and the scale of weights are no differences. API keys are never printed; `diff` shows fingerprints. With `--settings` the regions, the cold limit and the store of the deployment are used.

The decoder now requires host and pathPrefix to be strings. A host of another type was rejected before, later on; a list as pathPrefix was accepted, and then matching failed for each request to that host.

Ruled out: a schema of the format, which would be a second decision; a lookup of each route with the matcher, which is linear in the routes of a host.

Tests: test_platform_checks has one configuration for each finding and a property test in which the check and the router agree on changed configurations of both formats.

--- a/src/dragonflydyke/cli/commands.py
+++ b/src/dragonflydyke/cli/commands.py
@@ -3,12 +3,19 @@
 import getpass
 import re
 import sys
+from collections.abc import Sequence
 from typing import Any
 
 from cleo.helpers import argument, option
 
 from dragonflydyke import configuration
-from dragonflydyke.cli import base, explanations, operations, output
+from dragonflydyke.cli import (
+    base,
+    explanations,
+    operations,
+    output,
+    platform_files,
+)
 from dragonflydyke.cli.exit_codes import ExitCode, UsageError
 
 _FILES_ARGUMENT = argument(
@@ -16,6 +23,18 @@
     description="YAML files or directories that form one configuration.",
     multiple=True,
 )
+_CHECKED_FILES_ARGUMENT = argument(
+    "files",
+    description="YAML files or directories that form one configuration, or one"
+    " JSON file with the configuration of the users' platform.",
+    multiple=True,
+)
+_SETTINGS_OPTION = option(
+    "settings",
+    description="Settings file of a node on the users' platform. It gives the"
+    " data centres, the limits and the store; only with a JSON file.",
+    flag=False,
+)
 _REVISION_OPTION = option(
     "revision",
     description="Number of the revision; default: the current one.",
@@ -38,16 +57,17 @@
 
     name = "validate"
     description = "Checks a configuration and reports every finding."
-    arguments = [_FILES_ARGUMENT]
+    arguments = [_CHECKED_FILES_ARGUMENT]
     options = [
         *base.BaseCommand.options,
+        _SETTINGS_OPTION,
         option("strict", description="Fail if there are warnings, too."),
     ]
 
     def run_command(self) -> ExitCode:
         """Prints the findings and the digest of the configuration."""
         try:
-            report = configuration.check_files(self.argument("files"))
+            report = self._check_files()
         except configuration.UnreadableError as error:
             if self.option("output") == "json":
                 report = configuration.CheckReport(error.problems)
@@ -59,6 +79,16 @@
             return ExitCode.REJECTED
         return ExitCode.OK
 
+    def _check_files(self) -> configuration.CheckReport:
+        files = self.argument("files")
+        settings_file = self.option("settings")
+        json_file = platform_files.find_json_file(files)
+        if json_file is not None:
+            return platform_files.check_file(json_file, settings_file)
+        if settings_file:
+            raise UsageError("--settings needs a JSON file")
+        return configuration.check_files(files)
+
 
 class ApplyCommand(base.AdminApiCommand):
     """Applies a configuration."""
@@ -120,8 +150,18 @@
 
     name = "diff"
     description = "Shows what applying a configuration would change."
-    arguments = [_FILES_ARGUMENT]
-    options = [*base.AdminApiCommand.options, _REVISION_OPTION]
+    arguments = [_CHECKED_FILES_ARGUMENT]
+    options = [
+        *base.AdminApiCommand.options,
+        _REVISION_OPTION,
+        _SETTINGS_OPTION,
+        option(
+            "against",
+            description="JSON file to compare a JSON file with, instead of the"
+            " configuration in the store.",
+            flag=False,
+        ),
+    ]
 
     def run_command(self) -> ExitCode:
         """Prints the changes.
@@ -131,24 +171,44 @@
                 not allowed.
         """
         try:
+            json_file = platform_files.find_json_file(self.argument("files"))
+            if json_file is not None:
+                return self._compare_json_file(json_file)
             new = configuration.load_files(self.argument("files"))
         except configuration.UnreadableError as error:
             raise UsageError(str(error)) from error
+        if self.option("settings") or self.option("against"):
+            raise UsageError("--settings and --against need a JSON file")
         revision = self.read_integer_option("revision")
         stored = self.fetch("/v1/configuration", revision=revision)
         old = configuration.parse(stored["document"])
         changes = configuration.diff(old, new)
+        self._print_changes(changes, stored["revision"])
+        configuration.check_transition(old, new)
+        return ExitCode.OK
+
+    def _compare_json_file(self, file: str) -> ExitCode:
+        if self.option("revision") or self.option("server"):
+            raise UsageError(
+                "--revision and --server cannot be used with a JSON file"
+            )
+        comparison = platform_files.compare_file(
+            file, self.option("settings"), self.option("against")
+        )
+        self._print_changes(comparison.changes, comparison.version)
+        return ExitCode.OK
+
+    def _print_changes(
+        self, changes: Sequence[configuration.Change], revision: int
+    ) -> None:
         lines = [output.format_change(change) for change in changes]
         self.print_result(
-            "\n".join(lines)
-            or f"no differences from revision {stored['revision']}",
+            "\n".join(lines) or f"no differences from revision {revision}",
             {
-                "revision": stored["revision"],
+                "revision": revision,
                 "changes": [change.to_mapping() for change in changes],
             },
         )
-        configuration.check_transition(old, new)
-        return ExitCode.OK
 
 
 class GetCommand(base.AdminApiCommand):
--- a/src/dragonflydyke/cli/output.py
+++ b/src/dragonflydyke/cli/output.py
@@ -76,7 +76,9 @@
 def format_report(report: configuration.CheckReport) -> str:
     """Returns a line for each finding and a summary."""
     lines = [format_finding(found) for found in report.findings]
-    state = f"valid, digest {report.digest}" if report.is_valid else "invalid"
+    state = "valid" if report.is_valid else "invalid"
+    if report.digest:
+        state += f", digest {report.digest}"
     counts = [
         f"{count} {severity.value}(s)"
         for severity in configuration.Severity
--- a/src/dragonflydyke/configuration/changes.py
+++ b/src/dragonflydyke/configuration/changes.py
@@ -54,6 +54,7 @@
 
     Attributes:
         unordered: Lists of names whose order has no effect.
+        ordered: Lists of names whose order has an effect.
         empty_allows_all: Unordered lists that restrict nothing if empty.
         capacities: Numbers and flags that take something away as they fall.
         reserves: Numbers that take something away as they rise.
@@ -62,6 +63,7 @@
     """
 
     unordered: frozenset[str] = frozenset()
+    ordered: frozenset[str] = frozenset()
     empty_allows_all: frozenset[str] = frozenset()
     capacities: frozenset[str] = frozenset()
     reserves: frozenset[str] = frozenset()
@@ -76,7 +78,7 @@
             return True
         if old is None:
             return False
-        if field in self.unordered and isinstance(old, list):
+        if field in self.unordered | self.ordered:
             if field in self.empty_allows_all and not (old and new):
                 return bool(new)
             return not set(old) <= set(new)
@@ -102,6 +104,7 @@
             "versions",
         }
     ),
+    ordered=frozenset({"stages"}),
     empty_allows_all=frozenset({"versions"}),
     capacities=frozenset(
         {
--- a/src/dragonflydyke/forwarding/model.py
+++ b/src/dragonflydyke/forwarding/model.py
@@ -169,18 +169,22 @@
 
     Attributes:
         version: Version of the configuration.
+        routes: Routes in their configured order.
         pools: Pools by name.
+        accounts: Client accounts in their configured order.
         limits: Limits on clients.
         needs_key: Whether requests need an API key unless their route is
             anonymous.
     """
 
     __slots__ = (
-        "_accounts",
-        "_routes",
+        "_accounts_by_key",
+        "_routes_by_host",
+        "accounts",
         "limits",
         "needs_key",
         "pools",
+        "routes",
         "version",
     )
 
@@ -193,10 +197,12 @@
         limits: ClientLimits,
     ) -> None:
         self.version = version
+        self.routes = routes
+        self.accounts = accounts
         self.pools = {pool.name: pool for pool in pools}
         self.limits = limits
         self.needs_key = bool(accounts)
-        self._accounts = {
+        self._accounts_by_key = {
             key: account for account in accounts for key in account.keys
         }
         by_host = collections.defaultdict(list)
@@ -204,18 +210,18 @@
             by_host[route.host.lower()].append(route)
         for found in by_host.values():
             found.sort(key=lambda route: -len(route.path_prefix))
-        self._routes = dict(by_host)
+        self._routes_by_host = dict(by_host)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest matching prefix, or None."""
-        for route in self._routes.get(host.lower(), ()):
+        for route in self._routes_by_host.get(host.lower(), ()):
             if path.startswith(route.path_prefix):
                 return route
         return None
 
     def find_account(self, key: str) -> Account | None:
         """Returns the account with an API key, or None."""
-        return self._accounts.get(key)
+        return self._accounts_by_key.get(key)
 
 
 def hash_fraction(key: str) -> float:
--- a/src/dragonflydyke/platform/process.py
+++ b/src/dragonflydyke/platform/process.py
@@ -29,10 +29,18 @@
     Raises:
         SettingsError: If the file or one of its fields is missing or invalid.
     """
-    path = os.environ.get(SETTINGS_VARIABLE, "")
+    return read_settings_file(os.environ.get(SETTINGS_VARIABLE, ""))
+
+
+def read_settings_file(path: str) -> node.NodeSettings:
+    """Returns the settings in a file.
+
+    Raises:
+        SettingsError: If the file or one of its fields is missing or invalid.
+    """
     try:
         fields = json.loads(pathlib.Path(path).read_text())
-    except (OSError, ValueError) as error:
+    except (OSError, RecursionError, ValueError) as error:
         raise settings.SettingsError(SETTINGS_VARIABLE, str(error)) from error
     host = _read_field(fields, "ip", str)
     return node.NodeSettings(
--- a/src/dragonflydyke/platform/records.py
+++ b/src/dragonflydyke/platform/records.py
@@ -27,7 +27,7 @@
 )
 # Kind of the entries of the nodes, which only the routers use.
 NODE_KIND = "routernodes"
-_POLICY_OBJECT_NAME = "main"
+POLICY_OBJECT_NAME = "main"
 _RUNNING = "running"
 _FINAL_STATES = {
     "completed": rollouts.Stage.COMPLETED,
@@ -82,8 +82,8 @@
     ) -> model.ForwardingPolicy | None:
         """Returns the newest configuration, or None if there is none."""
         for entry in entries:
-            if entry.name == _POLICY_OBJECT_NAME:
-                return self._read(entry, _read_policy)
+            if entry.name == POLICY_OBJECT_NAME:
+                return self._read(entry, decode_policy)
         return None
 
     def read_servers(
@@ -286,7 +286,8 @@
     return [counts.attempts, counts.failed, counts.impaired]
 
 
-def _read_policy(entry: objects.StoredObject) -> model.ForwardingPolicy:
+def decode_policy(entry: objects.StoredObject) -> model.ForwardingPolicy:
+    """Returns a configuration; raises one of DECODING_ERRORS."""
     spec = entry.value
     return model.ForwardingPolicy(
         version=int(require_number(spec["version"])),
@@ -340,8 +341,9 @@
     )
     return model.Route(
         name=spec["name"],
-        host=spec["host"],
-        path_prefix=spec["pathPrefix"],
+        host=_require_string(spec["host"]),
+        # Matching a path against another type would fail for each request.
+        path_prefix=_require_string(spec["pathPrefix"]),
         kind=_REQUEST_KINDS[spec["kind"]],
         timeout_s=spec["timeoutMs"] / _MS_PER_S,
         target_latency_s=spec["targetLatencyMs"] / _MS_PER_S,
@@ -385,6 +387,12 @@
     )
 
 
+def _require_string(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"{reprlib.repr(value)} is not a string")
+    return value
+
+
 def require_text(value: Any) -> str:
     """Returns a non-empty text without surrogates.
 
