--- a/src/dragonflydyke/cli/commands.py
+++ b/src/dragonflydyke/cli/commands.py
@@ -52,6 +52,10 @@
     return re.sub(r"[\s#]", "_", name)
 
 
+def _list_problems(error: configuration.UnreadableError) -> str:
+    return "\n".join(str(problem) for problem in error.problems)
+
+
 class ValidateCommand(base.BaseCommand):
     """Validates a configuration locally, without a server."""
 
@@ -72,7 +76,7 @@
             if self.option("output") == "json":
                 report = configuration.CheckReport(error.problems)
                 self.print_result("", report.to_mapping())
-            raise UsageError(str(error)) from error
+            raise UsageError(_list_problems(error)) from error
         self.print_result(output.format_report(report), report.to_mapping())
         failures = len(report.findings) if self.option("strict") else 0
         if failures or not report.is_valid:
@@ -176,7 +180,7 @@
                 return self._compare_json_file(json_file)
             new = configuration.load_files(self.argument("files"))
         except configuration.UnreadableError as error:
-            raise UsageError(str(error)) from error
+            raise UsageError(_list_problems(error)) from error
         if self.option("settings") or self.option("against"):
             raise UsageError("--settings and --against need a JSON file")
         revision = self.read_integer_option("revision")
--- a/src/dragonflydyke/configuration/findings.py
+++ b/src/dragonflydyke/configuration/findings.py
@@ -283,6 +283,15 @@
 
 def _check_policy(document: model.Document, found: WarningList) -> None:
     policy = document.policy
+    longest_s = max(entry.deadline_s for entry in document.classes)
+    if policy.body_timeout_s > longest_s:
+        found.warn(
+            "timeout_above_deadline",
+            ("policy", "body_timeout_s"),
+            policy.body_timeout_s,
+            f"is above the longest deadline_s of a class ({longest_s})",
+            "lower it to the longest deadline",
+        )
     if policy.max_attempts > 1 and policy.retry_budget_share == 0:
         found.warn(
             "attempts_without_budget",
--- a/src/dragonflydyke/platform/policy_findings.py
+++ b/src/dragonflydyke/platform/policy_findings.py
@@ -6,9 +6,10 @@
 from typing import Any
 
 from dragonflydyke.configuration import findings, problems
-from dragonflydyke.forwarding import model, node
+from dragonflydyke.forwarding import decisions, model, node
 
 WRONG_TYPE = "wrong_type"
+_MS_PER_S = 1_000
 
 
 def find_warnings(
@@ -269,20 +270,27 @@
         found.warn(
             "weights_all_zero",
             (*path, "trafficSplit"),
-            0,
+            None,
             "has only weights of 0, so all requests go to the last service",
             "give one service a weight above 0",
         )
 
 
+def _to_milliseconds(duration_s: float) -> float:
+    rounded = round(duration_s * _MS_PER_S, 3)
+    return int(rounded) if rounded.is_integer() else rounded
+
+
 def _check_times(
     path: problems.Path, route: model.Route, found: findings.WarningList
 ) -> None:
+    timeout_ms = _to_milliseconds(route.timeout_s)
+    target_ms = _to_milliseconds(route.target_latency_s)
     if route.timeout_s <= 0:
         found.warn(
             "timeout_not_positive",
             (*path, "timeoutMs"),
-            route.timeout_s * 1_000,
+            timeout_ms,
             "leaves no time, so every request fails",
             "give a value above 0",
         )
@@ -290,10 +298,9 @@
         found.warn(
             "timeout_below_target",
             (*path, "timeoutMs"),
-            route.timeout_s * 1_000,
-            "is below targetLatencyMs"
-            f" ({route.target_latency_s * 1_000:g}), so responses that are"
-            " slower than the target are cut off",
+            timeout_ms,
+            f"is below targetLatencyMs ({target_ms}), so responses that are"
+            " slower than the timeout are cut off",
             "raise timeoutMs or lower targetLatencyMs",
         )
 
@@ -317,6 +324,28 @@
             "has no effect, because requests of this route run only once",
             "give 1, or make the route idempotent or its streams resumable",
         )
+    elif route.max_attempts > decisions.MAX_DISPATCHES:
+        found.warn(
+            "attempts_above_limit",
+            (*path, "maxAttempts"),
+            route.max_attempts,
+            f"is above {decisions.MAX_DISPATCHES}, the highest number of times"
+            " that the router sends a request",
+            f"give at most {decisions.MAX_DISPATCHES}",
+        )
+    elif (
+        route.max_attempts > 1
+        and route.timeout_s < (route.max_attempts - 1) * decisions.MIN_ATTEMPT_S
+    ):
+        found.warn(
+            "attempts_exceed_timeout",
+            (*path, "maxAttempts"),
+            route.max_attempts,
+            "cannot all start within timeoutMs"
+            f" ({_to_milliseconds(route.timeout_s)}), as an attempt starts only"
+            f" if {_to_milliseconds(decisions.MIN_ATTEMPT_S)} ms are left",
+            "raise timeoutMs or lower maxAttempts",
+        )
 
 
 def _check_unused_pools(
--- a/tests/test_findings.py
+++ b/tests/test_findings.py
@@ -99,10 +99,13 @@
                 ("attempts_without_budget", "policy.max_attempts"),
             },
         )
-        policy = model.Policy(max_attempts=1)
-        self.assertIn(
-            ("budget_without_attempts", "policy.retry_budget_share"),
+        policy = model.Policy(max_attempts=1, body_timeout_s=121.0)
+        self.assertEqual(
             self._find(policy=policy),
+            {
+                ("budget_without_attempts", "policy.retry_budget_share"),
+                ("timeout_above_deadline", "policy.body_timeout_s"),
+            },
         )
 
     def test_rollout_to_an_inactive_version_is_found(self) -> None:
--- a/tests/test_platform_checks.py
+++ b/tests/test_platform_checks.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies
 
 from dragonflydyke import configuration
-from dragonflydyke.cli import main
+from dragonflydyke.cli import main, output
 from dragonflydyke.cli.exit_codes import ExitCode
 from dragonflydyke.forwarding import node
 from dragonflydyke.objects import model as objects
@@ -96,6 +96,11 @@
     def test_contradicting_limits_of_routes_are_found(self) -> None:
         self.route |= {"timeoutMs": 2_999, "streamResume": False}
         self._add_route(pathPrefix="/a/", timeoutMs=0, maxAttempts=0)
+        short = {"targetLatencyMs": 9, "timeoutMs": 10, "streamResume": True}
+        self._add_route(pathPrefix="/b/", **(short | {"name": "r3"}))
+        self._add_route(
+            **(short | {"name": "r4", "pathPrefix": "/c/", "maxAttempts": 6})
+        )
         self.assertEqual(
             _list_codes(self.spec),
             {
@@ -103,6 +108,8 @@
                 ("attempts_without_effect", "routes[0].maxAttempts"),
                 ("timeout_not_positive", "routes[1].timeoutMs"),
                 ("attempts_below_one", "routes[1].maxAttempts"),
+                ("attempts_exceed_timeout", "routes[2].maxAttempts"),
+                ("attempts_above_limit", "routes[3].maxAttempts"),
             },
         )
 
@@ -223,11 +230,10 @@
         mapping = self._change(mapping, data)
         with tempfile.TemporaryDirectory() as folder:
             file = pathlib.Path(folder, "all.yaml")
-            file.write_text(json.dumps(mapping))
+            file.write_text(output.format_yaml(mapping))
             report = configuration.check_files([file])
         try:
-            # A router receives JSON.
-            configuration.parse(json.loads(json.dumps(mapping)))
+            configuration.parse(mapping)
         except configuration.ConfigurationError:
             self.assertFalse(report.is_valid)
         else:
