--- a/src/dragonflydyke/cli/output.py
+++ b/src/dragonflydyke/cli/output.py
@@ -67,10 +67,32 @@
 
 def format_change(change: configuration.Change) -> str:
     """Formats a change as one line."""
-    symbol = _CHANGE_SYMBOLS[change.kind]
+    text = f"{_CHANGE_SYMBOLS[change.kind]} {change.path}"
     if change.kind is configuration.ChangeKind.CHANGED:
-        return f"{symbol} {change.path}: {change.old!r} -> {change.new!r}"
-    return f"{symbol} {change.path}"
+        text += f": {change.old!r} -> {change.new!r}"
+    return f"{text} (removes)" if change.removes else text
+
+
+def format_report(report: configuration.CheckReport) -> str:
+    """Returns a line for each finding and a summary."""
+    lines = [format_finding(found) for found in report.findings]
+    state = "valid" if report.is_valid else "invalid"
+    if report.digest:
+        state += f", digest {report.digest}"
+    counts = [
+        f"{count} {severity.value}(s)"
+        for severity in configuration.Severity
+        if (count := report.count(severity))
+    ]
+    return "\n".join([*lines, ", ".join([state, *counts])])
+
+
+def format_finding(found: configuration.Problem) -> str:
+    """Returns `file:line: severity [code] path: message, ...; fix`."""
+    return (
+        f"{found.format_location()}{found.severity.value} [{found.code}]"
+        f" {found.format_description()}"
+    )
 
 
 def format_bill_totals(bills: Iterable[Mapping[str, Any]]) -> str:
