State in the log up to when each kind of the store is known

`servers_age_s` was the time since the list of servers last changed, so a node that follows an old list looked like one with a quiet list, and nothing told the age of the roll-outs. A failed check of the store was logged without its cause, so a slow transfer looked like a store that is away. `request ended` now has the ages of configuration, servers and roll-outs; `attempt` calls its figure `servers_changed_s`; failed checks state their error, and a new configuration its number of routes and accounts. No change of logic.

--- a/src/dragonflydyke/forwarding/directory.py
+++ b/src/dragonflydyke/forwarding/directory.py
@@ -138,7 +138,7 @@
         self._index()
 
     def find_age_s(self, now_s: float) -> float | None:
-        """Returns the seconds since the last update, None before the first."""
+        """Returns the seconds since the list last changed, None before that."""
         if self.updated_s is None:
             return None
         return round(now_s - self.updated_s, 2)
--- a/src/dragonflydyke/forwarding/execution.py
+++ b/src/dragonflydyke/forwarding/execution.py
@@ -1,7 +1,7 @@
 """Handles requests: admission, forwarding, rejection and logging."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from dragonflydyke import errors, latencies, logs
 from dragonflydyke.forwarding import (
@@ -26,8 +26,8 @@
 
     Attributes:
         policy: Configuration in force, None before the first.
-        find_policy_age_s: Returns the seconds at a loop time since the store
-            last confirmed the configuration, None before it did.
+        find_ages: Returns the ages at a loop time, in seconds, of what the
+            node knows of the store, as log fields by name.
         is_closing: Whether new requests are rejected, because the node stops
             before a long response could finish.
         stop_s: Loop time at which the node stops, None if it does not. Requests
@@ -38,7 +38,7 @@
     __slots__ = (
         "_budgets",
         "_services",
-        "find_policy_age_s",
+        "find_ages",
         "is_closing",
         "latencies",
         "policy",
@@ -48,7 +48,9 @@
     def __init__(self, services: contexts.ForwardingServices) -> None:
         """Creates a forwarder without a policy, which rejects all requests."""
         self.policy: model.ForwardingPolicy | None = None
-        self.find_policy_age_s: Callable[[float], float | None] = lambda _: None
+        self.find_ages: Callable[[float], Mapping[str, float | None]] = (
+            lambda _: {}
+        )
         self.is_closing = False
         self.stop_s: float | None = None
         self.latencies = latencies.LatencyHistograms()
@@ -172,8 +174,7 @@
             route=admitted.route.name if admitted else "",
             pool=admitted.pool.name if admitted else "",
             policy=self._find_policy_version(admitted),
-            policy_age_s=self.find_policy_age_s(now_s),
-            servers_age_s=self._services.directory.find_age_s(now_s),
+            **self.find_ages(now_s),
             attempts=state.attempt_history,
             outcome=outcome,
             took_s=round(now_s - request.received_s, 4),
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -51,6 +51,13 @@
 # Places of the kinds in the list of watchers.
 _POLICY_WATCHER = 0
 _SERVER_WATCHER = 1
+_ROLLOUT_WATCHER = 2
+# Ages that the log of each request states, with the places of their watchers.
+_LOGGED_AGES = {
+    "policy_age_s": _POLICY_WATCHER,
+    "servers_age_s": _SERVER_WATCHER,
+    "rollouts_age_s": _ROLLOUT_WATCHER,
+}
 _OK = 200
 _UNAVAILABLE = 503
 # Limits of the addresses for checks and metrics.
@@ -322,9 +329,7 @@
         self._forwarder = execution.Forwarder(
             self._build_services(codec, report_codec)
         )
-        self._forwarder.find_policy_age_s = self._watchers[
-            _POLICY_WATCHER
-        ].find_age_s
+        self._forwarder.find_ages = self._find_ages
         self._server = server.ForwardingServer(
             self._forwarder, codec, values.machine, counters
         )
@@ -377,6 +382,13 @@
             self._evacuations.find_ended_s,
         )
 
+    def _find_ages(self, now_s: float) -> dict[str, float | None]:
+        """Returns the seconds since the time up to which a kind is known."""
+        return {
+            name: self._watchers[place].find_age_s(now_s)
+            for name, place in _LOGGED_AGES.items()
+        }
+
     def _find_cold_start(self, pool: str) -> model.ColdStart | None:
         """Returns what a cold server accepts by the policy in force."""
         policy = self._forwarder.policy
@@ -497,7 +509,12 @@
             return
         self._forwarder.policy = policy
         cost_records.configure(self._costs, policy)
-        _LOGGER.notice("configuration in force", version=policy.version)
+        _LOGGER.notice(
+            "configuration in force",
+            version=policy.version,
+            routes=len(policy.routes),
+            accounts=len(policy.accounts),
+        )
 
     def _apply_servers(
         self, view: watchers.KindSnapshot, after_gap: bool
--- a/src/dragonflydyke/forwarding/targets.py
+++ b/src/dragonflydyke/forwarding/targets.py
@@ -402,7 +402,7 @@
             has_beginning=plan.prefix_source is None,
             in_progress=plan.queued,
             usable=usable_count,
-            servers_age_s=self._services.directory.find_age_s(_now_s()),
+            servers_changed_s=self._services.directory.find_age_s(_now_s()),
         )
 
     def _select_server(
@@ -424,7 +424,7 @@
             has_beginning=selected.is_affinity_target if selected else None,
             in_progress=selected.in_flight if selected else None,
             usable=len(servers),
-            servers_age_s=self._services.directory.find_age_s(now_s),
+            servers_changed_s=self._services.directory.find_age_s(now_s),
         )
         return selected
 
--- a/src/dragonflydyke/objects/freshness.py
+++ b/src/dragonflydyke/objects/freshness.py
@@ -185,7 +185,9 @@
         try:
             await self.check()
         except errors.DragonflydykeError as error:
-            _LOGGER.info("store state not checked", code=error.code)
+            _LOGGER.info(
+                "store state not checked", code=error.code, error=str(error)
+            )
 
     def _reads_for_peers(self) -> bool:
         """Returns whether peers have asked this node lately."""
@@ -255,4 +257,8 @@
                 if not self._is_recent(self._state):
                     await self._catch_up(await self._read_store())
         except errors.DragonflydykeError as error:
-            _LOGGER.info("store state not read for a peer", code=error.code)
+            _LOGGER.info(
+                "store state not read for a peer",
+                code=error.code,
+                error=str(error),
+            )
--- a/tests/test_silent_watches.py
+++ b/tests/test_silent_watches.py
@@ -41,13 +41,17 @@
 
     async def test_refusal_names_the_configuration_and_its_age(self) -> None:
         self.forwarder.policy = forwarding.build_policy(version=4)
-        self.forwarder.find_policy_age_s = lambda now_s: 3.8
+        self.forwarder.find_ages = lambda now_s: {
+            "policy_age_s": 3.8,
+            "rollouts_age_s": 0.2,
+        }
         with mock.patch.object(execution, "_LOGGER") as logger:
             response = await self.fetch("/unknown/1")
         self.assertEqual(response.status, 404)
         fields = logger.info.call_args.kwargs
         self.assertEqual(fields["outcome"], "no_route")
         self.assertEqual((fields["policy"], fields["policy_age_s"]), (4, 3.8))
+        self.assertEqual(fields["rollouts_age_s"], 0.2)
 
 
 class SilentWatchTest(store.StoreTestCase):
