--- a/tests/builders/store.py
+++ b/tests/builders/store.py
@@ -29,6 +29,21 @@
     objects: dict[str, dict[str, dict[str, Any]]]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Transfer:
+    """Speed of a response over a narrow link.
+
+    Attributes:
+        pieces: Number of pieces in which the body is sent.
+        pause_s: Seconds before each piece.
+        stops_after: Pieces after which nothing more is sent, None to send all.
+    """
+
+    pieces: int
+    pause_s: float
+    stops_after: int | None = None
+
+
 class StoreStub:
     """Objects of the store stub and the faults that it injects.
 
@@ -48,6 +63,8 @@
         raw_items: Texts of items that other writers left in each list and each
             set of events.
         page_size: Maximum number of objects in a page of a list.
+        transfers: How responses to reads of a kind are sent, at once if it is
+            not named.
         calls: Received calls as method and path.
         open_watches: Number of watches that wait for a change.
     """
@@ -65,6 +82,7 @@
         self.replica: StoreCopy | None = None
         self.raw_items: list[str] = []
         self.page_size = 100
+        self.transfers: dict[str, Transfer] = {}
         self.calls: list[str] = []
         self.open_watches = 0
         self._silences: collections.Counter[str] = collections.Counter()
@@ -194,7 +212,8 @@
                 return
             reported = state.find_replica_revision(is_stale=is_stale)
             reported -= state.reported_lag
-            self._reply({"events": events, "storeRevision": reported})
+            body = {"events": events, "storeRevision": reported}
+            await self._reply_over_link(kind, body)
             return
         after = self.get_query_argument("after", "")
         served = state.take_copy()
@@ -212,12 +231,13 @@
             if name > after and entry["metadata"]["rev"] <= revision
         ]
         page = items[: state.page_size]
-        self._reply(
+        await self._reply_over_link(
+            kind,
             {
                 "items": page,
                 "more": len(items) > len(page),
                 "storeRevision": revision,
-            }
+            },
         )
 
     async def post(self, kind: str, *rest: str) -> None:
@@ -268,6 +288,22 @@
         era = self._stub.era if self._era is None else self._era
         self.set_header(_ERA_HEADER, str(era))
 
+    async def _reply_over_link(self, kind: str, body: Any) -> None:
+        transfer = self._stub.transfers.get(kind)
+        if transfer is None or not (body.get("items") or body.get("events")):
+            self._reply(body)
+            return
+        text = json.dumps(body)
+        self._write_era()
+        self.set_header("Content-Length", str(len(text)))
+        size = -(-len(text) // transfer.pieces)
+        for number in range(transfer.pieces):
+            if number == transfer.stops_after:
+                await asyncio.Event().wait()
+            await asyncio.sleep(transfer.pause_s)
+            self.write(text[number * size : (number + 1) * size])
+            await self.flush()
+
     def _reply(self, body: Any) -> None:
         self.set_header("Content-Type", "application/json")
         self._write_era()
--- /dev/null
+++ b/tests/test_slow_transfers.py
@@ -0,0 +1,65 @@
+"""Tests of reads of the store whose responses take long to arrive."""
+
+import asyncio
+
+from dragonflydyke.objects import model, watchers
+from tests.builders import skipping_loop, store, watched_kinds
+
+_MAX_AGE_S = 3.0
+# A large configuration over a narrow link: more time than a call may take, with
+# progress all the while.
+_SLOW = store.Transfer(pieces=8, pause_s=0.25)
+# Real time that a step of the clock leaves to the calls.
+_PAUSE_S = 0.01
+
+
+class SlowTransferTest(store.StoreTestCase):
+    """Guards against a slow transfer that counts as a store that is away.
+
+    The nodes with the narrowest links never took a configuration whose transfer
+    took longer than a call may last, and listed all kinds again and again.
+    """
+
+    async def test_long_list_with_progress_is_read(self) -> None:
+        await self.stub.put("config", "main", {"version": 7})
+        self.stub.transfers["config"] = _SLOW
+        reading = asyncio.ensure_future(
+            self.store.list_all(
+                "config", consistency=model.ReadConsistency.LINEARIZABLE
+            )
+        )
+        await self.pass_time(2.5, _PAUSE_S)
+        listed = await reading
+        self.assertEqual([entry.name for entry in listed.objects], ["main"])
+
+    async def test_transfer_without_progress_fails_in_time(self) -> None:
+        await self.stub.put("config", "main", {"version": 7})
+        self.stub.transfers["config"] = store.Transfer(
+            pieces=8, pause_s=0.25, stops_after=2
+        )
+        reading = asyncio.ensure_future(
+            self.store.list_all(
+                "config", consistency=model.ReadConsistency.LINEARIZABLE
+            )
+        )
+        await self.pass_time(1.9, _PAUSE_S)
+        with self.assertRaises(model.PlatformUnavailableError):
+            await asyncio.wait_for(reading, 0.5)
+
+    async def test_change_arrives_over_a_narrow_link(self) -> None:
+        watched = watched_kinds.WatchedKinds(
+            self.store,
+            self.counters,
+            watchers.WatchTiming(_MAX_AGE_S),
+            _MAX_AGE_S,
+        )
+        for kind in watched.watchers:
+            await self.stub.put(kind, "first", {})
+        watched.start(self.addCleanup)
+        await skipping_loop.wait_until(lambda: self.stub.open_watches == 4)
+        self.stub.transfers["config"] = _SLOW
+        await self.stub.put("config", "second", {})
+        await self.pass_time(_MAX_AGE_S, _PAUSE_S)
+        self.assertIn("second", watched.names["config"])
+        totals = self.counters.totals()
+        self.assertNotIn("watch.servers.platform_unavailable", totals)
