Let a read of the store take as long as it makes progress

Cause: each read of the store had a timeout of 1 s for the whole response. Over a link of 5 Mbit/s a configuration with 3,000 routes takes longer than that, beside other traffic also a smaller one. The read failed, the failure gave up the watches of all kinds, among them the one that was receiving that configuration, and the node listed all kinds again, with the same timeout: it could never succeed. Class: a timeout that depends on the size of a message and not on the peer. Ruled out: lost events or replicas that lag behind (the other kinds are read each time), an overloaded processor (0.1 cores in use), the store (40 of 76 nodes are up to date at the same time). Fix: the timeout applies to connecting, to the first byte and to each pause; a response may take 15 s in all. A silent store is noticed as fast as before.

--- a/src/dragonflydyke/objects/store_http.py
+++ b/src/dragonflydyke/objects/store_http.py
@@ -5,7 +5,7 @@
 from tornado import httpclient, simple_httpclient
 
 from dragonflydyke import errors, logs, metrics, transport
-from dragonflydyke.objects import model
+from dragonflydyke.objects import model, transfers
 
 # The HTTP client queues requests above this number without reporting it.
 _MAX_CONNECTIONS = 1_000
@@ -63,8 +63,9 @@
             peer: Name of the store in errors.
             counters: Receives `platform.<method>.<outcome>` and
                 `platform.restored`.
-            timeout_s: Timeout of connecting and of a call, in seconds. The
-                `wait_s` of a call is added to the latter.
+            timeout_s: Timeout, in seconds, of connecting, of the time until the
+                response begins to arrive, to which the `wait_s` of a call is
+                added, and of each pause while it arrives.
             era_header: Header in which responses state the era of the store.
             max_silence_s: Seconds after which a connection that went silent
                 during a long poll is closed.
@@ -122,16 +123,20 @@
             PlatformUnavailableError: If the call failed without an effect.
             OutcomeUnknownError: If a write failed that may have taken effect.
         """
+        transfer = transfers.Transfer(self._timeout_s)
         request = httpclient.HTTPRequest(
             self._base_url + path,
             method=method,
             headers=headers,
             body=body,
             connect_timeout=self._timeout_s,
-            request_timeout=self._timeout_s + wait_s,
+            request_timeout=transfers.MAX_DURATION_S + wait_s,
+            streaming_callback=transfer.receive,
         )
         try:
-            response = await self._http.fetch(request, raise_error=False)
+            response = await transfer.complete(
+                self._http.fetch(request, raise_error=False), wait_s
+            )
         except (OSError, httpclient.HTTPError) as error:
             if transport.was_not_sent(error):
                 raise self._unavailable_error(method, error) from error
