Read a change once while its response is arriving

Cause: the check that limits the age of a kind read the changes of a kind again while its long poll was receiving them, so that two copies shared the link. A call that failed meanwhile gave up the long poll that was receiving, too. Fix: a check waits for a response that is arriving, which has its own timeout, and the failure of another call does not end it. An abandoned response that begins late cannot hold up a check: each long poll has its own event.

--- a/src/dragonflydyke/objects/replicas.py
+++ b/src/dragonflydyke/objects/replicas.py
@@ -16,6 +16,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import Protocol
 
 from dragonflydyke import errors, logs
@@ -56,6 +57,7 @@
         wait_s: float,
         *,
         consistency: model.ReadConsistency,
+        on_start: Callable[[], None] = lambda: None,
     ) -> model.ObjectChanges:
         """Returns the changes after a version, waiting until there is one.
 
@@ -64,6 +66,7 @@
             since: Version of the store after which changes are returned.
             wait_s: Seconds after which the store responds without changes.
             consistency: Whether a replica that lags behind may respond.
+            on_start: Called when the response begins to arrive.
 
         Raises:
             HistoryLostError: If the store no longer has these changes.
@@ -192,7 +195,11 @@
         )
 
     async def watch(
-        self, kind: str, since: int, wait_s: float
+        self,
+        kind: str,
+        since: int,
+        wait_s: float,
+        on_start: Callable[[], None] = lambda: None,
     ) -> model.ObjectChanges:
         """Returns the changes after a version, waiting until there is one.
 
@@ -200,30 +207,41 @@
             kind: Kind of the objects.
             since: Version of the store after which changes are returned.
             wait_s: Seconds after which the store responds without changes.
+            on_start: Called when a response begins to arrive.
 
         Raises:
             HistoryLostError: If the store no longer has these changes.
         """
         try:
             if self._are_current:
-                changes = await self._watch_replica(kind, since, wait_s)
+                changes = await self._watch_replica(
+                    kind, since, wait_s, on_start
+                )
                 if changes is not None:
                     return changes
-            return await self._watch_store(kind, since, wait_s)
+            return await self._watch_store(kind, since, wait_s, on_start)
         except model.HistoryLostError:
             # Replicas of a store that lost its history catch up for seconds.
             self._are_current = False
             raise
 
     async def _watch_replica(
-        self, kind: str, since: int, wait_s: float
+        self,
+        kind: str,
+        since: int,
+        wait_s: float,
+        on_start: Callable[[], None],
     ) -> model.ObjectChanges | None:
         """Returns the changes, None if the replica lags behind."""
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         known_version = self._newest_version
         changes = await self._store.watch(
-            kind, since, wait_s, consistency=model.ReadConsistency.STALE
+            kind,
+            since,
+            wait_s,
+            consistency=model.ReadConsistency.STALE,
+            on_start=on_start,
         )
         is_known_long_enough = loop.time() - started_s >= _REPLICA_TOLERANCE_S
         if changes.version < known_version and is_known_long_enough:
@@ -233,13 +251,21 @@
         return changes
 
     async def _watch_store(
-        self, kind: str, since: int, wait_s: float
+        self,
+        kind: str,
+        since: int,
+        wait_s: float,
+        on_start: Callable[[], None],
     ) -> model.ObjectChanges:
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         known_version = self._newest_version
         changes = await self._store.watch(
-            kind, since, wait_s, consistency=model.ReadConsistency.LINEARIZABLE
+            kind,
+            since,
+            wait_s,
+            consistency=model.ReadConsistency.LINEARIZABLE,
+            on_start=on_start,
         )
         self._record_version(changes.version)
         is_new = changes.version > known_version
--- a/src/dragonflydyke/objects/store_http.py
+++ b/src/dragonflydyke/objects/store_http.py
@@ -1,6 +1,7 @@
 """HTTP calls to a store, with errors that state whether they had an effect."""
 
 import enum
+from collections.abc import Callable
 
 from tornado import httpclient, simple_httpclient
 
@@ -102,6 +103,7 @@
         headers: dict[str, str] | None = None,
         body: str | None = None,
         wait_s: float = 0.0,
+        on_start: Callable[[], None] = lambda: None,
     ) -> httpclient.HTTPResponse:
         """Sends one call.
 
@@ -115,6 +117,7 @@
             body: Body of the call.
             wait_s: Seconds for which the store may delay the response of a
                 long poll.
+            on_start: Called when the body of a response begins to arrive.
 
         Returns:
             The response, which has one of the expected statuses.
@@ -123,7 +126,7 @@
             PlatformUnavailableError: If the call failed without an effect.
             OutcomeUnknownError: If a write failed that may have taken effect.
         """
-        transfer = transfers.Transfer(self._timeout_s)
+        transfer = transfers.Transfer(self._timeout_s, on_start)
         request = httpclient.HTTPRequest(
             self._base_url + path,
             method=method,
--- a/src/dragonflydyke/objects/transfers.py
+++ b/src/dragonflydyke/objects/transfers.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import io
+from collections.abc import Callable
 
 from tornado import httpclient, simple_httpclient
 
@@ -17,15 +18,25 @@
 class Transfer:
     """Receives the body of one response."""
 
-    __slots__ = ("_chunks", "_is_abandoned", "_max_pause_s", "_progressed_s")
-
-    def __init__(self, max_pause_s: float) -> None:
+    __slots__ = (
+        "_chunks",
+        "_is_abandoned",
+        "_max_pause_s",
+        "_on_start",
+        "_progressed_s",
+    )
+
+    def __init__(
+        self, max_pause_s: float, on_start: Callable[[], None] = lambda: None
+    ) -> None:
         """Creates a transfer that has not begun.
 
         Args:
             max_pause_s: Seconds without progress after which it has failed.
+            on_start: Called when the body begins to arrive.
         """
         self._chunks: list[bytes] = []
+        self._on_start = on_start
         self._is_abandoned = False
         self._max_pause_s = max_pause_s
         self._progressed_s = 0.0
@@ -39,6 +50,8 @@
         """
         if self._is_abandoned:
             raise ConnectionAbortedError("the transfer has been given up")
+        if not self._chunks:
+            self._on_start()
         self._chunks.append(chunk)
         self._progressed_s = asyncio.get_running_loop().time()
 
--- a/src/dragonflydyke/objects/watchers.py
+++ b/src/dragonflydyke/objects/watchers.py
@@ -125,12 +125,17 @@
         self,
         send: Callable[[], Awaitable[_Result]],
         overtaken: asyncio.Event,
+        is_receiving: Callable[[], bool] = lambda: False,
     ) -> _Result | None:
         """Sends a long poll, which is given up when another call fails.
 
+        A response that is arriving is awaited, as it has a timeout of its own
+        and would be read again.
+
         Args:
             send: Sends the long poll.
             overtaken: Set when the response is of no use any more.
+            is_receiving: Returns whether the response is arriving.
 
         Returns:
             The response, or None if the long poll was overtaken.
@@ -151,6 +156,8 @@
             await asyncio.wait(
                 (response, *ends), return_when=asyncio.FIRST_COMPLETED
             )
+            if is_receiving():
+                await asyncio.wait((response,))
         except asyncio.CancelledError:
             response.cancel()
             raise
@@ -197,6 +204,12 @@
         response.exception()
 
 
+def _build_set_event() -> asyncio.Event:
+    event = asyncio.Event()
+    event.set()
+    return event
+
+
 class KindSnapshot:
     """Objects of a kind at a point in time.
 
@@ -240,6 +253,7 @@
         "_objects",
         "_overtaken",
         "_reader",
+        "_received",
         "_retry_gate",
         "_timing",
         "changed_version",
@@ -279,6 +293,8 @@
         self._is_disconnected = False
         self._is_watching = False
         self._overtaken = asyncio.Event()
+        # Set while no response to the long poll is arriving.
+        self._received = _build_set_event()
         self.changed_version = 0
         self.confirmed_s: float | None = None
         self.kind = kind
@@ -323,6 +339,10 @@
         Raises:
             DragonflydykeError: If the store does not respond or rejects a call.
         """
+        if self.version is not None and self.version < version:
+            # The long poll may be receiving the changes. Over a narrow link, a
+            # second response would delay both.
+            await self._received.wait()
         since = self.version
         if since is not None and since < version:
             await self._read_changes(since, version)
@@ -374,17 +394,26 @@
         since = self.version
         self._overtaken.clear()
         self._is_watching = True
+        # A response that is given up may still begin to arrive later, so that
+        # each long poll has an event of its own.
+        received = self._received
         try:
             changes = await self._retry_gate.poll(
-                lambda: self._reader.watch(self.kind, since, _LONG_WAIT_S),
+                lambda: self._reader.watch(
+                    self.kind, since, _LONG_WAIT_S, received.clear
+                ),
                 self._overtaken,
+                lambda: not received.is_set(),
             )
+            if changes is None:
+                return
+            self._record_response()
+            has_changes = self._apply(changes, since)
         finally:
             self._is_watching = False
-        if changes is None:
-            return
-        self._record_response()
-        if self._apply(changes, since):
+            received.set()
+            self._received = _build_set_event()
+        if has_changes:
             await asyncio.sleep(self._timing.coalescing_delay_s)
 
     def _apply(self, changes: model.ObjectChanges, since: int) -> bool:
--- a/src/dragonflydyke/platform/store.py
+++ b/src/dragonflydyke/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's metadata store."""
 
 import json
+from collections.abc import Callable
 from typing import Any
 from urllib import parse
 
@@ -109,9 +110,12 @@
         wait_s: float,
         *,
         consistency: model.ReadConsistency,
+        on_start: Callable[[], None] = lambda: None,
     ) -> model.ObjectChanges:
         """Returns the changes after a version; waits up to `wait_s` for one.
 
+        Calls `on_start` when the response begins to arrive.
+
         Raises:
             HistoryLostError: If the store does not have these changes.
         """
@@ -128,6 +132,7 @@
             expected_statuses=(_OK, _GONE),
             rejected_statuses=_REJECTED_STATUSES,
             wait_s=wait_s,
+            on_start=on_start,
         )
         era = self._caller.find_era(response)
         if response.code == _GONE or era != model.find_era(since):
--- a/tests/test_slow_transfers.py
+++ b/tests/test_slow_transfers.py
@@ -20,6 +20,20 @@
     took longer than a call may last, and listed all kinds again and again.
     """
 
+    async def start_watches(self) -> watched_kinds.WatchedKinds:
+        """Returns the watches of all kinds, which wait for a change."""
+        watched = watched_kinds.WatchedKinds(
+            self.store,
+            self.counters,
+            watchers.WatchTiming(_MAX_AGE_S),
+            _MAX_AGE_S,
+        )
+        for kind in watched.watchers:
+            await self.stub.put(kind, "first", {})
+        watched.start(self.addCleanup)
+        await skipping_loop.wait_until(lambda: self.stub.open_watches == 4)
+        return watched
+
     async def test_long_list_with_progress_is_read(self) -> None:
         await self.stub.put("config", "main", {"version": 7})
         self.stub.transfers["config"] = _SLOW
@@ -46,17 +60,42 @@
         with self.assertRaises(model.PlatformUnavailableError):
             await asyncio.wait_for(reading, 0.5)
 
-    async def test_change_arrives_over_a_narrow_link(self) -> None:
-        watched = watched_kinds.WatchedKinds(
-            self.store,
-            self.counters,
-            watchers.WatchTiming(_MAX_AGE_S),
-            _MAX_AGE_S,
+    async def test_change_that_is_arriving_is_not_read_again(self) -> None:
+        watched = await self.start_watches()
+        self.stub.transfers["config"] = _SLOW
+        await self.stub.put("config", "second", {})
+        self.stub.calls.clear()
+        await self.pass_time(_MAX_AGE_S, _PAUSE_S)
+        self.assertIn("second", watched.names["config"])
+        repeated = [
+            call
+            for call in self.stub.calls
+            if "/config?" in call and "waitMs=0" in call
+        ]
+        self.assertEqual(repeated, [])
+
+    async def test_response_that_begins_after_it_was_given_up(self) -> None:
+        watched = await self.start_watches()
+        watcher = watched.watchers["config"]
+        self.stub.transfers["config"] = store.Transfer(
+            pieces=2, pause_s=0.6, stops_after=1
         )
-        for kind in watched.watchers:
-            await self.stub.put(kind, "first", {})
-        watched.start(self.addCleanup)
-        await skipping_loop.wait_until(lambda: self.stub.open_watches == 4)
+        await self.stub.put("config", "second", {})
+        # The body begins after 0.6 s.
+        with self.assertRaises(model.PlatformUnavailableError):
+            self.stub.rejection_status = 503
+            await watched.retry_gate.call(watched.reader.read_version)
+        self.stub.rejection_status = 0
+        self.stub.transfers.clear()
+        await self.pass_time(1.0, _PAUSE_S)
+        self.assertTrue(
+            await asyncio.wait_for(
+                watcher.catch_up(self.stub.revision, self.loop.time()), 1.0
+            )
+        )
+
+    async def test_change_arrives_over_a_narrow_link(self) -> None:
+        watched = await self.start_watches()
         self.stub.transfers["config"] = _SLOW
         await self.stub.put("config", "second", {})
         await self.pass_time(_MAX_AGE_S, _PAUSE_S)
