--- a/tests/test_forwarding_controller.py
+++ b/tests/test_forwarding_controller.py
@@ -18,6 +18,7 @@
 _SLOW_EVENT_GAPS_S = (0.089, 0.46, 0.095, 0.09, 0.47, 0.1, 0.52)
 _IDLE_EVENT_GAPS_S = (0.014, 0.015, 0.016, 0.014, 0.05, 0.015, 0.014)
 _IMPAIRED = rollouts.AttemptCounts(attempts=1, impaired=1)
+_GOOD = rollouts.AttemptCounts(attempts=1)
 
 
 class RolloutControllerTest(virtual_loop.VirtualTimeTestCase):
@@ -225,6 +226,60 @@
         await self.loop.advance(3.0)
         self.assertIs(self.store.progress.stage, rollouts.Stage.ROLLED_BACK)
 
+    async def record_good(self, count: int) -> None:
+        """Records good attempts at two servers of the new version."""
+        for number in range(count):
+            server_entry = forwarding.build_server_entry(
+                f"v2-{number % 2}", version="v2"
+            )
+            self.controller.record_attempts(server_entry, "streams", _GOOD)
+
+    async def test_version_is_not_completed_after_an_outage(self) -> None:
+        """A store that was away during the canary completed a bad version.
+
+        The stages followed the age of the order alone, so that a node wrote
+        canary, full and completed within 0.3 s after an outage.
+        """
+        await self.loop.advance(_DURATION_S * 0.4)
+        self.is_store_available = False
+        await self.loop.advance(_DURATION_S * 0.65)
+        self.is_store_available = True
+        await self.loop.advance(5.0)
+        self.assertIs(self.store.progress.stage, rollouts.Stage.CANARY)
+        await self.record_good(20)
+        await self.loop.advance(_DURATION_S * 0.3)
+        self.assertIs(self.store.progress.stage, rollouts.Stage.COMPLETED)
+
+    async def test_version_without_evaluated_attempts_is_not_completed(
+        self,
+    ) -> None:
+        """A version that nobody could reach in the canary was completed."""
+        await self.advance_to(rollouts.Stage.CANARY)
+        while self.store.age_s < _DURATION_S + 3.0:
+            await self.loop.advance(0.05)
+        self.assertIs(self.store.progress.stage, rollouts.Stage.CANARY)
+        await self.record_good(20)
+        await self.loop.advance(5.0)
+        self.assertIs(self.store.progress.stage, rollouts.Stage.COMPLETED)
+
+    async def test_full_stage_ends_after_reports_of_an_outage(self) -> None:
+        """Other nodes report what they saw once the store is back."""
+        await self.advance_to(rollouts.Stage.CANARY)
+        await self.record_good(20)
+        await self.advance_to(rollouts.Stage.FULL)
+        self.is_store_available = False
+        await self.loop.advance(3.0)
+        self.is_store_available = True
+        await self.loop.advance(0.8)
+        self.assertIs(self.store.progress.stage, rollouts.Stage.FULL)
+
+    async def test_good_version_is_completed_in_time(self) -> None:
+        await self.advance_to(rollouts.Stage.CANARY)
+        await self.record_good(20)
+        while self.store.age_s < _DURATION_S:
+            await self.loop.advance(0.05)
+        self.assertIs(self.store.progress.stage, rollouts.Stage.COMPLETED)
+
     async def test_rejected_writes_are_retried_with_delay(self) -> None:
         """26 nodes made 883 writes to a store that rejected them for 9 s."""
         self.store.rejects_writes = True
