Complete a roll-out only on evaluated attempts at the new version

Cause: the stages of a roll-out followed the age of the order alone, and completed needed no evidence in favour. If the store was away from before the canary until its end, the first node that reached it wrote canary, full and completed within 0.3 s, and the old servers stopped. The same held if nobody could reach the new servers in the canary. Class: absence of evidence taken for evidence, before a step that cannot be taken back. Fix: the stage after the canary needs 8 evaluated attempts at the new version in the store and half of the planned time of the canary, measured from when a node first saw that stage; nodes report attempts that are missing for this. After an outage, full and completed wait 1 s for the reports of the others. Without any traffic, a roll-out goes on after twice its duration.

--- a/src/dragonflydyke/forwarding/controller.py
+++ b/src/dragonflydyke/forwarding/controller.py
@@ -30,6 +30,12 @@
 # Seconds for which an order that a restored store lacks is kept. The operator
 # writes it again.
 ORDER_RETURN_S = 10.0
+# After an outage of the store, all nodes have this long to report what they
+# have seen, before a stage with more exposure begins.
+_REPORT_PERIOD_S = 1.0
+# Nodes of large fleets spread reports that are needed to complete a rollout by
+# this multiple of their delay, since their writes would conflict.
+_EVALUATION_DELAY_FACTOR = 3.0
 # Nodes report attempts without a failure only once the reports of other nodes
 # call for a rollback. They have this long to do so before it takes effect.
 _ROLLBACK_CONFIRMATION_S = 1.0
@@ -91,6 +97,7 @@
         progress: Progress in force, None before the first write. The store
             may lack a part of it after it was restored from a copy.
         first_seen_s: Loop time at which this node first saw the order.
+        stage_seen_s: Loop time at which it first saw the stage in force.
         write_delay_s: Seconds by which this node delays its writes.
         local_evidence: Attempts of this node by route.
         reported_s: Loop time of the last report.
@@ -106,6 +113,7 @@
     stored: StoredRollout
     progress: rollouts.Progress | None
     first_seen_s: float
+    stage_seen_s: float
     write_delay_s: float
     local_evidence: dict[str, rollouts.RouteEvidence] = dataclasses.field(
         default_factory=dict
@@ -154,6 +162,7 @@
     """Tracks the rollouts of all pools and advances their stages."""
 
     __slots__ = (
+        "_available_since_s",
         "_baselines",
         "_count_nodes",
         "_counters",
@@ -197,6 +206,8 @@
         self._random = source
         self._is_store_available = is_store_available
         self._rollouts: dict[str, _RolloutState] = {}
+        # Loop time since which the store is available, None while it is not.
+        self._available_since_s: float | None = None
         self._baselines: dict[str, observers.VersionBaselines] = {}
 
     def update(
@@ -238,7 +249,7 @@
         if state is None or state.stored.order != stored.order:
             delay_s = self._random.uniform(0.0, _MAX_WRITE_DELAY_S)
             self._rollouts[pool] = _RolloutState(
-                stored, stored.progress, now_s, delay_s
+                stored, stored.progress, now_s, now_s, delay_s
             )
             self._log_rollout("rollout ordered", stored)
             return
@@ -248,6 +259,8 @@
         state.stored = stored
         state.missing_since_s = None
         state.progress = rollouts.merge_progress(previous, stored.progress)
+        if previous is None or state.progress.stage is not previous.stage:
+            state.stage_seen_s = now_s
         if state.is_store_behind:
             # All nodes notice it at the same time.
             state.retry_at_s = now_s + state.write_delay_s
@@ -326,8 +339,11 @@
         while True:
             await asyncio.sleep(_POLL_INTERVAL_S)
             if not self._is_store_available():
+                self._available_since_s = None
                 continue
             now_s = asyncio.get_running_loop().time()
+            if self._available_since_s is None:
+                self._available_since_s = now_s
             self._drop_missing(now_s)
             for state in list(self._rollouts.values()):
                 if state.missing_since_s is None and now_s >= state.retry_at_s:
@@ -349,22 +365,16 @@
         age_s = now_s - state.first_seen_s - state.write_delay_s
         due_stage = rollouts.find_due_stage(order, progress, age_s)
         if progress is None:
-            delay_s = min(
-                state.write_delay_s * _FIRST_WRITE_DELAY_FACTOR,
-                order.duration_s * _MAX_FIRST_WRITE_DELAY_SHARE,
-            )
-            if now_s - state.first_seen_s < delay_s:
-                return None
-            return rollouts.Progress(order.version)
+            return self._find_first_progress(state, now_s)
         if progress.is_final:
             return progress if state.is_store_behind else None
         evidence = dict(progress.evidence)
-        has_unreported = state.has_unreported_evidence(
-            self._vm, now_s
-        ) or self._is_traffic_report_due(state, progress, age_s)
+        has_unreported = self._is_report_due(state, progress, now_s)
         if has_unreported:
             evidence[self._vm] = dict(state.local_evidence)
         completes_soon = order.is_completion_near(progress, age_s)
+        if not self._may_leave_stage(state, progress, now_s):
+            due_stage = None
         if not rollouts.should_roll_back(
             evidence, completes_soon=completes_soon
         ):
@@ -389,13 +399,37 @@
             self._find_canary_share(order, progress, due_stage),
         )
 
+    def _find_first_progress(
+        self, state: _RolloutState, now_s: float
+    ) -> rollouts.Progress | None:
+        """Returns the progress with which a rollout begins, once it is due."""
+        order = state.stored.order
+        delay_s = min(
+            state.write_delay_s * _FIRST_WRITE_DELAY_FACTOR,
+            order.duration_s * _MAX_FIRST_WRITE_DELAY_SHARE,
+        )
+        if now_s - state.first_seen_s < delay_s:
+            return None
+        return rollouts.Progress(order.version)
+
+    def _is_report_due(
+        self, state: _RolloutState, progress: rollouts.Progress, now_s: float
+    ) -> bool:
+        """Returns whether this node should report its evidence."""
+        return (
+            state.has_unreported_evidence(self._vm, now_s)
+            or self._is_traffic_report_due(state, progress, now_s)
+            or self._is_evaluation_report_due(state, progress, now_s)
+        )
+
     def _is_traffic_report_due(
         self,
         state: _RolloutState,
         progress: rollouts.Progress,
-        age_s: float,
+        now_s: float,
     ) -> bool:
         """Returns whether to report attempts for the size of the canary."""
+        age_s = now_s - state.first_seen_s - state.write_delay_s
         return (
             progress.stage is rollouts.Stage.WAITING
             and self._count_nodes() <= rollouts.MAX_REPORTING_NODES
@@ -405,6 +439,39 @@
             >= state.stored.order.duration_s * rollouts.TRAFFIC_REPORT_SHARE
         )
 
+    def _may_leave_stage(
+        self, state: _RolloutState, progress: rollouts.Progress, now_s: float
+    ) -> bool:
+        since_s = self._available_since_s
+        if progress.stage is not rollouts.Stage.WAITING and (
+            since_s is None or now_s - since_s < _REPORT_PERIOD_S
+        ):
+            return False
+        return rollouts.may_leave_stage(
+            state.stored.order,
+            progress,
+            now_s - state.first_seen_s,
+            now_s - state.stage_seen_s,
+        )
+
+    def _is_evaluation_report_due(
+        self, state: _RolloutState, progress: rollouts.Progress, now_s: float
+    ) -> bool:
+        """Returns whether to report attempts that the completion waits for."""
+        delay_s = state.write_delay_s
+        if self._count_nodes() > rollouts.MAX_REPORTING_NODES:
+            delay_s *= _EVALUATION_DELAY_FACTOR
+        age_s = now_s - state.first_seen_s - delay_s
+        if (
+            not state.stored.order.is_completion_near(progress, age_s)
+            or rollouts.has_evaluation(progress.evidence)
+            or now_s - state.reported_s < _IMPAIRED_REPORT_INTERVAL_S
+        ):
+            return False
+        reported = rollouts.sum_new_version(progress.evidence.get(self._vm, {}))
+        new = rollouts.sum_new_version(state.local_evidence)
+        return new.attempts > reported.attempts
+
     def _find_canary_share(
         self,
         order: rollouts.Order,
--- a/src/dragonflydyke/forwarding/rollouts.py
+++ b/src/dragonflydyke/forwarding/rollouts.py
@@ -107,6 +107,14 @@
 # reports would conflict.
 TRAFFIC_REPORT_SHARE = 0.4
 MAX_REPORTING_NODES = 16
+# Evaluated attempts at the new version without which a rollout does not leave
+# the canary: the time alone says nothing if the store was away or the servers
+# could not be reached meanwhile.
+_MIN_EVALUATED_ATTEMPTS = 8
+# Share of its planned time for which a canary must have been in force.
+_MIN_CANARY_TIME_SHARE = 0.5
+# A pool without requests would otherwise keep two versions for good.
+_MAX_WAIT_DURATIONS = 2.0
 # A share of the nodes that must have reported.
 _MIN_REPORTED_SHARE = 0.6
 
@@ -172,6 +180,17 @@
         """Duration in seconds of the stage FULL, before the rollout ends."""
         return min(_MAX_FULL_STAGE_S, self.duration_s * _MAX_FULL_STAGE_SHARE)
 
+    @property
+    def min_canary_s(self) -> float:
+        """Least duration in seconds of the stage CANARY."""
+        planned_share = 1.0 - _FIRST_EXPOSURE_SHARE
+        return self.duration_s * planned_share * _MIN_CANARY_TIME_SHARE
+
+    @property
+    def min_full_stage_s(self) -> float:
+        """Least duration in seconds of the stage FULL."""
+        return self.full_stage_s * (1.0 - _COMPLETED_SHARE_OF_FULL_STAGE)
+
     def find_exposed_share(self, stage: Stage, exposure_share: float) -> float:
         """Returns the share of the sessions that use the new version.
 
@@ -402,6 +421,37 @@
     return next_stage if age_s >= end_s else None
 
 
+def has_evaluation(evidence: Mapping[str, NodeEvidence]) -> bool:
+    """Returns whether enough attempts at the new version were evaluated."""
+    counts = _sum_counts(map(sum_new_version, evidence.values()))
+    return counts.attempts >= _MIN_EVALUATED_ATTEMPTS
+
+
+def may_leave_stage(
+    order: Order, progress: Progress, age_s: float, stage_age_s: float
+) -> bool:
+    """Returns whether a rollout may enter the stage after the current one.
+
+    A version is completed because it was found to be good and not because it
+    was not found to be bad: the store may have been away during the canary, or
+    the new servers unreachable.
+
+    Args:
+        order: The order.
+        progress: Shared state.
+        age_s: Seconds since this node first saw the order.
+        stage_age_s: Seconds since this node first saw the stage.
+    """
+    if progress.stage is Stage.FULL:
+        return stage_age_s >= order.min_full_stage_s
+    if progress.stage is not Stage.CANARY:
+        return True
+    return stage_age_s >= order.min_canary_s and (
+        has_evaluation(progress.evidence)
+        or age_s >= order.duration_s * _MAX_WAIT_DURATIONS
+    )
+
+
 def should_roll_back(
     evidence: Mapping[str, NodeEvidence], *, completes_soon: bool = False
 ) -> bool:
