Keep the evidence on a version across a restart of the node

Each report of a node on a roll-out replaces its earlier one, and a process that has started again began with none: the failures that the node had seen before were lost with its next report. Beside restarts in the canary, that hides a bad version. A new process now begins with the evidence that the store has of its node.

--- a/src/dragonflydyke/forwarding/controller.py
+++ b/src/dragonflydyke/forwarding/controller.py
@@ -248,8 +248,16 @@
         state = self._rollouts.get(pool)
         if state is None or state.stored.order != stored.order:
             delay_s = self._random.uniform(0.0, _MAX_WRITE_DELAY_S)
+            known = stored.progress.evidence if stored.progress else {}
             self._rollouts[pool] = _RolloutState(
-                stored, stored.progress, now_s, now_s, delay_s
+                stored,
+                stored.progress,
+                now_s,
+                now_s,
+                delay_s,
+                # A report replaces the one that the node wrote before a
+                # restart.
+                local_evidence=dict(known.get(self._vm, {})),
             )
             self._log_rollout("rollout ordered", stored)
             return
--- a/tests/test_forwarding_controller.py
+++ b/tests/test_forwarding_controller.py
@@ -29,6 +29,11 @@
         self.store = shared_objects.RecordingRolloutStore()
         self.is_store_available = True
         self.nodes = rollouts.MAX_REPORTING_NODES + 1
+        self.start_controller(None)
+        self.server_entry = forwarding.build_server_entry("new", version="v2")
+
+    def start_controller(self, progress: rollouts.Progress | None) -> None:
+        """Starts the controller of a node that knows a stored progress."""
         self.controller = controller.RolloutController(
             _VM,
             self.store,
@@ -40,11 +45,12 @@
         )
         order = rollouts.Order("engines", "v2", _DURATION_S)
         self.controller.update(
-            [shared_objects.build_stored_rollout(order)], self.loop.time(), 1
+            [shared_objects.build_stored_rollout(order, progress)],
+            self.loop.time(),
+            1,
         )
         task = asyncio.create_task(self.controller.run())
         self.addCleanup(task.cancel)
-        self.server_entry = forwarding.build_server_entry("new", version="v2")
 
     @property
     def reported_impaired(self) -> int:
@@ -280,6 +286,18 @@
             await self.loop.advance(0.05)
         self.assertIs(self.store.progress.stage, rollouts.Stage.COMPLETED)
 
+    async def test_evidence_from_before_a_restart_is_kept(self) -> None:
+        """The first report of a restarted node replaced its earlier one."""
+        await self.advance_to(rollouts.Stage.CANARY)
+        failed = rollouts.AttemptCounts(attempts=1, failed=1)
+        self.controller.record_attempts(self.server_entry, "streams", failed)
+        await self.loop.advance(0.3)
+        self.start_controller(self.store.progress)
+        self.controller.record_attempts(self.server_entry, "streams", failed)
+        await self.loop.advance(0.3)
+        routes = self.store.progress.evidence[_VM]
+        self.assertEqual(rollouts.sum_new_version(routes).failed, 2)
+
     async def test_rejected_writes_are_retried_with_delay(self) -> None:
         """26 nodes made 883 writes to a store that rejected them for 9 s."""
         self.store.rejects_writes = True
