Reach servers through a neighbour when the own links to them are down

Cause: a node connected to servers directly or not at all. Readiness is no answer: open connections stay, and a refused connection counts, too. Class: one path to a dependency, although others exist. Ruled out: servers without room (the others were served by them), the retry budget (no attempt reached a server), the choice of servers (all were tried). Fix: after two servers accepted no connection within 10 s, connections are opened directly and through a neighbour (HTTP CONNECT at its port for peers), and the first that is open is used; a direct one that works ends it. The node that has the request keeps all decisions, so that retries, limits, versions and at most once are unchanged; a failed CONNECT proves that nothing ran. Neighbours connect to listed servers that accept requests only, in their own region, directly, and refuse at once what they cannot reach. A response whose end only a close shows is not accepted this way, as the end of a neighbour looks the same. Weighed: passing the whole request on (a second place that retries and counts), not being ready (see above), and waiting for the links (not served).

--- a/src/dragonflydyke/backends/connection.py
+++ b/src/dragonflydyke/backends/connection.py
@@ -6,12 +6,13 @@
 import re
 import ssl
 from collections.abc import AsyncIterator
+from typing import Any, Protocol
 from urllib import parse
 
-from tornado import http1connection, httputil, iostream, tcpclient
+from tornado import http1connection, httputil, iostream
 
 from dragonflydyke import errors
-from dragonflydyke.backends import failures, model
+from dragonflydyke.backends import failures, model, relayed
 
 _CHUNK_BYTES = 65_536
 _MAX_HEADER_BYTES = 65_536
@@ -31,6 +32,15 @@
     return ssl.create_default_context()
 
 
+class Connector(Protocol):
+    """Opens connections, as `tornado.tcpclient.TCPClient` does."""
+
+    async def connect(
+        self, host: str, port: int, **options: Any
+    ) -> iostream.IOStream:
+        """Opens a connection; raises OSError or StreamClosedError."""
+
+
 class _ResponseReader(httputil.HTTPMessageDelegate):
     """Receives the response on a connection and queues it for its consumer.
 
@@ -44,7 +54,9 @@
         loop = asyncio.get_running_loop()
         self._stream = stream
         self._method = request.method
-        self._accepts_unframed = request.accepts_unframed
+        self._accepts_unframed = request.accepts_unframed and not isinstance(
+            stream, relayed.RelayedStream
+        )
         self._peer = request.server.name
         self._is_closed = False
         self.is_framed = True
@@ -217,7 +229,7 @@
         """Whether a length or chunks, not the connection, end the response."""
         return self._reader is None or self._reader.is_framed
 
-    async def connect(self, client: tcpclient.TCPClient) -> None:
+    async def connect(self, client: Connector) -> None:
         """Opens the connection.
 
         Raises:
--- a/src/dragonflydyke/forwarding/contexts.py
+++ b/src/dragonflydyke/forwarding/contexts.py
@@ -6,9 +6,10 @@
 from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING, Protocol
 
-from tornado import httputil, tcpclient
+from tornado import httputil
 
 from dragonflydyke import metrics
+from dragonflydyke.backends import connection
 from dragonflydyke.forwarding import (
     cascade,
     controller,
@@ -213,7 +214,7 @@
     failure_domains: failure_domains.FailureDomains
     response_memory: response_memory.ResponseMemory
     counters: metrics.Counters
-    tcp_client: tcpclient.TCPClient
+    tcp_client: connection.Connector
     pace: fallbacks.Pace = dataclasses.field(default_factory=fallbacks.Pace)
     wait_bounds: fallbacks.WaitBounds = dataclasses.field(
         default_factory=fallbacks.WaitBounds
--- a/src/dragonflydyke/forwarding/directory.py
+++ b/src/dragonflydyke/forwarding/directory.py
@@ -184,6 +184,14 @@
         """Returns the servers of a pool that accept new requests."""
         return self._by_pool.get(pool, ())
 
+    def find_at(self, address: str) -> ServerEntry | None:
+        """Returns the server at `host:port` that accepts new requests."""
+        for servers in self._by_pool.values():
+            for server in servers:
+                if server.address == address:
+                    return server
+        return None
+
     def is_usable(self, server: ServerEntry) -> bool:
         """Returns whether this process of the server accepts new requests."""
         return server in self._by_pool.get(server.pool, ())
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -23,6 +23,7 @@
     locations,
     messages,
     model,
+    paths,
     planner,
     quarantine,
     regions,
@@ -35,6 +36,7 @@
     server_limits,
     server_statements,
     supervision,
+    tunnels,
 )
 from dragonflydyke.objects import freshness, peer_groups, replicas, watchers
 from dragonflydyke.objects import model as objects
@@ -91,7 +93,8 @@
         front: Address for clients.
         ready: Address for readiness checks.
         metrics: Address for metrics.
-        peers: Address for datagrams of other nodes.
+        peers: Address for datagrams of other nodes, and for connections that
+            they open to servers through this node.
         store_url: URL of the store without a path.
         grace_s: Seconds between SIGTERM and SIGKILL.
         exposure: Limit on the requests during a rollout that a bad version may
@@ -213,6 +216,7 @@
     """One router process."""
 
     __slots__ = (
+        "_connector",
         "_cost_recorder",
         "_costs",
         "_counters",
@@ -238,6 +242,7 @@
         "_settings",
         "_statements",
         "_stopped",
+        "_tunnels",
         "_watchers",
     )
 
@@ -299,12 +304,22 @@
             self._directory, self._limits, counters
         )
         group = peer_groups.PeerGroup()
+        neighbours = paths.Neighbours(self._random)
+        self._connector = paths.ServerConnector(
+            tcpclient.TCPClient(transport.AddressResolver()),
+            neighbours,
+            counters,
+            self._find_region,
+        )
+        self._tunnels = tunnels.TunnelServer(
+            self._check_tunnel, self._connector.connect_directly, counters
+        )
         self._registry = registry.NodeRegistry(
             values.vm,
             values.peers,
             store,
             self._limits,
-            group,
+            (group, neighbours),
             counters,
             self._random,
             self._is_store_available,
@@ -365,7 +380,7 @@
             failure_domains=failure_domains.FailureDomains(self._counters),
             response_memory=response_memory.ResponseMemory(),
             counters=self._counters,
-            tcp_client=tcpclient.TCPClient(transport.AddressResolver()),
+            tcp_client=self._connector,
         )
 
     def _build_cold_servers(self) -> cold_servers.ColdServers | None:
@@ -389,6 +404,31 @@
             for name, place in _LOGGED_AGES.items()
         }
 
+    def _find_region(self) -> str:
+        data_centre = self._settings.data_centre
+        return self._settings.regions.get(data_centre, "")
+
+    def _check_tunnel(
+        self, address: settings.Address, region: str
+    ) -> tunnels.Refusal | None:
+        """Returns why another node gets no connection to an address.
+
+        Args:
+            address: Address of a server.
+            region: Region of the other node. Requests may be bound to it.
+        """
+        server = self._directory.find_at(str(address))
+        if server is None or region != self._find_region():
+            return tunnels.Refusal.FORBIDDEN
+        if not self._statements.is_accepting(
+            server
+        ) or self._evacuations.is_evacuated(server.backend.data_centre):
+            return tunnels.Refusal.UNAVAILABLE
+        now_s = asyncio.get_running_loop().time()
+        if self._connector.is_unreachable(address, now_s):
+            return tunnels.Refusal.UNREACHABLE
+        return None
+
     def _find_cold_start(self, pool: str) -> model.ColdStart | None:
         """Returns what a cold server accepts by the policy in force."""
         policy = self._forwarder.policy
@@ -448,6 +488,7 @@
             for run in activities
         ]
         await self._freshness.open(self._settings.peers)
+        self._tunnels.listen_at(self._settings.peers)
         self._server.listen(self._settings.front)
         _serve_text(self._settings.ready, self._describe_readiness)
         _serve_text(self._settings.metrics, self._describe_metrics)
@@ -462,6 +503,7 @@
         for task in tasks:
             task.cancel()
         self._freshness.close()
+        self._tunnels.stop()
         await self._server.stop()
         _LOGGER.notice("stopped")
 
@@ -494,7 +536,9 @@
         )
         self._forwarder.is_closing = True
         self._server.close_idle()
+        self._tunnels.is_closing = True
         await self._server.wait_idle(until_s)
+        await self._tunnels.wait_idle(until_s)
         self._stopped.set()
 
     def _apply_policy(
--- a/src/dragonflydyke/forwarding/registry.py
+++ b/src/dragonflydyke/forwarding/registry.py
@@ -12,12 +12,11 @@
 import dataclasses
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from typing import Protocol
 
 from dragonflydyke import errors, logs, metrics, settings
 from dragonflydyke.forwarding import server_limits
-from dragonflydyke.objects import peer_groups
 
 # All nodes start at about the same time; their first writes are spread.
 _MAX_WRITE_DELAY_S = 1.0
@@ -89,6 +88,20 @@
         """
 
 
+class NodeGroup(Protocol):
+    """Uses the addresses of the registered nodes."""
+
+    def replace(
+        self, name: str, addresses: Mapping[str, settings.Address]
+    ) -> None:
+        """Replaces the known nodes.
+
+        Args:
+            name: Name of this node.
+            addresses: Addresses of the registered nodes by name.
+        """
+
+
 @dataclasses.dataclass(slots=True)
 class _Entry:
     """Newest entry of a node, and the loop time at which it was first seen."""
@@ -105,7 +118,7 @@
         "_address",
         "_entries",
         "_era",
-        "_group",
+        "_groups",
         "_heartbeat",
         "_is_store_available",
         "_limits",
@@ -126,7 +139,7 @@
         address: settings.Address,
         store: NodeStore,
         limits: server_limits.ServerLimits,
-        group: peer_groups.PeerGroup,
+        groups: Sequence[NodeGroup],
         counters: metrics.Counters,
         source: random.Random,
         is_store_available: Callable[[], bool] = lambda: True,
@@ -138,7 +151,7 @@
             address: Address of this node for peers.
             store: Stores the entries.
             limits: Receives the position of this node.
-            group: Receives the addresses of the nodes.
+            groups: Receive the addresses of the nodes.
             counters: Receives `registry.<error code>`.
             source: Random source that spreads the writes of the nodes.
             is_store_available: Returns whether the last read of the store
@@ -146,7 +159,7 @@
         """
         self._name = name
         self._address = address
-        self._group = group
+        self._groups = tuple(groups)
         self._store = store
         self._limits = limits
         self._counters = counters
@@ -230,7 +243,7 @@
             entry = self._entries.get(node.name)
             if entry is None or entry.node.version != node.version:
                 self._entries[node.name] = _Entry(node, now_s)
-        self._update_group(now_s)
+        self._update_groups(now_s)
         if now_s >= self._settled_s:
             # An earlier list lacks nodes that start at the same time.
             self._update_position(now_s)
@@ -244,15 +257,14 @@
             if now_s - entry.changed_s < _EXPIRY_S
         ]
 
-    def _update_group(self, now_s: float) -> None:
-        self._group.replace(
-            self._name,
-            {
-                node.name: node.address
-                for node in self._list_current(now_s)
-                if node.address is not None
-            },
-        )
+    def _update_groups(self, now_s: float) -> None:
+        addresses = {
+            node.name: node.address
+            for node in self._list_current(now_s)
+            if node.address is not None
+        }
+        for group in self._groups:
+            group.replace(self._name, addresses)
 
     def _update_position(self, now_s: float) -> None:
         names = sorted(
--- a/src/dragonflydyke/forwarding/server_statements.py
+++ b/src/dragonflydyke/forwarding/server_statements.py
@@ -121,14 +121,17 @@
                 if self.cold.is_cold(server):
                     self.find_cold_state(server)
 
+    def is_accepting(self, server: directory.ServerEntry) -> bool:
+        """Returns whether a server neither leaves nor asked for a pause."""
+        return not (
+            self._directory.is_leaving(server)
+            or self._pauses.find_delay_s(server.process, _now_s())
+        )
+
     def allows(self, server: directory.ServerEntry) -> bool:
         """Returns whether this node may send a request to a server now."""
         self.find_cold_state(server)
-        return (
-            not self._directory.is_leaving(server)
-            and not self._pauses.find_delay_s(server.process, _now_s())
-            and self.limits.allows(server)
-        )
+        return self.is_accepting(server) and self.limits.allows(server)
 
     def list_allowed(
         self, servers: Sequence[directory.ServerEntry]
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -135,7 +135,7 @@
             settings.Address(name, 1),
             self.store,
             limits,
-            peer_groups.PeerGroup(),
+            (peer_groups.PeerGroup(),),
             metrics.Counters(),
             random.Random(name),
         )
--- a/tests/test_cut_off_nodes.py
+++ b/tests/test_cut_off_nodes.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from dragonflydyke import settings
+from dragonflydyke.forwarding import tunnels
 from tests.builders import forwarding, nodes, skipping_loop, store
 
 _PAUSE_S = 0.005
@@ -43,11 +45,13 @@
                     service="desk", address=f"127.0.0.1:{port}"
                 ),
             )
+        self.ports = ports
         resolver.cut_ports = frozenset(ports)
         await self.stub.put("config", "main", self.build_policy())
         self.settings = nodes.build_settings("vm1", self.port)
         neighbour = nodes.build_settings("vm2", self.port)
         self.node = nodes.start_node(self.settings, self.addCleanup, resolver)
+        self.neighbour_settings = neighbour
         self.neighbour = nodes.start_node(neighbour, self.addCleanup)
         await skipping_loop.wait_until(
             lambda: self.node.is_ready and self.neighbour.is_ready
@@ -95,3 +99,19 @@
         ]
         # Each of them ran once.
         self.assertEqual(len(served), len(set(served)))
+
+    async def test_neighbour_connects_to_usable_servers_only(self) -> None:
+        """Whoever reaches its port could reach anything through a node."""
+        address = self.neighbour_settings.peers
+        listed = settings.Address("127.0.0.1", self.ports[0])
+        for target, region, status in (
+            (settings.Address("127.0.0.1", self.port), "", "403"),
+            (listed, "elsewhere", "403"),
+        ):
+            with (
+                self.subTest(target=target, region=region),
+                self.assertRaisesRegex(tunnels.TunnelRefusedError, status),
+            ):
+                await tunnels.open_tunnel(address, target, region, 1.0)
+        stream = await tunnels.open_tunnel(address, listed, "", 1.0)
+        stream.close()
--- a/tests/test_forwarding_limits.py
+++ b/tests/test_forwarding_limits.py
@@ -150,7 +150,7 @@
             settings.Address(name, 1),
             self.store,
             limits,
-            self.groups[name],
+            (self.groups[name],),
             metrics.Counters(),
             random.Random(name),
         )
