Bound the connections for other nodes by the descriptors that are left

Found in a reread of the diff. The limits on clients leave 264 descriptors (half of all less 232 for connections of clients, as many for their attempts); 400 connections for neighbours could have taken 800 more, so that the store could not be called. 100 take at most 200. The tests share a builder of neighbours.

--- a/src/dragonflydyke/forwarding/tunnels.py
+++ b/src/dragonflydyke/forwarding/tunnels.py
@@ -24,8 +24,9 @@
 _MAX_HEAD_BYTES = 1_024
 _HEAD_END = b"\r\n\r\n"
 _CHUNK_BYTES = 65_536
-# Connections that a node passes on at the same time.
-_MAX_TUNNELS = 400
+# Connections that a node passes on at the same time. Each takes two descriptors
+# of the 264 that the limits on clients leave to everything else.
+_MAX_TUNNELS = 100
 _REQUEST_PATTERN = re.compile(
     rb"CONNECT (?P<host>[0-9.]+):(?P<port>[0-9]+) HTTP/1\.1\r\n"
     rb"Region: (?P<region>[!-~]*)\r\n\r\n"
--- a/tests/builders/nodes.py
+++ b/tests/builders/nodes.py
@@ -1,13 +1,16 @@
 """Whole router nodes in the process of the test."""
 
 import asyncio
+import random
 import socket
 from collections.abc import Callable
 from typing import Any
 from unittest import mock
 
+from tornado import netutil, tcpclient
+
 from dragonflydyke import metrics, settings, transport
-from dragonflydyke.forwarding import node, rollouts
+from dragonflydyke.forwarding import node, paths, rollouts, tunnels
 from dragonflydyke.platform import headers, records, reports, store
 
 _HOST = "127.0.0.1"
@@ -86,6 +89,33 @@
     return built
 
 
+def start_tunnel_server(
+    counters: metrics.Counters,
+    add_cleanup: Callable[..., object],
+    refusal: tunnels.Refusal | None = None,
+) -> tuple[tunnels.TunnelServer, settings.Address]:
+    """Starts a neighbour that reaches all servers, or refuses all connections.
+
+    Args:
+        counters: Counters of the neighbour.
+        add_cleanup: Receives what ends it.
+        refusal: Why it refuses, None to pass connections on.
+
+    Returns:
+        The neighbour and its address.
+    """
+    connector = paths.ServerConnector(
+        tcpclient.TCPClient(), paths.Neighbours(random.Random(3)), counters
+    )
+    server = tunnels.TunnelServer(
+        lambda address, region: refusal, connector.connect_directly, counters
+    )
+    (listener,) = netutil.bind_sockets(0, _HOST)
+    server.add_socket(listener)
+    add_cleanup(server.stop)
+    return server, settings.Address(_HOST, listener.getsockname()[1])
+
+
 def _find_free_address() -> settings.Address:
     """Returns an address at which no socket listens."""
     with socket.socket() as probe:
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -42,20 +42,10 @@
         self, refusal: tunnels.Refusal | None = None
     ) -> settings.Address:
         """Starts a neighbour that reaches all servers, or refuses."""
-        reaching = paths.ServerConnector(
-            tcpclient.TCPClient(),
-            paths.Neighbours(random.Random(3)),
-            metrics.Counters(),
+        _, address = nodes.start_tunnel_server(
+            self.counters, self.addCleanup, refusal
         )
-        server = tunnels.TunnelServer(
-            lambda address, region: refusal,
-            reaching.connect_directly,
-            self.counters,
-        )
-        server.listen(0, _HOST)
-        self.addCleanup(server.stop)
-        (sock,) = server._sockets.values()
-        return settings.Address(_HOST, sock.getsockname()[1])
+        return address
 
     async def cut_all(self) -> None:
         """Cuts the links to all servers, which the node finds out."""
@@ -222,20 +212,9 @@
     """Guards against responses that the stop of a neighbour cuts."""
 
     async def test_stopping_neighbour_waits_for_its_tunnels(self) -> None:
-        reaching = paths.ServerConnector(
-            tcpclient.TCPClient(),
-            paths.Neighbours(random.Random(3)),
-            self.counters,
-        )
-        server = tunnels.TunnelServer(
-            lambda address, region: None,
-            reaching.connect_directly,
-            self.counters,
+        server, address = nodes.start_tunnel_server(
+            self.counters, self.addCleanup
         )
-        server.listen(0, _HOST)
-        self.addCleanup(server.stop)
-        (sock,) = server._sockets.values()
-        address = settings.Address(_HOST, sock.getsockname()[1])
         port = await self.start_server("a", _wait)
         target = settings.Address(_HOST, port)
         stream = await tunnels.open_tunnel(address, target, "", 1.0)
