--- a/src/dragonflydyke/forwarding/controller.py
+++ b/src/dragonflydyke/forwarding/controller.py
@@ -8,7 +8,13 @@
 from typing import Protocol
 
 from dragonflydyke import errors, logs, metrics
-from dragonflydyke.forwarding import directory, model, observers, rollouts
+from dragonflydyke.forwarding import (
+    directory,
+    model,
+    observers,
+    rollout_evidence,
+    rollouts,
+)
 from dragonflydyke.objects import model as objects
 
 _POLL_INTERVAL_S = 0.25
@@ -115,8 +121,8 @@
     first_seen_s: float
     stage_seen_s: float
     write_delay_s: float
-    local_evidence: dict[str, rollouts.RouteEvidence] = dataclasses.field(
-        default_factory=dict
+    local_evidence: dict[str, rollout_evidence.RouteEvidence] = (
+        dataclasses.field(default_factory=dict)
     )
     reported_s: float = 0.0
     suspect_since_s: float | None = None
@@ -150,8 +156,8 @@
             return False
         if self.suspect_since_s is not None:
             return True
-        new = rollouts.sum_new_version(self.local_evidence)
-        reported = rollouts.sum_new_version(evidence)
+        new = rollout_evidence.sum_new_version(self.local_evidence)
+        reported = rollout_evidence.sum_new_version(evidence)
         if new.failed > reported.failed:
             return True
         is_due = now_s - self.reported_s >= _IMPAIRED_REPORT_INTERVAL_S
@@ -312,13 +318,15 @@
         self,
         server: directory.ServerEntry,
         route: str,
-        counts: rollouts.AttemptCounts,
+        counts: rollout_evidence.AttemptCounts,
     ) -> None:
         """Adds attempts to the evidence on the server's version."""
         state = self._rollouts.get(server.pool)
         if state is None or state.is_finished:
             return
-        entry = state.local_evidence.get(route, rollouts.RouteEvidence())
+        entry = state.local_evidence.get(
+            route, rollout_evidence.RouteEvidence()
+        )
         if server.version != state.stored.order.version:
             entry = dataclasses.replace(entry, old=entry.old.add(counts))
         else:
@@ -331,7 +339,7 @@
                 bad_servers=dict(+bad_servers),
             )
         state.local_evidence[route] = entry
-        state.is_suspended = rollouts.should_roll_back(
+        state.is_suspended = rollout_evidence.should_roll_back(
             {self._vm: state.local_evidence}
         )
 
@@ -383,7 +391,7 @@
         completes_soon = order.is_completion_near(progress, age_s)
         if not self._may_leave_stage(state, progress, now_s):
             due_stage = None
-        if not rollouts.should_roll_back(
+        if not rollout_evidence.should_roll_back(
             evidence, completes_soon=completes_soon
         ):
             state.suspect_since_s = None
@@ -472,12 +480,14 @@
         age_s = now_s - state.first_seen_s - delay_s
         if (
             not state.stored.order.is_completion_near(progress, age_s)
-            or rollouts.has_evaluation(progress.evidence)
+            or rollout_evidence.has_evaluation(progress.evidence)
             or now_s - state.reported_s < _IMPAIRED_REPORT_INTERVAL_S
         ):
             return False
-        reported = rollouts.sum_new_version(progress.evidence.get(self._vm, {}))
-        new = rollouts.sum_new_version(state.local_evidence)
+        reported = rollout_evidence.sum_new_version(
+            progress.evidence.get(self._vm, {})
+        )
+        new = rollout_evidence.sum_new_version(state.local_evidence)
         return new.attempts > reported.attempts
 
     def _find_canary_share(
@@ -561,5 +571,5 @@
     }
 
 
-def _describe_counts(counts: rollouts.AttemptCounts) -> str:
+def _describe_counts(counts: rollout_evidence.AttemptCounts) -> str:
     return f"{counts.failed}+{counts.impaired}/{counts.attempts}"
--- a/src/dragonflydyke/forwarding/observers.py
+++ b/src/dragonflydyke/forwarding/observers.py
@@ -3,7 +3,12 @@
 import asyncio
 from typing import Protocol
 
-from dragonflydyke.forwarding import baselines, directory, model, rollouts
+from dragonflydyke.forwarding import (
+    baselines,
+    directory,
+    model,
+    rollout_evidence,
+)
 
 
 class EvidenceRecorder(Protocol):
@@ -13,7 +18,7 @@
         self,
         server: directory.ServerEntry,
         route: str,
-        counts: rollouts.AttemptCounts,
+        counts: rollout_evidence.AttemptCounts,
     ) -> None:
         """Adds attempts to the evidence on the server's version."""
 
@@ -149,7 +154,7 @@
         """
         self._cancel_timer()
         if failed:
-            self._record_counts(rollouts.AttemptCounts(failed=1))
+            self._record_counts(rollout_evidence.AttemptCounts(failed=1))
         elif lost:
             self._record_impaired()
         elif delivered:
@@ -161,16 +166,16 @@
 
     def _record_good(self) -> None:
         if not self._is_counted:
-            self._record_counts(rollouts.AttemptCounts())
+            self._record_counts(rollout_evidence.AttemptCounts())
 
     def _record_impaired(self) -> None:
         if self._is_impaired:
             return
         self._is_impaired = True
-        self._record_counts(rollouts.AttemptCounts(impaired=1))
+        self._record_counts(rollout_evidence.AttemptCounts(impaired=1))
 
-    def _record_counts(self, counts: rollouts.AttemptCounts) -> None:
+    def _record_counts(self, counts: rollout_evidence.AttemptCounts) -> None:
         if not self._is_counted:
-            counts = counts.add(rollouts.AttemptCounts(attempts=1))
+            counts = counts.add(rollout_evidence.AttemptCounts(attempts=1))
         self._is_counted = True
         self._recorder.record_attempts(self._server, self._route.name, counts)
--- a/src/dragonflydyke/platform/records.py
+++ b/src/dragonflydyke/platform/records.py
@@ -15,6 +15,7 @@
     model,
     node,
     quarantine,
+    rollout_evidence,
     rollouts,
 )
 from dragonflydyke.objects import model as objects
@@ -230,7 +231,7 @@
         ),
         evidence={
             vm: {
-                route: rollouts.RouteEvidence(
+                route: rollout_evidence.RouteEvidence(
                     _read_counts(counts["new"]),
                     _read_counts(counts["old"]),
                     dict(counts["bad"]),
@@ -300,14 +301,14 @@
     }
 
 
-def _read_counts(counts: Any) -> rollouts.AttemptCounts:
+def _read_counts(counts: Any) -> rollout_evidence.AttemptCounts:
     attempts, failed, impaired = (
         _read_whole_number(count, 0, _MAX_NUMBER) for count in counts
     )
-    return rollouts.AttemptCounts(attempts, failed, impaired)
+    return rollout_evidence.AttemptCounts(attempts, failed, impaired)
 
 
-def _write_counts(counts: rollouts.AttemptCounts) -> list[int]:
+def _write_counts(counts: rollout_evidence.AttemptCounts) -> list[int]:
     return [counts.attempts, counts.failed, counts.impaired]
 
 
--- a/tests/test_forwarding_controller.py
+++ b/tests/test_forwarding_controller.py
@@ -4,7 +4,7 @@
 import random
 
 from dragonflydyke import metrics
-from dragonflydyke.forwarding import controller, rollouts
+from dragonflydyke.forwarding import controller, rollout_evidence, rollouts
 from tests.builders import forwarding, shared_objects, virtual_loop
 
 _VM = "vm1"
@@ -17,8 +17,8 @@
 _SLOW_FIRST_BYTE_S = (0.09, 0.68, 1.61, 1.83, 2.14, 3.85)
 _SLOW_EVENT_GAPS_S = (0.089, 0.46, 0.095, 0.09, 0.47, 0.1, 0.52)
 _IDLE_EVENT_GAPS_S = (0.014, 0.015, 0.016, 0.014, 0.05, 0.015, 0.014)
-_IMPAIRED = rollouts.AttemptCounts(attempts=1, impaired=1)
-_GOOD = rollouts.AttemptCounts(attempts=1)
+_IMPAIRED = rollout_evidence.AttemptCounts(attempts=1, impaired=1)
+_GOOD = rollout_evidence.AttemptCounts(attempts=1)
 
 
 class RolloutControllerTest(virtual_loop.VirtualTimeTestCase):
@@ -56,7 +56,7 @@
     def reported_impaired(self) -> int:
         """Impaired attempts of this node that the store has."""
         routes = self.store.progress.evidence.get(_VM, {})
-        return rollouts.sum_new_version(routes).impaired
+        return rollout_evidence.sum_new_version(routes).impaired
 
     async def advance_to(self, stage: rollouts.Stage) -> None:
         """Advances time until the store has a stage."""
@@ -139,7 +139,7 @@
         old = forwarding.build_server_entry("old", version="v1")
         for _ in range(12):
             self.controller.record_attempts(
-                old, "streams", rollouts.AttemptCounts(attempts=1)
+                old, "streams", rollout_evidence.AttemptCounts(attempts=1)
             )
         await self.advance_to(rollouts.Stage.CANARY)
         share = self.store.progress.canary_share
@@ -151,8 +151,8 @@
     async def test_conflicting_write_is_repeated_at_once(self) -> None:
         """Of nine nodes only four had reported when the canary began."""
         await self.advance_to(rollouts.Stage.CANARY)
-        failed = rollouts.AttemptCounts(attempts=1, failed=1)
-        entry = {"streams": rollouts.RouteEvidence(new=failed)}
+        failed = rollout_evidence.AttemptCounts(attempts=1, failed=1)
+        entry = {"streams": rollout_evidence.RouteEvidence(new=failed)}
         self.store.other_writes = [
             rollouts.Progress("v2", rollouts.Stage.CANARY, {"vm2": entry}),
             rollouts.Progress(
@@ -167,7 +167,7 @@
         """The reports of 80 nodes to one object conflict."""
         old = forwarding.build_server_entry("old", version="v1")
         self.controller.record_attempts(
-            old, "streams", rollouts.AttemptCounts(attempts=1)
+            old, "streams", rollout_evidence.AttemptCounts(attempts=1)
         )
         await self.loop.advance(_DURATION_S / 2)
         self.assertIs(self.store.progress.stage, rollouts.Stage.WAITING)
@@ -219,15 +219,15 @@
         await self.advance_to(rollouts.Stage.CANARY)
         await self.loop.advance(2.0)
         routes = self.store.progress.evidence[_VM]
-        self.assertEqual(rollouts.sum_new_version(routes).attempts, 1)
+        self.assertEqual(rollout_evidence.sum_new_version(routes).attempts, 1)
 
     async def test_suspect_version_is_not_completed(self) -> None:
         """Failures reported just before completion were not considered."""
         await self.advance_to(rollouts.Stage.FULL)
-        failed = rollouts.AttemptCounts(attempts=1, failed=1)
+        failed = rollout_evidence.AttemptCounts(attempts=1, failed=1)
         for name in ("a", "b"):
             server_entry = forwarding.build_server_entry(name, version="v2")
-            for counts in (failed, rollouts.AttemptCounts(attempts=1)):
+            for counts in (failed, rollout_evidence.AttemptCounts(attempts=1)):
                 self.controller.record_attempts(server_entry, "streams", counts)
         await self.loop.advance(3.0)
         self.assertIs(self.store.progress.stage, rollouts.Stage.ROLLED_BACK)
@@ -289,14 +289,14 @@
     async def test_evidence_from_before_a_restart_is_kept(self) -> None:
         """The first report of a restarted node replaced its earlier one."""
         await self.advance_to(rollouts.Stage.CANARY)
-        failed = rollouts.AttemptCounts(attempts=1, failed=1)
+        failed = rollout_evidence.AttemptCounts(attempts=1, failed=1)
         self.controller.record_attempts(self.server_entry, "streams", failed)
         await self.loop.advance(0.3)
         self.start_controller(self.store.progress)
         self.controller.record_attempts(self.server_entry, "streams", failed)
         await self.loop.advance(0.3)
         routes = self.store.progress.evidence[_VM]
-        self.assertEqual(rollouts.sum_new_version(routes).failed, 2)
+        self.assertEqual(rollout_evidence.sum_new_version(routes).failed, 2)
 
     async def test_rejected_writes_are_retried_with_delay(self) -> None:
         """26 nodes made 883 writes to a store that rejected them for 9 s."""
@@ -321,8 +321,8 @@
 
     async def test_failures_are_reported_immediately(self) -> None:
         await self.advance_to(rollouts.Stage.CANARY)
-        failed = rollouts.AttemptCounts(attempts=1, failed=1)
+        failed = rollout_evidence.AttemptCounts(attempts=1, failed=1)
         self.controller.record_attempts(self.server_entry, "streams", failed)
         await self.loop.advance(0.3)
         routes = self.store.progress.evidence[_VM]
-        self.assertEqual(rollouts.sum_new_version(routes).failed, 1)
+        self.assertEqual(rollout_evidence.sum_new_version(routes).failed, 1)
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -11,6 +11,7 @@
     decisions,
     directory,
     model,
+    rollout_evidence,
     rollouts,
     selection,
     urgency,
@@ -340,8 +341,8 @@
                 for duration_s in (13.0, 15.0, 24.0):
                     order = rollouts.Order("engines", "v2", duration_s)
                     reported = requests * rollouts.TRAFFIC_REPORT_SHARE / 1.4
-                    entry = rollouts.RouteEvidence(
-                        old=rollouts.AttemptCounts(int(reported))
+                    entry = rollout_evidence.RouteEvidence(
+                        old=rollout_evidence.AttemptCounts(int(reported))
                     )
                     share = rollouts.find_canary_share(
                         order, limit, {"vm1": {"r1": entry}}, 1
@@ -361,7 +362,9 @@
                         self.assertLessEqual(exposed, 0.15 * total + 30)
 
     def test_canary_is_not_enlarged_without_reports(self) -> None:
-        entry = rollouts.RouteEvidence(old=rollouts.AttemptCounts(10))
+        entry = rollout_evidence.RouteEvidence(
+            old=rollout_evidence.AttemptCounts(10)
+        )
         limit = rollouts.ExposureLimit(0.15, 30.0)
         share = rollouts.find_canary_share(
             self.order, limit, {"vm1": {"r1": entry}}, 4
@@ -418,9 +421,9 @@
         def evidence(new: tuple[int, int], old: tuple[int, int]):
             return {
                 "vm1": {
-                    "r1": rollouts.RouteEvidence(
-                        rollouts.AttemptCounts(*new),
-                        rollouts.AttemptCounts(*old),
+                    "r1": rollout_evidence.RouteEvidence(
+                        rollout_evidence.AttemptCounts(*new),
+                        rollout_evidence.AttemptCounts(*old),
                         {"a": 2, "b": 2},
                     )
                 }
@@ -434,57 +437,66 @@
         ):
             with self.subTest(new=new, old=old):
                 self.assertIs(
-                    rollouts.should_roll_back(evidence(new, old)), expected
+                    rollout_evidence.should_roll_back(evidence(new, old)),
+                    expected,
                 )
 
     def test_slow_version_is_rolled_back(self) -> None:
         """A slow version without failures was not detected as bad."""
-        slow = rollouts.RouteEvidence(
-            rollouts.AttemptCounts(18, 0, 9),
-            rollouts.AttemptCounts(90, 2, 8),
+        slow = rollout_evidence.RouteEvidence(
+            rollout_evidence.AttemptCounts(18, 0, 9),
+            rollout_evidence.AttemptCounts(90, 2, 8),
             {"a": 2, "b": 2},
         )
-        self.assertTrue(rollouts.should_roll_back({"vm1": {"r1": slow}}))
+        self.assertTrue(
+            rollout_evidence.should_roll_back({"vm1": {"r1": slow}})
+        )
 
     def test_single_bad_server_causes_no_rollback(self) -> None:
         """A crashed canary server caused the rollback of a good version."""
-        bad = rollouts.RouteEvidence(
-            rollouts.AttemptCounts(8, 6),
-            rollouts.AttemptCounts(40, 1),
+        bad = rollout_evidence.RouteEvidence(
+            rollout_evidence.AttemptCounts(8, 6),
+            rollout_evidence.AttemptCounts(40, 1),
             {"a": 6},
         )
-        self.assertFalse(rollouts.should_roll_back({"vm1": {"r1": bad}}))
+        self.assertFalse(
+            rollout_evidence.should_roll_back({"vm1": {"r1": bad}})
+        )
 
     def test_few_failures_of_a_small_canary_cause_rollback(self) -> None:
         """A bad version completed, as its canary had too few requests."""
         for attempts, failed in ((5, 3), (12, 2)):
-            bad = rollouts.RouteEvidence(
-                rollouts.AttemptCounts(attempts, failed),
-                rollouts.AttemptCounts(22, 0),
+            bad = rollout_evidence.RouteEvidence(
+                rollout_evidence.AttemptCounts(attempts, failed),
+                rollout_evidence.AttemptCounts(22, 0),
                 {"a": failed - 1, "b": 1},
             )
             with self.subTest(attempts=attempts, failed=failed):
-                self.assertTrue(rollouts.should_roll_back({"vm1": {"r1": bad}}))
+                self.assertTrue(
+                    rollout_evidence.should_roll_back({"vm1": {"r1": bad}})
+                )
 
     def test_version_that_fails_a_third_of_the_time_is_rolled_back(
         self,
     ) -> None:
         """Three failures of thirteen attempts did not cause a rollback."""
-        bad = rollouts.RouteEvidence(
-            rollouts.AttemptCounts(13, 3),
-            rollouts.AttemptCounts(50, 0),
+        bad = rollout_evidence.RouteEvidence(
+            rollout_evidence.AttemptCounts(13, 3),
+            rollout_evidence.AttemptCounts(50, 0),
             {"a": 2, "b": 1},
         )
-        self.assertTrue(rollouts.should_roll_back({"vm1": {"r1": bad}}))
+        self.assertTrue(rollout_evidence.should_roll_back({"vm1": {"r1": bad}}))
 
     def test_mostly_slow_small_canary_causes_rollback(self) -> None:
         """A slow version with a small canary completed on pigyn-router."""
-        slow = rollouts.RouteEvidence(
-            rollouts.AttemptCounts(7, 0, 4),
-            rollouts.AttemptCounts(81, 0, 4),
+        slow = rollout_evidence.RouteEvidence(
+            rollout_evidence.AttemptCounts(7, 0, 4),
+            rollout_evidence.AttemptCounts(81, 0, 4),
             {"a": 2, "b": 2},
         )
-        self.assertTrue(rollouts.should_roll_back({"vm1": {"r1": slow}}))
+        self.assertTrue(
+            rollout_evidence.should_roll_back({"vm1": {"r1": slow}})
+        )
 
     def test_slow_version_is_not_completed_on_little_evidence(self) -> None:
         """Three and four slow attempts of as many did not prevent it."""
@@ -497,16 +509,18 @@
             (10, 3, False),
             (12, 2, False),
         ):
-            slow = rollouts.RouteEvidence(
-                rollouts.AttemptCounts(attempts, 0, impaired),
-                rollouts.AttemptCounts(72, 0, 18),
+            slow = rollout_evidence.RouteEvidence(
+                rollout_evidence.AttemptCounts(attempts, 0, impaired),
+                rollout_evidence.AttemptCounts(72, 0, 18),
                 {"a": impaired - 1, "b": 1},
             )
             evidence = {"vm1": {"r1": slow}}
             with self.subTest(attempts=attempts, impaired=impaired):
-                self.assertFalse(rollouts.should_roll_back(evidence))
+                self.assertFalse(rollout_evidence.should_roll_back(evidence))
                 self.assertIs(
-                    rollouts.should_roll_back(evidence, completes_soon=True),
+                    rollout_evidence.should_roll_back(
+                        evidence, completes_soon=True
+                    ),
                     expected,
                 )
 
@@ -525,28 +539,33 @@
 
     def test_few_slow_attempts_cause_no_rollback(self) -> None:
         """Four slow attempts at three nodes rolled back a good version."""
-        inconclusive = rollouts.RouteEvidence(
-            rollouts.AttemptCounts(8, 0, 4),
-            rollouts.AttemptCounts(67, 0, 6),
+        inconclusive = rollout_evidence.RouteEvidence(
+            rollout_evidence.AttemptCounts(8, 0, 4),
+            rollout_evidence.AttemptCounts(67, 0, 6),
             {"a": 2, "b": 2},
         )
         self.assertFalse(
-            rollouts.should_roll_back({"vm1": {"r1": inconclusive}})
+            rollout_evidence.should_roll_back({"vm1": {"r1": inconclusive}})
         )
 
     def test_failures_on_one_route_cause_rollback(self) -> None:
         """Totals over all routes hid failures on a route with few requests."""
-        good = rollouts.RouteEvidence(
-            rollouts.AttemptCounts(60, 1), rollouts.AttemptCounts(300, 6)
+        good = rollout_evidence.RouteEvidence(
+            rollout_evidence.AttemptCounts(60, 1),
+            rollout_evidence.AttemptCounts(300, 6),
         )
-        bad = rollouts.RouteEvidence(
-            rollouts.AttemptCounts(8, 4),
-            rollouts.AttemptCounts(40, 1),
+        bad = rollout_evidence.RouteEvidence(
+            rollout_evidence.AttemptCounts(8, 4),
+            rollout_evidence.AttemptCounts(40, 1),
             {"a": 2, "b": 2},
         )
-        self.assertFalse(rollouts.should_roll_back({"vm1": {"r1": good}}))
+        self.assertFalse(
+            rollout_evidence.should_roll_back({"vm1": {"r1": good}})
+        )
         self.assertTrue(
-            rollouts.should_roll_back({"vm1": {"r1": good}, "vm2": {"r2": bad}})
+            rollout_evidence.should_roll_back(
+                {"vm1": {"r1": good}, "vm2": {"r2": bad}}
+            )
         )
 
     def test_fallback_to_other_version_only_if_not_forbidden(self) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,6 +17,7 @@
     model,
     node,
     quarantine,
+    rollout_evidence,
     rollouts,
 )
 from dragonflydyke.objects import freshness, replicas, watchers
@@ -103,7 +104,7 @@
         progress = rollouts.Progress(
             "v2",
             rollouts.Stage.CANARY,
-            {"vm1": {"r1": rollouts.RouteEvidence()}},
+            {"vm1": {"r1": rollout_evidence.RouteEvidence()}},
         )
         status = json.loads(json.dumps(records.write_progress(progress)))
         entry = objects.StoredObject(
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -4,7 +4,7 @@
 import random
 
 from dragonflydyke import metrics
-from dragonflydyke.forwarding import controller, rollouts
+from dragonflydyke.forwarding import controller, rollout_evidence, rollouts
 from dragonflydyke.objects import model as objects
 from dragonflydyke.objects import replicas, watchers
 from tests.builders import (
@@ -16,7 +16,7 @@
 )
 
 _DURATION_S = 60.0
-_FAILED = rollouts.AttemptCounts(attempts=1, failed=1)
+_FAILED = rollout_evidence.AttemptCounts(attempts=1, failed=1)
 
 
 class RestoredHistoryTest(store.StoreTestCase):
