Log each connection that a neighbour did not open

Found in a reread of the diff: only the last neighbour's error was logged, and the neighbour's own error not at all. No change of behaviour.

--- a/src/dragonflydyke/forwarding/paths.py
+++ b/src/dragonflydyke/forwarding/paths.py
@@ -272,16 +272,17 @@
                 )
             except _FAILURES as failure:
                 error = failure
+                _LOGGER.info(
+                    "neighbour gave no connection",
+                    neighbour=str(neighbour),
+                    server=str(address),
+                    error=repr(failure),
+                )
                 self._neighbours.record(neighbour, _now_s(), helped=False)
                 continue
             self._neighbours.record(neighbour, _now_s(), helped=True)
             return stream
         self._counters.increment("path.tunnel.failed")
-        _LOGGER.info(
-            "no neighbour reaches the server",
-            server=str(address),
-            error=repr(error),
-        )
         raise error
 
 
--- a/src/dragonflydyke/forwarding/tunnels.py
+++ b/src/dragonflydyke/forwarding/tunnels.py
@@ -134,7 +134,12 @@
             return
         try:
             server = await self._connect(target)
-        except (OSError, TimeoutError, iostream.StreamClosedError):
+        except (OSError, TimeoutError, iostream.StreamClosedError) as error:
+            _LOGGER.info(
+                "server not reached for another node",
+                server=str(target),
+                error=repr(error),
+            )
             await self._refuse(stream, Refusal.UNREACHABLE)
             return
         self._counters.increment("tunnel.passed")
