--- a/src/dragonflydyke/forwarding/paths.py
+++ b/src/dragonflydyke/forwarding/paths.py
@@ -37,8 +37,6 @@
 
 _LOGGER = logs.get_logger("paths")
 
-_FAILURES = (OSError, TimeoutError, iostream.StreamClosedError)
-
 
 class Neighbours:
     """The other nodes, as ways to servers; times are loop times."""
@@ -220,7 +218,7 @@
                 timeout=datetime.timedelta(seconds=timeout_s),
                 **options,
             )
-        except _FAILURES:
+        except OSError:
             self._counters.increment("path.direct_lost")
             self._unreachable_s[address] = _now_s()
             raise
@@ -250,7 +248,7 @@
                 return direct.result()
             try:
                 stream = await tunnel
-            except _FAILURES:
+            except OSError:
                 return await _await_or_cancel(direct)
         except asyncio.CancelledError:
             for task in (direct, tunnel):
@@ -271,7 +269,7 @@
                 stream = await tunnels.open_tunnel(
                     neighbour, address, self._find_region(), TUNNEL_TIMEOUT_S
                 )
-            except _FAILURES as failure:
+            except OSError as failure:
                 error = failure
                 _LOGGER.info(
                     "neighbour gave no connection",
--- a/src/dragonflydyke/forwarding/tunnels.py
+++ b/src/dragonflydyke/forwarding/tunnels.py
@@ -103,7 +103,7 @@
         self._open.add(task)
         try:
             await self._pass_on(stream)
-        except (OSError, TimeoutError, iostream.StreamClosedError) as error:
+        except OSError as error:
             _LOGGER.info("tunnel ended", peer=str(address), error=repr(error))
         finally:
             self._open.discard(task)
@@ -134,7 +134,7 @@
             return
         try:
             server = await self._connect(target)
-        except (OSError, TimeoutError, iostream.StreamClosedError) as error:
+        except OSError as error:
             _LOGGER.info(
                 "server not reached for another node",
                 server=str(target),
