Keep brittle servers from falling over one after the other

Cause: a rejection was treated as free. A rejected request went on to four more full servers at once, and each node, knowing nothing of the others, sent further requests to the same server; only five failures of one node eject it.

Why the fix works: a node's share of the slots, earned and spent as slot-seconds, bounds what all nodes have at a server without knowing durations, and a pause that doubles with each rejection takes a full server out of the choice. One process in four of a restarted pool would be filled by the first request of each node, so that these are spread in large fleets.

--- a/src/dragonflydyke/forwarding/messages.py
+++ b/src/dragonflydyke/forwarding/messages.py
@@ -148,6 +148,8 @@
             None if it does not say so.
         cold_s: Seconds for which the server stays cold, 0 if it says that it
             is warm, None if it says neither, infinite if that cannot be read.
+        tolerated_rejections_per_s: Rejections a second beyond which the server
+            falls over, None if it does not say that it is brittle.
     """
 
     request_id: str
@@ -161,6 +163,7 @@
     server_leaves: bool = False
     pause_s: float | None = None
     cold_s: float | None = None
+    tolerated_rejections_per_s: float | None = None
 
 
 class HeaderCodec(Protocol):
--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -11,6 +11,7 @@
 
 from dragonflydyke import logs, metrics, settings, transport
 from dragonflydyke.forwarding import (
+    brittle_servers,
     cold_servers,
     contexts,
     controller,
@@ -301,7 +302,12 @@
         )
         self._limits = server_limits.ServerLimits()
         self._statements = server_statements.ServerStatements(
-            self._directory, self._limits, counters
+            self._directory,
+            self._limits,
+            brittle_servers.BrittleServers(
+                lambda: self._limits.position.nodes, counters, self._random
+            ),
+            counters,
         )
         group = peer_groups.PeerGroup()
         neighbours = paths.Neighbours(self._random)
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -598,6 +598,7 @@
     ) -> None:
         """Records the outcome of an attempt that ended in all statistics."""
         server = attempt.server
+        self._services.statements.record_end(server)
         attempt.record_outcome(outcome)
         attempt.times.ended_s = _now_s()
         self._services.cost_recorder.record(
--- a/src/dragonflydyke/forwarding/server_statements.py
+++ b/src/dragonflydyke/forwarding/server_statements.py
@@ -1,10 +1,10 @@
 """What backend servers say of themselves in their responses; no I/O.
 
 A response tells this node at once what the store may say later or not at all:
-that its server leaves, wants no requests for some time, or limits the requests
-of all nodes. Each statement holds for the process that made it. Selection,
-waiting and retries ask one question: may a server get a request now, and if
-not, when.
+that its server leaves, wants no requests for some time, limits the requests of
+all nodes, or falls over if it has to reject too many. Each statement holds for
+the process that made it. Selection, waiting and retries ask one question: may a
+server get a request now, and if not, when.
 """
 
 import asyncio
@@ -12,6 +12,7 @@
 
 from dragonflydyke import metrics
 from dragonflydyke.forwarding import (
+    brittle_servers,
     cold_servers,
     directory,
     messages,
@@ -28,6 +29,7 @@
 
     Attributes:
         limits: Limits on the requests of all nodes.
+        brittle: Limits on the requests to servers that are brittle.
         cold: Which servers are cold, None if this deployment has no limit on
             the requests to cold servers.
     """
@@ -37,6 +39,7 @@
         "_directory",
         "_listed_s",
         "_pauses",
+        "brittle",
         "cold",
         "limits",
     )
@@ -45,6 +48,7 @@
         self,
         servers: directory.Directory,
         limits: server_limits.ServerLimits,
+        brittle: brittle_servers.BrittleServers,
         counters: metrics.Counters,
         cold: cold_servers.ColdServers | None = None,
     ) -> None:
@@ -53,6 +57,7 @@
         Args:
             servers: Directory, which keeps the servers that leave.
             limits: Limits on the requests of all nodes.
+            brittle: Limits on the requests to brittle servers.
             counters: Receives `statement.leaving` and `statement.pause`.
             cold: Which servers are cold, None without a limit for them.
         """
@@ -62,6 +67,7 @@
         # Loop time of the newest list with each process.
         self._listed_s: dict[tuple[str, int], float] = {}
         self.limits = limits
+        self.brittle = brittle
         self.cold = cold
 
     def record_response(
@@ -71,6 +77,12 @@
         self.limits.record_response(server, details.server_limit_per_s)
         if self.cold is not None:
             self.cold.record_response(server, details.cold_s, _now_s())
+        self.brittle.record_response(
+            server,
+            details.tolerated_rejections_per_s,
+            _now_s(),
+            rejected=details.not_run and not details.is_misdirected,
+        )
         if details.server_leaves and self._directory.record_leaving(server):
             self._counters.increment("statement.leaving")
         if details.pause_s is not None:
@@ -87,8 +99,13 @@
     def record_start(self, server: directory.ServerEntry) -> None:
         """Records that a request is sent to a server."""
         self.limits.record_start(server)
+        self.brittle.record_start(server, _now_s())
         self._pauses.record_start(server.process, _now_s())
 
+    def record_end(self, server: directory.ServerEntry) -> None:
+        """Records the end of a request for which `record_start` was called."""
+        self.brittle.record_end(server, _now_s())
+
     def retain(self, servers: Sequence[directory.ServerEntry]) -> None:
         """Takes over a list; drops the statements of processes that are gone.
 
@@ -109,6 +126,7 @@
             if is_unidentified or now_s - listed_s >= _LAPSE_S:
                 del self._listed_s[process]
         self.limits.retain(self._listed_s.keys())
+        self.brittle.retain(self._listed_s.keys())
         self._pauses.retain(self._listed_s.keys())
         if self.cold is not None:
             self.cold.retain(self._listed_s.keys())
@@ -131,7 +149,11 @@
     def allows(self, server: directory.ServerEntry) -> bool:
         """Returns whether this node may send a request to a server now."""
         self.find_cold_state(server)
-        return self.is_accepting(server) and self.limits.allows(server)
+        return (
+            self.is_accepting(server)
+            and self.limits.allows(server)
+            and not self.brittle.find_delay_s(server, _now_s())
+        )
 
     def list_allowed(
         self, servers: Sequence[directory.ServerEntry]
@@ -165,6 +187,11 @@
             self.find_cold_state(server) is not None for server in servers
         )
 
+    def count_brittle(self, servers: Sequence[directory.ServerEntry]) -> int:
+        """Returns how many of the servers are brittle."""
+        now_s = _now_s()
+        return sum(self.brittle.is_brittle(s, now_s) for s in servers)
+
     def _find_delay_s(self, server: directory.ServerEntry) -> float:
         limit_s = 0.0
         cold_state = self.find_cold_state(server)
@@ -173,7 +200,11 @@
             if cold_state is not None:
                 # The server may be warm before this node has its next slot.
                 limit_s = min(limit_s, cold_state.remaining_s)
-        return max(limit_s, self._pauses.find_delay_s(server.process, _now_s()))
+        return max(
+            limit_s,
+            self._pauses.find_delay_s(server.process, _now_s()),
+            self.brittle.find_delay_s(server, _now_s()),
+        )
 
 
 def _now_s() -> float:
--- a/src/dragonflydyke/forwarding/targets.py
+++ b/src/dragonflydyke/forwarding/targets.py
@@ -146,6 +146,7 @@
             delay_s=round(delay_s, 3),
             reason="cold" if has_cold else "limited",
             cold_reasons=sorted(reasons),
+            brittle=self._services.statements.count_brittle(servers),
         )
 
     def has_other_data_centre(self) -> bool:
--- a/src/dragonflydyke/platform/headers.py
+++ b/src/dragonflydyke/platform/headers.py
@@ -27,6 +27,8 @@
 SERVER_LIMIT = "Server-Limit"
 # Milliseconds for which a server stays cold.
 COLD_MS = "Cold-Ms"
+# Rejections a second beyond which a server falls over.
+SERVER_BRITTLE = "Server-Brittle"
 SESSION = "Session"
 # Address of an engine from which the server may fetch a cached prefix.
 PREFIX_SOURCE = "Kv-Fetch"
@@ -140,6 +142,9 @@
             server_leaves=statements.says_leaving(headers),
             pause_s=statements.find_pause_s(status, headers),
             cold_s=_read_cold_s(headers.get(COLD_MS)),
+            tolerated_rejections_per_s=_read_tolerance(
+                headers.get(SERVER_BRITTLE)
+            ),
         )
 
     def write_response(
@@ -199,6 +204,16 @@
     return math.inf if quantity is None else quantity / _MS_PER_S
 
 
+def _read_tolerance(text: str | None) -> float | None:
+    """Returns the tolerated rejections, 0 for a value that is no number.
+
+    A server that says that it is brittle is treated as such in any case.
+    """
+    if text is None:
+        return None
+    return statements.parse_quantity(text) or 0.0
+
+
 def _read_counts(text: str | None) -> tuple[int, int]:
     first, _, second = (text or "").partition(",")
     return _read_count(first), _read_count(second)
--- a/tests/builders/forwarding.py
+++ b/tests/builders/forwarding.py
@@ -13,6 +13,7 @@
 from dragonflydyke import metrics, settings, transport
 from dragonflydyke.configuration import model as configuration
 from dragonflydyke.forwarding import (
+    brittle_servers,
     contexts,
     controller,
     cost_records,
@@ -290,6 +291,7 @@
     started_ms: int = 0,
     cold_s: float = 0.0,
     revision: int = 1,
+    slots: int = 64,
 ) -> directory.ServerEntry:
     """Returns a backend server on this machine."""
     return directory.ServerEntry(
@@ -299,7 +301,7 @@
             url=f"http://127.0.0.1:{port}",
             data_centre=data_centre,
             serves=(f"{pool}@{version}",),
-            slots=64,
+            slots=slots,
             state=state,
         ),
         pool,
@@ -377,8 +379,11 @@
         )
         self.time_of_day_s = 1_000_000.0
         self.limits = server_limits.ServerLimits(lambda: self.time_of_day_s)
+        self.brittle = brittle_servers.BrittleServers(
+            lambda: self.limits.position.nodes, self.counters, source
+        )
         self.statements = server_statements.ServerStatements(
-            self.directory, self.limits, self.counters
+            self.directory, self.limits, self.brittle, self.counters
         )
         self.failure_domains = failure_domains.FailureDomains(self.counters)
         self.response_memory = response_memory.ResponseMemory()
