Rank every second long prompt like one of middle size

Cause: escalated prompts rank by size, and an attempt keeps its rank while it waits at its engine, so that a long prompt waits as long as shorter ones arrive. The corrections for late and repeated requests apply only when an attempt is sent.

Why it works: half of the requests, by a hash of their id, rank no lower than 12,000 tokens, so that long prompts of that half are served in the order of arrival with those of middle size.

--- a/src/dragonflydyke/forwarding/targets.py
+++ b/src/dragonflydyke/forwarding/targets.py
@@ -375,6 +375,7 @@
             model_name,
             urgency.select_urgency(
                 self._admitted,
+                self._context.request.details.request_id,
                 uses_cascade=bool(model_name),
                 is_escalated=state.needs_largest_model,
                 is_repeated=state.repeats_largest,
--- a/src/dragonflydyke/forwarding/urgency.py
+++ b/src/dragonflydyke/forwarding/urgency.py
@@ -6,12 +6,14 @@
 long ones, because a short prompt adds little to the wait of a long one but may
 miss its target latency behind it. A long prompt would wait for as long as
 shorter ones arrive, so it ranks one class higher once most of its target
-latency is over, and another class higher if it is sent again.
+latency is over, and another class higher if it is sent again. As an attempt
+keeps its rank in the queue of its engine, that does not help a prompt that
+waits there: every second one therefore ranks no lower than a middle class.
 """
 
 import bisect
 
-from dragonflydyke.forwarding import decisions
+from dragonflydyke.forwarding import decisions, model
 
 LOWEST = 9
 # Priorities of requests whose client chose the model, above the engines'
@@ -23,10 +25,14 @@
 _PROMPT_TOKEN_CLASSES = (2_500, 6_000, 12_000, 20_000)
 # Fraction of the target latency that is most of it.
 _LATE_SHARE = 0.5
+# Share of the requests that rank no lower than the class of `_FAIR_SIZE_CLASS`.
+_FAIR_SHARE = 0.5
+_FAIR_SIZE_CLASS = 2
 
 
 def select_urgency(
     admitted: decisions.AdmittedRequest,
+    request_id: str,
     *,
     uses_cascade: bool,
     is_escalated: bool,
@@ -38,6 +44,7 @@
 
     Args:
         admitted: The request.
+        request_id: Its id, which decides whether its size counts in full.
         uses_cascade: Whether the router chooses the model.
         is_escalated: Whether the attempt uses the largest model.
         is_repeated: Whether the largest model was tried before.
@@ -52,5 +59,7 @@
     if not is_escalated:
         return min(_MAX_SMALLEST_MODEL_URGENCY, priority)
     size_class = bisect.bisect_left(_PROMPT_TOKEN_CLASSES, prompt_tokens)
+    if model.hash_fraction(request_id) < _FAIR_SHARE:
+        size_class = min(size_class, _FAIR_SIZE_CLASS)
     raised_classes = is_repeated + (used_share > _LATE_SHARE)
     return _FIRST_ESCALATED_URGENCY + max(0, size_class - raised_classes)
--- a/tests/builders/urgent_queues.py
+++ b/tests/builders/urgent_queues.py
@@ -172,6 +172,7 @@
             decisions.AdmittedRequest(
                 forwarding.build_route(), request.profile.pool, None, 0.0, 1
             ),
+            str(request.at_s),
             uses_cascade=True,
             is_escalated=True,
             is_repeated=request.attempts > 1,
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -660,8 +660,12 @@
         escalated: bool,
         repeated: bool = False,
         used_share: float = 0.1,
+        request_id: str = "r2",
     ) -> int:
-        """Returns the urgency of a request whose model the router chooses."""
+        """Returns the urgency of a request whose model the router chooses.
+
+        The size of the prompt counts in full for the default id.
+        """
         admitted = decisions.AdmittedRequest(
             route=forwarding.build_route(priority=priority),
             pool=model.Pool("engines", has_engines=True),
@@ -671,6 +675,7 @@
         )
         found = urgency.select_urgency(
             admitted,
+            request_id,
             uses_cascade=True,
             is_escalated=escalated,
             is_repeated=repeated,
@@ -705,6 +710,17 @@
         )
         self.assertEqual((late, again, both), (first - 1, first - 1, first - 2))
 
+    def test_every_second_long_prompt_ranks_like_a_middle_one(self) -> None:
+        """A long prompt waits in an engine as long as shorter ones arrive."""
+        middle = self.find(1, 9_000, escalated=True)
+        ranks = [
+            self.find(1, 50_000, escalated=True, request_id=f"r{number}")
+            for number in range(1_000)
+        ]
+        self.assertAlmostEqual(ranks.count(middle) / len(ranks), 0.5, delta=0.1)
+        lowest = self.find(1, 50_000, escalated=True)
+        self.assertEqual(set(ranks), {middle, lowest})
+
     def test_plain_servers_get_no_urgency(self) -> None:
         admitted = decisions.AdmittedRequest(
             route=forwarding.build_route(),
@@ -715,6 +731,7 @@
         )
         found = urgency.select_urgency(
             admitted,
+            "r1",
             uses_cascade=False,
             is_escalated=False,
             is_repeated=False,
