Let each kind catch up with the store by itself

A change of a server whose watch is silent or whose replica lags behind is then known only with the configuration.

Cause: one check of all kinds ended when the slowest of them had caught up.

Evidence: test_slow_kind_does_not_hide_changes_of_the_others failed before: a new server was not known 3 s after its registration, while a configuration took 10 s to arrive. Ruled out: that the change makes the configuration later; it arrives at the same time in the test with both forms.

Why it works: a kind that has not caught up within the time between two checks goes on as a task of its own, later checks pass it over until it has ended, and the other kinds are checked as always. Its error is raised by the next check. What peers are told waits for all kinds, as before.

--- a/src/dragonflydyke/objects/freshness.py
+++ b/src/dragonflydyke/objects/freshness.py
@@ -52,6 +52,7 @@
 
     __slots__ = (
         "_asked_s",
+        "_catch_ups",
         "_expected_s",
         "_group",
         "_link",
@@ -99,6 +100,11 @@
         # unless the process is suspended.
         self._expected_s = math.inf
         self._refresh: asyncio.Task[None] | None = None
+        # Kinds that catch up, by kind; one whose response arrives slowly goes
+        # on over several checks.
+        self._catch_ups: dict[
+            str, asyncio.Task[errors.DragonflydykeError | None]
+        ] = {}
 
     async def open(self, address: settings.Address) -> None:
         """Starts asking and answering peers.
@@ -113,6 +119,8 @@
         self._link.close()
         if self._refresh is not None:
             self._refresh.cancel()
+        for task in self._catch_ups.values():
+            task.cancel()
 
     async def run(self) -> None:
         """Checks the watchers until cancelled."""
@@ -146,6 +154,9 @@
     async def check(self) -> None:
         """Lets all kinds catch up with a recent state of the store.
 
+        A kind that takes longer than the time between two checks goes on, so
+        that it does not delay the next check of the others.
+
         Raises:
             DragonflydykeError: If the store does not respond or rejects a call.
         """
@@ -223,15 +234,21 @@
         await self._reader.record_store_version(state.version)
         age_s = peer_links.find_uptime_s() - state.read_s
         read_s = asyncio.get_running_loop().time() - age_s
-        are_complete = await asyncio.gather(
-            *(
-                watcher.catch_up(
-                    state.kind_versions.get(watcher.kind, state.version), read_s
-                )
-                for watcher in self._watchers
-            )
+        versions = {
+            watcher: state.kind_versions.get(watcher.kind, state.version)
+            for watcher in self._watchers
+        }
+        for watcher, version in versions.items():
+            self._start_catch_up(watcher, version, read_s)
+        await asyncio.wait(
+            self._catch_ups.values(),
+            timeout=find_check_interval_s(self._max_age_s),
         )
-        if all(are_complete):
+        self._collect_results()
+        if all(
+            watcher.is_complete(version)
+            for watcher, version in versions.items()
+        ):
             self._state = peer_links.StoreState(
                 state.read_s,
                 state.version,
@@ -241,6 +258,35 @@
                 },
             )
 
+    def _start_catch_up(
+        self, watcher: watchers.KindWatcher, version: int, read_s: float
+    ) -> None:
+        """Lets a kind catch up, unless it still does so for an earlier check.
+
+        Raises:
+            DragonflydykeError: If it failed since the earlier check.
+        """
+        self._collect_results()
+        if watcher.kind not in self._catch_ups:
+            self._catch_ups[watcher.kind] = asyncio.create_task(
+                _catch_up_kind(watcher, version, read_s)
+            )
+
+    def _collect_results(self) -> None:
+        """Removes the kinds that caught up.
+
+        Raises:
+            DragonflydykeError: If one of them failed; the first one is raised.
+        """
+        ended = [
+            self._catch_ups.pop(kind)
+            for kind, task in tuple(self._catch_ups.items())
+            if task.done()
+        ]
+        failures = [error for task in ended if (error := task.result())]
+        if failures:
+            raise failures[0]
+
     async def _provide(self) -> peer_links.StoreState | None:
         """Returns a recent state for a peer, None if there is none."""
         self._asked_s = asyncio.get_running_loop().time()
@@ -262,3 +308,14 @@
                 code=error.code,
                 error=str(error),
             )
+
+
+async def _catch_up_kind(
+    watcher: watchers.KindWatcher, version: int, read_s: float
+) -> errors.DragonflydykeError | None:
+    """Lets a kind catch up; returns the error, which the next check raises."""
+    try:
+        await watcher.catch_up(version, read_s)
+    except errors.DragonflydykeError as error:
+        return error
+    return None
--- a/src/dragonflydyke/objects/watchers.py
+++ b/src/dragonflydyke/objects/watchers.py
@@ -313,6 +313,10 @@
             return None
         return round(now_s - self.confirmed_s, 2)
 
+    def is_complete(self, version: int) -> bool:
+        """Returns whether the objects are complete up to a version."""
+        return self.version is not None and self.version >= version
+
     async def run(self) -> None:
         """Follows the kind until cancelled.
 
@@ -346,7 +350,7 @@
         since = self.version
         if since is not None and since < version:
             await self._read_changes(since, version)
-        if self.version is None or self.version < version:
+        if not self.is_complete(version):
             return False
         self._confirm(read_s)
         return True
--- a/tests/test_slow_transfers.py
+++ b/tests/test_slow_transfers.py
@@ -94,6 +94,25 @@
             )
         )
 
+    async def test_slow_kind_does_not_hide_changes_of_the_others(self) -> None:
+        """The checks of all kinds waited for a configuration that arrived.
+
+        A change whose watch is silent then became known with the configuration,
+        several times later than its limit.
+        """
+        watched = await self.start_watches()
+        self.stub.silence_watches("servers")
+        self.stub.transfers["config"] = store.Transfer(pieces=40, pause_s=0.25)
+        await self.stub.put("config", "second", {})
+        # The check that finds the new configuration runs and waits for it.
+        await self.pass_time(2.0, _PAUSE_S)
+        await self.stub.put("servers", "second", {})
+        await self.pass_time(_MAX_AGE_S, _PAUSE_S)
+        self.assertNotIn("second", watched.names["config"])
+        self.assertIn("second", watched.names["servers"])
+        await self.pass_time(9.0, _PAUSE_S)
+        self.assertIn("second", watched.names["config"])
+
     async def test_change_arrives_over_a_narrow_link(self) -> None:
         watched = await self.start_watches()
         self.stub.transfers["config"] = _SLOW
