Give a connection to another router time for its first bytes

Cause found on the way: gRPC takes the time for opening a connection from its minimum backoff, which is 0.1 s here, and at most 0.5 s with the backoff. A peer whose first bytes take longer is never reached: the connection is given up and opened again.

Ruled out: that refused connections are now retried later; the backoff itself is unchanged, and test_replaced_peer_is_reached_again passes.

test_peer_with_a_slow_handshake_is_reached failed before.

--- a/src/dragonflydyke/protocol/client.py
+++ b/src/dragonflydyke/protocol/client.py
@@ -11,9 +11,13 @@
 # replaced VM would appear unreachable to its peers.
 _INITIAL_BACKOFF_MS = 100
 _MAX_BACKOFF_MS = 500
+# Time for opening a connection, which gRPC takes from its minimum backoff. The
+# first bytes of a busy VM may take longer than the backoff, and a connection
+# that is given up and opened again only adds to its load.
+_CONNECT_TIMEOUT_MS = 2_000
 _OPTIONS = (
     ("grpc.initial_reconnect_backoff_ms", _INITIAL_BACKOFF_MS),
-    ("grpc.min_reconnect_backoff_ms", _INITIAL_BACKOFF_MS),
+    ("grpc.min_reconnect_backoff_ms", _CONNECT_TIMEOUT_MS),
     ("grpc.max_reconnect_backoff_ms", _MAX_BACKOFF_MS),
     ("grpc.max_receive_message_length", server.MAX_MESSAGE_BYTES),
     ("grpc.enable_http_proxy", 0),
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -6,6 +6,7 @@
 
 from dragonflydyke import errors, metrics, settings
 from dragonflydyke.protocol import client, node_pb2, server
+from harness import proxy
 from tests.builders import certificates
 
 # The resulting 60 s are far above the reconnection backoff, for busy machines.
@@ -76,6 +77,25 @@
             with self.assertRaises(errors.DragonflydykeError):
                 await self._connect("key", wrong).exchange(report, timeout_s=30)
 
+    async def test_peer_with_a_slow_handshake_is_reached(self) -> None:
+        """Connections were given up and opened anew, two a second, for good.
+
+        The time for a handshake had the limit of the time between two
+        connections, which a busy VM exceeds.
+        """
+        slow = proxy.FaultProxy("127.0.0.1", self.port)
+        await slow.start()
+        self.addAsyncCleanup(slow.stop)
+        # The first bytes of the peer take this long.
+        slow.faults.delay_s = 0.7
+        peer = client.PeerClient(
+            slow.address, inner_key="key", counters=self.counters
+        )
+        self.addAsyncCleanup(peer.close)
+        report = node_pb2.NodeReport(vm="a")
+        response = await peer.exchange(report, timeout_s=30)
+        self.assertEqual("peer of a", response.vm)
+
     async def test_replaced_peer_is_reached_again(self) -> None:
         """An existing client reconnects to a restarted peer."""
         peer = self._connect("key")
