--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from harness import proxy
-from tests.builders import forwarding, store
+from tests.builders import forwarding, scripted_servers, store
 from tests.soak import request_log
 
 ACCOUNT = "acme"
@@ -69,7 +69,7 @@
         self.data_centre = data_centre
         self._request_log = log
         self._random = source
-        self._server = forwarding.ScriptedServer(name, self._run)
+        self._server = scripted_servers.ScriptedServer(name, self._run)
         self.proxy: proxy.FaultProxy | None = None
         self.leaves = False
         self.paused_until_s = 0.0
@@ -101,11 +101,11 @@
 
     async def _run(
         self,
-        request: forwarding.ReceivedRequest,
+        request: scripted_servers.ReceivedRequest,
         writer: asyncio.StreamWriter,
     ) -> None:
         if request.headers.get("Expect-Runner") != self.name:
-            forwarding.write_response(
+            scripted_servers.write_response(
                 request, writer, b"", status="421 Misdirected Request"
             )
             return
@@ -115,7 +115,7 @@
         if self._reject_in_pause(request, writer):
             return
         if draw < _REJECTION_SHARE:
-            forwarding.write_response(
+            scripted_servers.write_response(
                 request, writer, b"", status="503 Full", Not_Executed="1"
             )
             return
@@ -123,7 +123,7 @@
         self._check_headers(request)
         self._request_log.record_run(request_id, self.name)
         if draw < _REJECTION_SHARE + _FAILURE_SHARE:
-            forwarding.write_response(
+            scripted_servers.write_response(
                 request, writer, b"bad", status="500 Bad", **self._say(request)
             )
         elif self.pool == "engines":
@@ -132,18 +132,20 @@
         else:
             await asyncio.sleep(_PLAIN_SERVICE_TIME_S)
             if draw > 1.0 - _RESET_SHARE:
-                forwarding.reset(writer)
+                scripted_servers.reset(writer)
                 return
-            forwarding.write_response(
+            scripted_servers.write_response(
                 request, writer, request_id.encode(), **self._say(request)
             )
         await writer.drain()
 
-    def _find_vm(self, request: forwarding.ReceivedRequest) -> str:
+    def _find_vm(self, request: scripted_servers.ReceivedRequest) -> str:
         record = self._request_log.records.get(request.headers["Attempt-Id"])
         return record.vm if record else ""
 
-    def _check_statements(self, request: forwarding.ReceivedRequest) -> None:
+    def _check_statements(
+        self, request: scripted_servers.ReceivedRequest
+    ) -> None:
         self._request_log.evacuations.check_arrival(
             self.data_centre, self._find_vm(request), self.name, _now_s()
         )
@@ -171,7 +173,7 @@
 
     def _reject_in_pause(
         self,
-        request: forwarding.ReceivedRequest,
+        request: scripted_servers.ReceivedRequest,
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Rejects a request during a pause; returns whether it did."""
@@ -182,7 +184,7 @@
             self.name, self._find_vm(request), now_s, self.paused_until_s
         )
         remaining_s = self.paused_until_s - now_s
-        forwarding.write_response(
+        scripted_servers.write_response(
             request,
             writer,
             b"",
@@ -192,7 +194,7 @@
         )
         return True
 
-    def _say(self, request: forwarding.ReceivedRequest) -> dict[str, str]:
+    def _say(self, request: scripted_servers.ReceivedRequest) -> dict[str, str]:
         """Returns the headers in which the server says that it leaves."""
         if not self.leaves:
             return {}
@@ -201,7 +203,7 @@
         )
         return {"Server_Leaving": "1"}
 
-    def _check_headers(self, request: forwarding.ReceivedRequest) -> None:
+    def _check_headers(self, request: scripted_servers.ReceivedRequest) -> None:
         if request.headers.get("Tenant") != ACCOUNT:
             self._request_log.report_violation(
                 f"{self.name} received another client account"
@@ -213,23 +215,25 @@
 
     async def _stream(
         self,
-        request: forwarding.ReceivedRequest,
+        request: scripted_servers.ReceivedRequest,
         writer: asyncio.StreamWriter,
         request_id: str,
         *,
         resets: bool,
     ) -> None:
-        forwarding.write_stream_start(request, writer, **self._say(request))
+        scripted_servers.write_stream_start(
+            request, writer, **self._say(request)
+        )
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, EVENTS + 1):
             event = f"id: {number}\ndata: {request_id}\n\n"
-            forwarding.write_chunk(writer, event.encode())
+            scripted_servers.write_chunk(writer, event.encode())
             await writer.drain()
             await asyncio.sleep(_EVENT_GAP_S)
             if resets and number > first:
-                forwarding.reset(writer)
+                scripted_servers.reset(writer)
                 return
-        forwarding.write_chunk(writer, b"")
+        scripted_servers.write_chunk(writer, b"")
 
 
 class RouterProcess:
--- a/tests/test_brittle_servers.py
+++ b/tests/test_brittle_servers.py
@@ -7,7 +7,7 @@
 
 from dragonflydyke import metrics
 from dragonflydyke.forwarding import brittle_servers, server_limits
-from tests.builders import brittle_fleet, forwarding
+from tests.builders import brittle_fleet, forwarding, scripted_servers
 from tests.test_server_statements import StatementTestCase
 
 _SEED = int(os.environ.get("DRAGONFLYDYKE_SEED", "1"))
@@ -17,11 +17,11 @@
 _ALLOWED_FALLS = 2
 
 
-def _respond(status: str, **extra: str) -> forwarding.Script:
+def _respond(status: str, **extra: str) -> scripted_servers.Script:
     async def run(
-        request: forwarding.ReceivedRequest, writer: asyncio.StreamWriter
+        request: scripted_servers.ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
-        forwarding.write_response(
+        scripted_servers.write_response(
             request, writer, b"done", status=status, **extra
         )
         await writer.drain()
@@ -29,7 +29,7 @@
     return run
 
 
-def _reject(**extra: str) -> forwarding.Script:
+def _reject(**extra: str) -> scripted_servers.Script:
     return _respond("503 Service Unavailable", Not_Executed="1", **extra)
 
 
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -18,7 +18,7 @@
     server,
 )
 from dragonflydyke.platform import headers
-from tests.builders import forwarding, skipping_loop
+from tests.builders import forwarding, scripted_servers, skipping_loop
 
 _LIMITS = model.ClientLimits(16_384, 100_000, 3.0, 15.0)
 _CHUNKED = {"Transfer_Encoding": "chunked"}
@@ -28,7 +28,7 @@
 
 
 async def _respond(request, writer) -> None:
-    forwarding.write_response(request, writer, b"ok")
+    scripted_servers.write_response(request, writer, b"ok")
     await writer.drain()
 
 
@@ -62,7 +62,7 @@
         )
         writer.write(fields.encode())
         for piece in pieces:
-            forwarding.write_chunk(writer, piece)
+            scripted_servers.write_chunk(writer, piece)
         return reader, writer
 
     async def wait_held(self, size: int) -> None:
@@ -97,7 +97,7 @@
                 reader, writer = await self.start_body(
                     *(sent[n : n + size] for n in cuts)
                 )
-                forwarding.write_chunk(writer, b"")
+                scripted_servers.write_chunk(writer, b"")
                 self.assertEqual((await self.read(reader)).status, 200)
                 self.assertEqual(self.plain.received[-1].body, sent)
         await skipping_loop.wait_until(
@@ -146,7 +146,7 @@
         await asyncio.sleep(1.0)
         self.loop.skip(50.0)
         await asyncio.sleep(1.0)
-        forwarding.write_chunk(writer, b"")
+        scripted_servers.write_chunk(writer, b"")
         self.assertEqual((await self.read(reader)).status, 200)
 
     async def test_body_needs_progress_and_no_more(self) -> None:
@@ -154,11 +154,11 @@
         dripping_reader, dripping_writer = await self.start_body(b"x" * 90_000)
         for _ in range(5):
             await self.pass_time(10.0, 0.001)
-            forwarding.write_chunk(dripping_writer, b"x")
+            scripted_servers.write_chunk(dripping_writer, b"x")
             # A link of 16 kbit/s.
-            forwarding.write_chunk(slow_writer, b"y" * 18_000)
+            scripted_servers.write_chunk(slow_writer, b"y" * 18_000)
         self.assertEqual((await self.read(dripping_reader)).status, 408)
-        forwarding.write_chunk(slow_writer, b"")
+        scripted_servers.write_chunk(slow_writer, b"")
         self.assertEqual((await self.read(slow_reader)).status, 200)
 
     async def test_full_account_rejects_the_body_without_progress(self) -> None:
@@ -204,13 +204,13 @@
 
         async def run(request, writer) -> None:
             nonlocal sent
-            forwarding.write_stream_start(request, writer)
+            scripted_servers.write_stream_start(request, writer)
             event = b"data: " + b"y" * 60_000 + b"\n\n"
             while sent < _LARGE_BYTES:
-                forwarding.write_chunk(writer, event)
+                scripted_servers.write_chunk(writer, event)
                 await writer.drain()
                 sent += len(event)
-            forwarding.write_chunk(writer, b"")
+            scripted_servers.write_chunk(writer, b"")
             await writer.drain()
 
         await self.start_server("e", run)
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -18,7 +18,13 @@
 from dragonflydyke.objects import model as objects
 from dragonflydyke.objects import peer_groups
 from dragonflydyke.platform import headers, records
-from tests.builders import forwarding, shared_objects, store, virtual_loop
+from tests.builders import (
+    forwarding,
+    scripted_servers,
+    shared_objects,
+    store,
+    virtual_loop,
+)
 
 _SEED = int(os.environ.get("DRAGONFLYDYKE_SEED", "1"))
 _OVERSHOOT = 1.5
@@ -326,7 +332,7 @@
         self.limits.position = server_limits.FleetPosition(0, 80)
 
         async def run(request, writer) -> None:
-            forwarding.write_response(request, writer, b"done")
+            scripted_servers.write_response(request, writer, b"done")
             await writer.drain()
 
         self.forwarder.policy = forwarding.build_policy(
--- a/tests/test_cut_off_nodes.py
+++ b/tests/test_cut_off_nodes.py
@@ -4,7 +4,13 @@
 
 from dragonflydyke import settings
 from dragonflydyke.forwarding import tunnels
-from tests.builders import forwarding, nodes, skipping_loop, store
+from tests.builders import (
+    forwarding,
+    nodes,
+    scripted_servers,
+    skipping_loop,
+    store,
+)
 
 _PAUSE_S = 0.005
 # Time in which the nodes register and list each other.
@@ -12,9 +18,9 @@
 
 
 async def _respond(
-    request: forwarding.ReceivedRequest, writer: asyncio.StreamWriter
+    request: scripted_servers.ReceivedRequest, writer: asyncio.StreamWriter
 ) -> None:
-    forwarding.write_response(request, writer, body=b"done")
+    scripted_servers.write_response(request, writer, body=b"done")
     await writer.drain()
 
 
@@ -34,7 +40,7 @@
         resolver = nodes.CutResolver()
         ports = []
         for name in ("a", "b", "c"):
-            scripted = forwarding.ScriptedServer(name, _respond)
+            scripted = scripted_servers.ScriptedServer(name, _respond)
             port = await scripted.start()
             self.addAsyncCleanup(scripted.stop)
             self.scripted.append(scripted)
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -4,7 +4,12 @@
 import gc
 
 from dragonflydyke.forwarding import model, response_memory
-from tests.builders import forwarding, memory_growth, skipping_loop
+from tests.builders import (
+    forwarding,
+    memory_growth,
+    scripted_servers,
+    skipping_loop,
+)
 
 _RESPONSES = 40
 _CHUNK = b"x" * 60_000
@@ -19,11 +24,11 @@
 
 
 async def _send_endless_body(
-    request: forwarding.ReceivedRequest, writer: asyncio.StreamWriter
+    request: scripted_servers.ReceivedRequest, writer: asyncio.StreamWriter
 ) -> None:
-    forwarding.write_start(request, writer, Transfer_Encoding="chunked")
+    scripted_servers.write_start(request, writer, Transfer_Encoding="chunked")
     while not writer.is_closing():
-        forwarding.write_chunk(writer, _CHUNK)
+        scripted_servers.write_chunk(writer, _CHUNK)
         await writer.drain()
 
 
@@ -45,9 +50,11 @@
 
         async def run(request, writer) -> None:
             nonlocal peak_bytes
-            forwarding.write_start(request, writer, Transfer_Encoding="chunked")
+            scripted_servers.write_start(
+                request, writer, Transfer_Encoding="chunked"
+            )
             while not writer.is_closing():
-                forwarding.write_chunk(writer, _CHUNK)
+                scripted_servers.write_chunk(writer, _CHUNK)
                 await writer.drain()
                 peak_bytes = max(peak_bytes, self.response_memory.used_bytes)
 
@@ -91,14 +98,14 @@
         others_bytes = response_memory.MAX_TOTAL_BYTES
 
         async def run(request, writer) -> None:
-            forwarding.write_stream_start(request, writer)
+            scripted_servers.write_stream_start(request, writer)
             # The first part is within what any response may hold.
-            forwarding.write_chunk(writer, _CHUNK)
+            scripted_servers.write_chunk(writer, _CHUNK)
             await writer.drain()
             await skipping_loop.wait_until(
                 lambda: self.response_memory.used_bytes > others_bytes
             )
-            forwarding.write_chunk(writer, _CHUNK)
+            scripted_servers.write_chunk(writer, _CHUNK)
             await asyncio.Event().wait()
 
         await self.start_server("a", run)
@@ -119,10 +126,10 @@
         async def run(request, writer) -> None:
             if has_failed.is_set():
                 await may_answer.wait()
-                forwarding.write_response(request, writer, b"ok")
+                scripted_servers.write_response(request, writer, b"ok")
                 return
             has_failed.set()
-            forwarding.write_response(
+            scripted_servers.write_response(
                 request, writer, _CHUNK, status="500 Error"
             )
 
@@ -142,7 +149,9 @@
         """Clients that do not read would let a node exceed its memory."""
 
         async def run(request, writer) -> None:
-            forwarding.write_response(request, writer, b"y" * _LARGE_BYTES)
+            scripted_servers.write_response(
+                request, writer, b"y" * _LARGE_BYTES
+            )
             await writer.drain()
 
         await self.start_server("a", run, pool="plain")
@@ -166,7 +175,7 @@
         self.response_memory.used_bytes = response_memory.MAX_TOTAL_BYTES
 
         async def run(request, writer) -> None:
-            forwarding.write_response(request, writer, b"y" * 5_000)
+            scripted_servers.write_response(request, writer, b"y" * 5_000)
             await writer.drain()
 
         await self.start_server("a", run, pool="plain")
@@ -175,8 +184,10 @@
 
     async def test_memory_is_released_if_the_client_disconnects(self) -> None:
         async def run(request, writer) -> None:
-            forwarding.write_start(request, writer, Transfer_Encoding="chunked")
-            forwarding.write_chunk(writer, _CHUNK)
+            scripted_servers.write_start(
+                request, writer, Transfer_Encoding="chunked"
+            )
+            scripted_servers.write_chunk(writer, _CHUNK)
             await writer.drain()
             await asyncio.Event().wait()
 
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -17,7 +17,7 @@
 )
 from dragonflydyke.objects import model as objects
 from dragonflydyke.platform import headers, records
-from tests.builders import forwarding, store
+from tests.builders import forwarding, scripted_servers, store
 
 _KNOWN = ("north", "south", "west")
 _EXPOSED = rollouts.VersionRule(preferred="v2")
@@ -161,13 +161,15 @@
 
             async def run(request, writer, acts=acts) -> None:
                 first = int(request.headers.get("Last-Event-Id", "0")) + 1
-                forwarding.write_stream_start(request, writer, Confidence="10")
+                scripted_servers.write_stream_start(
+                    request, writer, Confidence="10"
+                )
                 for event_id in range(first, 5):
-                    forwarding.write_event(writer, event_id)
+                    scripted_servers.write_event(writer, event_id)
                     await writer.drain()
                     if acts and event_id == 2 and action():
                         writer.transport.abort()
-                forwarding.write_chunk(writer, b"")
+                scripted_servers.write_chunk(writer, b"")
 
             await self.start_server(place, run, data_centre=place)
 
@@ -234,7 +236,7 @@
 
     async def test_evacuation_begins_while_a_request_waits(self) -> None:
         async def pause(request, writer) -> None:
-            forwarding.write_response(
+            scripted_servers.write_response(
                 request,
                 writer,
                 b"",
--- a/tests/test_failure_domains.py
+++ b/tests/test_failure_domains.py
@@ -9,7 +9,7 @@
     failure_domains,
     model,
 )
-from tests.builders import forwarding
+from tests.builders import forwarding, scripted_servers
 
 
 def _build_servers(**counts: int) -> list[directory.ServerEntry]:
@@ -91,7 +91,7 @@
     async def test_requests_of_all_kinds_reach_the_live_servers(self) -> None:
 
         async def run(request, writer) -> None:
-            forwarding.write_response(request, writer, b"done")
+            scripted_servers.write_response(request, writer, b"done")
             await writer.drain()
 
         single = dict.fromkeys("abcdefg", 1)
--- a/tests/test_fallback_answers.py
+++ b/tests/test_fallback_answers.py
@@ -5,7 +5,7 @@
 
 from dragonflydyke.forwarding import model, response_memory, selection
 from dragonflydyke.scheduling import fallbacks
-from tests.builders import forwarding, skipping_loop
+from tests.builders import forwarding, scripted_servers, skipping_loop
 
 _EVENTS = 3
 _PAUSE_S = 0.05
@@ -88,17 +88,17 @@
 
     async def test_each_failure_of_the_largest_model(self) -> None:
         async def lose(request, writer) -> None:
-            forwarding.reset(writer)
+            scripted_servers.reset(writer)
 
         async def forge(request, writer) -> None:
             request.headers["Attempt-Id"] = "r2"
             await _send_best(request, writer)
 
         async def comment(request, writer) -> None:
-            forwarding.write_stream_start(request, writer)
-            forwarding.write_chunk(writer, b": ping\n\n")
+            scripted_servers.write_stream_start(request, writer)
+            scripted_servers.write_chunk(writer, b": ping\n\n")
             await writer.drain()
-            forwarding.reset(writer)
+            scripted_servers.reset(writer)
 
         for script, reason in (
             (_respond("500 Internal Server Error"), "failed"),
@@ -121,7 +121,7 @@
     async def test_lost_attempt_is_repeated_while_time_is_left(self) -> None:
         async def lose_once(request, writer) -> None:
             self.large = _send_best
-            forwarding.reset(writer)
+            scripted_servers.reset(writer)
 
         self.large = lose_once
         response = await self.fetch(Model="*")
@@ -133,7 +133,7 @@
     async def test_servers_that_disappear(self) -> None:
         async def vanish(request, writer) -> None:
             self.directory.update((), self.loop.time(), after_outage=False)
-            forwarding.reset(writer)
+            scripted_servers.reset(writer)
 
         self.large = vanish
         self.check_answer(await self.fetch(Model="*"), "no_server")
@@ -166,11 +166,13 @@
 
     async def test_first_event_decides_with_the_observed_gap(self) -> None:
         async def begin(request, writer) -> None:
-            forwarding.write_stream_start(request, writer, Confidence="100")
+            scripted_servers.write_stream_start(
+                request, writer, Confidence="100"
+            )
             self.services.pace.observe_gap(
                 "engines", "large", 0.5, self.loop.time()
             )
-            forwarding.write_event(writer, 1)
+            scripted_servers.write_event(writer, 1)
             await _hang(request, writer)
 
         self.large = begin
@@ -188,7 +190,7 @@
             for scripted in self.servers.values()
             if any(r.headers["Model"] == "large" for r in scripted.received)
         )
-        full.report = forwarding.build_report(waiting=6)
+        full.report = scripted_servers.build_report(waiting=6)
         self.loop.skip(3.1)
         response = await forwarding.read_response(reader)
         self.assertEqual(response.headers["Confidence"], "100")
@@ -204,7 +206,7 @@
         await self.send(Model="*", Token_Count="8000,50", Deadline_Ms="20000")
         await skipping_loop.wait_until(lambda: len(self.models) == 2)
         for engine in engines:
-            engine.report = forwarding.build_report(waiting=6)
+            engine.report = scripted_servers.build_report(waiting=6)
 
         def count_calls() -> int:
             return sum(engine.report_calls for engine in engines)
@@ -239,8 +241,8 @@
         await writer.drain()
         await self.release.wait()
         for event_id in range(2, _EVENTS + 1):
-            forwarding.write_event(writer, event_id)
-        forwarding.write_chunk(writer, b"")
+            scripted_servers.write_event(writer, event_id)
+        scripted_servers.write_chunk(writer, b"")
         await writer.drain()
 
     async def crash_later(self, request, writer) -> None:
@@ -248,7 +250,7 @@
         _begin_answer(request, writer, 1)
         await writer.drain()
         await self.release.wait()
-        forwarding.reset(writer)
+        scripted_servers.reset(writer)
 
     async def begin_both(self, small=None):
         """Returns a client whose request runs at both models."""
@@ -264,11 +266,13 @@
         """
 
         async def continue_alone(request, writer) -> None:
-            forwarding.write_stream_start(request, writer, Confidence="100")
-            forwarding.write_event(writer, 1)
+            scripted_servers.write_stream_start(
+                request, writer, Confidence="100"
+            )
+            scripted_servers.write_event(writer, 1)
             await writer.drain()
             await skipping_loop.wait_until(lambda: self.engine.cancelled)
-            forwarding.write_chunk(writer, b"")
+            scripted_servers.write_chunk(writer, b"")
             await writer.drain()
 
         self.small, self.large = self.begin_slowly, continue_alone
@@ -296,7 +300,7 @@
         async def resume(request, writer) -> None:
             self.assertEqual(request.headers["Last-Event-Id"], "1")
             _begin_answer(request, writer, 2, 3)
-            forwarding.write_chunk(writer, b"")
+            scripted_servers.write_chunk(writer, b"")
             await writer.drain()
 
         self.configure(target_latency_s=8.0)
@@ -318,7 +322,7 @@
             await skipping_loop.wait_until(
                 lambda: self.counters.total("fallback.not_kept.lost")
             )
-            forwarding.reset(writer)
+            scripted_servers.reset(writer)
 
         self.small, self.large = self.crash_later, lose_both
         response = await self.fetch(Model="*")
@@ -387,16 +391,16 @@
             await writer.drain()
             # A reset discards what the node has not read.
             await asyncio.sleep(_PAUSE_S)
-            forwarding.reset(writer)
+            scripted_servers.reset(writer)
 
         async def disorder(request, writer) -> None:
             _begin_answer(request, writer, 1, 3)
-            forwarding.write_chunk(writer, b"")
+            scripted_servers.write_chunk(writer, b"")
 
         async def tear(request, writer) -> None:
             _begin_answer(request, writer, 1)
-            forwarding.write_chunk(writer, b"id: 2")
-            forwarding.write_chunk(writer, b"")
+            scripted_servers.write_chunk(writer, b"id: 2")
+            scripted_servers.write_chunk(writer, b"")
 
         async def forge(request, writer) -> None:
             self.small = _send_answer
@@ -461,28 +465,30 @@
 
 
 def _begin_answer(request, writer, *event_ids: int) -> None:
-    forwarding.write_stream_start(request, writer, Confidence="20")
+    scripted_servers.write_stream_start(request, writer, Confidence="20")
     for event_id in event_ids:
-        forwarding.write_event(writer, event_id)
+        scripted_servers.write_event(writer, event_id)
 
 
-def _respond(status: str, **extra: str) -> forwarding.Script:
+def _respond(status: str, **extra: str) -> scripted_servers.Script:
     async def respond(request, writer) -> None:
-        forwarding.write_response(request, writer, b"", status=status, **extra)
+        scripted_servers.write_response(
+            request, writer, b"", status=status, **extra
+        )
 
     return respond
 
 
 async def _send_answer(request, writer) -> None:
     _begin_answer(request, writer, *range(1, _EVENTS + 1))
-    forwarding.write_chunk(writer, b"")
+    scripted_servers.write_chunk(writer, b"")
     await writer.drain()
 
 
 async def _send_best(request, writer) -> None:
-    forwarding.write_stream_start(request, writer, Confidence="100")
-    forwarding.write_event(writer, 1)
-    forwarding.write_chunk(writer, b"")
+    scripted_servers.write_stream_start(request, writer, Confidence="100")
+    scripted_servers.write_event(writer, 1)
+    scripted_servers.write_chunk(writer, b"")
     await writer.drain()
 
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,17 +4,17 @@
 import itertools
 
 from dragonflydyke.forwarding import model, selection
-from tests.builders import forwarding, skipping_loop
+from tests.builders import forwarding, scripted_servers, skipping_loop
 
 _EVENTS = [b"id: %d\ndata: piece" % number for number in range(1, 5)]
 
 
 async def _send_all_events(request, writer) -> None:
     first = int(request.headers.get("Last-Event-Id", "0")) + 1
-    forwarding.write_stream_start(request, writer)
+    scripted_servers.write_stream_start(request, writer)
     for event_id in range(first, 5):
-        forwarding.write_event(writer, event_id)
-    forwarding.write_chunk(writer, b"")
+        scripted_servers.write_event(writer, event_id)
+    scripted_servers.write_chunk(writer, b"")
     await writer.drain()
 
 
@@ -23,9 +23,9 @@
 
     async def run(request, writer) -> None:
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
-        forwarding.write_stream_start(request, writer)
+        scripted_servers.write_stream_start(request, writer)
         for event_id in range(first, first + count):
-            forwarding.write_event(writer, event_id)
+            scripted_servers.write_event(writer, event_id)
         await writer.drain()
         await ending(request, writer)
 
@@ -37,12 +37,12 @@
 
 
 async def _truncate_event(request, writer) -> None:
-    forwarding.write_chunk(writer, b"id: 3\ndata: pi")
+    scripted_servers.write_chunk(writer, b"id: 3\ndata: pi")
     await writer.drain()
 
 
 async def _reject(request, writer) -> None:
-    forwarding.write_response(
+    scripted_servers.write_response(
         request, writer, b"full", status="503 Full", Not_Executed="1"
     )
 
@@ -52,7 +52,7 @@
 
 
 async def _respond(request, writer) -> None:
-    forwarding.write_response(request, writer, b"answer")
+    scripted_servers.write_response(request, writer, b"answer")
 
 
 def _play_in_order(scripts):
@@ -92,7 +92,7 @@
         """Checks that a broken stream without framing is not delivered."""
 
         async def end(request, writer) -> None:
-            forwarding.write_start(
+            scripted_servers.write_start(
                 request, writer, Content_Type="text/event-stream"
             )
             writer.write(received)
@@ -131,7 +131,7 @@
 
     async def test_event_out_of_sequence_is_not_delivered(self) -> None:
         async def skip_event(request, writer) -> None:
-            forwarding.write_event(writer, 4)
+            scripted_servers.write_event(writer, 4)
             await writer.drain()
 
         script = _play_in_order(
@@ -162,8 +162,8 @@
         async def stall(request, writer) -> None:
             await resumed.wait()
             for event_id in (3, 4):
-                forwarding.write_event(writer, event_id)
-            forwarding.write_chunk(writer, b"")
+                scripted_servers.write_event(writer, event_id)
+            scripted_servers.write_chunk(writer, b"")
             await writer.drain()
 
         self.forwarder.policy = forwarding.build_policy(
@@ -344,7 +344,7 @@
         self,
     ) -> None:
         async def respond_without_length(request, writer) -> None:
-            forwarding.write_start(request, writer)
+            scripted_servers.write_start(request, writer)
             writer.write(b"answer")
             await writer.drain()
 
@@ -355,11 +355,11 @@
 
     async def test_reset_response_without_length_is_not_delivered(self) -> None:
         async def reset_mid_response(request, writer) -> None:
-            forwarding.write_start(request, writer)
+            scripted_servers.write_start(request, writer)
             writer.write(b"ans")
             await writer.drain()
             await asyncio.sleep(0.05)
-            forwarding.reset(writer)
+            scripted_servers.reset(writer)
 
         self.set_route(model.RequestKind.NON_IDEMPOTENT, 1)
         await self.start_server("a", reset_mid_response)
@@ -368,7 +368,7 @@
 
     async def test_signed_error_response_is_delivered_unchanged(self) -> None:
         async def fail(request, writer) -> None:
-            forwarding.write_response(
+            scripted_servers.write_response(
                 request, writer, b"broken", status="500 Error"
             )
 
@@ -425,7 +425,7 @@
 
     async def start_engine(
         self, confidence: str, *, name: str = "a", large_hangs: bool = False
-    ) -> forwarding.ScriptedServer:
+    ) -> scripted_servers.ScriptedServer:
         """Starts an engine whose smallest model reports a confidence."""
 
         async def run(request, writer) -> None:
@@ -434,9 +434,11 @@
             if model_name == "large" and large_hangs:
                 await _hang(request, writer)
             reported = "100" if model_name == "large" else confidence
-            forwarding.write_stream_start(request, writer, Confidence=reported)
-            forwarding.write_event(writer, 1)
-            forwarding.write_chunk(writer, b"")
+            scripted_servers.write_stream_start(
+                request, writer, Confidence=reported
+            )
+            scripted_servers.write_event(writer, 1)
+            scripted_servers.write_chunk(writer, b"")
             await writer.drain()
 
         return await self.start_server(name, run)
@@ -469,7 +471,7 @@
     async def test_long_queues_everywhere_prevent_escalation(self) -> None:
         """Under peak load, one in three escalations was abandoned late."""
         engine = await self.start_engine("20")
-        engine.report = forwarding.build_report(waiting=12)
+        engine.report = scripted_servers.build_report(waiting=12)
         response = await self.fetch(Model="*")
         self.assertEqual(response.headers["Confidence"], "20")
         self.assertEqual(self.models, ["small"])
@@ -504,10 +506,10 @@
             await self.start_engine("20", name=name) for name in ("a", "b")
         ]
         for engine in engines:
-            engine.report = forwarding.build_report(waiting=1)
+            engine.report = scripted_servers.build_report(waiting=1)
         for idle, busy in (engines, engines[::-1]):
-            idle.report = forwarding.build_report()
-            busy.report = forwarding.build_report(waiting=3)
+            idle.report = scripted_servers.build_report()
+            busy.report = scripted_servers.build_report(waiting=3)
             await self.fetch(
                 Model="*",
                 Token_Count="6000,50",
@@ -546,7 +548,7 @@
 
         for name in ("a", "b"):
             engine = await self.start_server(name, start_late)
-            engine.report = forwarding.build_report(waiting=6)
+            engine.report = scripted_servers.build_report(waiting=6)
         reader, _ = await self.send()
         await skipping_loop.wait_until(self.count_received)
         self.loop.skip(3.1)
--- a/tests/test_forwarding_copies.py
+++ b/tests/test_forwarding_copies.py
@@ -5,7 +5,7 @@
 
 import asyncio
 
-from tests.builders import forwarding, skipping_loop
+from tests.builders import forwarding, scripted_servers, skipping_loop
 
 _COPY_DELAY_S = 0.02
 _EVENTS = 4
@@ -18,10 +18,10 @@
         """The request ids are equal, so that only the connection tells them."""
 
         async def respond_twice(request, writer) -> None:
-            forwarding.write_response(request, writer, request.body)
+            scripted_servers.write_response(request, writer, request.body)
             await writer.drain()
             await asyncio.sleep(_COPY_DELAY_S)
-            forwarding.write_response(request, writer, request.body)
+            scripted_servers.write_response(request, writer, request.body)
 
         await self.start_server("a", respond_twice)
         for number in range(5):
@@ -39,12 +39,12 @@
         proceed = asyncio.Event()
 
         async def stream(request, writer) -> None:
-            forwarding.write_stream_start(request, writer)
+            scripted_servers.write_stream_start(request, writer)
             for event_id in range(1, _EVENTS + 1):
-                forwarding.write_event(writer, event_id)
+                scripted_servers.write_event(writer, event_id)
                 await writer.drain()
                 await proceed.wait()
-            forwarding.write_chunk(writer, b"")
+            scripted_servers.write_chunk(writer, b"")
             await writer.drain()
 
         await self.start_server("a", stream)
--- a/tests/test_forwarding_limits.py
+++ b/tests/test_forwarding_limits.py
@@ -10,6 +10,7 @@
 from dragonflydyke.objects import peer_groups
 from tests.builders import (
     forwarding,
+    scripted_servers,
     shared_objects,
     skipping_loop,
     virtual_loop,
@@ -256,10 +257,10 @@
 
         async def run(request, writer) -> None:
             fields = {"Server_Limit": limit} if limit else {}
-            forwarding.write_stream_start(request, writer, **fields)
+            scripted_servers.write_stream_start(request, writer, **fields)
             for event_id in (1, 2):
-                forwarding.write_event(writer, event_id)
-            forwarding.write_chunk(writer, b"")
+                scripted_servers.write_event(writer, event_id)
+            scripted_servers.write_chunk(writer, b"")
             await writer.drain()
 
         await self.start_server(name, run)
--- a/tests/test_forwarding_quarantine.py
+++ b/tests/test_forwarding_quarantine.py
@@ -8,6 +8,7 @@
 from dragonflydyke.forwarding import crash_reports, model, quarantine
 from tests.builders import (
     forwarding,
+    scripted_servers,
     shared_objects,
     skipping_loop,
     virtual_loop,
@@ -237,7 +238,7 @@
 
         async def run(request, writer) -> None:
             is_deadly = _DEADLY_PART in request.headers["Prompt-Prefix"]
-            forwarding.write_stream_start(
+            scripted_servers.write_stream_start(
                 request, writer, Confidence=self.confidence
             )
             await writer.drain()
@@ -245,8 +246,8 @@
                 await self.crash(name, writer)
                 return
             for event_id in (1, 2):
-                forwarding.write_event(writer, event_id)
-            forwarding.write_chunk(writer, b"")
+                scripted_servers.write_event(writer, event_id)
+            scripted_servers.write_chunk(writer, b"")
             await writer.drain()
 
         await self.start_server(name, run)
@@ -258,7 +259,7 @@
         await self.servers[name].stop()
         self.crashed.append(name)
         await asyncio.sleep(0.02)
-        forwarding.reset(writer)
+        scripted_servers.reset(writer)
 
     async def test_prompt_that_crashes_engines_is_sent_to_two_of_them(
         self,
@@ -315,9 +316,9 @@
         """Responses that get lost on the way do not incriminate a prompt."""
 
         async def run(request, writer) -> None:
-            forwarding.write_stream_start(request, writer)
+            scripted_servers.write_stream_start(request, writer)
             await writer.drain()
-            forwarding.reset(writer)
+            scripted_servers.reset(writer)
 
         for scripted in self.servers.values():
             scripted.script = run
@@ -356,9 +357,9 @@
             if request.body == self._DEADLY_BODY:
                 await self.servers[name].stop()
                 self.crashed.append(name)
-                forwarding.reset(writer)
+                scripted_servers.reset(writer)
                 return
-            forwarding.write_response(request, writer, b"done")
+            scripted_servers.write_response(request, writer, b"done")
             await writer.drain()
 
         await self.start_server(name, run, pool="plain")
--- a/tests/test_forwarding_stop.py
+++ b/tests/test_forwarding_stop.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from dragonflydyke.forwarding import decisions, model
-from tests.builders import forwarding, skipping_loop
+from tests.builders import forwarding, scripted_servers, skipping_loop
 
 # More than the kernel holds of a connection.
 _LARGE_BYTES = 12_000_000
@@ -71,13 +71,13 @@
 
 
 async def _send_large(
-    request: forwarding.ReceivedRequest, writer: asyncio.StreamWriter
+    request: scripted_servers.ReceivedRequest, writer: asyncio.StreamWriter
 ) -> None:
-    forwarding.write_response(request, writer, b"y" * _LARGE_BYTES)
+    scripted_servers.write_response(request, writer, b"y" * _LARGE_BYTES)
     await writer.drain()
 
 
 async def _hang(
-    request: forwarding.ReceivedRequest, writer: asyncio.StreamWriter
+    request: scripted_servers.ReceivedRequest, writer: asyncio.StreamWriter
 ) -> None:
     await asyncio.Event().wait()
--- a/tests/test_forwarding_suspension.py
+++ b/tests/test_forwarding_suspension.py
@@ -3,11 +3,11 @@
 import dataclasses
 
 from dragonflydyke.configuration import model as configuration
-from tests.builders import forwarding
+from tests.builders import forwarding, scripted_servers
 
 
 async def _respond(request, writer) -> None:
-    forwarding.write_response(request, writer, b"answer")
+    scripted_servers.write_response(request, writer, b"answer")
 
 
 class SuspendedProcessTest(forwarding.ForwardingTestCase):
--- a/tests/test_learned_cost.py
+++ b/tests/test_learned_cost.py
@@ -15,7 +15,7 @@
     selection,
 )
 from dragonflydyke.scheduling import costs, estimates, speeds
-from tests.builders import forwarding
+from tests.builders import forwarding, scripted_servers
 
 _SEED = int(os.environ.get("DRAGONFLYDYKE_SEED", "1"))
 _CAPACITY = model.EngineCapacity(64, 90_000, 5)
@@ -403,18 +403,18 @@
 
         async def stream(request, writer) -> None:
             large = request.headers["Model"] == "large"
-            forwarding.write_stream_start(
+            scripted_servers.write_stream_start(
                 request, writer, Confidence="100" if large else "20"
             )
             last = int(request.headers.get("Last-Event-Id", "0"))
             for event_id in range(last + 1, last + 11):
-                forwarding.write_event(writer, event_id)
+                scripted_servers.write_event(writer, event_id)
                 await writer.drain()
                 await asyncio.sleep(0.01)
             if large and is_lost and not last:
-                forwarding.reset(writer)
+                scripted_servers.reset(writer)
             else:
-                forwarding.write_chunk(writer, b"")
+                scripted_servers.write_chunk(writer, b"")
 
         await self.start_server("a", stream)
         policy = forwarding.build_policy(_ROUTE)
--- a/tests/test_server_statements.py
+++ b/tests/test_server_statements.py
@@ -9,7 +9,7 @@
 from dragonflydyke.forwarding import directory, messages
 from dragonflydyke.platform import headers
 from dragonflydyke.routing import server_pauses
-from tests.builders import forwarding
+from tests.builders import forwarding, scripted_servers
 
 _PAUSE_S = 4.0
 # Requests of a test that meet a pause or a server that leaves.
@@ -18,13 +18,13 @@
 
 def _say(
     status: str = "200 OK", body: bytes = b"done", **statement: str
-) -> forwarding.Script:
+) -> scripted_servers.Script:
     """Returns a script that states something in each response."""
 
     async def run(
-        request: forwarding.ReceivedRequest, writer: asyncio.StreamWriter
+        request: scripted_servers.ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
-        forwarding.write_response(
+        scripted_servers.write_response(
             request, writer, body, status=status, **statement
         )
         await writer.drain()
@@ -32,7 +32,7 @@
     return run
 
 
-def _reject(**statement: str) -> forwarding.Script:
+def _reject(**statement: str) -> scripted_servers.Script:
     """Returns a script that rejects each request without running it."""
     return _say("503 Service Unavailable", Not_Executed="1", **statement)
 
@@ -48,8 +48,8 @@
         )
 
     async def start_plain(
-        self, name: str, script: forwarding.Script
-    ) -> forwarding.ScriptedServer:
+        self, name: str, script: scripted_servers.Script
+    ) -> scripted_servers.ScriptedServer:
         """Starts a plain server."""
         return await self.start_server(name, script, pool="plain")
 
--- a/tests/test_stalled_streams.py
+++ b/tests/test_stalled_streams.py
@@ -4,7 +4,7 @@
 import itertools
 from collections.abc import Iterable
 
-from tests.builders import forwarding
+from tests.builders import forwarding, scripted_servers
 
 # A resumable stream may pause for twice the longest gap.
 _MAX_GAP_S = 0.3
@@ -28,18 +28,18 @@
         attempts = itertools.count()
 
         async def run(request, writer) -> None:
-            forwarding.write_stream_start(request, writer)
+            scripted_servers.write_stream_start(request, writer)
             if next(attempts) == 0:
                 for event_id in (1, 2):
-                    forwarding.write_event(writer, event_id)
+                    scripted_servers.write_event(writer, event_id)
                 for fragment in fragments:
-                    forwarding.write_chunk(writer, fragment)
+                    scripted_servers.write_chunk(writer, fragment)
                     await writer.drain()
                     await asyncio.sleep(_TRICKLE_S)
                 return
             for event_id in range(3, _LAST_EVENT + 1):
-                forwarding.write_event(writer, event_id)
-            forwarding.write_chunk(writer, b"")
+                scripted_servers.write_event(writer, event_id)
+            scripted_servers.write_chunk(writer, b"")
             await writer.drain()
 
         self.forwarder.policy = forwarding.build_policy(
@@ -65,12 +65,12 @@
         """Sound slow streams must not be interrupted."""
 
         async def run(request, writer) -> None:
-            forwarding.write_stream_start(request, writer)
+            scripted_servers.write_stream_start(request, writer)
             for event_id in range(1, _LAST_EVENT + 1):
-                forwarding.write_event(writer, event_id)
+                scripted_servers.write_event(writer, event_id)
                 await writer.drain()
                 await asyncio.sleep(_LIMIT_S / 2)
-            forwarding.write_chunk(writer, b"")
+            scripted_servers.write_chunk(writer, b"")
             await writer.drain()
 
         self.forwarder.policy = forwarding.build_policy(
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -12,7 +12,7 @@
 from dragonflydyke.backends import model as backends
 from dragonflydyke.configuration import model as configuration
 from dragonflydyke.forwarding import paths, tunnels
-from tests.builders import forwarding, nodes, skipping_loop
+from tests.builders import nodes, scripted_servers, skipping_loop
 
 _HOST = "127.0.0.1"
 _TIMEOUT = datetime.timedelta(seconds=nodes.PATIENT_TIMEOUT_S)
@@ -32,9 +32,11 @@
         self.refusal: tunnels.Refusal | None = None
         self.servers: dict[str, int] = {}
 
-    async def start_server(self, name: str, script: forwarding.Script) -> int:
+    async def start_server(
+        self, name: str, script: scripted_servers.Script
+    ) -> int:
         """Starts a scripted server and returns its port."""
-        scripted = forwarding.ScriptedServer(name, script)
+        scripted = scripted_servers.ScriptedServer(name, script)
         self.servers[name] = await scripted.start()
         self.addAsyncCleanup(scripted.stop)
         return self.servers[name]
@@ -67,15 +69,15 @@
 
 
 async def _wait(
-    request: forwarding.ReceivedRequest, writer: asyncio.StreamWriter
+    request: scripted_servers.ReceivedRequest, writer: asyncio.StreamWriter
 ) -> None:
     await asyncio.Event().wait()
 
 
 async def _end_without_length(
-    request: forwarding.ReceivedRequest, writer: asyncio.StreamWriter
+    request: scripted_servers.ReceivedRequest, writer: asyncio.StreamWriter
 ) -> None:
-    forwarding.write_start(request, writer)
+    scripted_servers.write_start(request, writer)
     writer.write(b"part")
     await writer.drain()
 
@@ -137,7 +139,7 @@
         self.neighbours.replace("vm1", {"vm2": self.start_neighbour()})
 
     async def open_exchange(
-        self, script: forwarding.Script
+        self, script: scripted_servers.Script
     ) -> connection.Exchange:
         """Sends a request through the neighbour."""
         port = await self.start_server("a", script)
@@ -180,7 +182,8 @@
         ended = asyncio.Event()
 
         async def wait(
-            request: forwarding.ReceivedRequest, writer: asyncio.StreamWriter
+            request: scripted_servers.ReceivedRequest,
+            writer: asyncio.StreamWriter,
         ) -> None:
             try:
                 await asyncio.Event().wait()
--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -14,7 +14,7 @@
 from collections.abc import Awaitable, Callable
 
 from dragonflydyke.emulator import serving
-from tests.builders import forwarding, store
+from tests.builders import forwarding, scripted_servers, store
 from tests.soak import deployment
 
 # Machine of the tests; a process without clients needs about 60 MB of it.
@@ -58,10 +58,10 @@
 
 
 async def _respond(
-    request: forwarding.ReceivedRequest, writer: asyncio.StreamWriter
+    request: scripted_servers.ReceivedRequest, writer: asyncio.StreamWriter
 ) -> None:
     body = _LARGE_RESPONSE if "/large" in request.line else b"ok"
-    forwarding.write_response(request, writer, body)
+    scripted_servers.write_response(request, writer, body)
     await writer.drain()
 
 
@@ -87,7 +87,7 @@
         self.stub = store.StoreStub()
         store_server, port = store.start_store(self.stub)
         self.addAsyncCleanup(serving.stop_server, store_server)
-        server = forwarding.ScriptedServer("plain-1", _respond)
+        server = scripted_servers.ScriptedServer("plain-1", _respond)
         server_port = await server.start()
         self.addAsyncCleanup(server.stop)
         await self.stub.put(
@@ -228,7 +228,7 @@
         async def client(reader, writer) -> None:
             await _send_chunks(writer, _NEARLY_FULL - 50_000, _PIECE)
             while True:
-                forwarding.write_chunk(writer, b"x")
+                scripted_servers.write_chunk(writer, b"x")
                 await writer.drain()
                 await asyncio.sleep(0.3)
 
