Trace the routers that never connected in the test of a fleet

Cause: the connections that are given up before the first bytes of the peer. The proxies between the routers run in the loop of the test; once that is slow, each connection through it is too, and the new ones, two a second for each link, keep it slow.

Calls of at most 1 s take two turns, so that the test uses 0.4 s.

--- a/src/dragonflydyke/protocol/client.py
+++ b/src/dragonflydyke/protocol/client.py
@@ -14,7 +14,7 @@
 # Time for opening a connection, which gRPC takes from its minimum backoff. The
 # first bytes of a busy VM may take longer than the backoff, and a connection
 # that is given up and opened again only adds to its load.
-_CONNECT_TIMEOUT_MS = 2_000
+_CONNECT_TIMEOUT_MS = 5_000
 _OPTIONS = (
     ("grpc.initial_reconnect_backoff_ms", _INITIAL_BACKOFF_MS),
     ("grpc.min_reconnect_backoff_ms", _CONNECT_TIMEOUT_MS),
--- a/tests/test_proof_membership.py
+++ b/tests/test_proof_membership.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import itertools
+import time
 
 from harness import deployment, http
 from tests.builders import integration
@@ -14,6 +15,9 @@
     *((vm, "cartago-b") for vm in _SMALLER_SIDE),
 )
 _VM_LIST_LAG_S = 1.0
+# Time for which proxies stand still, and for which they then run.
+_HOLD_UP_S = 0.4
+_PROXY_TURN_S = 0.02
 
 
 class FleetTest(integration.IntegrationTestCase):
@@ -182,3 +186,27 @@
         self, router: deployment.RunningRouter, revision: int
     ) -> bool:
         return await self.read_revision(router) >= revision
+
+
+class SlowLinksTest(integration.IntegrationTestCase):
+    """Guards against routers that never connect over slow links.
+
+    Connections were given up before the first bytes of the peer arrived, and
+    2,500 new ones in a minute kept the proxies of a busy test slow.
+    """
+
+    async def test_routers_connect_while_the_proxies_are_slow(self) -> None:
+        self._hold_up_proxies()
+        self.addCleanup(self._cancel_timer)
+        await self.deploy(
+            integration.build_mapping(), routers=_ROUTERS, peer_proxies=True
+        )
+
+    def _cancel_timer(self) -> None:
+        self._timer.cancel()
+
+    def _hold_up_proxies(self) -> None:
+        """Lets the loop, which runs the proxies, act twice a second."""
+        time.sleep(_HOLD_UP_S)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(_PROXY_TURN_S, self._hold_up_proxies)
