--- a/src/dragonflydyke/forwarding/brittle_servers.py
+++ b/src/dragonflydyke/forwarding/brittle_servers.py
@@ -200,7 +200,8 @@
         state = self._find_state(server)
         self._update_share(server, state, now_s)
         return max(
-            _find_pause_s(state, now_s), self._find_share_s(server, state)
+            _find_pause_delay_s(state, now_s),
+            self._find_credit_delay_s(server, state),
         )
 
     def _find_state(self, server: directory.ServerEntry) -> _ServerState:
@@ -241,7 +242,7 @@
         spread_s = 2.0 * self._count_nodes() / tolerated_per_s
         return min(max(_MIN_PAUSE_S, spread_s), _MAX_PAUSE_S)
 
-    def _find_share(self, server: directory.ServerEntry) -> float:
+    def _find_slots_share(self, server: directory.ServerEntry) -> float:
         """Returns the number of slots that this node may use on average."""
         slots = server.backend.slots
         usable = max(1.0, slots - _HEADROOM * math.sqrt(slots))
@@ -253,32 +254,32 @@
         if not self.is_brittle(server, now_s):
             state.share = None
             return
-        rate = self._find_share(server)
+        slots = self._find_slots_share(server)
         share = state.share
         if share is None:
             wait_s = 0.0
-            if state.spoken_s is None and rate < 1:
+            if state.spoken_s is None and slots < 1:
                 wait_s = self._random.uniform(0.0, _SPREAD_S)
-            state.share = _Share(-rate * wait_s, now_s)
+            state.share = _Share(-slots * wait_s, now_s)
             return
-        earned_s = (rate - state.in_flight) * (now_s - share.updated_s)
+        earned_s = (slots - state.in_flight) * (now_s - share.updated_s)
         share.updated_s = now_s
         share.credit_s = min(
-            max(share.credit_s + earned_s, -rate * _MAX_DEBT_PERIOD_S),
-            rate * _CREDIT_PERIOD_S,
+            max(share.credit_s + earned_s, -slots * _MAX_DEBT_PERIOD_S),
+            slots * _CREDIT_PERIOD_S,
         )
 
-    def _find_share_s(
+    def _find_credit_delay_s(
         self, server: directory.ServerEntry, state: _ServerState
     ) -> float:
         share = state.share
         if share is None or share.credit_s >= 0:
             return 0.0
-        delay_s = -share.credit_s / self._find_share(server)
+        delay_s = -share.credit_s / self._find_slots_share(server)
         return max(delay_s, _BUSY_DELAY_S)
 
 
-def _find_pause_s(state: _ServerState, now_s: float) -> float:
+def _find_pause_delay_s(state: _ServerState, now_s: float) -> float:
     pause = state.pause
     if pause is None:
         return 0.0
