Let a router read a large state of another router

What would be seen: a router that does not reach the platform and has a narrow link to its peers never takes over a configuration whose transfer takes longer than 2 s; each attempt starts from the beginning.

Evidence: test_large_state_arrives_over_a_narrow_link, a state of 1.3 MB over a proxy with 20 pieces of 0.15 s, failed before: the router stayed at revision 0.

Why it works: a unary call cannot tell progress, so that the timeout covers the largest state; while it runs, no second fetch from the same peer begins. The price is that a peer that fails during a transfer holds one of three fetches for up to 15 s. Ruled out: that this delays others; the tests of membership, exchanges, configuration, restoration and partitions pass.

--- a/src/dragonflydyke/membership/exchange.py
+++ b/src/dragonflydyke/membership/exchange.py
@@ -21,7 +21,9 @@
 # nodes keeps sending requests.
 _RECENT_REQUEST_S = 0.9
 _ANNOUNCE_TIMEOUT_S = 1.0
-_FETCH_TIMEOUT_S = 2.0
+# A unary call shows no progress, so that its timeout covers the largest state
+# over a narrow link. A peer that failed holds one of the fetches meanwhile.
+_FETCH_TIMEOUT_S = 15.0
 # More than one, so that a fetch from a failed peer does not block a fetch from
 # another one.
 _MAX_FETCHES = 3
--- a/tests/test_membership_grpc.py
+++ b/tests/test_membership_grpc.py
@@ -6,9 +6,14 @@
 from dragonflydyke import metrics, objects, settings
 from dragonflydyke.membership import node
 from dragonflydyke.protocol import client, server
+from harness import proxy
 from tests.builders import fleet
 from tests.builders import objects as memory
 
+# About 20 chunks of the proxy, each of which takes the time below.
+_LARGE_BYTES = 1_300_000
+_CHUNK_DELAY_S = 0.15
+
 
 class _Handlers:
     """Forwards calls to a membership that is created after the server."""
@@ -32,6 +37,8 @@
         self.counters = metrics.Counters()
         self.platform = memory.InMemoryObjectStore()
         self.handlers = (_Handlers(), _Handlers())
+        # Addresses of proxies by those of the nodes behind them.
+        self.links: dict[str, str] = {}
         self.addresses = [await self._serve(h) for h in self.handlers]
         self.platform.vms = objects.VmList(
             1,
@@ -59,7 +66,9 @@
             ),
             access,
             lambda address: client.PeerClient(
-                address, inner_key="key", counters=self.counters
+                self.links.get(address, address),
+                inner_key="key",
+                counters=self.counters,
             ),
             parse=fleet.parse,
             check_transition=fleet.check_transition,
@@ -86,6 +95,27 @@
         await second.peer_exchange.fetch(self.addresses[0])
         self.assertTrue(second.permit.is_granted())
 
+    async def test_large_state_arrives_over_a_narrow_link(self) -> None:
+        """A state whose transfer took longer than 2 s never arrived."""
+        host, port = self.addresses[0].rsplit(":", 1)
+        link = proxy.FaultProxy(host, int(port))
+        await link.start()
+        self.addAsyncCleanup(link.stop)
+        self.links[self.addresses[0]] = link.address
+        second_access = fleet.NodePlatform(self.platform)
+        first = self._build(0, fleet.NodePlatform(self.platform))
+        second = self._build(1, second_access)
+        await first.start()
+        await second.start()
+        await second.peer_exchange.exchange(self.addresses[0])
+        second_access.is_unreachable = True
+        change = await first.writer.apply(
+            {"text": "x" * _LARGE_BYTES}, "operator", 0
+        )
+        link.faults.delay_s = _CHUNK_DELAY_S
+        await second.peer_exchange.fetch(self.addresses[0])
+        self.assertEqual(change.revision, second.state.revision)
+
 
 if __name__ == "__main__":
     unittest.main()
