--- a/tests/test_brittle_servers.py
+++ b/tests/test_brittle_servers.py
@@ -7,8 +7,8 @@
 
 from dragonflydyke import metrics
 from dragonflydyke.forwarding import brittle_servers, server_limits
+from tests import test_server_statements
 from tests.builders import brittle_fleet, forwarding, scripted_servers
-from tests.test_server_statements import StatementTestCase
 
 _SEED = int(os.environ.get("DRAGONFLYDYKE_SEED", "1"))
 _TOLERATED = 3
@@ -33,7 +33,7 @@
     return _respond("503 Service Unavailable", Not_Executed="1", **extra)
 
 
-class FullServerTest(StatementTestCase):
+class FullServerTest(test_server_statements.StatementTestCase):
     """Guards against rejections that make a full server fall over."""
 
     async def asyncSetUp(self) -> None:
