--- a/src/dragonflydyke/forwarding/brittle_servers.py
+++ b/src/dragonflydyke/forwarding/brittle_servers.py
@@ -205,7 +205,10 @@
         )
 
     def _find_state(self, server: directory.ServerEntry) -> _ServerState:
-        return self._states.setdefault(server.process, _ServerState())
+        state = self._states.get(server.process)
+        if state is None:
+            state = self._states[server.process] = _ServerState()
+        return state
 
     def _extend_pause(
         self,
--- a/src/dragonflydyke/objects/freshness.py
+++ b/src/dragonflydyke/objects/freshness.py
@@ -238,6 +238,7 @@
             watcher: state.kind_versions.get(watcher.kind, state.version)
             for watcher in self._watchers
         }
+        self._collect_results()
         for watcher, version in versions.items():
             self._start_catch_up(watcher, version, read_s)
         await asyncio.wait(
@@ -261,12 +262,7 @@
     def _start_catch_up(
         self, watcher: watchers.KindWatcher, version: int, read_s: float
     ) -> None:
-        """Lets a kind catch up, unless it still does so for an earlier check.
-
-        Raises:
-            DragonflydykeError: If it failed since the earlier check.
-        """
-        self._collect_results()
+        """Lets a kind catch up, unless an earlier check still does so."""
         if watcher.kind not in self._catch_ups:
             self._catch_ups[watcher.kind] = asyncio.create_task(
                 _catch_up_kind(watcher, version, read_s)
--- a/tests/builders/brittle_fleet.py
+++ b/tests/builders/brittle_fleet.py
@@ -57,7 +57,6 @@
     entry: directory.ServerEntry
     busy: int = 0
     down_until_s: float = 0.0
-    process: int = 0
     rejected_s: collections.deque[float] = dataclasses.field(
         default_factory=collections.deque
     )
@@ -188,9 +187,8 @@
             self.falls += 1
             server.rejected_s.clear()
             server.busy = 0
-            server.process += 1
             server.entry = dataclasses.replace(
-                server.entry, started_ms=server.process
+                server.entry, started_ms=server.entry.started_ms + 1
             )
             server.down_until_s = now_s + _DOWN_S
 
--- a/tests/builders/scripted_servers.py
+++ b/tests/builders/scripted_servers.py
@@ -185,3 +185,22 @@
         socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
     )
     writer.transport.abort()
+
+
+def respond(
+    status: str = "200 OK", body: bytes = b"done", **extra: str
+) -> Script:
+    """Returns a script that sends the same response to each request."""
+
+    async def run(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        write_response(request, writer, body, status=status, **extra)
+        await writer.drain()
+
+    return run
+
+
+def reject(**extra: str) -> Script:
+    """Returns a script that rejects each request without running it."""
+    return respond("503 Service Unavailable", Not_Executed="1", **extra)
--- a/tests/test_brittle_servers.py
+++ b/tests/test_brittle_servers.py
@@ -1,6 +1,5 @@
 """Tests of servers that fall over if they reject too many requests."""
 
-import asyncio
 import os
 import random
 import unittest
@@ -17,22 +16,6 @@
 _ALLOWED_FALLS = 2
 
 
-def _respond(status: str, **extra: str) -> scripted_servers.Script:
-    async def run(
-        request: scripted_servers.ReceivedRequest, writer: asyncio.StreamWriter
-    ) -> None:
-        scripted_servers.write_response(
-            request, writer, b"done", status=status, **extra
-        )
-        await writer.drain()
-
-    return run
-
-
-def _reject(**extra: str) -> scripted_servers.Script:
-    return _respond("503 Service Unavailable", Not_Executed="1", **extra)
-
-
 class FullServerTest(test_server_statements.StatementTestCase):
     """Guards against rejections that make a full server fall over."""
 
@@ -46,9 +29,9 @@
         for value in (str(_TOLERATED), "many"):
             with self.subTest(value):
                 full = await self.start_plain(
-                    f"{value}-a", _reject(Server_Brittle=value)
+                    f"{value}-a", scripted_servers.reject(Server_Brittle=value)
                 )
-                await self.start_plain(f"{value}-b", _respond("200 OK"))
+                await self.start_plain(f"{value}-b", scripted_servers.respond())
                 statuses = await self.fetch_many(_REQUESTS)
                 self.assertEqual(set(statuses), {200})
                 self.assertLessEqual(len(full.received), _TOLERATED)
@@ -57,7 +40,7 @@
         """Requests waited, or went on to servers that were full as well."""
         for name in "ab":
             await self.start_plain(
-                name, _reject(Server_Brittle=str(_TOLERATED))
+                name, scripted_servers.reject(Server_Brittle=str(_TOLERATED))
             )
         await self.fetch()
         started_s = self.loop.time()
--- a/tests/test_server_statements.py
+++ b/tests/test_server_statements.py
@@ -16,27 +16,6 @@
 _REQUESTS = 12
 
 
-def _say(
-    status: str = "200 OK", body: bytes = b"done", **statement: str
-) -> scripted_servers.Script:
-    """Returns a script that states something in each response."""
-
-    async def run(
-        request: scripted_servers.ReceivedRequest, writer: asyncio.StreamWriter
-    ) -> None:
-        scripted_servers.write_response(
-            request, writer, body, status=status, **statement
-        )
-        await writer.drain()
-
-    return run
-
-
-def _reject(**statement: str) -> scripted_servers.Script:
-    """Returns a script that rejects each request without running it."""
-    return _say("503 Service Unavailable", Not_Executed="1", **statement)
-
-
 class StatementTestCase(forwarding.ForwardingTestCase):
     """Test case with a route to plain servers."""
 
@@ -66,23 +45,29 @@
 
     async def test_leaving_holds_in_each_kind_of_response(self) -> None:
         scripts = {
-            "success": _say(Server_Leaving="1"),
-            "failure": _say("500 Internal Server Error", Server_Leaving="1"),
-            "rejection": _reject(Server_Leaving="1"),
-            "misdirected": _say("421 Misdirected", Server_Leaving="1"),
+            "success": scripted_servers.respond(Server_Leaving="1"),
+            "failure": scripted_servers.respond(
+                "500 Internal Server Error", Server_Leaving="1"
+            ),
+            "rejection": scripted_servers.reject(Server_Leaving="1"),
+            "misdirected": scripted_servers.respond(
+                "421 Misdirected", Server_Leaving="1"
+            ),
         }
         for case, script in scripts.items():
             with self.subTest(case):
                 leaving = await self.start_plain(f"{case}-a", script)
-                await self.start_plain(f"{case}-b", _say())
+                await self.start_plain(f"{case}-b", scripted_servers.respond())
                 statuses = await self.fetch_many(2 * _REQUESTS)
                 self.assertEqual(set(statuses), {200})
                 self.assertEqual(len(leaving.received), 1)
 
     async def test_leaving_holds_while_the_store_lists_the_server(self) -> None:
-        leaving = await self.start_plain("a", _say(Server_Leaving="1"))
+        leaving = await self.start_plain(
+            "a", scripted_servers.respond(Server_Leaving="1")
+        )
         await self.fetch_many(1)
-        await self.start_plain("b", _say())
+        await self.start_plain("b", scripted_servers.respond())
         self.assertEqual(set(await self.fetch_many()), {200})
         self.assertEqual(len(leaving.received), 1)
 
@@ -106,7 +91,9 @@
         self,
     ) -> None:
         for name in "ab":
-            await self.start_plain(name, _reject(Server_Leaving="1"))
+            await self.start_plain(
+                name, scripted_servers.reject(Server_Leaving="1")
+            )
         response = await self.fetch()
         self.assertEqual(response.status, 503)
         started_s = self.loop.time()
@@ -123,12 +110,12 @@
         """Starts a server that asks for a pause."""
         await super().asyncSetUp()
         self.paused = await self.start_plain(
-            "a", _reject(Retry_After=str(_PAUSE_S))
+            "a", scripted_servers.reject(Retry_After=str(_PAUSE_S))
         )
 
     async def test_other_servers_get_the_requests_during_a_pause(self) -> None:
         """A server that asked for 4 s got 4 requests of 30 within it."""
-        await self.start_plain("b", _say())
+        await self.start_plain("b", scripted_servers.respond())
         self.assertEqual(set(await self.fetch_many(2 * _REQUESTS)), {200})
         self.assertEqual(len(self.paused.received), 1)
 
@@ -142,7 +129,7 @@
 
     async def test_requests_return_one_after_the_other(self) -> None:
         await self.fetch()
-        self.paused.script = _say()
+        self.paused.script = scripted_servers.respond()
         self.loop.skip(_PAUSE_S)
         statuses = await asyncio.gather(
             *(self.fetch(Attempt_Id=f"r{n}") for n in range(_REQUESTS))
@@ -154,7 +141,7 @@
         self.assertEqual(set(await self.fetch_many()), {200})
 
     async def test_pause_is_no_failure_of_the_server(self) -> None:
-        await self.start_plain("b", _say())
+        await self.start_plain("b", scripted_servers.respond())
         for _ in range(5):
             await self.fetch_many(4)
             self.loop.skip(_PAUSE_S + 2.0)
