--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -329,6 +329,18 @@
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{LOCAL}:{port}"
 
+    def stop_listening(self) -> None:
+        """Refuses further connections."""
+        assert self._server is not None
+        self._server.close()
+
+    async def listen_again(self) -> None:
+        """Accepts connections again at the same address."""
+        port = int(self.address.rpartition(":")[2])
+        self._server = await asyncio.start_server(
+            self._serve, LOCAL, port, backlog=2048
+        )
+
     def describe(self, state: str = "ready") -> dict[str, Any]:
         """Returns the entry that it writes to the store."""
         entry: dict[str, Any] = {
