Review: large entries of another writer end all processes

Cause: a watcher keeps the decoded value of each entry of its kind, also of those that it cannot use. An entry of 1 MB takes 25 MB.

--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -24,8 +24,11 @@
 TENANT = "hule930"
 SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
 _PAGE_ITEMS = 500
+_PAGE_BYTES = 1_100_000
 _HISTORY = 10_000
 _METRICS_PORT = 7340
+_MEMORY_CHECK_S = 0.05
+_RESTART_S = 0.5
 # Limit on the time that a case may take.
 _CASE_S = 110.0
 _OCTETS = 250
@@ -220,13 +223,18 @@
     def _list(self, kind: str, after: str) -> bytes:
         objects = self.kinds.get(kind, {})
         names = sorted(name for name in objects if name > after)
-        page = names[:_PAGE_ITEMS]
-        items = [self._write_object(kind, objects[name]) for name in page]
-        more = json.dumps(len(names) > len(page)).encode()
-        return (
-            b'{"items":[%b],"more":%b,"storeRevision":%d}'
-            % (b",".join(items), more, self.revision)
-        )  # fmt: skip
+        items: list[bytes] = []
+        for name in names[:_PAGE_ITEMS]:
+            item = self._write_object(kind, objects[name])
+            if items and sum(map(len, items)) + len(item) > _PAGE_BYTES:
+                break
+            items.append(item)
+        more = _encode(len(names) > len(items))
+        return b'{"items":[%b],"more":%b,"storeRevision":%d}' % (
+            b",".join(items),
+            more,
+            self.revision,
+        )
 
     async def _watch(
         self, kind: str, since: int, wait_ms: int
@@ -722,6 +730,7 @@
             status=answer.status,
             complete=answer.is_complete,
             seal="Runner-Seal" in answer.headers,
+            retry_after=answer.headers.get("Retry-After", ""),
             body=answer.body[:60],
         )
         return answer
@@ -776,6 +785,38 @@
             await node.end()
 
 
+class MemoryGuard:
+    """The platform, which ends a process that exceeds its memory.
+
+    The process is started again after a short delay.
+    """
+
+    def __init__(self, scene: Scene, node: Node) -> None:
+        self.ends = 0
+        self.peak_mb = 0.0
+        self._scene = scene
+        self._node = node
+
+    async def watch(self) -> None:
+        """Watches the process until cancelled."""
+        while True:
+            await asyncio.sleep(_MEMORY_CHECK_S)
+            memory_mb = self._node.read_memory_mb()
+            self.peak_mb = max(self.peak_mb, round(memory_mb, 1))
+            if memory_mb <= self._node.memory_mb:
+                continue
+            self.ends += 1
+            self._scene.record.add(
+                "over its memory",
+                node=self._node.name,
+                mb=round(memory_mb, 1),
+                ends=self.ends,
+            )
+            await self._node.end()
+            await asyncio.sleep(_RESTART_S)
+            await self._node.start()
+
+
 class CannotRunError(Exception):
     """The case could not run."""
 
