--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,25 +1,23 @@
-"""Ordinary callers beside a small crowd that sends bodies in tiny chunks."""
+"""Another writer leaves large entries among those of the runners."""
 
 import asyncio
-import contextlib
 import pathlib
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / "standins-2"))
 
 import standins  # noqa: E402
 
-CROWD = 60
-# Bytes that each client of the crowd sends in a second, framing included.
-CROWD_BYTES_PER_S = 400
-CROWD_CHUNKS = 32
-CALLS = 16
-CALL_GAP_S = 0.5
-BODY = b"o" * 300
-TIMEOUT_MS = 1_500
-DEADLINE_MS = 5_000
-GRACE_S = 0.5
+MACHINES = 2
+ENTRIES = 6
+# `valueBytes` of the settings.
+MAX_BYTES = 1_048_576
+CALLS = 20
+CALL_GAP_S = 0.2
 WORK_S = 0.09
+FATAL_ENDS = 3
+PLAY_S = 40.0
 
 
 async def run_plain(
@@ -36,67 +34,71 @@
     standins.write_response(writer, "200 OK", body, runner.seal(request))
 
 
-async def send_tiny_chunks(node: standins.Node, number: int) -> None:
-    """Sends a body in chunks of one byte, slowly and without an end."""
-    client = standins.Client(node.front, standins.Record.discard())
-    await client.start_chunked(f"crowd{number}", "/r1/x")
-    chunks = b"1\r\nx\r\n" * CROWD_CHUNKS
-    with contextlib.suppress(OSError):
-        while True:
-            client.write(chunks)
-            await asyncio.sleep(len(chunks) / CROWD_BYTES_PER_S)
+def build_spec() -> bytes:
+    """Returns an entry with fields that the pages don't name."""
+    head = b'{"service":"none","state":"retired","models":['
+    count = (MAX_BYTES - len(head) - 2) // 3
+    spec = head + b",".join([b"{}"] * count) + b"]}"
+    assert len(spec) <= MAX_BYTES
+    return spec
 
 
-async def call(scene: standins.Scene, node: standins.Node, number: int) -> bool:
-    """Sends an ordinary request in two chunks; returns whether it is served."""
-    client = standins.Client(node.front, scene.record)
-    request_id = f"o{number}"
-    await client.start_chunked(
-        request_id, "/r1/x", Deadline_Ms=str(DEADLINE_MS)
-    )
-    half = len(BODY) // 2
-    for part in (BODY[:half], BODY[half:], b""):
-        client.write(b"%x\r\n%b\r\n" % (len(part), part))
-    answer = await client.receive(request_id, TIMEOUT_MS / 1_000 + GRACE_S)
-    is_answered = answer.is_complete
-    if not is_answered:
-        late = await client.receive(
-            request_id, (DEADLINE_MS - TIMEOUT_MS) / 1_000 - GRACE_S
+async def call_all(scene: standins.Scene, name: str) -> int:
+    """Sends calls to the machines in turn; returns how many are served."""
+
+    async def call(number: int) -> bool:
+        node = scene.nodes[number % len(scene.nodes)]
+        client = standins.Client(node.front, scene.record)
+        answer = await client.call(
+            f"{name}{number}", "/r1/x", deadline_ms=1_500
         )
-        scene.record.add("late", id=request_id, status=late.status)
-    client.close()
-    return is_answered
+        client.close()
+        return answer.status == 200
+
+    calls = []
+    for number in range(CALLS):
+        calls.append(asyncio.create_task(call(number)))
+        await asyncio.sleep(CALL_GAP_S)
+    return sum(await asyncio.gather(*calls))
 
 
 async def play(scene: standins.Scene) -> bool:
-    """Plays the crowd, and ordinary calls beside it."""
+    """Writes the entries, and counts the processes that end."""
     for number in range(3):
         await scene.start_runner(f"i-{number}", "office", run_plain)
-    route = standins.build_route(
-        "r1", "non_idempotent", "office", timeoutMs=TIMEOUT_MS
-    )
+    route = standins.build_route("r1", "idempotent", "office", timeoutMs=1_500)
     scene.store.put("config", "main", standins.build_config(7, [route]))
-    node = await scene.start_node()
-    crowd = []
+    for _ in range(MACHINES):
+        await scene.start_node()
+    guards = [standins.MemoryGuard(scene, node) for node in scene.nodes]
+    watches = [asyncio.create_task(guard.watch()) for guard in guards]
+    before = await call_all(scene, "before")
     if scene.trouble:
-        scene.record.add("crowd", clients=CROWD, bytes_per_s=CROWD_BYTES_PER_S)
-        crowd = [
-            asyncio.create_task(send_tiny_chunks(node, n)) for n in range(CROWD)
-        ]
-    await asyncio.sleep(10.0)
-    calls = []
-    for number in range(CALLS):
-        calls.append(asyncio.create_task(call(scene, node, number)))
-        await asyncio.sleep(CALL_GAP_S)
-    answered = sum(await asyncio.gather(*calls))
-    for task in crowd:
-        task.cancel()
-    missing = CALLS - answered
-    scene.record.add("unanswered", count=missing, of=CALLS)
+        spec = build_spec()
+        for number in range(ENTRIES):
+            name = f"i-odd-{number}"
+            scene.record.add("entry of another writer", bytes=len(spec))
+            scene.store.raw_specs["servers", name] = spec
+            scene.store.put("servers", name, "written by another writer")
+            await asyncio.sleep(0.2)
+    after = await call_all(scene, "after")
+    until_s = time.monotonic() + PLAY_S
+    while time.monotonic() < until_s and scene.trouble:
+        if all(guard.ends >= FATAL_ENDS for guard in guards):
+            break
+        await asyncio.sleep(1.0)
+    for watch in watches:
+        watch.cancel()
+    ends = [guard.ends for guard in guards]
+    peaks = [guard.peak_mb for guard in guards]
+    scene.record.add(
+        "ends", ends=ends, peak_mb=peaks, before=before, after=after, of=CALLS
+    )
     print(
-        f"{missing} of {CALLS} calls had no answer {GRACE_S} s after timeoutMs"
+        f"ends {ends}, peak {peaks} MB; served {before} of {CALLS} before,"
+        f" {after} of {CALLS} after"
     )
-    return not (missing >= 8 and missing > CALLS / 4)
+    return sum(count >= FATAL_ENDS for count in ends) < MACHINES
 
 
 standins.run_case(play, pathlib.Path(__file__).parent)
