--- a/review/10/case.py
+++ b/review/10/case.py
@@ -61,7 +61,10 @@
         scene.record.add("entry of another writer", name="i-odd")
         scene.store.raw_specs["servers", "i-odd"] = UNREADABLE
         scene.store.put("servers", "i-odd", "written by another writer")
+    await scene.settle()
     before = await call_all(scene, "before")
+    scene.store.put("config", "main", standins.build_config(8, [route]))
+    scene.record.add("configuration acknowledged", version=8)
     for node in scene.nodes:
         scene.record.add("killed", node=node.name)
         await node.end()
@@ -70,8 +73,14 @@
         scene.record.add("started", node=node.name)
     await asyncio.sleep(RECOVERY_S)
     after = await call_all(scene, "after")
-    scene.record.add("served", before=before, after=after, of=CALLS)
-    print(f"served {before} of {CALLS} before, {after} of {CALLS} after")
+    ready = [await node.is_ready() for node in scene.nodes]
+    scene.record.add(
+        "served", before=before, after=after, of=CALLS, ready=ready
+    )
+    print(
+        f"served {before} of {CALLS} before, {after} of {CALLS} after;"
+        f" ready {ready}"
+    )
     return not (before >= CALLS / 4 and after < CALLS / 4)
 
 
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -61,6 +61,7 @@
     )
     scene.store.put("config", "main", standins.build_config(7, [route]))
     node = await scene.start_node()
+    await scene.settle()
     ends_s: dict[str, float] = {}
 
     async def stream(number: int) -> tuple[str, bool]:
@@ -69,7 +70,7 @@
         answer = await client.call(
             request_id,
             "/r1/x",
-            Model="daka",
+            Model="small",
             Token_Count="1110,150",
             Prompt_Prefix=f"a{number}:1110",
         )
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -19,16 +19,17 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 LOCAL = "127.0.0.1"
-HOST = "ficu95.example"
-KEY = "n2ctnfzs989anu6wsjnb"
-TENANT = "hule930"
-SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
+HOST = "calls.test"
+KEY = "key-of-account-a"
+TENANT = "account-a"
+SEAL = "seal-of-a-runner"
 _PAGE_ITEMS = 500
 _PAGE_BYTES = 1_100_000
 _HISTORY = 10_000
 _METRICS_PORT = 7340
 _MEMORY_CHECK_S = 0.05
 _RESTART_S = 0.5
+_MARGIN_S = 0.2
 # Limit on the time that a case may take.
 _CASE_S = 110.0
 _OCTETS = 250
@@ -324,7 +325,7 @@
         self.record = record
         self.arrivals: list[Message] = []
         self.runs: list[str] = []
-        self.zone = "caerdydd"
+        self.zone = "north"
         self.version = "v1"
         self.address = ""
         self._server: asyncio.Server | None = None
@@ -365,7 +366,7 @@
         if self.service == "engines":
             entry |= {
                 "stage": "both",
-                "models": [{"name": "daka", "version": 1, "adapters": []}],
+                "models": [{"name": "small", "version": 1, "adapters": []}],
             }
         return entry
 
@@ -408,7 +409,7 @@
 
 _REPORT = {
     "stage": "both",
-    "models": [{"name": "daka", "version": 1, "adapters": []}],
+    "models": [{"name": "small", "version": 1, "adapters": []}],
     "busy": False,
     "sequence": 2,
     "waiting": 0,
@@ -460,8 +461,8 @@
                     "kvCapacity": 492_709,
                     "stride": 5,
                     "models": [
-                        {"name": "daka", "cost": 0.0074},
-                        {"name": "ravo", "cost": 0.11},
+                        {"name": "small", "cost": 0.0074},
+                        {"name": "large", "cost": 0.11},
                     ],
                 },
             },
@@ -509,7 +510,7 @@
         self, number: int, folder: pathlib.Path, store_address: str
     ) -> None:
         high, low = divmod(os.getpid(), _OCTETS)
-        self.name = f"edge-caerdydd-{number}"
+        self.name = f"edge-north-{number}"
         self.ip = f"127.{1 + high % _OCTETS}.{1 + low}.{number}"
         self.front = (self.ip, _find_port(self.ip))
         self.ready = (self.ip, _find_port(self.ip))
@@ -593,9 +594,9 @@
             "machineClass": "edge",
             "serves": ["edge"],
             "ip": self.ip,
-            "zone": "caerdydd",
-            "region": "cymru",
-            "zones": {"caerdydd": "cymru", "abertawe": "cymru"},
+            "zone": "north",
+            "region": "land",
+            "zones": {"north": "land", "south": "land"},
             "listen": {
                 "front": f"{self.ip}:{self.front[1]}",
                 "ready": f"{self.ip}:{self.ready[1]}",
@@ -779,6 +780,10 @@
         self.record.add("ready", node=node.name)
         return node
 
+    async def settle(self) -> None:
+        """Waits until the machines that were started are in touch."""
+        await asyncio.sleep(BOUNDS["contactMs"] / 1_000 + _MARGIN_S)
+
     async def end(self) -> None:
         """Ends all processes."""
         for node in self.nodes:
