Keep records instead of the values of stored objects

Each node exceeded its 150 MB, was ended, read the entries again as it started, and was ended again.

Hypotheses: the decoded values are kept; decoding a page takes the memory for a moment; the decoder or the log keeps what it cannot read. A list of six such entries took 152 MB while it was held, 6 MB after it was dropped, and 0 MB more by the decoder: the values are kept, and all values of a page exist at once.

Cause: watchers kept the value of each object as it was stored, and decoded all of them at each change.

Change: the client of the store keeps a record of each object and drops its value. Items of a page are decoded one at a time. Long texts make an entry unreadable. The same holds for all kinds, in lists and watches, also for the entries of the nodes, which are listed only. What nodes write is unchanged, so that builds before and after read each other.

--- a/src/dragonflydyke/forwarding/node.py
+++ b/src/dragonflydyke/forwarding/node.py
@@ -4,7 +4,7 @@
 import dataclasses
 import random
 import signal
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 from tornado import httpserver, httputil, tcpclient
@@ -40,7 +40,6 @@
     tunnels,
 )
 from dragonflydyke.objects import freshness, peer_groups, replicas, watchers
-from dragonflydyke.objects import model as objects
 from dragonflydyke.scheduling import costs
 
 # The load balancer stops sending clients after two failed readiness checks, a
@@ -169,40 +168,6 @@
     evacuations: str
 
 
-class Decoder:
-    """Decodes objects of the store into the types of this package."""
-
-    def read_policy(
-        self, entries: Iterable[objects.StoredObject]
-    ) -> model.ForwardingPolicy | None:
-        """Returns the newest configuration, or None if there is none."""
-        raise NotImplementedError
-
-    def read_servers(
-        self, entries: Iterable[objects.StoredObject]
-    ) -> list[directory.ServerEntry]:
-        """Returns the servers, without entries that cannot be decoded."""
-        raise NotImplementedError
-
-    def read_rollouts(
-        self, entries: Iterable[objects.StoredObject]
-    ) -> list[controller.StoredRollout]:
-        """Returns the rollouts, without entries that cannot be decoded."""
-        raise NotImplementedError
-
-    def read_crashes(
-        self, entries: Iterable[objects.StoredObject]
-    ) -> list[quarantine.CrashReport]:
-        """Returns the crash reports that can be decoded."""
-        raise NotImplementedError
-
-    def read_evacuations(
-        self, entries: Iterable[objects.StoredObject]
-    ) -> list[str]:
-        """Returns the names of the evacuated data centres."""
-        raise NotImplementedError
-
-
 class NodeStore(
     replicas.WatchableStore,
     controller.RolloutStore,
@@ -222,7 +187,6 @@
         "_costs",
         "_counters",
         "_crash_reporter",
-        "_decoder",
         "_directory",
         "_evacuations",
         "_forwarder",
@@ -254,7 +218,6 @@
         kinds: ObjectKinds,
         codec: messages.HeaderCodec,
         report_codec: reports.ReportCodec,
-        decoder: Decoder,
         counters: metrics.Counters,
         reload: Callable[[], NodeSettings],
     ) -> None:
@@ -266,14 +229,12 @@
             kinds: Names of the kinds of objects in the store.
             codec: Translates requests and responses to headers.
             report_codec: Decodes reports of engines.
-            decoder: Decodes objects of the store.
             counters: Counters of the process.
             reload: Reads the settings again; raises SettingsError.
         """
         self._random = random.Random()
         self._reload = reload
         self._settings = values
-        self._decoder = decoder
         self._counters = counters
         self._directory = directory.Directory()
         self._evacuations = evacuations.Evacuations(counters)
@@ -551,8 +512,8 @@
         self, view: watchers.KindSnapshot, after_gap: bool
     ) -> None:
         del after_gap
-        policy = self._decoder.read_policy(view.objects.values())
         current = self._forwarder.policy
+        policy: model.ForwardingPolicy | None = next(iter(view.records), None)
         if policy is None:
             return
         if current is not None and policy.version <= current.version:
@@ -569,9 +530,8 @@
     def _apply_servers(
         self, view: watchers.KindSnapshot, after_gap: bool
     ) -> None:
-        servers = self._decoder.read_servers(view.objects.values())
         self._directory.update(
-            servers, view.confirmed_s, after_outage=after_gap
+            view.records, view.confirmed_s, after_outage=after_gap
         )
         self._statements.retain(self._directory.list_all())
         self._costs.speeds.retain(
@@ -582,16 +542,18 @@
         self, view: watchers.KindSnapshot, after_gap: bool
     ) -> None:
         del after_gap
-        found = self._decoder.read_rollouts(view.objects.values())
-        self._rollout_controller.update(found, view.confirmed_s, view.version)
+        self._rollout_controller.update(
+            view.records, view.confirmed_s, view.version
+        )
         self._has_rollouts = True
 
     def _apply_crashes(
         self, view: watchers.KindSnapshot, after_gap: bool
     ) -> None:
         del after_gap
-        found = self._decoder.read_crashes(view.objects.values())
-        self._quarantine.replace_stored(found, view.confirmed_s, view.version)
+        self._quarantine.replace_stored(
+            view.records, view.confirmed_s, view.version
+        )
         self._has_crashes = True
 
     def _apply_evacuations(
@@ -599,7 +561,7 @@
     ) -> None:
         del after_gap
         self._evacuations.update(
-            self._decoder.read_evacuations(view.objects.values()),
+            view.records,
             view.confirmed_s,
             view.version,
             self._find_data_centres(),
--- a/src/dragonflydyke/objects/model.py
+++ b/src/dragonflydyke/objects/model.py
@@ -53,7 +53,8 @@
         version: Version of the store at the last write of the object, as
             `combine_version` returns it. Each write to the store, and each
             restoration from a copy, increases it.
-        value: Any JSON value, at most 1 MB as text.
+        value: Any JSON value, at most 1 MB as text, or what a client of the
+            store keeps of it.
         status: Reported status of the object, if the store keeps one
             separately from the value.
     """
--- a/src/dragonflydyke/objects/replicas.py
+++ b/src/dragonflydyke/objects/replicas.py
@@ -35,7 +35,11 @@
 
 
 class WatchableStore(Protocol):
-    """Store whose changes can be followed."""
+    """Store whose changes can be followed.
+
+    The values of its objects are records, or None for objects that cannot be
+    decoded, so that what other writers stored is not kept.
+    """
 
     async def list_all(
         self, kind: str, *, consistency: model.ReadConsistency
--- a/src/dragonflydyke/objects/transfers.py
+++ b/src/dragonflydyke/objects/transfers.py
@@ -85,6 +85,8 @@
             self._is_abandoned = not response.done()
         received = response.result()
         received.buffer = io.BytesIO(b"".join(self._chunks))
+        # The request, which the response refers to, keeps this object.
+        self._chunks.clear()
         return received
 
 
--- a/src/dragonflydyke/objects/watchers.py
+++ b/src/dragonflydyke/objects/watchers.py
@@ -13,7 +13,7 @@
 import dataclasses
 import random
 from collections.abc import Awaitable, Callable, Mapping
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from dragonflydyke import errors, logs, metrics
 from dragonflydyke.objects import model, replicas
@@ -231,6 +231,12 @@
         self.confirmed_s = confirmed_s
         self.version = version
 
+    @property
+    def records(self) -> list[Any]:
+        """Values of the objects, without those that could not be decoded."""
+        values = (entry.value for entry in self.objects.values())
+        return [value for value in values if value is not None]
+
 
 class KindWatcher:
     """Follows the objects of a kind and notifies a listener of each change.
--- a/src/dragonflydyke/platform/checks.py
+++ b/src/dragonflydyke/platform/checks.py
@@ -141,7 +141,10 @@
     Raises:
         DragonflydykeError: If the store does not respond.
     """
-    client = store.PlatformStore(settings.store_url, metrics.Counters())
+    # The check explains what is wrong with a value.
+    client = store.PlatformStore(
+        settings.store_url, metrics.Counters(), decode=lambda entry: entry
+    )
     listed = await client.list_all(
         records.KINDS.policies,
         consistency=objects.ReadConsistency.LINEARIZABLE,
--- a/src/dragonflydyke/platform/main.py
+++ b/src/dragonflydyke/platform/main.py
@@ -20,7 +20,6 @@
         records.KINDS,
         headers.HeaderCodec(),
         reports.ReportCodec(),
-        records.RecordDecoder(),
         counters,
         process.read_settings,
     )
--- a/src/dragonflydyke/platform/records.py
+++ b/src/dragonflydyke/platform/records.py
@@ -1,13 +1,14 @@
 """Decodes and encodes the objects of the platform's store."""
 
+import dataclasses
 import ipaddress
 import math
 import re
 import reprlib
-from collections.abc import Iterable
+from collections.abc import Callable
 from typing import Any
 
-from dragonflydyke import logs
+from dragonflydyke import logs, settings
 from dragonflydyke.configuration import model as configuration
 from dragonflydyke.forwarding import (
     controller,
@@ -15,6 +16,7 @@
     model,
     node,
     quarantine,
+    registry,
     rollout_evidence,
     rollouts,
 )
@@ -51,6 +53,11 @@
     "streaming": model.RequestKind.STREAM,
 }
 
+_MAX_ERROR_CHARACTERS = 200
+# Longest text that is kept of an object. Names of servers, services and models
+# are much shorter.
+_MAX_TEXT_CHARACTERS = 1_024
+
 # Errors that an object of another writer can lead to.
 DECODING_ERRORS = (
     ArithmeticError,
@@ -74,54 +81,29 @@
 _LOGGER = logs.get_logger("store")
 
 
-class RecordDecoder(node.Decoder):
-    """Decodes the objects that operators and servers write."""
+class RecordDecoder:
+    """Decodes the objects that operators, servers and nodes write."""
 
     __slots__ = ("_unreadable",)
 
     def __init__(self) -> None:
         self._unreadable: dict[str, int] = {}
 
-    def read_policy(
-        self, entries: Iterable[objects.StoredObject]
-    ) -> model.ForwardingPolicy | None:
-        """Returns the newest configuration, or None if there is none."""
-        for entry in entries:
-            if entry.name == POLICY_OBJECT_NAME:
-                return self._read(entry, decode_policy)
-        return None
+    def decode(self, entry: objects.StoredObject) -> objects.StoredObject:
+        """Returns an object with its record in place of value and status.
 
-    def read_servers(
-        self, entries: Iterable[objects.StoredObject]
-    ) -> list[directory.ServerEntry]:
-        """Returns the servers, without entries that cannot be decoded."""
-        found = (self._read(entry, _read_server) for entry in entries)
-        return [server for server in found if server is not None]
-
-    def read_rollouts(
-        self, entries: Iterable[objects.StoredObject]
-    ) -> list[controller.StoredRollout]:
-        """Returns the rollouts, without entries that cannot be decoded."""
-        found = (self._read(entry, read_rollout) for entry in entries)
-        return [stored for stored in found if stored is not None]
-
-    def read_crashes(
-        self, entries: Iterable[objects.StoredObject]
-    ) -> list[quarantine.CrashReport]:
-        """Returns the crash reports that can be decoded."""
-        found = (self._read(entry, _read_crash) for entry in entries)
-        return [report for report in found if report is not None]
-
-    def read_evacuations(
-        self, entries: Iterable[objects.StoredObject]
-    ) -> list[str]:
-        """Returns the names of the evacuated data centres.
-
-        Only the name of an entry counts, whatever its value is.
+        The record is None if the object cannot be decoded. Only the record is
+        kept, as another writer may have stored a value of any size.
         """
-        return [entry.name for entry in entries]
-
-    def _read(self, entry: objects.StoredObject, read: Any) -> Any:
+        read = _READERS.get(entry.kind)
+        record = self._read(entry, read) if read is not None else None
+        return dataclasses.replace(entry, value=record, status=None)
+
+    def _read(
+        self,
+        entry: objects.StoredObject,
+        read: Callable[[objects.StoredObject], Any],
+    ) -> Any:
         try:
             return read(entry)
         except DECODING_ERRORS as error:
@@ -134,11 +116,16 @@
                     "stored object cannot be decoded",
                     kind=entry.kind,
                     object=entry.name,
-                    error=repr(error),
+                    error=describe_error(error),
                 )
             return None
 
 
+def describe_error(error: Exception) -> str:
+    """Returns a short description; the error may quote a long value."""
+    return repr(error)[:_MAX_ERROR_CHARACTERS]
+
+
 def _read_server(entry: objects.StoredObject) -> directory.ServerEntry:
     spec = entry.value
     address = _read_address(spec["address"])
@@ -200,7 +187,7 @@
 
 
 def read_rollout(entry: objects.StoredObject) -> controller.StoredRollout:
-    """Returns a rollout; raises KeyError, TypeError or ValueError."""
+    """Returns a rollout; raises one of DECODING_ERRORS."""
     spec = entry.value
     order = rollouts.Order(
         pool=require_text(spec["service"]),
@@ -212,7 +199,9 @@
     if progress is not None and progress.version != order.version:
         # The status of an earlier order.
         progress = None
-    return controller.StoredRollout(entry, order, progress)
+    # Writes refer to the object by its name and version.
+    reference = dataclasses.replace(entry, value=None, status=None)
+    return controller.StoredRollout(reference, order, progress)
 
 
 def _read_progress(status: Any) -> rollouts.Progress:
@@ -270,6 +259,31 @@
     }
 
 
+def _read_policy(
+    entry: objects.StoredObject,
+) -> model.ForwardingPolicy | None:
+    """Returns the configuration, None for other objects of its kind."""
+    return decode_policy(entry) if entry.name == POLICY_OBJECT_NAME else None
+
+
+def _read_node(entry: objects.StoredObject) -> registry.ListedNode:
+    """Returns a node; one without a valid address counts, too."""
+    return registry.ListedNode(
+        entry.name, entry.version, _read_node_address(entry.value)
+    )
+
+
+def _read_node_address(spec: Any) -> settings.Address | None:
+    text = spec.get("address") if isinstance(spec, dict) else None
+    try:
+        return settings.parse_address(text) if isinstance(text, str) else None
+    except ValueError as error:
+        _LOGGER.info(
+            "address of a node is malformed", error=describe_error(error)
+        )
+        return None
+
+
 def _read_crash(entry: objects.StoredObject) -> quarantine.CrashReport:
     spec = entry.value
     return quarantine.CrashReport(
@@ -424,11 +438,13 @@
 
     Raises:
         TypeError: If the value is something else.
-        ValueError: If the text cannot be encoded.
+        ValueError: If the text cannot be encoded or is too long.
     """
     if not isinstance(value, str) or not value:
         raise TypeError(f"{reprlib.repr(value)} is not a non-empty string")
     value.encode()
+    if len(value) > _MAX_TEXT_CHARACTERS:
+        raise ValueError(f"text of {len(value)} characters")
     return value
 
 
@@ -451,3 +467,14 @@
     if not minimum <= number <= maximum:
         raise ValueError(f"{number} is not from {minimum} to {maximum}")
     return number
+
+
+# What is kept of the objects of each kind.
+_READERS: dict[str, Callable[[objects.StoredObject], Any]] = {
+    KINDS.policies: _read_policy,
+    KINDS.servers: _read_server,
+    KINDS.rollouts: read_rollout,
+    KINDS.crashes: _read_crash,
+    KINDS.evacuations: lambda entry: entry.name,
+    NODE_KIND: _read_node,
+}
--- a/src/dragonflydyke/platform/store.py
+++ b/src/dragonflydyke/platform/store.py
@@ -1,8 +1,9 @@
 """Client of the platform's metadata store."""
 
+import dataclasses
 import json
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Generic, TypeVar
 from urllib import parse
 
 from tornado import httpclient
@@ -14,7 +15,7 @@
     registry,
     rollouts,
 )
-from dragonflydyke.objects import documents, model, store_http
+from dragonflydyke.objects import documents, model, pages, store_http
 from dragonflydyke.platform import records
 
 _PATH = "/api/objects/"
@@ -37,10 +38,41 @@
 _LOGGER = logs.get_logger("store")
 
 
+_Item = TypeVar("_Item")
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _StorePage(Generic[_Item]):
+    """A page of a list or of changes.
+
+    Attributes:
+        entries: What was read of each item.
+        version: Version of the store.
+        has_more: Whether the list goes on after this page.
+    """
+
+    entries: list[_Item]
+    version: int
+    has_more: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Event:
+    """A change of an object.
+
+    Attributes:
+        entry: The object with its record, None if it has no name.
+        is_removal: Whether the object was removed.
+    """
+
+    entry: model.StoredObject | None
+    is_removal: bool
+
+
 class PlatformStore:
     """Client of the metadata store; raises the errors of `objects.model`."""
 
-    __slots__ = ("_caller",)
+    __slots__ = ("_caller", "_decode")
 
     def __init__(
         self,
@@ -48,6 +80,8 @@
         counters: metrics.Counters,
         *,
         max_silence_s: float = store_http.DEFAULT_MAX_SILENCE_S,
+        decode: Callable[[model.StoredObject], model.StoredObject]
+        | None = None,
     ) -> None:
         """Creates a client.
 
@@ -56,6 +90,8 @@
             counters: Receives `platform.<method>.<outcome>`.
             max_silence_s: Seconds after which a connection that went silent
                 during a long poll is closed.
+            decode: Returns an object with what is kept of its value, None to
+                keep its record.
         """
         self._caller = store_http.StoreHttpClient(
             base_url,
@@ -65,6 +101,7 @@
             era_header=_ERA_HEADER,
             max_silence_s=max_silence_s,
         )
+        self._decode = decode or records.RecordDecoder().decode
 
     @property
     def era(self) -> int:
@@ -88,20 +125,18 @@
         while True:
             query = f"?{parse.urlencode(parameters)}" if parameters else ""
             response = await self._read(_PATH + kind + query)
-            era = self._caller.find_era(response)
-            page = self._parse_page(response, "items")
-            entries = _decode_all(kind, page["items"], era)
+            page = self._read_items(kind, response)
+            entries = [entry for entry in page.entries if entry is not None]
             found.extend(entries)
-            versions.append(model.combine_version(era, page["storeRevision"]))
-            if not page.get("more") or not entries:
+            versions.append(page.version)
+            if not page.has_more or not entries:
                 return model.ObjectList(min(versions), tuple(found))
             parameters["after"] = entries[-1].name
 
     async def read_version(self, kind: str) -> int:
         """Returns the current version of the store, by reading a small kind."""
         response = await self._read(_PATH + kind)
-        revision = self._parse_page(response, "items")["storeRevision"]
-        return model.combine_version(self._caller.find_era(response), revision)
+        return self._read_items(kind, response).version
 
     async def watch(
         self,
@@ -137,14 +172,14 @@
         era = self._caller.find_era(response)
         if response.code == _GONE or era != model.find_era(since):
             raise model.HistoryLostError(kind, since, peer=self._caller.peer)
-        page = self._parse_page(response, "events")
+        page = self._read_events(kind, response)
         newest: dict[str, model.StoredObject | None] = {}
-        for event in page["events"]:
-            entry = _decode_or_skip(kind, event.get("object"), era)
-            if entry is not None:
-                newest[entry.name] = None if event.get("removed") else entry
+        for event in page.entries:
+            if event.entry is not None:
+                entry = None if event.is_removal else event.entry
+                newest[event.entry.name] = entry
         return model.ObjectChanges(
-            model.combine_version(era, page["storeRevision"]),
+            page.version,
             tuple(entry for entry in newest.values() if entry is not None),
             tuple(name for name, entry in newest.items() if entry is None),
         )
@@ -185,7 +220,7 @@
         if response.code != _OK:
             raise model.ConflictError(entry.kind, entry.name, None, peer=peer)
         body = documents.parse_document(response.body, peer=peer)
-        written = _decode(entry.kind, body, era)
+        written = _parse_object(entry.kind, body, era)
         return controller.StoredRollout(written, stored.order, progress)
 
     async def write_crash(self, report: quarantine.CrashReport) -> int:
@@ -228,37 +263,77 @@
         listed = await self.list_all(
             records.NODE_KIND, consistency=model.ReadConsistency.STALE
         )
-        return tuple(
-            registry.ListedNode(
-                entry.name, entry.version, _read_peer_address(entry.value)
-            )
-            for entry in listed.objects
-        )
+        nodes = (entry.value for entry in listed.objects)
+        return tuple(node for node in nodes if node is not None)
 
     async def remove_node(self, name: str) -> None:
         """Removes the entry of a node; does nothing if there is none."""
         await self._remove(f"{_PATH}{records.NODE_KIND}/{_quote(name)}")
 
-    def _parse_page(
-        self, response: httpclient.HTTPResponse, items_field: str
-    ) -> dict[str, Any]:
+    def _read_items(
+        self, kind: str, response: httpclient.HTTPResponse
+    ) -> _StorePage[model.StoredObject | None]:
+        """Returns a page of a list; entries without a name are None."""
+        era = self._caller.find_era(response)
+        return self._read_page(
+            response, "items", lambda item: self._read_entry(kind, item, era)
+        )
+
+    def _read_events(
+        self, kind: str, response: httpclient.HTTPResponse
+    ) -> _StorePage[_Event]:
+        era = self._caller.find_era(response)
+
+        def read_event(item: Any) -> _Event:
+            entry = self._read_entry(kind, item.get("object"), era)
+            return _Event(entry, is_removal=bool(item.get("removed")))
+
+        return self._read_page(response, "events", read_event)
+
+    def _read_page(
+        self,
+        response: httpclient.HTTPResponse,
+        items_name: str,
+        convert: Callable[[Any], _Item],
+    ) -> _StorePage[_Item]:
         """Returns a page with a list of items and the store's revision.
 
         Raises:
             PlatformUnavailableError: If the response is something else.
         """
-        page = documents.parse_document(response.body, peer=self._caller.peer)
-        if (
-            not isinstance(page, dict)
-            or not isinstance(page.get(items_field), list)
-            or not isinstance(page.get("storeRevision"), int)
-        ):
+        page = pages.read_page(
+            response.body, items_name, convert, peer=self._caller.peer
+        )
+        revision = page.members.get("storeRevision")
+        if page.items is None or not isinstance(revision, int):
             raise model.PlatformUnavailableError(
-                f"response has no {items_field} or no revision",
+                f"response has no {items_name} or no revision",
                 step=errors.Step.READ_PLATFORM,
                 peer=self._caller.peer,
             )
-        return page
+        era = self._caller.find_era(response)
+        return _StorePage(
+            page.items,
+            model.combine_version(era, revision),
+            has_more=bool(page.members.get("more")),
+        )
+
+    def _read_entry(
+        self, kind: str, item: Any, era: int
+    ) -> model.StoredObject | None:
+        """Returns an object with its record, None if it has no name."""
+        try:
+            entry = _parse_object(kind, item, era)
+        except records.DECODING_ERRORS as error:
+            _LOGGER.info(
+                "stored object is malformed",
+                kind=kind,
+                error=records.describe_error(error),
+            )
+            entry = _parse_name(kind, item, era)
+            if entry is None or kind not in records.KINDS_BY_NAME:
+                return entry
+        return self._decode(entry)
 
     async def _create(self, kind: str, body: Any) -> httpclient.HTTPResponse:
         """Creates an object unless it exists, as an earlier call created it."""
@@ -307,19 +382,12 @@
 ) -> controller.StoredRollout | None:
     """Returns the rollout in a response, None if it cannot be decoded."""
     try:
-        return records.read_rollout(_decode(kind, item, era))
+        return records.read_rollout(_parse_object(kind, item, era))
     except records.DECODING_ERRORS as error:
-        _LOGGER.warning("stored rollout cannot be decoded", error=repr(error))
-        return None
-
-
-def _read_peer_address(spec: Any) -> settings.Address | None:
-    """Returns the address of a node, None if its entry states none."""
-    text = spec.get("address") if isinstance(spec, dict) else None
-    try:
-        return settings.parse_address(text) if isinstance(text, str) else None
-    except ValueError as error:
-        _LOGGER.info("address of a node is malformed", error=str(error))
+        _LOGGER.warning(
+            "stored rollout cannot be decoded",
+            error=records.describe_error(error),
+        )
         return None
 
 
@@ -327,28 +395,8 @@
     return parse.quote(name, safe="")
 
 
-def _decode_all(
-    kind: str, items: list[Any], era: int
-) -> list[model.StoredObject]:
-    """Returns the objects in a list, without those that are malformed."""
-    found = (_decode_or_skip(kind, item, era) for item in items)
-    return [entry for entry in found if entry is not None]
-
-
-def _decode_or_skip(
-    kind: str, item: Any, era: int
-) -> model.StoredObject | None:
-    try:
-        return _decode(kind, item, era)
-    except records.DECODING_ERRORS as error:
-        _LOGGER.info("stored object is malformed", kind=kind, error=repr(error))
-        if kind in records.KINDS_BY_NAME:
-            return _decode_name(kind, item, era)
-        return None
-
-
-def _decode_name(kind: str, item: Any, era: int) -> model.StoredObject | None:
-    """Returns an object of which only the name can be decoded, if it can."""
+def _parse_name(kind: str, item: Any, era: int) -> model.StoredObject | None:
+    """Returns an object of which only the name can be read, if it can."""
     try:
         name = records.require_text(item["metadata"]["name"])
     except records.DECODING_ERRORS:
@@ -356,7 +404,8 @@
     return model.StoredObject(kind, name, model.combine_version(era, 0), None)
 
 
-def _decode(kind: str, item: Any, era: int) -> model.StoredObject:
+def _parse_object(kind: str, item: Any, era: int) -> model.StoredObject:
+    """Returns an object; raises one of records.DECODING_ERRORS."""
     metadata = item["metadata"]
     return model.StoredObject(
         kind=kind,
--- a/tests/builders/nodes.py
+++ b/tests/builders/nodes.py
@@ -84,7 +84,6 @@
             records.KINDS,
             headers.HeaderCodec(),
             reports.ReportCodec(),
-            records.RecordDecoder(),
             counters,
             lambda: values,
         )
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -17,12 +17,13 @@
 )
 from dragonflydyke.objects import model as objects
 from dragonflydyke.objects import peer_groups
-from dragonflydyke.platform import headers, records
+from dragonflydyke.platform import headers
 from tests.builders import (
     forwarding,
     scripted_servers,
     shared_objects,
     store,
+    stored_records,
     virtual_loop,
 )
 
@@ -292,8 +293,8 @@
             self.assertIsNone(self.find_reason(), text)
         for value in ("soon", math.nan, 1e300, None):
             spec = store.build_server_spec(coldRemainingMs=value)
-            (entry,) = records.RecordDecoder().read_servers(
-                [objects.StoredObject("servers", "a", 1, spec)]
+            (entry,) = stored_records.decode_all(
+                "servers", objects.StoredObject("servers", "a", 1, spec)
             )
             self.assertEqual(entry.cold_s, math.inf)
         self.assertEqual(self.counters.total("server.cold_invalid"), 5)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -16,8 +16,8 @@
     rollouts,
 )
 from dragonflydyke.objects import model as objects
-from dragonflydyke.platform import headers, records
-from tests.builders import forwarding, scripted_servers, store
+from dragonflydyke.platform import headers
+from tests.builders import forwarding, scripted_servers, store, stored_records
 
 _KNOWN = ("north", "south", "west")
 _EXPOSED = rollouts.VersionRule(preferred="v2")
@@ -137,7 +137,7 @@
         listed = await self.store.list_all(
             "evacuations", consistency=objects.ReadConsistency.LINEARIZABLE
         )
-        names = records.RecordDecoder().read_evacuations(listed.objects)
+        names = stored_records.list_records(listed.objects)
         self.assertEqual(set(names), set(_KNOWN))
 
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -8,8 +8,7 @@
 from dragonflydyke.forwarding import supervision
 from dragonflydyke.objects import documents, replicas, watchers
 from dragonflydyke.objects import model as objects
-from dragonflydyke.platform import records
-from tests.builders import skipping_loop, store, virtual_loop
+from tests.builders import skipping_loop, store, stored_records, virtual_loop
 
 _DEEP = "[" * 5_000 + "]" * 5_000
 _LONG_NUMBER = "9" * 6_000
@@ -67,7 +66,6 @@
     async def asyncSetUp(self) -> None:
         """Stores one sound server."""
         await super().asyncSetUp()
-        self.decoder = records.RecordDecoder()
         await self.stub.put("servers", "sound", store.build_server_spec())
 
     async def check_servers(self, names: set[str]) -> None:
@@ -75,7 +73,7 @@
         listed = await self.store.list_all(
             "servers", consistency=objects.ReadConsistency.LINEARIZABLE
         )
-        servers = self.decoder.read_servers(listed.objects)
+        servers = stored_records.list_records(listed.objects)
         self.assertEqual({server.name for server in servers}, names)
 
     async def test_entries_with_odd_fields_are_left_out(self) -> None:
@@ -94,9 +92,8 @@
         names: set[str] = set()
 
         def record(snapshot: watchers.KindSnapshot, gap: bool) -> None:
-            servers = self.decoder.read_servers(snapshot.objects.values())
             names.clear()
-            names.update(server.name for server in servers)
+            names.update(server.name for server in snapshot.records)
 
         self.stub.raw_items = [
             *_MALFORMED_ITEMS.values(),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -23,7 +23,7 @@
 from dragonflydyke.objects import freshness, replicas, watchers
 from dragonflydyke.objects import model as objects
 from dragonflydyke.platform import process, records
-from tests.builders import shared_objects, skipping_loop, store
+from tests.builders import shared_objects, skipping_loop, store, stored_records
 
 
 def _entry(name: str, value: object, version: int = 1) -> objects.StoredObject:
@@ -33,13 +33,9 @@
 class RecordTest(unittest.TestCase):
     """Guards against partial decoding of invalid objects."""
 
-    def setUp(self) -> None:
-        self.decoder = records.RecordDecoder()
-
     def test_configuration_is_decoded(self) -> None:
-        entries = [_entry("main", store.build_policy_spec())]
-        policy = self.decoder.read_policy(entries)
-        assert policy is not None
+        entry = _entry("main", store.build_policy_spec())
+        (policy,) = stored_records.decode_all("config", entry)
         self.assertEqual(policy.version, 7)
         route = policy.find_route("API.example", "/streams/1")
         assert route is not None
@@ -55,8 +51,7 @@
         spec = store.build_policy_spec()
         spec["services"][0] |= {"coldS": 3.0, "coldPerS": 5.2}
         spec["routes"][0]["allowedRegions"] = ["west"]
-        policy = self.decoder.read_policy([_entry("main", spec)])
-        assert policy is not None
+        (policy,) = stored_records.decode_all("config", _entry("main", spec))
         pool = policy.pools["engines"]
         self.assertEqual(pool.cold_start, model.ColdStart(3.0, 5.2))
         assert pool.engine is not None
@@ -74,13 +69,13 @@
             _entry("s", store.build_server_spec(coldRemainingMs=remaining_ms))
             for remaining_ms in (2_500, 0, -1, 1e15)
         ]
-        servers = [self.decoder.read_servers([entry])[0] for entry in entries]
+        servers = stored_records.decode_all("servers", *entries)
         self.assertEqual([s.cold_s for s in servers], [2.5, 0.0, 0.0, 600.0])
         self.assertEqual(servers[0], servers[1])
 
     def test_invalid_configuration_is_ignored(self) -> None:
-        entries = [_entry("main", {"version": "seven"})]
-        self.assertIsNone(self.decoder.read_policy(entries))
+        entry = _entry("main", {"version": "seven"})
+        self.assertEqual(stored_records.decode_all("config", entry), [])
 
     def test_invalid_servers_are_ignored(self) -> None:
         unreadable = (
@@ -96,7 +91,7 @@
         )
         entries = [_entry(f"bad{n}", spec) for n, spec in enumerate(unreadable)]
         entries.append(_entry("good", store.build_server_spec()))
-        servers = self.decoder.read_servers(entries)
+        servers = stored_records.decode_all("servers", *entries)
         self.assertEqual([server.name for server in servers], ["good"])
         self.assertEqual(servers[0].backend.url, "http://10.0.0.9:8080")
 
@@ -114,7 +109,7 @@
             {"service": "engines", "target": "v2", "rampS": 24},
             status,
         )
-        (stored,) = self.decoder.read_rollouts([entry])
+        (stored,) = stored_records.decode_all("rollouts", entry)
         self.assertEqual(stored.progress, progress)
         self.assertEqual(stored.order.duration_s, 24.0)
 
@@ -270,7 +265,7 @@
             records.KINDS.crashes,
             consistency=objects.ReadConsistency.LINEARIZABLE,
         )
-        return records.RecordDecoder().read_crashes(listed.objects)
+        return stored_records.list_records(listed.objects)
 
 
 class WatchTest(store.StoreTestCase):
--- a/tests/test_platform_checks.py
+++ b/tests/test_platform_checks.py
@@ -19,7 +19,7 @@
 from dragonflydyke.forwarding import node
 from dragonflydyke.objects import model as objects
 from dragonflydyke.platform import checks, process, records
-from tests.builders import documents, store
+from tests.builders import documents, store, stored_records
 
 _SETTINGS = {
     "nodeName": "edge-1",
@@ -223,8 +223,8 @@
         value = self._change(_build_spec(), data)
         report, _ = checks.check_entry(_entry(value))
         with mock.patch.object(records, "_LOGGER"):
-            policy = records.RecordDecoder().read_policy([_entry(value)])
-        self.assertEqual(report.is_valid, policy is not None)
+            policies = stored_records.decode_all("config", _entry(value))
+        self.assertEqual(report.is_valid, bool(policies))
 
         mapping = configuration.to_mapping(documents.build_document())
         mapping = self._change(mapping, data)
