Read the objects beside one that cannot be read

Hypotheses: the page cannot be decoded as a whole; the decoder of the entry ends the watcher; the nodes wait for another kind. The log of a node: two lines "store lost" for the servers with UnicodeDecodeError, about 98 for each other kind with "another call failed". So it is the page, which then counts as a store that is away and keeps all other kinds from their watches.

Cause: a response of the store was decoded as a whole.

Change: bytes that are not UTF-8 become characters that no record accepts. An item that is not JSON is left out by itself; the next one is found by the member with which all items begin. The members before the unreadable one tell its name, so that a watch drops a server whose entry became unreadable. The decoder is shared with the product's own platform, where a VM with an unreadable name is left out.

--- a/src/dragonflydyke/objects/client.py
+++ b/src/dragonflydyke/objects/client.py
@@ -273,7 +273,7 @@
     fields = {}
     for field in dataclasses.fields(model.ListedVm):
         value = entry.get(field.name) if isinstance(entry, dict) else None
-        if not isinstance(value, str):
+        if not isinstance(value, str) or not value.isprintable():
             _LOGGER.warning("VM entry is malformed", field=field.name)
             return None
         fields[field.name] = value
--- a/src/dragonflydyke/objects/documents.py
+++ b/src/dragonflydyke/objects/documents.py
@@ -2,6 +2,7 @@
 
 One odd object must not hide the others in the same response, so that values
 beyond the limits of the decoder are replaced by ones that no reader accepts.
+Bytes that are not UTF-8 become surrogates, which no reader accepts either.
 """
 
 import json
@@ -37,8 +38,8 @@
     Raises:
         PlatformUnavailableError: If the document is not JSON.
     """
+    cursor = Cursor(body)
     try:
-        cursor = Cursor(body)
         value = cursor.read_value()
         cursor.expect_end()
     except (ValueError, RecursionError) as error:
@@ -71,8 +72,8 @@
     __slots__ = ("position", "text")
 
     def __init__(self, body: bytes) -> None:
-        """Creates a cursor at the start; raises ValueError if not UTF-8."""
-        self.text = body.decode()
+        """Creates a cursor at the start of a document."""
+        self.text = body.decode("utf-8", "surrogateescape")
         self.position = 0
 
     def take(self, char: str) -> bool:
--- a/src/dragonflydyke/platform/store.py
+++ b/src/dragonflydyke/platform/store.py
@@ -285,8 +285,12 @@
         era = self._caller.find_era(response)
 
         def read_event(item: Any) -> _Event:
-            entry = self._read_entry(kind, item.get("object"), era)
-            return _Event(entry, is_removal=bool(item.get("removed")))
+            fields = _find_members(item)
+            changed = fields.get("object")
+            if isinstance(item, pages.UnreadableItem):
+                changed = pages.UnreadableItem(_find_members(changed))
+            entry = self._read_entry(kind, changed, era)
+            return _Event(entry, is_removal=bool(fields.get("removed")))
 
         return self._read_page(response, "events", read_event)
 
@@ -395,10 +399,17 @@
     return parse.quote(name, safe="")
 
 
+def _find_members(item: Any) -> dict[str, Any]:
+    """Returns the members of an item as far as they can be read."""
+    if isinstance(item, pages.UnreadableItem):
+        return item.members
+    return item if isinstance(item, dict) else {}
+
+
 def _parse_name(kind: str, item: Any, era: int) -> model.StoredObject | None:
     """Returns an object of which only the name can be read, if it can."""
     try:
-        name = records.require_text(item["metadata"]["name"])
+        name = records.require_text(_find_members(item)["metadata"]["name"])
     except records.DECODING_ERRORS:
         return None
     return model.StoredObject(kind, name, model.combine_version(era, 0), None)
@@ -406,6 +417,8 @@
 
 def _parse_object(kind: str, item: Any, era: int) -> model.StoredObject:
     """Returns an object; raises one of records.DECODING_ERRORS."""
+    if isinstance(item, pages.UnreadableItem):
+        raise ValueError("not JSON")
     metadata = item["metadata"]
     return model.StoredObject(
         kind=kind,
--- a/tests/builders/store.py
+++ b/tests/builders/store.py
@@ -61,7 +61,7 @@
             stay, None if they follow the store.
         replica: State that replicas serve to stale lists, None for the current.
         raw_items: Texts of items that other writers left in each list and each
-            set of events.
+            set of events, with surrogates for bytes that are not UTF-8.
         page_size: Maximum number of objects in a page of a list.
         transfers: How responses to reads of a kind are sent, at once if it is
             not named.
@@ -312,7 +312,9 @@
             text = text.replace('"items": [', f'"items": [{item}, ', 1)
             event = f'{{"removed": false, "object": {item}}}'
             text = text.replace('"events": [{', f'"events": [{event}, {{', 1)
-        self.finish(text.replace(", ]", "]"))
+        text = text.replace(", ]", "]")
+        # Items of other writers may have bytes that are not UTF-8.
+        self.finish(text.encode("utf-8", "surrogateescape"))
 
 
 def start_store(stub: StoreStub) -> tuple[httpserver.HTTPServer, int]:
--- a/tests/test_object_client.py
+++ b/tests/test_object_client.py
@@ -50,13 +50,24 @@
     """Guards against a VM list that one odd entry makes unreadable."""
 
     async def test_odd_vms_are_left_out(self) -> None:
+        deep = "[" * 5_000 + "]" * 5_000
+        await self.check_vms(deep, '{"name": 3}', "4")
+
+    async def test_unreadable_vms_are_left_out(self) -> None:
+        """Bytes that are not UTF-8 would make the list unreadable."""
+        fields = '"data_centre": "n", "role": "entry", "inner_address": "a:1"'
+        odd = f'{{"name": "\udcff", {fields}, "state": "live"}}'
+        await self.check_vms(odd)
+
+    async def check_vms(self, *odd: str) -> None:
+        """Checks that a sound VM is listed beside odd ones."""
         sound = (
             '{"name": "a", "data_centre": "north", "role": "entry",'
             ' "inner_address": "10.0.0.1:1", "state": "live"}'
         )
-        deep = "[" * 5_000 + "]" * 5_000
-        vms = f'[{deep}, {{"name": 3}}, {sound}, 4]'
-        body = f'{{"as_of_ms": 1, "vms": {vms}}}'.encode()
+        vms = ", ".join([*odd, sound])
+        text = f'{{"as_of_ms": 1, "vms": [{vms}]}}'
+        body = text.encode("utf-8", "surrogateescape")
 
         async def respond(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -6,8 +6,9 @@
 
 from dragonflydyke import metrics
 from dragonflydyke.forwarding import supervision
-from dragonflydyke.objects import documents, replicas, watchers
+from dragonflydyke.objects import documents, pages, replicas, watchers
 from dragonflydyke.objects import model as objects
+from dragonflydyke.platform import records
 from tests.builders import skipping_loop, store, stored_records, virtual_loop
 
 _DEEP = "[" * 5_000 + "]" * 5_000
@@ -60,6 +61,31 @@
 }
 
 
+# Texts of values that are not JSON, or not in its encoding.
+_UNREADABLE_SPECS = {
+    "bytes that are not UTF-8": '"\udcff\udcfe\udc9c\udc80"',
+    "bytes without quotes": "\udcff\udcfe\udc9c\udc80",
+    "control characters": '"\0\1"',
+    "nothing": "",
+    "word": "nope",
+    "open text": '"abc',
+    "open list": "[1, 2",
+    "open lists": "[" * 5_000,
+    "open object": '{"service": ',
+    "closed object": "}",
+    "closed list": "]",
+    "end of a text": '\\"',
+    "server and an open text": _write_item("odd", {})[41:-2] + ', "',
+}
+
+
+def _write_unreadable_item(spec: str, name: str = "odd") -> str:
+    return (
+        f'{{"metadata": {{"name": "{name}", "rev": 1}}, "spec": {spec}, '
+        '"status": null}'
+    )
+
+
 class OddEntryTest(store.StoreTestCase):
     """Guards against an odd entry that hides the others or ends a watcher."""
 
@@ -88,17 +114,88 @@
                 self.stub.raw_items = [item]
                 await self.check_servers({"sound"})
 
+    async def test_unreadable_entries_are_left_out(self) -> None:
+        """After a restart, a node had no servers at all beside one of them."""
+        await self.stub.put("servers", "second", store.build_server_spec())
+        for case, spec in _UNREADABLE_SPECS.items():
+            with self.subTest(case):
+                self.stub.raw_items = [_write_unreadable_item(spec)]
+                await self.check_servers({"sound", "second"})
+
+    async def test_unreadable_entry_hides_no_object_of_any_kind(self) -> None:
+        """A node reads a configuration, rollouts and other kinds as well."""
+        specs = {
+            "config": ("main", store.build_policy_spec()),
+            "rollouts": (
+                "engines",
+                {"service": "engines", "target": "v2", "rampS": 24},
+            ),
+            "evacuations": ("north", {}),
+            records.NODE_KIND: ("node", {"address": "10.0.0.1:7341"}),
+        }
+        spec = _UNREADABLE_SPECS["bytes that are not UTF-8"]
+        self.stub.raw_items = [_write_unreadable_item(spec)]
+        for kind, (name, value) in specs.items():
+            with self.subTest(kind):
+                await self.stub.put(kind, name, value)
+                listed = await self.store.list_all(
+                    kind, consistency=objects.ReadConsistency.LINEARIZABLE
+                )
+                found = {
+                    entry.name: entry.value is not None
+                    for entry in listed.objects
+                }
+                # Of an evacuation, or a node, the name alone counts.
+                is_odd_used = kind in ("evacuations", records.NODE_KIND)
+                self.assertEqual(found, {name: True, "odd": is_odd_used})
+
     async def test_watcher_follows_the_others_beside_odd_entries(self) -> None:
+        self.stub.raw_items = [
+            *_MALFORMED_ITEMS.values(),
+            *(_write_item("odd", fields) for fields in _ODD_FIELDS.values()),
+            *map(_write_unreadable_item, _UNREADABLE_SPECS.values()),
+        ]
+        names = self.start_watcher()
+        await skipping_loop.wait_until(lambda: names == {"sound"})
+        await self.stub.put("servers", "second", store.build_server_spec())
+        await skipping_loop.wait_until(lambda: names == {"sound", "second"})
+        self.check_store_was_available()
+
+    async def test_server_whose_entry_becomes_unreadable_is_dropped(
+        self,
+    ) -> None:
+        for case, spec in _UNREADABLE_SPECS.items():
+            with self.subTest(case):
+                self.stub.raw_items = []
+                await self.stub.put("servers", "odd", store.build_server_spec())
+                names = self.start_watcher()
+                await skipping_loop.wait_until(lambda n=names: "odd" in n)
+                self.stub.raw_items = [_write_unreadable_item(spec)]
+                await self.stub.put(
+                    "servers", "second", store.build_server_spec()
+                )
+                await skipping_loop.wait_until(
+                    lambda n=names: n == {"sound", "second"}
+                )
+                await self.stub.remove("servers", "second")
+                self.check_store_was_available()
+
+    def check_store_was_available(self) -> None:
+        """Checks that no odd entry counted as a store that is away.
+
+        All other kinds were listed again each time.
+        """
+        name = "watch.servers.platform_unavailable"
+        self.assertEqual(self.counters.total(name), 0)
+
+    def start_watcher(self) -> set[str]:
+        """Starts a watcher; returns the servers that it knows."""
         names: set[str] = set()
 
         def record(snapshot: watchers.KindSnapshot, gap: bool) -> None:
             names.clear()
             names.update(server.name for server in snapshot.records)
 
-        self.stub.raw_items = [
-            *_MALFORMED_ITEMS.values(),
-            *(_write_item("odd", fields) for fields in _ODD_FIELDS.values()),
-        ]
         timing = watchers.WatchTiming(3.0)
         watcher = watchers.KindWatcher(
             replicas.ReplicaReader(self.store, "rollouts"),
@@ -111,9 +208,7 @@
             timing,
         )
         self.addCleanup(asyncio.create_task(watcher.run()).cancel)
-        await skipping_loop.wait_until(lambda: names == {"sound"})
-        await self.stub.put("servers", "second", store.build_server_spec())
-        await skipping_loop.wait_until(lambda: names == {"sound", "second"})
+        return names
 
     async def test_page_of_odd_entries_does_not_end_a_list(self) -> None:
         """The name of the last entry of a page selects the next page."""
@@ -123,6 +218,71 @@
         await self.check_servers({"sound", "third"})
 
 
+class PageTest(unittest.TestCase):
+    """Guards against an unreadable item that hides those beside it."""
+
+    def read(self, *items: str) -> list[str | None]:
+        """Returns the names of the items; None for an unreadable one."""
+        text = f'{{"items": [{", ".join(items)}], "more": true, "rev": 7}}'
+        page = pages.read_page(
+            text.encode("utf-8", "surrogateescape"),
+            "items",
+            lambda item: (
+                None
+                if isinstance(item, pages.UnreadableItem)
+                else item["metadata"]["name"]
+            ),
+            peer="store",
+        )
+        self.assertEqual(page.members, {"more": True, "rev": 7})
+        assert page.items is not None
+        return page.items
+
+    def test_items_are_found_wherever_the_unreadable_one_is(self) -> None:
+        sound = [_write_item(name, {}) for name in "abc"]
+        for case, spec in _UNREADABLE_SPECS.items():
+            for place in range(len(sound) + 1):
+                with self.subTest(case, place=place):
+                    odd = _write_unreadable_item(spec)
+                    items = [*sound[:place], odd, *sound[place:]]
+                    found = [name for name in self.read(*items) if name]
+                    if spec.startswith('"\udcff'):
+                        found.remove("odd")
+                    self.assertEqual(found, ["a", "b", "c"])
+
+    def test_page_of_one_unreadable_item(self) -> None:
+        self.assertEqual(self.read(_write_unreadable_item("nope")), [None])
+
+    def test_members_before_the_unreadable_one_are_known(self) -> None:
+        item = _write_unreadable_item('{"service": "a", "slots": nope}')
+        event = f'{{"removed": true, "object": {item}}}'
+        page = pages.read_page(
+            f'{{"events": [{event}]}}'.encode(),
+            "events",
+            lambda item: item.members,
+            peer="store",
+        )
+        metadata = {"name": "odd", "rev": 1}
+        expected = {"removed": True, "object": {"metadata": metadata}}
+        self.assertEqual(page.items, [expected])
+
+    def test_page_that_is_no_page_is_an_error_of_the_store(self) -> None:
+        for text in ("", "[]", '{"items": [{"a": nope}', '{"items": 3} 4'):
+            with (
+                self.subTest(text),
+                self.assertRaises(objects.PlatformUnavailableError),
+            ):
+                pages.read_page(text.encode(), "items", str, peer="store")
+
+    def test_number_of_unreadable_items_is_limited(self) -> None:
+        """Reading a page must not keep a node from its other work."""
+        items = ", ".join(['{"metadata": nope}'] * 10_000)
+        with self.assertRaises(objects.PlatformUnavailableError):
+            pages.read_page(
+                f'{{"items": [{items}]}}'.encode(), "items", str, peer="store"
+            )
+
+
 class DocumentTest(unittest.TestCase):
     """Guards against documents that end the reader of a store."""
 
