Take the retry at the moment at which a silent server is given up

Hypotheses: the streams were given up on a budget that was read earlier; the planned stop ends them; their time is over. The node logged "stream stalled" 15 times and "no retry budget" 11 times, with 9.9 s left, and 11 streams are cut without the SIGTERM as well. So it is the budget.

Cause: an attempt asked whether the budget has a retry when the wait for an event began; the retry was taken after the attempt had been given up. All streams of one server saw the same four retries.

Change: the retry is taken first, together with all other conditions of the next attempt; without it the stream waits on. The same for streams that have not begun, where reports are read in between. Retries that reached no server are returned when a request ends, also those of cancelled escalations.

--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -32,6 +32,8 @@
 _FIRST_ERROR_STATUS = 400
 _FIRST_SERVER_ERROR_STATUS = 500
 _GATEWAY_TIMEOUT = 504
+# Interval in which a stalled stream that cannot be given up is checked again.
+_STALL_CHECK_INTERVAL_S = 0.25
 # Under peak load the gap between events approaches the route's limit, and the
 # other servers have no capacity either. Only an unreachable server stays silent
 # for a multiple of that limit.
@@ -90,6 +92,8 @@
 WaitReviewer = Callable[
     [AttemptTarget, float], Awaitable[fallbacks.WaitDecision]
 ]
+# Takes a retry for an attempt that is to be given up, if that may be.
+RetryReserver = Callable[["Attempt"], bool]
 
 
 class Attempt:
@@ -121,7 +125,7 @@
         "_hold_task",
         "_observer",
         "_request",
-        "_retry_budget",
+        "_reserve_retry",
         "_review_wait",
         "_services",
         "_splitter",
@@ -146,6 +150,7 @@
         context: contexts.RequestContext,
         target: AttemptTarget,
         review_wait: WaitReviewer,
+        reserve_retry: RetryReserver,
     ) -> None:
         """Creates an attempt without opening a connection.
 
@@ -154,13 +159,13 @@
             context: The request.
             target: Where and how the attempt runs.
             review_wait: Called while the engine does not start the response.
+            reserve_retry: Called before a silent server is given up.
         """
         self._services = services
         self._context = context
         self._request = context.request
         self._admitted = context.admitted
         self._writer = context.writer
-        self._retry_budget = context.retry_budget
         self._state = context.state
         self._exchange: connection.Exchange | None = None
         self._first_chunk: bytes | None = None
@@ -173,6 +178,7 @@
         self._waited_s = 0.0
         self._observer: observers.AttemptObserver | None = None
         self._gap_meter = gap_meters.GapMeter()
+        self._reserve_retry = reserve_retry
         self._review_wait = review_wait
         self._held_stream: held_streams.HeldStream | None = None
         self._hold_task: asyncio.Task[None] | None = None
@@ -455,23 +461,22 @@
             self._admitted.route.target_latency_s
         )
         while not await self._starts_within(interval_s):
-            if not decisions.may_move(
-                self._admitted.route,
-                attempts=self._state.attempts,
-                has_retries_left=self._retry_budget.has_retries_left,
-            ):
+            may_move = decisions.may_move(self._admitted.route)
+            if not may_move or not self._reserve_retry(self):
                 continue
             decision = await self._review_wait(
                 self.target, loop.time() - started_s
             )
             # The engine may have begun while reports were read.
-            if await self._starts_within(0.0):
-                return
-            if decision.step is not fallbacks.WaitStep.WAIT:
+            has_started = await self._starts_within(0.0)
+            if not has_started and decision.step is not fallbacks.WaitStep.WAIT:
                 raise AttemptFailedError(
                     decisions.AttemptOutcome.FIRST_EVENT_TIMEOUT,
                     f"no event yet, {decision.reason}",
                 )
+            self._context.refund_retry()
+            if has_started:
+                return
 
     async def _starts_within(self, timeout_s: float) -> bool:
         assert self._exchange is not None
@@ -596,15 +601,28 @@
         chunk, self._first_chunk = self._first_chunk, None
         if chunk is not None:
             return chunk
+        while True:
+            timeout_s = self._find_event_timeout_s()
+            if timeout_s is not None and timeout_s <= 0:
+                # All streams of a silent server stall at the same time, and the
+                # budget may not have a retry for each of them.
+                if self._reserve_retry(self):
+                    raise AttemptFailedError(
+                        decisions.AttemptOutcome.LOST, "stream stalled"
+                    )
+                timeout_s = _STALL_CHECK_INTERVAL_S
+            try:
+                return await self._read_chunk_within(timeout_s)
+            except TimeoutError:
+                continue
+
+    async def _read_chunk_within(self, timeout_s: float | None) -> bytes | None:
+        assert self._exchange is not None
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         try:
-            async with asyncio.timeout(self._find_event_timeout_s()):
+            async with asyncio.timeout(timeout_s):
                 return await self._exchange.read_chunk()
-        except TimeoutError as error:
-            raise AttemptFailedError(
-                decisions.AttemptOutcome.LOST, "stream stalled"
-            ) from error
         finally:
             self._waited_s += loop.time() - started_s
             self.times.record_wait(started_s, loop.time())
@@ -644,21 +662,14 @@
         does not read is not counted.
 
         Returns:
-            The time in seconds, or None if the stream cannot resume.
+            The time in seconds, not positive for a stream that has stalled, or
+            None if the stream cannot resume.
         """
         route = self._admitted.route
-        # An attempt is counted when it ends, or when its response is held.
-        attempts = self._state.attempts + (not self.is_held)
-        may_resume = (
-            self._state.response_started
-            and route.resumable
-            and attempts < route.max_attempts
-            and self._retry_budget.has_retries_left
-        )
+        may_resume = self._state.response_started and route.resumable
         if not may_resume or not route.max_event_gap_s:
             return None
-        timeout_s = route.max_event_gap_s * _EVENT_TIMEOUT_GAPS
-        return max(0.0, timeout_s - self._waited_s)
+        return route.max_event_gap_s * _EVENT_TIMEOUT_GAPS - self._waited_s
 
     async def _relay_event(self, event: bytes) -> None:
         if self._state.held_stream is not None:
--- a/src/dragonflydyke/forwarding/contexts.py
+++ b/src/dragonflydyke/forwarding/contexts.py
@@ -239,6 +239,29 @@
     retry_budget: retries.RetryBudget
     state: RequestState
 
+    def try_pay_retry(self) -> bool:
+        """Takes a retry from the budget; returns whether it had one.
+
+        The budget counts requests that arrive at servers. A request that has
+        reached none costs no retry, and one that a retry did not reach keeps
+        that retry for the next attempt.
+        """
+        if not self.retry_budget.try_spend():
+            return False
+        self.state.paid_retries += 1
+        return True
+
+    def refund_retry(self) -> None:
+        """Returns a retry that was taken and is not made."""
+        self.retry_budget.refund()
+        self.state.paid_retries -= 1
+
+    def refund_unused_retries(self) -> None:
+        """Returns the retries that reached no server."""
+        used = max(0, self.state.sent_attempts - 1)
+        for _ in range(self.state.paid_retries - used):
+            self.refund_retry()
+
     def describe_limits(self) -> fallbacks.TimeLimits:
         """Returns the times that bound this request."""
         route = self.admitted.route
--- a/src/dragonflydyke/forwarding/decisions.py
+++ b/src/dragonflydyke/forwarding/decisions.py
@@ -311,21 +311,15 @@
     return NextStep.RETRY if route.is_retryable else NextStep.GIVE_UP
 
 
-def may_move(
-    route: model.Route, *, attempts: int, has_retries_left: bool
-) -> bool:
+def may_move(route: model.Route) -> bool:
     """Returns whether an engine that has not begun may be left for another.
 
     Plain requests have short deadlines, and their servers queue little.
 
     Args:
         route: Route of the request.
-        attempts: Attempts that ran before this one.
-        has_retries_left: Whether the retry budget allows another attempt.
     """
-    if route.kind is not model.RequestKind.STREAM or not route.is_retryable:
-        return False
-    return attempts + 1 < route.max_attempts and has_retries_left
+    return route.kind is model.RequestKind.STREAM and route.is_retryable
 
 
 def find_slot_wait_s(
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -103,6 +103,7 @@
                 raise
         finally:
             self._close_held()
+            self._context.refund_unused_retries()
 
     async def _make_attempts(self) -> None:
         outcome = await self._attempt_in_time()
@@ -332,7 +333,7 @@
         if (
             step is decisions.NextStep.RETRY
             and self._state.paid_retries < self._state.sent_attempts
-            and not self._try_pay_retry()
+            and not self._context.try_pay_retry()
         ):
             step = decisions.NextStep.GIVE_UP
             reason = "no retry budget"
@@ -363,21 +364,33 @@
             return "no other engine"
         return ""
 
-    def _try_pay_retry(self) -> bool:
-        """Takes a retry from the budget; returns whether it had one.
+    def _try_reserve_retry(self, attempt: attempts.Attempt) -> bool:
+        """Takes a retry for a request whose attempt is to be given up.
 
-        The budget counts requests that arrive at servers. A request that has
-        reached none costs no retry, and one that a retry did not reach keeps
-        that retry for the next attempt.
-        """
-        if not self._context.retry_budget.try_spend():
-            return False
-        self._state.paid_retries += 1
-        return True
+        The attempt is kept unless another one is certain to follow. That is
+        decided here at once for all requests that wait for a silent server.
+
+        Args:
+            attempt: The attempt, which the server may be running.
 
-    def _refund_retry(self) -> None:
-        self._context.retry_budget.refund()
-        self._state.paid_retries -= 1
+        Returns:
+            Whether the attempt may be given up.
+        """
+        progress = self._describe_progress()
+        progress = dataclasses.replace(
+            progress,
+            # An attempt is counted when it ends, or when its response is held.
+            attempts=progress.attempts + (not attempt.is_held),
+            may_have_run=True,
+        )
+        step = decisions.decide_next_step(
+            self._admitted.route, decisions.AttemptOutcome.LOST, progress
+        )
+        return (
+            step is decisions.NextStep.RETRY
+            and self._targets.has_allowed_server()
+            and self._context.try_pay_retry()
+        )
 
     async def _attempt(self) -> decisions.AttemptOutcome:
         """Makes one attempt and returns its outcome."""
@@ -395,7 +408,11 @@
             return self._targets.explain_no_target()
         self._services.statements.record_start(target.server)
         attempt = attempts.Attempt(
-            self._services, self._context, target, self._targets.review_wait
+            self._services,
+            self._context,
+            target,
+            self._targets.review_wait,
+            self._try_reserve_retry,
         )
         self._state.dispatches += 1
         self._services.selector.record_start(
@@ -495,7 +512,7 @@
         Returns:
             The plan, or None if the response at hand should be delivered.
         """
-        if not self._try_pay_retry():
+        if not self._context.try_pay_retry():
             self._log_no_escalation(details, None, "no retry budget")
             return None
         plan = await self._targets.read_plan(self._targets.list_servers())
@@ -517,7 +534,7 @@
         else:
             self._services.counters.increment("escalation.planned")
             return plan
-        self._refund_retry()
+        self._context.refund_retry()
         self._log_no_escalation(details, plan, reason)
         return None
 
--- a/src/dragonflydyke/forwarding/targets.py
+++ b/src/dragonflydyke/forwarding/targets.py
@@ -76,6 +76,10 @@
         """
         return self._find_usable().servers
 
+    def has_allowed_server(self) -> bool:
+        """Returns whether a server would accept an attempt now."""
+        return bool(self._services.statements.list_allowed(self.list_servers()))
+
     def _find_usable(self) -> locations.UsableServers:
         now_s = _now_s()
         self._services.directory.expire(now_s)
