Wait 1.5 s at least before a silent stream is moved

Cause: the timeout is twice the gap limit of the route, however short that is. Hypotheses were that the old attempt is not closed, or closed late; the trial shows the move after 0.8 s, before the silence ends, and the close with it.

Change: the timeout is at least 1.5 s.

Evidence: test_stream_is_not_moved_after_a_short_silence fails before (two servers received the stream) and passes now.

--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -38,6 +38,9 @@
 # other servers have no capacity either. Only an unreachable server stays silent
 # for a multiple of that limit.
 _EVENT_TIMEOUT_GAPS = 2.0
+# A sound server may be silent for a second or so and still work on its streams,
+# however short the limit of the route is.
+_MIN_EVENT_TIMEOUT_S = 1.5
 # An engine sends the first event together with the start of the response. One
 # that crashes as it begins to write ends within this time.
 _FIRST_BYTES_TIMEOUT_S = 0.5
@@ -669,7 +672,10 @@
         may_resume = self._state.response_started and route.resumable
         if not may_resume or not route.max_event_gap_s:
             return None
-        return route.max_event_gap_s * _EVENT_TIMEOUT_GAPS - self._waited_s
+        timeout_s = max(
+            route.max_event_gap_s * _EVENT_TIMEOUT_GAPS, _MIN_EVENT_TIMEOUT_S
+        )
+        return timeout_s - self._waited_s
 
     async def _relay_event(self, event: bytes) -> None:
         if self._state.held_stream is not None:
--- a/tests/test_stalled_streams.py
+++ b/tests/test_stalled_streams.py
@@ -16,6 +16,7 @@
 # More streams than the retry budget has retries.
 _STREAMS = 12
 _SILENCE_S = 2.5
+_SHORT_SILENCE_S = 1.3
 
 
 class StalledStreamTest(forwarding.ForwardingTestCase):
@@ -159,6 +160,17 @@
         self.servers["silent"].report = b""
         await self.check_streams()
 
+    async def test_stream_is_not_moved_after_a_short_silence(self) -> None:
+        """Two servers worked on it, as the silent one had not stopped."""
+        fetch = asyncio.create_task(self.fetch())
+        await self.began.acquire()
+        await self.start_server("other", self.resume)
+        await asyncio.sleep(_SHORT_SILENCE_S)
+        self.goes_on.set()
+        response = await fetch
+        self.assertTrue(response.is_complete)
+        self.assertEqual(self.count_received(), 1)
+
     async def test_stream_is_kept_if_no_other_attempt_may_follow(self) -> None:
         """A retry that is bound to fail would only end the stream."""
         self.forwarder.policy = forwarding.build_policy(
