Deliver no part of a response that a server broke off during the upload

Hypotheses: a reset is not seen as it arrives beside a write; a reset is seen, but the server's orderly close before it counts as the end; neither.

Cause: a response without a length was complete when its connection ended without an error, whether or not the request had been sent.

Change: it is complete only if the whole request was sent before. The system holds at most 64 kB of a long request unsent, so that this means something. A status below 100 or above 599 is no response and ends the attempt at once; before, 000 was read on until the deadline (504), and 600 to 999 were delivered.

--- a/src/dragonflydyke/backends/connection.py
+++ b/src/dragonflydyke/backends/connection.py
@@ -4,6 +4,7 @@
 import datetime
 import functools
 import re
+import socket
 import ssl
 from collections.abc import AsyncIterator
 from typing import Any, Protocol
@@ -15,13 +16,17 @@
 from dragonflydyke.backends import failures, model, relayed
 
 _CHUNK_BYTES = 65_536
+# Kernels would accept megabytes of a request that its server does not receive.
+_MAX_UNSENT_BYTES = 65_536
 _MAX_HEADER_BYTES = 65_536
 # At most one chunk is buffered, so this limit does not affect memory. The
 # default limit of Tornado, 100 MB, would end long streams.
 _MAX_BODY_BYTES = 1 << 40
 _HTTPS_PORT = 443
 _HTTP_PORT = 80
+_MIN_STATUS = 100
 _MIN_FINAL_STATUS = 200
+_MAX_STATUS = 599
 _STATUSES_WITHOUT_BODY = (204, 304)
 _PATH_PATTERN = re.compile(r"/[!-~]*")
 
@@ -49,8 +54,19 @@
     """
 
     def __init__(
-        self, stream: iostream.IOStream, request: model.BackendRequest
+        self,
+        stream: iostream.IOStream,
+        request: model.BackendRequest,
+        sent: asyncio.Future[None],
     ) -> None:
+        """Creates a reader of the response to a request.
+
+        Args:
+            stream: Connection on which the response arrives.
+            request: The request.
+            sent: Has a result as soon as the whole request was written, and an
+                error if the connection ended before that.
+        """
         loop = asyncio.get_running_loop()
         self._stream = stream
         self._method = request.method
@@ -58,6 +74,7 @@
             stream, relayed.RelayedStream
         )
         self._peer = request.server.name
+        self._sent = sent
         self._is_closed = False
         self.is_framed = True
         self.complete = False
@@ -84,24 +101,32 @@
     ) -> None:
         """Stores the status and headers of a final (not 1xx) response."""
         assert isinstance(start_line, httputil.ResponseStartLine)
-        if start_line.code < _MIN_FINAL_STATUS or self.response_start.done():
+        if self.response_start.done():
+            return
+        if not _MIN_STATUS <= start_line.code <= _MAX_STATUS:
+            self._reject_response(f"the status is {start_line.code}")
+            return
+        if start_line.code < _MIN_FINAL_STATUS:
             return
         is_framed = self._is_response_framed(start_line.code, headers)
         if not is_framed and not self._accepts_unframed:
             # The end of such a body is indistinguishable from a lost
             # connection.
-            self._fail_response_start(
-                failures.build_invalid_response_error(
-                    self._peer,
-                    errors.Step.AWAIT_ANSWER,
-                    "the response has neither a length nor chunked encoding",
-                )
+            self._reject_response(
+                "the response has neither a length nor chunked encoding"
             )
-            self._stream.close()
             return
         self.is_framed = is_framed
         self.response_start.set_result((start_line, headers))
 
+    def _reject_response(self, reason: str) -> None:
+        self._fail_response_start(
+            failures.build_invalid_response_error(
+                self._peer, errors.Step.AWAIT_ANSWER, reason
+            )
+        )
+        self._stream.close()
+
     def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
         """Queues a chunk; the result is awaited while the queue is full."""
         if self._is_closed:
@@ -120,7 +145,17 @@
         """Records whether the response is complete."""
         # Tornado also calls this when a connection whose response has no
         # length was reset.
-        self.complete = self.is_framed or self._stream.error is None
+        self.complete = self.is_framed or (
+            self._stream.error is None and self._was_request_sent()
+        )
+
+    def _was_request_sent(self) -> bool:
+        """Returns whether the connection did not end during the request.
+
+        A server that ends it then has broken off: it closes its side first,
+        and the reset that follows is seen too late, or never.
+        """
+        return self._sent.done() and self._sent.exception() is None
 
     async def run(self, connection: http1connection.HTTP1Connection) -> None:
         """Reads the response until it ends, the connection is lost or closed.
@@ -169,6 +204,24 @@
         )
 
 
+def _track_writes(stream: iostream.IOStream) -> asyncio.Future[None]:
+    """Returns a future with a result once all that was written is sent."""
+    try:
+        # The futures of the HTTP connection have a result in either case.
+        sent = stream.write(b"")
+    except iostream.StreamClosedError as error:
+        sent = asyncio.get_running_loop().create_future()
+        sent.set_exception(error)
+    # Marks an exception as retrieved, in case nothing asks for it.
+    sent.add_done_callback(_retrieve_exception)
+    return sent
+
+
+def _retrieve_exception(future: asyncio.Future[None]) -> None:
+    if not future.cancelled():
+        future.exception()
+
+
 class Exchange:
     """A request and its response on a dedicated connection.
 
@@ -264,6 +317,10 @@
             cause = getattr(error, "real_error", None) or error
             raise failures.build_unreachable_error(self._peer, cause) from error
         self._stream.set_nodelay(True)
+        if len(self._request.body or b"") > _MAX_UNSENT_BYTES:
+            self._stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, _MAX_UNSENT_BYTES
+            )
 
     async def send(self) -> None:
         """Writes the request; returns when it is written or a response starts.
@@ -291,7 +348,9 @@
         )
         written = self._write_request()
         self.sent = True
-        self._reader = _ResponseReader(self._stream, self._request)
+        self._reader = _ResponseReader(
+            self._stream, self._request, _track_writes(self._stream)
+        )
         self._reader_task = asyncio.create_task(
             self._reader.run(self._connection)
         )
--- a/tests/builders/forwarding.py
+++ b/tests/builders/forwarding.py
@@ -251,10 +251,16 @@
         self._listed_servers: list[directory.ServerEntry] = []
 
     async def start_server(
-        self, name: str, script: scripted_servers.Script, **fields: str
+        self,
+        name: str,
+        script: scripted_servers.Script,
+        *,
+        reads_bodies: bool = True,
+        **fields: str,
     ) -> scripted_servers.ScriptedServer:
         """Starts a scripted server and adds it to the directory."""
         scripted = scripted_servers.ScriptedServer(name, script)
+        scripted.reads_bodies = reads_bodies
         port = await scripted.start()
         self.addAsyncCleanup(scripted.stop)
         self.servers[name] = scripted
--- a/tests/builders/scripted_servers.py
+++ b/tests/builders/scripted_servers.py
@@ -10,6 +10,7 @@
 from dragonflydyke import settings
 
 _LOCAL = settings.Address("127.0.0.1", 0)
+_SMALL_BUFFER_BYTES = 65_536
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,6 +45,8 @@
         cancelled: Number of requests whose client disconnected early.
         report: Body of the load report, empty to never answer.
         report_calls: Number of calls of the load report.
+        reads_bodies: Whether the body of a request is read before the script
+            runs. Otherwise the system holds little of it, and none is read.
     """
 
     def __init__(self, name: str, script: Script) -> None:
@@ -53,14 +56,20 @@
         self.cancelled = 0
         self.report = build_report()
         self.report_calls = 0
+        self.reads_bodies = True
         self._server: asyncio.Server | None = None
 
     async def start(self) -> int:
         """Starts serving and returns the port."""
+        listening = socket.create_server((_LOCAL.host, _LOCAL.port))
+        if not self.reads_bodies:
+            listening.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, _SMALL_BUFFER_BYTES
+            )
         self._server = await asyncio.start_server(
-            self._serve, _LOCAL.host, _LOCAL.port
+            self._serve, sock=listening, limit=_SMALL_BUFFER_BYTES
         )
-        return self._server.sockets[0].getsockname()[1]
+        return listening.getsockname()[1]
 
     async def stop(self) -> None:
         """Stops accepting connections."""
@@ -75,6 +84,11 @@
             if line.startswith("GET /api/report "):
                 await self._send_report(reader, writer)
                 return
+            if not self.reads_bodies:
+                request = ReceivedRequest(line, found, b"")
+                self.received.append(request)
+                await self.script(request, writer)
+                return
             size = int(found.get("Content-Length", "0"))
             request = ReceivedRequest(
                 line, found, await reader.readexactly(size)
@@ -88,7 +102,11 @@
             self.cancelled += not script.done()
             script.cancel()
             closed.cancel()
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (
+            asyncio.CancelledError,
+            asyncio.IncompleteReadError,
+            ConnectionError,
+        ):
             pass
         finally:
             writer.close()
