--- a/tests/test_large_entries.py
+++ b/tests/test_large_entries.py
@@ -1,7 +1,9 @@
 """Tests of large objects that other writers left in the store."""
 
 import dataclasses
+import unittest
 
+from dragonflydyke import latencies
 from dragonflydyke.objects import model
 from dragonflydyke.platform import records
 from tests.builders import memory_growth, store
@@ -74,3 +76,22 @@
             )
         self.assertEqual(len(listed.objects), 4)
         self.assertLess(growth.size_bytes, _MAX_KEPT_BYTES)
+
+
+class RouteNameTest(unittest.TestCase):
+    """Guards against memory for each route that was ever configured.
+
+    Configurations with other routes, one after the other, ended all nodes.
+    """
+
+    def test_histograms_of_former_routes_are_dropped(self) -> None:
+        histograms = latencies.LatencyHistograms()
+        with memory_growth.measure() as growth:
+            for number in range(5_000):
+                histograms.record(f"request.route-{number}.delivered", 0.1)
+                histograms.record("request.kept.delivered", 0.1)
+        self.assertLess(growth.size_bytes, 20_000_000)
+        text = histograms.format_text()
+        self.assertIn("request.kept.delivered.count 5000\n", text)
+        self.assertIn("request.route-4999.delivered.count 1\n", text)
+        self.assertNotIn("request.route-1.delivered", text)
