--- a/src/dragonflydyke/backends/connection.py
+++ b/src/dragonflydyke/backends/connection.py
@@ -1,6 +1,7 @@
 """One HTTP exchange on a new connection."""
 
 import asyncio
+import contextlib
 import datetime
 import functools
 import re
@@ -204,6 +205,14 @@
         )
 
 
+def _limit_unsent_bytes(stream: iostream.IOStream) -> None:
+    # Systems may have limits of their own. The connection works with any.
+    with contextlib.suppress(OSError):
+        stream.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, _MAX_UNSENT_BYTES
+        )
+
+
 def _track_writes(stream: iostream.IOStream) -> asyncio.Future[None]:
     """Returns a future with a result once all that was written is sent."""
     try:
@@ -318,9 +327,7 @@
             raise failures.build_unreachable_error(self._peer, cause) from error
         self._stream.set_nodelay(True)
         if len(self._request.body or b"") > _MAX_UNSENT_BYTES:
-            self._stream.socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_SNDBUF, _MAX_UNSENT_BYTES
-            )
+            _limit_unsent_bytes(self._stream)
 
     async def send(self) -> None:
         """Writes the request; returns when it is written or a response starts.
--- a/src/dragonflydyke/platform/records.py
+++ b/src/dragonflydyke/platform/records.py
@@ -199,7 +199,15 @@
     if progress is not None and progress.version != order.version:
         # The status of an earlier order.
         progress = None
-    # Writes refer to the object by its name and version.
+    return build_stored_rollout(entry, order, progress)
+
+
+def build_stored_rollout(
+    entry: objects.StoredObject,
+    order: rollouts.Order,
+    progress: rollouts.Progress | None,
+) -> controller.StoredRollout:
+    """Returns a rollout that refers to its object by name and version."""
     reference = dataclasses.replace(entry, value=None, status=None)
     return controller.StoredRollout(reference, order, progress)
 
--- a/src/dragonflydyke/platform/store.py
+++ b/src/dragonflydyke/platform/store.py
@@ -221,7 +221,7 @@
             raise model.ConflictError(entry.kind, entry.name, None, peer=peer)
         body = documents.parse_document(response.body, peer=peer)
         written = _parse_object(entry.kind, body, era)
-        return controller.StoredRollout(written, stored.order, progress)
+        return records.build_stored_rollout(written, stored.order, progress)
 
     async def write_crash(self, report: quarantine.CrashReport) -> int:
         """Stores a crash report unless the store has it already.
