Test broken early responses in the product's own interface, and report them

Calls and streams of the gateway before servers that break off during a long upload, without a length, with one and in chunks, and with statuses that are none.

--- a/tests/test_faulty_backends.py
+++ b/tests/test_faulty_backends.py
@@ -6,6 +6,7 @@
 import asyncio
 import dataclasses
 import json
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -27,6 +28,8 @@
     b"\r\n"
 )
 _SERVICE_BODY = b"printed"
+_UPLOAD = json.dumps({"text": "u" * 800_000})
+_BUFFER_BYTES = 65_536
 # Time for the gateway to read what was sent.
 _READ_S = 0.05
 
@@ -59,6 +62,10 @@
         """Closes the connection with a reset."""
         self._writer.transport.abort()
 
+    def close_orderly(self) -> None:
+        """Ends the response; what still arrives resets the connection."""
+        self._writer.get_extra_info("socket").shutdown(socket.SHUT_WR)
+
 
 class FaultyBackendTestCase(gateway_case.GatewayTestCase):
     """Runs a gateway with a real backend client before raw servers.
@@ -66,6 +73,7 @@
     Attributes:
         scripts: Behaviour of each server by name; called for each connection.
         received: Names of the servers, one for each received request.
+        reads_bodies: Whether the servers read bodies of requests.
     """
 
     async def asyncSetUp(self) -> None:
@@ -73,6 +81,7 @@
         await super().asyncSetUp()
         self.scripts: dict[str, Script] = {}
         self.received: list[str] = []
+        self.reads_bodies = True
         client = backends.BackendClient(self.services.counters)
         self.addAsyncCleanup(client.close)
         self.services.backends = client
@@ -92,17 +101,26 @@
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
             try:
-                method = await _read_request(reader)
+                method = await _read_request(reader, self.reads_bodies)
                 if method == "POST":
                     self.received.append(server.name)
                 connection = _Connection(reader, writer, method)
                 await self.scripts[server.name](connection)
-            except (ConnectionError, asyncio.IncompleteReadError):
+            except (
+                ConnectionError,
+                asyncio.CancelledError,
+                asyncio.IncompleteReadError,
+            ):
                 pass
             finally:
                 writer.close()
 
-        listening = await asyncio.start_server(serve, "127.0.0.1", 0)
+        # Long bodies that are not read do not fit into the system's buffer.
+        bound = socket.create_server(("127.0.0.1", 0))
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _BUFFER_BYTES)
+        listening = await asyncio.start_server(
+            serve, sock=bound, limit=_BUFFER_BYTES
+        )
         self.addCleanup(listening.close)
         port = listening.sockets[0].getsockname()[1]
         return dataclasses.replace(server, url=f"http://127.0.0.1:{port}")
@@ -120,12 +138,12 @@
         )
 
 
-async def _read_request(reader: asyncio.StreamReader) -> str:
-    """Reads a request; returns its method."""
+async def _read_request(reader: asyncio.StreamReader, reads_body: bool) -> str:
+    """Reads a request, or only its head; returns its method."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
     for line in head.splitlines():
         name, _, value = line.partition(":")
-        if name.lower() == "content-length":
+        if name.lower() == "content-length" and reads_body:
             await reader.readexactly(int(value))
     return head.split(" ", 1)[0]
 
@@ -265,3 +283,85 @@
         for size in (1, 17, len(_STREAM_HEAD) - 1):
             with self.subTest(size=size):
                 await self.check_stream(_STREAM_HEAD[:size])
+
+
+class EarlyResponseTest(FaultyBackendTestCase):
+    """Guards against a part of a response that is delivered as the whole.
+
+    The server broke off during the upload, or its status was none.
+    """
+
+    async def check_call(self, first: bytes, *, is_reset: bool) -> None:
+        """Checks that a call fails whose response is broken off."""
+
+        async def run(connection: _Connection) -> None:
+            await connection.write(first)
+            await asyncio.sleep(_READ_S)
+            if is_reset:
+                connection.reset()
+            else:
+                connection.close_orderly()
+            await asyncio.sleep(_READ_S)
+
+        self.scripts["labels-1"] = run
+        response = await self.fetch(
+            gateway_case.PRINT_PATH,
+            body=_UPLOAD,
+            headers={"Idempotency-Key": f"{first!r} {is_reset}"},
+        )
+        self.assertEqual(response.code, 502, response.body)
+        error = json.loads(response.body)["error"]
+        self.assertEqual(error["execution"], "unknown")
+
+    async def test_part_of_a_response_to_a_call_is_not_delivered(self) -> None:
+        self.reads_bodies = False
+        for framing in (
+            b"",
+            b"Content-Length: 5000\r\n",
+            b"Transfer-Encoding: chunked\r\n",
+        ):
+            for is_reset in (False, True):
+                with self.subTest(framing, is_reset=is_reset):
+                    part = (
+                        b"4\r\npart\r\n" if b"chunked" in framing else b"part"
+                    )
+                    head = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n"
+                    await self.check_call(head + part, is_reset=is_reset)
+
+    async def test_part_of_a_stream_does_not_look_complete(self) -> None:
+        self.reads_bodies = False
+        event = gateway.build_chunk_event("first")
+        unframed = _STREAM_HEAD.replace(b"Transfer-Encoding: chunked\r\n", b"")
+        heads = {
+            unframed: event,
+            _STREAM_HEAD: b"%x\r\n%s\r\n" % (len(event), event),
+        }
+        messages = [{"role": "user", "content": "u" * 800_000}]
+        for head, part in heads.items():
+            with self.subTest(head):
+
+                async def run(
+                    connection: _Connection, data: bytes = head + part
+                ) -> None:
+                    if connection.method != "POST":
+                        return
+                    await connection.write(data)
+                    await asyncio.sleep(_READ_S)
+                    connection.close_orderly()
+                    await asyncio.sleep(_READ_S)
+
+                self.script_engines(run)
+                response = await self.fetch(stream=True, messages=messages)
+                self.assertNotIn(b"[DONE]", response.body)
+                self.assertIn(b'"error"', response.body)
+
+    async def test_invalid_status_is_no_response(self) -> None:
+        for status in (b"000", b"099", b"600", b"999"):
+            for framing in (b"", b"Content-Length: 4\r\n"):
+                with self.subTest(status, framing=framing):
+                    head = b"HTTP/1.1 %s X\r\n%s\r\n" % (status, framing)
+                    await self.check_call(head + b"text", is_reset=False)
+                    self.script_engines(self.scripts["labels-1"])
+                    for is_stream in (False, True):
+                        response = await self.fetch(stream=is_stream)
+                        self.assertGreaterEqual(response.code, 500)
