Put no prompt parts in quarantine for the crashes of one request

Hypotheses: the parts that two crashes have in common count also if both are of one request; a sound request that was interrupted is blamed; a response clears the part too late. Two reports of one fingerprint alone exclude the parts, so it is the first.

Cause: crashes of any two processes were compared.

Change: crashes that one request may explain are not. Its fingerprint excludes it anyway. A part that crashes engines takes three of them instead of two.

--- a/src/dragonflydyke/forwarding/quarantine.py
+++ b/src/dragonflydyke/forwarding/quarantine.py
@@ -9,7 +9,8 @@
 without any event. Nodes share reports of these.
 
 A request is rejected if two crashes are put down to its fingerprint, and a
-prompt if it has all shared parts that two crashes have in common. A fingerprint
+prompt if it has all shared parts that two crashes have in common. Two crashes
+that the same request may have caused say nothing about its parts. A fingerprint
 or part with which a response was produced since is not the cause. Of the
 requests that a crash interrupted, it is put down to the one with most crashes,
 so that a sound request that ran beside it twice is still served.
@@ -252,9 +253,20 @@
     states: Iterable[_ReportState],
 ) -> frozenset[frozenset[str]]:
     """Returns the suspects that the crashes of two processes have in common."""
+    crashes: dict[tuple[str, int], list[_ReportState]] = {}
+    for state in states:
+        crashes.setdefault(state.report.process, []).append(state)
     common = {
         frozenset(first.suspects & second.suspects)
-        for first, second in itertools.combinations(states, 2)
-        if first.report.process != second.report.process
+        for one, other in itertools.combinations(crashes.values(), 2)
+        if _list_fingerprints(one).isdisjoint(_list_fingerprints(other))
+        for first, second in itertools.product(one, other)
     }
     return frozenset(parts for parts in common if parts)
+
+
+def _list_fingerprints(states: Iterable[_ReportState]) -> set[str]:
+    """Returns the fingerprints that may be the cause of a crash."""
+    return {
+        state.report.content.fingerprint for state in states if state.is_suspect
+    }
