Give bodies of tiny chunks turns of their own

Hypotheses: no processor time is left; the turns of tiny chunks delay all bodies. A schedule alone, without any reading, lets an ordinary body wait for 22.8 s after tiny ones: it is the turns.

Cause: one row of turns, which a piece of tiny chunks moves by 20 ms.

Change: a row for bodies that turned out to be tiny, at the same rate as before, and one for all others.

--- a/src/dragonflydyke/forwarding/chunk_pacing.py
+++ b/src/dragonflydyke/forwarding/chunk_pacing.py
@@ -3,8 +3,9 @@
 Designed for tens of clients that send bodies in chunks of one byte. Tornado
 needs 13 to 18 microseconds for such a chunk and reads 256 of them before others
 run, so that the clients would occupy the node for seconds. Each chunked body is
-first read in small pieces, until its chunks prove to be large enough. Bodies of
-a known length are not concerned.
+first read in small pieces, until its chunks prove to be large enough. Bodies
+that turn out to consist of tiny chunks have turns of their own, so that others
+do not wait for them. Bodies of a known length are not concerned.
 """
 
 SMALL_PIECE_BYTES = 64
@@ -27,11 +28,12 @@
 class PieceSchedule:
     """Turns of all chunked bodies of a node that are read in small pieces."""
 
-    __slots__ = ("_last", "_next_s")
+    __slots__ = ("_last", "_next_s", "_next_tiny_s")
 
     def __init__(self) -> None:
         """Creates a schedule without turns."""
         self._next_s = 0.0
+        self._next_tiny_s = 0.0
         self._last: ChunkedBody | None = None
 
     def find_wait_s(self, body: "ChunkedBody", now_s: float) -> float:
@@ -43,9 +45,12 @@
         self._last = body
         if is_alone:
             return 0.0
-        start_s = max(now_s, self._next_s)
-        period_s = _TINY_PERIOD_S if body.is_tiny else _PIECE_PERIOD_S
-        self._next_s = start_s + period_s
+        if body.is_tiny:
+            start_s = max(now_s, self._next_tiny_s)
+            self._next_tiny_s = start_s + _TINY_PERIOD_S
+        else:
+            start_s = max(now_s, self._next_s)
+            self._next_s = start_s + _PIECE_PERIOD_S
         return start_s - now_s
 
 
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -294,6 +294,21 @@
         # A piece takes 3 ms on the smallest processor.
         self.assertGreater(waits[-1], 5 * 0.003 * len(waits))
 
+    def test_ordinary_bodies_do_not_wait_for_tiny_chunks(self) -> None:
+        """Short chunked bodies beside 60 such clients took over ten seconds."""
+        schedule = chunk_pacing.PieceSchedule()
+        for round_number in range(1, 20):
+            size = round_number * chunk_pacing.SMALL_PIECE_BYTES
+            for body in [chunk_pacing.ChunkedBody() for _ in range(60)]:
+                body.record_piece(6 * size + 1_024, size)
+                schedule.find_wait_s(body, 0.0)
+        body = chunk_pacing.ChunkedBody()
+        wait_s = 0.0
+        for size in range(64, 320, 64):
+            body.record_piece(size + 8, size)
+            wait_s += schedule.find_wait_s(body, 0.0)
+        self.assertLess(wait_s, 0.1)
+
     def test_large_chunks_do_not_wait(self) -> None:
         schedule = chunk_pacing.PieceSchedule()
         body = chunk_pacing.ChunkedBody()
