--- a/harness/experiments.py
+++ b/harness/experiments.py
@@ -16,14 +16,11 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
-from dragonflydyke.load import model, open_loop, results, workloads
-from harness import deployment
+from dragonflydyke.load import model, open_loop, workloads
+from harness import deployment, experiment_documents, experiment_figures
 
-_ROOT = pathlib.Path(__file__).resolve().parent.parent
-_CONFIGURATION = _ROOT / "examples" / "demo"
 _KEY = "demo-key"
 _TIMEOUT_S = 90.0
-_SHORT_CLASSES = ("line_question", "substitution_check")
 _BEST_MODEL = "planner-large"
 _UNLIMITED_TOKENS = 1_000_000
 # Time in which the engine emulators report their load once before a run.
@@ -31,7 +28,6 @@
 _STRAGGLER_FACTOR = 10.0
 
 Fault = Callable[[deployment.Deployment], Awaitable[None]]
-Figures = dict[str, float]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -81,7 +77,9 @@
     rate: float
     duration_s: float
     engines: int
-    compute_figures: Callable[[Sequence[model.RequestRecord]], Figures]
+    compute_figures: Callable[
+        [Sequence[model.RequestRecord]], experiment_figures.Figures
+    ]
     policies: tuple[Policy, ...] = (*BASELINES, ROUTER)
     slots: int = 8
     fault: Fault | None = None
@@ -92,112 +90,6 @@
     policy_settings: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
-def _select_classes(
-    records: Sequence[model.RequestRecord],
-    names: Sequence[str] = _SHORT_CLASSES,
-) -> list[model.RequestRecord]:
-    return [r for r in records if r.request_class in names]
-
-
-def _compute_latencies(records: Sequence[model.RequestRecord]) -> Figures:
-    done = [r for r in records if r.is_completed]
-    first = results.compute_percentiles_ms(
-        r.first_token_s for r in done if r.first_token_s is not None
-    )
-    total = results.compute_percentiles_ms(r.total_s for r in done)
-    names = ("p50", "p95", "p99")
-    return {
-        **{f"first token {n} ms": v for n, v in zip(names, first, strict=True)},
-        **{f"total {n} ms": v for n, v in zip(names, total, strict=True)},
-        "completed %": _compute_percent(len(done), len(records)),
-    }
-
-
-def _compute_short_class_figures(
-    records: Sequence[model.RequestRecord],
-) -> Figures:
-    short = _select_classes(records)
-    long = [r for r in records if r.request_class not in _SHORT_CLASSES]
-    times = _compute_latencies(short)
-    rejected = [r for r in records if r.execution == "not run"]
-    long_ms = results.compute_percentiles_ms(
-        r.total_s for r in long if r.is_completed
-    )
-    return {
-        "short first token p99 ms": times["first token p99 ms"],
-        "short total p50 ms": times["total p50 ms"],
-        "short total p99 ms": times["total p99 ms"],
-        "short completed %": times["completed %"],
-        "refused %": _compute_percent(len(rejected), len(records)),
-        "refusal p99 ms": results.compute_percentiles_ms(
-            r.answer_s for r in rejected
-        )[2],
-        "long total p99 ms": long_ms[2],
-        "long completed %": _compute_percent(
-            sum(r.is_completed for r in long), len(long)
-        ),
-    }
-
-
-def _compute_cost(records: Sequence[model.RequestRecord]) -> Figures:
-    document = deployment.load_documents(_CONFIGURATION)
-    quality = {
-        f"{entry['name']}@{version['name']}": version["quality"]
-        for entry in document["models"]
-        for version in entry["versions"]
-    }
-    for ratings in quality.values():
-        _add_class_quality(ratings)
-    targets = {c["name"]: c["quality_target"] for c in _build_classes(document)}
-    chats = [r for r in records if r.request_class in targets]
-    done = [r for r in chats if r.is_completed]
-    on_target = [
-        r
-        for r in done
-        if quality[r.version].get(r.request_class, 0.0)
-        >= targets[r.request_class]
-    ]
-    rated = [r.rating for r in done if r.rating is not None]
-    times = _compute_latencies(_select_classes(done, ("booking_confirmation",)))
-    return {
-        "cost per request": sum(r.cost for r in done) / max(1, len(done)),
-        "configured quality reaches target %": _compute_percent(
-            len(on_target), len(done)
-        ),
-        "mean rating": statistics.mean(rated or [0.0]),
-        "rating reaches target %": _compute_percent(
-            sum(r.rating >= targets[r.request_class] for r in done if r.rating),
-            len(rated),
-        ),
-        "completed %": _compute_percent(len(done), len(chats)),
-        "booking total p99 ms": times["total p99 ms"],
-    }
-
-
-def _compute_exposure(records: Sequence[model.RequestRecord]) -> Figures:
-    exposed = [r for r in records if r.version == "planner-small@v2"]
-    return {
-        "on the bad version %": _compute_percent(len(exposed), len(records)),
-        "completed %": _compute_percent(
-            sum(r.is_completed for r in records), len(records)
-        ),
-    }
-
-
-def _compute_faults(records: Sequence[model.RequestRecord]) -> Figures:
-    lost = [r for r in records if r.outcome == "no_response"]
-    unknown = [r for r in records if r.execution == "unknown"]
-    return {
-        "no response %": _compute_percent(len(lost), len(records)),
-        "execution unknown %": _compute_percent(len(unknown), len(records)),
-        **_compute_latencies(records),
-    }
-
-
-def _compute_percent(part: int, whole: int) -> float:
-    return 100.0 * part / whole if whole else 0.0
-
-
 async def _slow_down_one_engine(running: deployment.Deployment) -> None:
     await asyncio.sleep(3.0)
     await running.control_emulator(
@@ -226,10 +118,19 @@
 
 EXPERIMENTS = {
     "overhead": Experiment(
-        "line_questions", 36.0, 10.0, 2, _compute_latencies, (ROUTER,)
+        "line_questions",
+        36.0,
+        10.0,
+        2,
+        experiment_figures.compute_latencies,
+        (ROUTER,),
     ),
     "latency": Experiment(
-        "short_among_long", 6.0, 12.0, 4, _compute_short_class_figures
+        "short_among_long",
+        6.0,
+        12.0,
+        4,
+        experiment_figures.compute_short_classes,
     ),
     # At the peak, short requests need two thirds of the slots, and long
     # requests that started before the peak run as long as it lasts.
@@ -238,34 +139,47 @@
         10.0,
         10.0,
         4,
-        _compute_short_class_figures,
+        experiment_figures.compute_short_classes,
         policy_settings={"reserved_share": 0.6},
     ),
     "blocking": Experiment(
-        "short_among_long", 50.0, 8.0, 4, _compute_short_class_figures
+        "short_among_long",
+        50.0,
+        8.0,
+        4,
+        experiment_figures.compute_short_classes,
     ),
     "capacity": Experiment(
-        "line_questions", 145.0, 12.0, 2, _compute_short_class_figures
+        "line_questions",
+        145.0,
+        12.0,
+        2,
+        experiment_figures.compute_short_classes,
     ),
     "stragglers": Experiment(
         "line_questions",
         60.0,
         10.0,
         10,
-        _compute_latencies,
+        experiment_figures.compute_latencies,
         slots=4,
         fault=_slow_down_one_engine,
         compare_fault=True,
     ),
     "cost": Experiment(
-        "office_mix", 12.0, 10.0, 4, _compute_cost, (BEST, ROUTER)
+        "office_mix",
+        12.0,
+        10.0,
+        4,
+        experiment_figures.compute_cost,
+        (BEST, ROUTER),
     ),
     "roll_out": Experiment(
         "line_questions",
         60.0,
         10.0,
         4,
-        _compute_exposure,
+        experiment_figures.compute_exposure,
         (
             Policy("one step, no stop", "power_of_two"),
             Policy("10 % at first", "power_of_two"),
@@ -296,98 +210,13 @@
         30.0,
         10.0,
         4,
-        _compute_faults,
+        experiment_figures.compute_faults,
         (ROUTER,),
         fault=_kill_router,
     ),
 }
 
 
-def _build_classes(document: dict[str, Any]) -> list[dict[str, Any]]:
-    short = next(c for c in document["classes"] if c["name"] == "line_question")
-    office = {"max_completion_tokens": 1024, "deadline_s": 60.0}
-    return [
-        *document["classes"],
-        {**short, "name": "substitution_check"},
-        {
-            **office,
-            "name": "quote_summary",
-            "quality_target": 0.8,
-            "priority": 5,
-            "may_wait_s": 30.0,
-        },
-        {
-            **office,
-            "name": "survey_draft",
-            "quality_target": 0.9,
-            "priority": 20,
-            "may_wait_s": 50.0,
-            "long": True,
-        },
-        {**office, "name": "booking_confirmation", "quality_target": 0.85},
-    ]
-
-
-def _add_class_quality(quality: dict[str, float]) -> None:
-    """Adds quality values of the classes that the demo does not configure."""
-    for name in ("substitution_check", "quote_summary", "booking_confirmation"):
-        quality[name] = quality["line_question"]
-    quality["survey_draft"] = quality["catalogue_rebuild"]
-
-
-def _adapt_document(
-    document: dict[str, Any], experiment: Experiment, policy: Policy
-) -> None:
-    """Changes the configuration of the demo into that of an experiment."""
-    document["classes"] = _build_classes(document)
-    if experiment.policy_settings:
-        document["policy"] = dict(experiment.policy_settings)
-    document["client_accounts"][0]["limits"] = {
-        "requests_per_s": 10_000.0,
-        "concurrent_requests": 10_000,
-        "tokens_per_minute": 1_000_000_000,
-    }
-    versions = []
-    for entry in document["models"]:
-        for version in entry["versions"]:
-            _add_class_quality(version["quality"])
-            versions.append(f"{entry['name']}@{version['name']}")
-    document["backend_servers"] = [
-        {
-            "name": f"engine-{i + 1}",
-            "kind": "engine",
-            "url": "http://127.0.0.1:1",
-            "data_centre": "cartago-a",
-            "serves": versions,
-            "slots": experiment.slots,
-        }
-        for i in range(experiment.engines)
-    ]
-    lookup = {"name": "lookup", "method": "GET", "path": "/lookup"}
-    document["services"] = [
-        {"name": "stock", "operations": [{**lookup, "repeatable": True}]}
-    ]
-    document["backend_servers"].append(
-        {
-            "name": "stock-1",
-            "kind": "service",
-            "url": "http://127.0.0.1:1",
-            "data_centre": "cartago-a",
-            "serves": ["stock"],
-        }
-    )
-    stages = [entry["name"] for entry in document["models"]]
-    document["cascades"].append({"name": "quotes", "stages": stages})
-    account = document["client_accounts"][0]
-    account["services"] = ["stock"]
-    account["cascades"].append("quotes")
-    if policy.name in experiment.rollouts:
-        document["roll_outs"] = [experiment.rollouts[policy.name]]
-    else:
-        # Without a rollout, v2 would be selected as the better version.
-        document["models"][0]["versions"][1]["state"] = "retiring"
-
-
 def _build_arrivals(
     experiment: Experiment, policy: Policy, seed: int
 ) -> list[model.Arrival]:
@@ -421,6 +250,7 @@
         self._running = running
 
     async def prepare(self) -> None:
+        """Sets the behaviour of the engines."""
         for name in self._running.backend_urls:
             if not name.startswith("engine"):
                 continue
@@ -431,7 +261,8 @@
             )
         await asyncio.sleep(_LOAD_REPORT_DELAY_S)
 
-    async def run_seed(self, seed: int) -> Figures:
+    async def run_seed(self, seed: int) -> experiment_figures.Figures:
+        """Returns the figures of a seed through the routers."""
         arrivals = _build_arrivals(self._experiment, self._policy, seed)
         urls = [r.public_url for r in self._running.routers.values()]
         if not self._experiment.compare_fault:
@@ -449,7 +280,8 @@
             **faulty,
         }
 
-    async def run_seed_directly(self, seed: int) -> Figures:
+    async def run_seed_directly(self, seed: int) -> experiment_figures.Figures:
+        """Returns the figures of a seed without routers."""
         arrivals = [
             dataclasses.replace(a, model="planner-small@v1")
             for a in _build_arrivals(self._experiment, self._policy, seed)
@@ -465,7 +297,9 @@
         urls: Sequence[str],
         fault: Fault | None,
     ) -> list[model.RequestRecord]:
-        is_rated = self._experiment.compute_figures is _compute_cost
+        is_rated = (
+            self._experiment.compute_figures is experiment_figures.compute_cost
+        )
         sender = open_loop.OpenLoopSender(
             urls, [_KEY], _TIMEOUT_S, keep_response_text=is_rated
         )
@@ -495,8 +329,8 @@
 
 async def _run_policy(
     name: str, experiment: Experiment, policy: Policy, seeds: Sequence[int]
-) -> dict[str, list[Figures]]:
-    found: dict[str, list[Figures]] = {policy.name: []}
+) -> dict[str, list[experiment_figures.Figures]]:
+    found: dict[str, list[experiment_figures.Figures]] = {policy.name: []}
     # The effects of a router kill or a stopped rollout are permanent, so each
     # seed needs a new deployment.
     restart_per_seed = bool(experiment.rollouts) or (
@@ -506,7 +340,7 @@
     for group in groups:
         with tempfile.TemporaryDirectory() as directory:
             options = deployment.DeploymentOptions(
-                _CONFIGURATION,
+                experiment_documents.FOLDER,
                 engine_flags=("--prefill-ms", "1", "--decode-ms", "10"),
                 router_flags=(
                     "--drain-s",
@@ -516,7 +350,13 @@
             )
             path = pathlib.Path(directory)
             planned = deployment.Deployment(path, options)
-            _adapt_document(planned.document, experiment, policy)
+            experiment_documents.adapt(
+                planned.document,
+                engines=experiment.engines,
+                slots=experiment.slots,
+                policy_settings=experiment.policy_settings,
+                rollout=experiment.rollouts.get(policy.name),
+            )
             async with planned as running:
                 run = _PolicyRun(experiment, policy, running)
                 await run.prepare()
@@ -540,7 +380,7 @@
         f" {experiment.slots} slots, 3 routers, seeds"
         f" {', '.join(map(str, seeds))}; load average before {load:.1f}\n"
     )
-    found: dict[str, list[Figures]] = {}
+    found: dict[str, list[experiment_figures.Figures]] = {}
     for policy in experiment.policies:
         if policies and policy.name not in policies:
             continue
