Take the retry of an unstarted request after the reports are read

Callers: none saw it; found while reading again. At peak load, with hundreds of unstarted requests a node, the few retries of a node would mostly be held by reviews.

Change: the retry is taken with the decision, without a wait in between; a request that gets none waits on, and leaves no plan behind. Whether an attempt may be given up is a module of its own, and the reports are not read if no attempt could follow.

Evidence: test_stalled_streams (12 unstarted streams and 4 retries: none fails), test_fallback_load, test_forwarding_escalation and test_fallback_answers pass.

--- a/src/dragonflydyke/forwarding/attempts.py
+++ b/src/dragonflydyke/forwarding/attempts.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 from dragonflydyke import errors
 from dragonflydyke.backends import connection, events, failures
@@ -91,12 +92,22 @@
         return self.plan.first_event_s if self.plan else None
 
 
-# Decides on a request that has waited at its engine for some seconds.
+# Decides on a request that has waited at its engine for some seconds, and takes
+# a retry with the last argument if it is not to wait on.
 WaitReviewer = Callable[
-    [AttemptTarget, float], Awaitable[fallbacks.WaitDecision]
+    [AttemptTarget, float, Callable[[], bool]],
+    Awaitable[fallbacks.WaitDecision],
 ]
-# Takes a retry for an attempt that is to be given up, if that may be.
-RetryReserver = Callable[["Attempt"], bool]
+
+
+class Replacement(Protocol):
+    """Decides whether an attempt may be given up for another one."""
+
+    def may_follow(self, attempt: "Attempt") -> bool:
+        """Returns whether another attempt would follow now."""
+
+    def try_reserve(self, attempt: "Attempt") -> bool:
+        """Takes a retry; returns whether the attempt may be given up."""
 
 
 class Attempt:
@@ -128,7 +139,7 @@
         "_hold_task",
         "_observer",
         "_request",
-        "_reserve_retry",
+        "_replacement",
         "_review_wait",
         "_services",
         "_splitter",
@@ -153,7 +164,7 @@
         context: contexts.RequestContext,
         target: AttemptTarget,
         review_wait: WaitReviewer,
-        reserve_retry: RetryReserver,
+        replacement: Replacement,
     ) -> None:
         """Creates an attempt without opening a connection.
 
@@ -162,7 +173,7 @@
             context: The request.
             target: Where and how the attempt runs.
             review_wait: Called while the engine does not start the response.
-            reserve_retry: Called before a silent server is given up.
+            replacement: Asked before a silent server is given up.
         """
         self._services = services
         self._context = context
@@ -181,7 +192,7 @@
         self._waited_s = 0.0
         self._observer: observers.AttemptObserver | None = None
         self._gap_meter = gap_meters.GapMeter()
-        self._reserve_retry = reserve_retry
+        self._replacement = replacement
         self._review_wait = review_wait
         self._held_stream: held_streams.HeldStream | None = None
         self._hold_task: asyncio.Task[None] | None = None
@@ -465,21 +476,23 @@
         )
         while not await self._starts_within(interval_s):
             may_move = decisions.may_move(self._admitted.route)
-            if not may_move or not self._reserve_retry(self):
+            if not may_move or not self._replacement.may_follow(self):
                 continue
             decision = await self._review_wait(
-                self.target, loop.time() - started_s
+                self.target,
+                loop.time() - started_s,
+                lambda: self._replacement.try_reserve(self),
             )
+            if decision.step is fallbacks.WaitStep.WAIT:
+                continue
             # The engine may have begun while reports were read.
-            has_started = await self._starts_within(0.0)
-            if not has_started and decision.step is not fallbacks.WaitStep.WAIT:
-                raise AttemptFailedError(
-                    decisions.AttemptOutcome.FIRST_EVENT_TIMEOUT,
-                    f"no event yet, {decision.reason}",
-                )
-            self._context.refund_retry()
-            if has_started:
+            if await self._starts_within(0.0):
+                self._context.refund_retry()
                 return
+            raise AttemptFailedError(
+                decisions.AttemptOutcome.FIRST_EVENT_TIMEOUT,
+                f"no event yet, {decision.reason}",
+            )
 
     async def _starts_within(self, timeout_s: float) -> bool:
         assert self._exchange is not None
@@ -609,7 +622,7 @@
             if timeout_s is not None and timeout_s <= 0:
                 # All streams of a silent server stall at the same time, and the
                 # budget may not have a retry for each of them.
-                if self._reserve_retry(self):
+                if self._replacement.try_reserve(self):
                     raise AttemptFailedError(
                         decisions.AttemptOutcome.LOST, "stream stalled"
                     )
--- a/src/dragonflydyke/forwarding/runs.py
+++ b/src/dragonflydyke/forwarding/runs.py
@@ -16,6 +16,7 @@
     held_streams,
     messages,
     outcomes,
+    replacements,
     selection,
     targets,
 )
@@ -52,6 +53,7 @@
         "_held",
         "_predicted_first_event_s",
         "_recorder",
+        "_replacement",
         "_services",
         "_state",
         "_targets",
@@ -77,6 +79,9 @@
                 context.request, context.admitted, services.costs, _now_s()
             ),
         )
+        self._replacement = replacements.AttemptReplacement(
+            context, self._targets
+        )
 
     async def run(self) -> None:
         """Makes attempts until a response is delivered to the client.
@@ -108,7 +113,7 @@
     async def _make_attempts(self) -> None:
         outcome = await self._attempt_in_time()
         while True:
-            progress = self._describe_progress()
+            progress = self._targets.describe_progress()
             step = self._decide_next(outcome, progress)
             if step is decisions.NextStep.DONE:
                 return
@@ -304,19 +309,6 @@
             "expected_events": expected.events,
         }
 
-    def _describe_progress(self) -> decisions.RequestProgress:
-        return decisions.RequestProgress(
-            attempts=self._state.attempts,
-            dispatches=decisions.count_dispatches(
-                self._state.dispatches,
-                self._state.refusals.total(),
-                has_other_data_centre=self._targets.has_other_data_centre(),
-            ),
-            may_have_run=self._state.may_have_run,
-            remaining_s=self._admitted.deadline_s - _now_s(),
-            retry_after_s=self._state.retry_after_s,
-        )
-
     def _decide_next(
         self,
         outcome: decisions.AttemptOutcome,
@@ -364,34 +356,6 @@
             return "no other engine"
         return ""
 
-    def _try_reserve_retry(self, attempt: attempts.Attempt) -> bool:
-        """Takes a retry for a request whose attempt is to be given up.
-
-        The attempt is kept unless another one is certain to follow. That is
-        decided here at once for all requests that wait for a silent server.
-
-        Args:
-            attempt: The attempt, which the server may be running.
-
-        Returns:
-            Whether the attempt may be given up.
-        """
-        progress = self._describe_progress()
-        progress = dataclasses.replace(
-            progress,
-            # An attempt is counted when it ends, or when its response is held.
-            attempts=progress.attempts + (not attempt.is_held),
-            may_have_run=True,
-        )
-        step = decisions.decide_next_step(
-            self._admitted.route, decisions.AttemptOutcome.LOST, progress
-        )
-        return (
-            step is decisions.NextStep.RETRY
-            and self._targets.has_allowed_server()
-            and self._context.try_pay_retry()
-        )
-
     async def _attempt(self) -> decisions.AttemptOutcome:
         """Makes one attempt and returns its outcome."""
         await self._services.store_knowledge.refresh_if_overdue()
@@ -412,7 +376,7 @@
             self._context,
             target,
             self._targets.review_wait,
-            self._try_reserve_retry,
+            self._replacement,
         )
         self._state.dispatches += 1
         self._services.selector.record_start(
--- a/src/dragonflydyke/forwarding/targets.py
+++ b/src/dragonflydyke/forwarding/targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from dragonflydyke import logs
 from dragonflydyke.forwarding import (
@@ -76,6 +77,20 @@
         """
         return self._find_usable().servers
 
+    def describe_progress(self) -> decisions.RequestProgress:
+        """Returns the attempts that have ended so far."""
+        return decisions.RequestProgress(
+            attempts=self._state.attempts,
+            dispatches=decisions.count_dispatches(
+                self._state.dispatches,
+                self._state.refusals.total(),
+                has_other_data_centre=self.has_other_data_centre(),
+            ),
+            may_have_run=self._state.may_have_run,
+            remaining_s=self._admitted.deadline_s - _now_s(),
+            retry_after_s=self._state.retry_after_s,
+        )
+
     def has_allowed_server(self) -> bool:
         """Returns whether a server would accept an attempt now."""
         return bool(self._services.statements.list_allowed(self.list_servers()))
@@ -243,7 +258,10 @@
         return self._build_target(selected.server) if selected else None
 
     async def review_wait(
-        self, target: attempts.AttemptTarget, waited_s: float
+        self,
+        target: attempts.AttemptTarget,
+        waited_s: float,
+        try_reserve: Callable[[], bool],
     ) -> fallbacks.WaitDecision:
         """Decides on a request that its engine has not started.
 
@@ -252,6 +270,8 @@
         Args:
             target: Where the request waits.
             waited_s: Seconds for which it has waited there.
+            try_reserve: Takes a retry for a request that does not wait on;
+                returns whether there was one. Otherwise it waits.
         """
         planner = self._services.planner
         model_name = target.model_name or self._context.request.details.model
@@ -274,6 +294,10 @@
                 else None,
             )
         )
+        if decision.step is not fallbacks.WaitStep.WAIT and not try_reserve():
+            decision = fallbacks.WaitDecision(
+                fallbacks.WaitStep.WAIT, "no retry left"
+            )
         self._services.counters.increment(f"unstarted.{decision.step.value}")
         if decision.step is fallbacks.WaitStep.WAIT:
             return decision
--- a/src/dragonflydyke/routing/retries.py
+++ b/src/dragonflydyke/routing/retries.py
@@ -18,6 +18,11 @@
         self._reserve = reserve
         self._balance = reserve
 
+    @property
+    def has_retries_left(self) -> bool:
+        """Whether at least one retry is left, which others may take first."""
+        return self._balance >= 1.0
+
     def record_request(self, share: float) -> None:
         """Adds the share of a retry that each request contributes."""
         self._balance = min(self._balance + share, self._reserve)
