Look only once for the end of a deep value that has none

Callers: none saw it; found by a trial with random and hostile values after. A value of 1 MB that opens brackets and never closes them kept a node from all other work for 53 s, as the end was looked for at each of its levels.

Change: once such a value was found, those inside it are unreadable at once.

Evidence: the trial, 53.3 s before and 0.25 s after; test_deep_value_without_an_end_is_looked_through_once, 147 s of processor time before and below 5 s after.

--- a/src/dragonflydyke/objects/documents.py
+++ b/src/dragonflydyke/objects/documents.py
@@ -69,12 +69,15 @@
         text: The document.
     """
 
-    __slots__ = ("position", "text")
+    __slots__ = ("_has_open_value", "position", "text")
 
     def __init__(self, body: bytes) -> None:
         """Creates a cursor at the start of a document."""
         self.text = body.decode("utf-8", "surrogateescape")
         self.position = 0
+        # Whether a deep value was found that does not end. Looking for the end
+        # of each value inside it would take minutes.
+        self._has_open_value = False
 
     def take(self, char: str) -> bool:
         """Skips a character if it comes next; returns whether it did."""
@@ -121,6 +124,8 @@
 
     def _cut_deep_values(self) -> tuple[str, int]:
         """Returns the next value, with null for deep ones, and its end."""
+        if self._has_open_value:
+            raise ValueError(f"a deep value at {self.position}")
         kept = []
         depth = 0
         start = self.position
@@ -137,6 +142,7 @@
                 if not depth:
                     kept.append(self.text[start : token.end()])
                     return "".join(kept), token.end()
+        self._has_open_value = True
         raise ValueError(f"no end of the value at {self.position}")
 
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 import unittest
 
 from dragonflydyke import metrics
@@ -274,6 +275,14 @@
             ):
                 pages.read_page(text.encode(), "items", str, peer="store")
 
+    def test_deep_value_without_an_end_is_looked_through_once(self) -> None:
+        """The end was looked for at each of its levels, for a minute."""
+        spec = '{"metadata": [0, ' * 400 + "[" * 900_000
+        deep = _write_unreadable_item(spec)
+        started_s = time.process_time()
+        self.assertEqual(self.read(_write_item("a", {}), deep)[0], "a")
+        self.assertLess(time.process_time() - started_s, 5.0)
+
     def test_number_of_unreadable_items_is_limited(self) -> None:
         """Reading a page must not keep a node from its other work."""
         items = ", ".join(['{"metadata": nope}'] * 10_000)
