--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases 12 and 14, which need Python alone.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+python3 -m compileall -q review/standins-3/standins review/12 review/14
--- /dev/null
+++ b/review/standins-3/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, its runners and its clients."""
